Add the design page, the build and the checked configuration

Change: docs/design.md with the requirements, state owners, wire contracts and the twelve design questions; CMake under a Makefile with lint, test, sanitize and model-check targets; the shared types (Result, EnumNames, time, log), the checked TOML documents and the host settings. Conclusion: modules can be built in parallel against the headers.

--- /dev/null
+++ b/src/cmake/Dependencies.cmake
@@ -0,0 +1,22 @@
+# Third-party packages, as interface targets. Each is one of the packages in src/build-scripts/install-packages.sh.
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS log thread)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(CLP_LIBRARY Clp REQUIRED)
+find_library(COINUTILS_LIBRARY CoinUtils REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+
+add_library(corneltray_dependencies INTERFACE)
+# websocketpp works over standalone Asio when these two macros are set.
+target_compile_definitions(corneltray_dependencies INTERFACE
+  ASIO_STANDALONE _WEBSOCKETPP_CPP11_STL_ BOOST_LOG_DYN_LINK BOOST_ALL_DYN_LINK)
+target_link_libraries(corneltray_dependencies INTERFACE
+  Threads::Threads OpenSSL::Crypto Boost::log Boost::thread ${XXHASH_LIBRARY})
+
+add_library(corneltray_test_dependencies INTERFACE)
+target_link_libraries(corneltray_test_dependencies INTERFACE ${RAPIDCHECK_LIBRARY})
+
+add_library(corneltray_bench_dependencies INTERFACE)
+target_include_directories(corneltray_bench_dependencies SYSTEM INTERFACE /usr/include/coin)
+target_link_libraries(corneltray_bench_dependencies INTERFACE ${CLP_LIBRARY} ${COINUTILS_LIBRARY})
--- /dev/null
+++ b/src/include/corneltray/messages.h
@@ -0,0 +1,42 @@
+#ifndef CORNELTRAY_MESSAGES_H_
+#define CORNELTRAY_MESSAGES_H_
+
+#include "corneltray/enum_names.h"
+
+namespace corneltray {
+
+// Types of messages between corneltray processes. See docs/design.md section 6.3.
+enum class MessageType {
+  kHello,
+  kHeartbeat,
+  kGossip,
+  kReplica,               // one message of the replicated log, body is an encoded ReplicaMessage
+  kPropose,               // request: a command for the log
+  kReadBooking,           // request: state of one key, read through the leader
+  kConfigurationFetch,    // request: the document, or a difference from a revision
+  kConfigurationChanged,  // push: a new revision is committed
+  kLeaseRequest,          // request: grant or renew the placement lease
+  kLeaseRelease,          // push: the holder gives the lease up
+  kError,
+};
+
+template <>
+struct EnumNames<MessageType> {
+  static constexpr EnumName<MessageType> kTable[] = {
+      {MessageType::kHello, "hello"},
+      {MessageType::kHeartbeat, "heartbeat"},
+      {MessageType::kGossip, "gossip"},
+      {MessageType::kReplica, "replica"},
+      {MessageType::kPropose, "propose"},
+      {MessageType::kReadBooking, "read_booking"},
+      {MessageType::kConfigurationFetch, "configuration_fetch"},
+      {MessageType::kConfigurationChanged, "configuration_changed"},
+      {MessageType::kLeaseRequest, "lease_request"},
+      {MessageType::kLeaseRelease, "lease_release"},
+      {MessageType::kError, "error"},
+  };
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_MESSAGES_H_
--- /dev/null
+++ b/src/include/corneltray/peer.h
@@ -0,0 +1,120 @@
+#ifndef CORNELTRAY_PEER_H_
+#define CORNELTRAY_PEER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "corneltray/messages.h"
+#include "corneltray/result.h"
+#include "corneltray/time.h"
+
+namespace corneltray {
+
+enum class PeerErrc {
+  kDeadlineExceeded = 1,
+  kNotConnected,
+  kRefused,       // the peer answered with an error
+  kAddressInUse,  // Listen failed
+  kStopped,
+};
+
+std::error_code make_error_code(PeerErrc errc);
+
+// Who a peer is, as proved in the hello exchange.
+struct PeerIdentity {
+  std::string host;
+  std::string program;
+  std::string region;
+  std::string availability_zone;
+  std::uint64_t incarnation = 0;
+};
+
+struct PeerOptions {
+  PeerIdentity identity;
+  std::string listen_address;     // IP:PORT; port 0 picks a free one
+  std::string advertise_address;  // empty: the bound address
+  std::string shared_key;
+};
+
+struct PeerStatus {
+  PeerIdentity identity;
+  std::string address;
+  bool connected = false;
+};
+
+// Counters of frames that were dropped, for metrics and tests.
+struct PeerCounters {
+  std::uint64_t malformed = 0;
+  std::uint64_t oversized = 0;
+  std::uint64_t unauthenticated = 0;
+  std::uint64_t replayed = 0;
+  std::uint64_t links_replaced = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+};
+
+// Authenticated links between corneltray processes over websocketpp, with CBOR messages. Owns its
+// I/O thread. Every callback and handler runs on that thread and must not block; Send, Request,
+// Connect, Post and RunAt may be called from any thread.
+class PeerNode {
+ public:
+  using ReplyCallback = std::function<void(Result<nlohmann::json>)>;
+  // Completes one request. Calling it more than once has no effect.
+  using Responder = std::function<void(Result<nlohmann::json>)>;
+  using RequestHandler =
+      std::function<void(const PeerIdentity& from, const nlohmann::json& body, Responder respond)>;
+  using PushHandler = std::function<void(const PeerIdentity& from, const nlohmann::json& body)>;
+
+  explicit PeerNode(PeerOptions options);
+  ~PeerNode();
+  PeerNode(const PeerNode&) = delete;
+  PeerNode& operator=(const PeerNode&) = delete;
+
+  // Handlers are set before Start. A request of a type without a handler is answered with an error.
+  // Handlers must be idempotent: a request is sent again, with the same id, when its link is
+  // replaced.
+  void SetRequestHandler(MessageType type, RequestHandler handler);
+  void SetPushHandler(MessageType type, PushHandler handler);
+
+  // Binds the listener and starts the I/O thread. Fails with kAddressInUse.
+  Status Start();
+  // Closes all links and joins the thread. Open requests complete with kStopped.
+  void Stop();
+
+  // The bound address IP:PORT, after Start.
+  std::string ListenAddress() const;
+
+  // Keeps a link to this address, opening it again with backoff whenever it is lost.
+  void Connect(const std::string& address);
+
+  // Sends without a reply; dropped when there is no link to that host process.
+  // `host` is PeerIdentity::host.
+  void Send(const std::string& host, MessageType type, nlohmann::json body);
+
+  // Sends a request. The callback runs exactly once: with the reply, the peer's error (kRefused),
+  // or kDeadlineExceeded or kNotConnected.
+  void Request(const std::string& host, MessageType type, nlohmann::json body, TimePoint deadline,
+               ReplyCallback callback);
+
+  // Runs a function on the I/O thread, soon or at a time.
+  void Post(std::function<void()> function);
+  void RunAt(TimePoint when, std::function<void()> function);
+
+  std::vector<PeerStatus> Peers() const;
+  PeerCounters Counters() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace corneltray
+
+template <>
+struct std::is_error_code_enum<corneltray::PeerErrc> : std::true_type {};
+
+#endif  // CORNELTRAY_PEER_H_
--- /dev/null
+++ b/src/include/corneltray/settings.h
@@ -0,0 +1,46 @@
+#ifndef CORNELTRAY_SETTINGS_H_
+#define CORNELTRAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "corneltray/log.h"
+#include "corneltray/schema.h"
+
+namespace corneltray {
+
+// Settings of one process, from its own TOML file. All programs read the same keys and use those
+// that concern them.
+struct HostSettings {
+  std::string name;  // unique in the region, names the process in logs and messages
+  std::string region;
+  std::string site;  // which overlay of the configuration is in force here
+  std::string availability_zone;
+  std::string http_address;        // IP:PORT for callers, upstreams and operators
+  std::string peer_address;        // IP:PORT for corneltray processes
+  std::vector<std::string> seeds;  // peer addresses to join through
+  std::string shared_key;
+  std::string operator_key;
+  std::string data_folder;                 // empty on a host without a disk
+  std::vector<std::string> control_hosts;  // names of the control replicas, for the first start
+  std::vector<std::string> lease_voters;   // names of the placement processes of this zone
+  std::uint32_t http_threads = 0;
+  std::int64_t drain_grace_ms = 0;
+  std::int64_t drain_deadline_ms = 0;
+  LogLevel log_level = LogLevel::kInfo;
+  std::string weight_store;  // IP:PORT, for placement
+};
+
+const std::vector<KeySpec>& HostSettingsSchema();
+
+// Parses a settings text. Issues are returned in `issues`; the settings are usable only if it stays
+// empty.
+HostSettings ParseHostSettings(const SourceText& source, std::vector<DocumentIssue>* issues);
+
+// Reads and parses a settings file. A file that cannot be read gives one issue with line 0.
+HostSettings LoadHostSettings(const std::string& path, std::vector<DocumentIssue>* issues);
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_SETTINGS_H_
--- /dev/null
+++ b/src/libcorneltray/settings.cc
@@ -0,0 +1,93 @@
+#include "corneltray/settings.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace corneltray {
+namespace {
+
+constexpr double kMaxName = 64;
+constexpr double kMaxText = 256;
+constexpr double kHourMs = 3'600'000;
+
+}  // namespace
+
+const std::vector<KeySpec>& HostSettingsSchema() {
+  using T = ValueType;
+  static const std::vector<KeySpec> schema = {
+      {"host.name", T::kString, true, "", 1, kMaxName, "", "unique name of this process"},
+      {"host.region", T::kString, true, "", 1, kMaxName, "", "region of the replicated log"},
+      {"host.site", T::kString, true, "", 1, kMaxName, "", "site whose overlay is in force here"},
+      {"host.availability_zone", T::kString, true, "", 1, kMaxName, "", "zone of this host"},
+      {"host.data_folder", T::kString, false, "\"\"", 0, 4096, "",
+       "folder for durable state; empty on a host without a disk"},
+      {"http.address", T::kString, false, "\"127.0.0.1:0\"", 3, kMaxText, "",
+       "IP:PORT for callers, upstreams and operators; port 0 picks a free one"},
+      {"http.threads", T::kInteger, false, "64", 2, 4096, "threads",
+       "connections served at once, each on its own thread"},
+      {"peer.address", T::kString, false, "\"127.0.0.1:0\"", 3, kMaxText, "",
+       "IP:PORT for other corneltray processes"},
+      {"peer.seeds", T::kStringList, false, "[]", 0, 64, "", "peer addresses to join through"},
+      {"peer.shared_key", T::kString, true, "", 16, kMaxText, "", "key that peers prove"},
+      {"operator.key", T::kString, true, "", 16, kMaxText, "", "bearer key of operators"},
+      {"control.hosts", T::kStringList, false, "[]", 0, 7, "",
+       "names of the control replicas at the first start of the region"},
+      {"placement.lease_voters", T::kStringList, false, "[]", 0, 7, "",
+       "names of the placement processes of this zone"},
+      {"placement.weight_store", T::kString, false, "\"\"", 0, kMaxText, "",
+       "IP:PORT of the weight store, passed to engines with each order"},
+      {"drain.grace_ms", T::kInteger, false, "1000", 0, kHourMs, "ms",
+       "time for the balancer to see that this host is not ready"},
+      {"drain.deadline_ms", T::kInteger, false, "60000", 0, kHourMs, "ms",
+       "time for requests in progress to finish after a stop signal"},
+      {"log.level", T::kString, false, "\"info\"", 1, 16, "", "debug, info, warning or error"},
+  };
+  return schema;
+}
+
+HostSettings ParseHostSettings(const SourceText& source, std::vector<DocumentIssue>* issues) {
+  ParsedDocument document = ParseDocument({source}, HostSettingsSchema());
+  if (!document.issues.empty()) {
+    *issues = std::move(document.issues);
+    return {};
+  }
+  const nlohmann::json& v = document.values;
+  HostSettings settings;
+  settings.name = v["host"]["name"];
+  settings.region = v["host"]["region"];
+  settings.site = v["host"]["site"];
+  settings.availability_zone = v["host"]["availability_zone"];
+  settings.data_folder = v["host"]["data_folder"];
+  settings.http_address = v["http"]["address"];
+  settings.http_threads = v["http"]["threads"];
+  settings.peer_address = v["peer"]["address"];
+  settings.seeds = v["peer"]["seeds"].get<std::vector<std::string>>();
+  settings.shared_key = v["peer"]["shared_key"];
+  settings.operator_key = v["operator"]["key"];
+  settings.control_hosts = v["control"]["hosts"].get<std::vector<std::string>>();
+  settings.lease_voters = v["placement"]["lease_voters"].get<std::vector<std::string>>();
+  settings.weight_store = v["placement"]["weight_store"];
+  settings.drain_grace_ms = v["drain"]["grace_ms"];
+  settings.drain_deadline_ms = v["drain"]["deadline_ms"];
+  const auto level = ParseEnum<LogLevel>(v["log"]["level"].get<std::string>());
+  if (!level) {
+    issues->push_back({source.file, 0, "log.level", "must be debug, info, warning or error"});
+    return settings;
+  }
+  settings.log_level = *level;
+  return settings;
+}
+
+HostSettings LoadHostSettings(const std::string& path, std::vector<DocumentIssue>* issues) {
+  std::ifstream file(path);
+  if (!file) {
+    issues->push_back({path, 0, "", "cannot read the settings file"});
+    return {};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseHostSettings({path, text.str()}, issues);
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/testsuite/runtest.py
@@ -0,0 +1,88 @@
+"""Runs the unit tests and the end-to-end cases, and prints "N passed, N failed" last.
+
+Each folder below testsuite/ with a run.py is one case. Entries of KNOWN-RED.txt are reported but do
+not change the exit status; see CONTRIBUTING.md.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+import sys
+
+TOP = pathlib.Path(__file__).resolve().parent.parent
+CASE_TIMEOUT_S = 300
+
+
+def known_red():
+    """Returns the names of the tests that KNOWN-RED.txt lists: lines of the form "test: NAME"."""
+    path = TOP / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+    return set(re.findall(r"^test: *(.+?) *$", path.read_text(), re.MULTILINE))
+
+
+def run_unit(build):
+    """Runs the unit tests. Returns passed and failed counts of test cases."""
+    done = subprocess.run([str(build / "bin" / "corneltray_test")], capture_output=True, text=True,
+                          check=False)
+    summary = re.search(r"test cases: *\d+ \| *(\d+) passed \| *(\d+) failed", done.stdout)
+    if done.returncode != 0 or not summary:
+        print(done.stdout[-20000:], done.stderr[-20000:])
+    if not summary:
+        return 0, 1
+    passed, failed = int(summary.group(1)), int(summary.group(2))
+    if done.returncode != 0 and failed == 0:
+        failed = 1
+    print(f"unit tests: {passed} passed, {failed} failed")
+    return passed, failed
+
+
+def run_case(build, case):
+    """Runs one end-to-end case. Returns its name, whether it passed, and its output."""
+    command = [sys.executable, str(case / "run.py"), "--build", str(build)]
+    try:
+        done = subprocess.run(command, capture_output=True, text=True, timeout=CASE_TIMEOUT_S,
+                              check=False)
+    except subprocess.TimeoutExpired as error:
+        return case.name, False, f"no result after {CASE_TIMEOUT_S} s\n{error.stdout}"
+    return case.name, done.returncode == 0, done.stdout + done.stderr
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", type=pathlib.Path, default=TOP / "build")
+    parser.add_argument("--unit", action="store_true", help="also run the unit tests")
+    parser.add_argument("--only-unit", action="store_true", help="leave out the end-to-end cases")
+    parser.add_argument("--jobs", type=int, default=3, help="cases run at once")
+    parser.add_argument("cases", nargs="*", help="names of cases; all when none is given")
+    arguments = parser.parse_args()
+    build = arguments.build.resolve()
+    passed = failed = 0
+    if arguments.unit:
+        passed, failed = run_unit(build)
+    cases = []
+    if not arguments.only_unit:
+        cases = sorted(path.parent for path in (TOP / "testsuite").glob("*/run.py"))
+        if arguments.cases:
+            cases = [case for case in cases if case.name in arguments.cases]
+    red = known_red()
+    with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
+        for name, ok, output in pool.map(lambda case: run_case(build, case), cases):
+            if ok:
+                passed += 1
+                print(f"{name}: passed")
+            elif name in red:
+                print(f"{name}: failed, listed in KNOWN-RED.txt")
+                print(output[-4000:])
+            else:
+                failed += 1
+                print(f"{name}: FAILED")
+                print(output[-20000:])
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
