--- /dev/null
+++ b/src/include/corneltray/log_storage.h
@@ -0,0 +1,105 @@
+#ifndef CORNELTRAY_LOG_STORAGE_H_
+#define CORNELTRAY_LOG_STORAGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "corneltray/consensus.h"
+#include "corneltray/result.h"
+
+namespace corneltray {
+
+enum class StorageErrc {
+  kDiskFull = 1,
+  kWriteFailed,
+  kReadFailed,
+  kCorrupt,           // the detail names the file and the offset
+  kAlreadyFormatted,  // Format on a folder that holds files
+  kWrongHost,         // the folder belongs to a host of another name
+  kInUse,             // another process has the folder open
+};
+
+std::error_code make_error_code(StorageErrc errc);
+
+// The file system calls of LogStorage. Tests replace it to make the disk full, to fail a sync and
+// to lose unsynced data. Every call returns 0 or a positive errno value.
+class FileOperations {
+ public:
+  virtual ~FileOperations() = default;
+
+  // Opens a file for reading and writing; `create` makes it if absent.
+  virtual int Open(const std::string& path, bool create, int* descriptor) = 0;
+  virtual void Close(int descriptor) = 0;
+  // Writes all bytes at the offset. After an error an unknown part of them is written.
+  virtual int WriteAt(int descriptor, std::uint64_t offset, const std::string& bytes) = 0;
+  virtual int Truncate(int descriptor, std::uint64_t size) = 0;
+  virtual int Sync(int descriptor) = 0;
+  virtual int Rename(const std::string& from, const std::string& to) = 0;
+  virtual int SyncFolder(const std::string& folder) = 0;
+  // ENOENT when there is no such file.
+  virtual int Read(const std::string& path, std::string* bytes) = 0;
+};
+
+// Returns the operations on the real file system.
+FileOperations& PosixFileOperations();
+
+// What Open had to repair. Logged by the program.
+struct StorageReport {
+  bool created = false;  // the folder was empty and got a new disk identity
+  std::uint64_t truncated_bytes = 0;
+  std::uint64_t truncated_at = 0;  // offset in `truncated_file`
+  std::string truncated_file;
+};
+
+// The files of one replica in its data folder:
+//   identity    host name, disk identity and founding hosts
+//   hard_state  term and vote
+//   snapshot    latest snapshot
+//   log         records: length, xxh64 checksum, index, term, payload
+// After the first failed write every later write fails with the same error, because the state of
+// the file is unknown; Open recovers it. Not thread-safe.
+class LogStorage {
+ public:
+  // Creates the files of a founding voter in an empty or absent folder, with a new random disk
+  // identity. All founding hosts are formatted with the same list. Returns the identity. Fails with
+  // kAlreadyFormatted if the folder holds files.
+  static Result<ReplicaId> Format(const std::string& folder, const std::string& host,
+                                  const std::vector<std::string>& founding_hosts,
+                                  FileOperations& files = PosixFileOperations());
+
+  // Opens the folder and recovers its state. An empty or absent folder gets a new disk identity
+  // without founding hosts, so the replica starts as a learner. A torn last record is cut off and
+  // reported. Fails with kCorrupt, kInUse, kWrongHost, kReadFailed, kWriteFailed or kDiskFull.
+  static Result<std::unique_ptr<LogStorage>> Open(const std::string& folder,
+                                                  const std::string& host,
+                                                  FileOperations& files = PosixFileOperations());
+
+  virtual ~LogStorage() = default;
+
+  // The state found by Open. May be moved from once.
+  virtual PersistentState& Recovered() = 0;
+  virtual const StorageReport& Report() const = 0;
+
+  // Writes one persist action; any other action is ignored. Records are durable only after Sync.
+  // Fails with kDiskFull or kWriteFailed; nothing written before is lost.
+  virtual Status Write(const Action& action) = 0;
+
+  // Makes everything written so far durable with one sync. Several batches may share one call.
+  virtual Status Sync() = 0;
+
+  // Writes and syncs all persist actions of some batches (group commit).
+  Status Commit(const std::vector<ActionBatch>& batches);
+
+  // Number of syncs of the log file, for metrics and tests.
+  virtual std::uint64_t SyncCount() const = 0;
+};
+
+}  // namespace corneltray
+
+template <>
+struct std::is_error_code_enum<corneltray::StorageErrc> : std::true_type {};
+
+#endif  // CORNELTRAY_LOG_STORAGE_H_
