Add the replica state machine, first version without tests

Change: election with pre-vote and check-quorum, append with log repair, commit by records of the own term, read barriers over a heartbeat round,

replacement of a lost disk identity, leadership transfer, first start.

Conclusion: tests follow before anything is claimed of it.

--- /dev/null
+++ b/src/libcorneltray/consensus.cc
@@ -0,0 +1,304 @@
+#include "corneltray/consensus.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "consensus_impl.h"
+
+namespace corneltray {
+namespace {
+
+bool IsPersistAction(const Action& action) {
+  return std::holds_alternative<PersistHardState>(action) ||
+         std::holds_alternative<PersistEntries>(action) ||
+         std::holds_alternative<PersistSnapshot>(action);
+}
+
+bool WaitsForPersist(const Action& action) {
+  const auto* send = std::get_if<SendMessage>(&action);
+  return send != nullptr && send->after_persist;
+}
+
+std::uint64_t SnapshotIndex(const PersistentState& state) {
+  return state.snapshot ? state.snapshot->last.index : 0;
+}
+
+MemberSet SnapshotMembers(const PersistentState& state) {
+  return state.snapshot ? state.snapshot->members : MemberSet{};
+}
+
+// Hosts are often given the same seed by mistake; the identity keeps their timeouts apart.
+std::uint64_t MixSeed(std::uint64_t seed, const ReplicaId& self) {
+  const std::string name = self.host + '/' + self.disk_identity;
+  return XXH64(name.data(), name.size(), seed);
+}
+
+}  // namespace
+
+Replica::Impl::Impl(ReplicaOptions options, PersistentState recovered, TimePoint now)
+    : m_options(options),
+      m_self(recovered.self),
+      m_founding_hosts(recovered.founding_hosts),
+      m_random(MixSeed(options.seed, recovered.self)),
+      m_hard(recovered.hard_state),
+      m_log(recovered.log_base, std::move(recovered.entries), SnapshotIndex(recovered),
+            SnapshotMembers(recovered)),
+      m_snapshot(recovered.snapshot),
+      m_commit_index(SnapshotIndex(recovered)),
+      m_now(now),
+      m_found_request_at(now) {
+  if (m_snapshot) {
+    m_log.SetFloorTimestamp(m_snapshot->timestamp);
+    Emit(RestoreSnapshot{*m_snapshot});
+  }
+  ResetElectionDeadline(now);
+  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  AnnounceRole(RoleReason::kStart);
+  StartFounding();
+}
+
+bool Replica::Impl::MayVote() const {
+  return !m_founding_hosts.empty() || m_log.Members().members.count(m_self) > 0;
+}
+
+void Replica::Impl::Emit(Action action) { m_actions.push_back(std::move(action)); }
+
+void Replica::Impl::Send(const ReplicaId& to, MessageBody body, bool after_persist) {
+  SendWithTerm(to, m_hard.term, std::move(body), after_persist);
+}
+
+void Replica::Impl::SendWithTerm(const ReplicaId& to, std::uint64_t term, MessageBody body,
+                                 bool after_persist) {
+  Emit(SendMessage{{m_self, to, term, std::move(body)}, after_persist});
+}
+
+void Replica::Impl::PersistHard() { Emit(PersistHardState{m_hard}); }
+
+void Replica::Impl::AnnounceRole(RoleReason reason) {
+  RoleChanged changed{m_role, reason, m_hard.term, m_leader};
+  if (m_announced && m_announced->role == changed.role && m_announced->leader == changed.leader &&
+      m_announced->term == changed.term) {
+    return;
+  }
+  m_announced = changed;
+  Emit(changed);
+}
+
+void Replica::Impl::ResetElectionDeadline(TimePoint now) {
+  std::uniform_int_distribution<Duration::rep> timeout(m_options.election_timeout_min.count(),
+                                                       m_options.election_timeout_max.count());
+  m_election_at = now + Duration(timeout(m_random));
+}
+
+Error Replica::Impl::NotLeader() const {
+  return {ConsensusErrc::kNotLeader, m_leader ? m_leader->host : ""};
+}
+
+void Replica::Impl::Tick(TimePoint now) {
+  m_now = now;
+  if (m_storage_failed) return;
+  if (IsLeader()) {
+    CheckQuorum(now);
+    if (!IsLeader()) return;
+    if (m_transfer && now >= m_transfer->ends_at) m_transfer.reset();
+    MaintainMembers(now);
+    if (now >= m_heartbeat_at) m_heartbeat_due = true;
+    return;
+  }
+  if (IsFounding()) ContinueFounding(now);
+  if (now < m_election_at) return;
+  if (m_log.Members().IsVoter(m_self)) {
+    Campaign(now, true, false);
+  } else {
+    ResetElectionDeadline(now);
+  }
+}
+
+TimePoint Replica::Impl::NextDeadline() const {
+  if (m_storage_failed) return m_now + m_options.election_timeout_max;
+  if (IsLeader()) return m_heartbeat_at;
+  if (IsFounding()) return std::min(m_found_request_at, m_election_at);
+  return m_election_at;
+}
+
+void Replica::Impl::Step(TimePoint now, const std::string& from_host,
+                         const ReplicaMessage& message) {
+  m_now = now;
+  if (m_storage_failed || message.from.host != from_host || message.to.host != m_self.host ||
+      message.from == m_self) {
+    return;
+  }
+  if (std::holds_alternative<FoundRequest>(message.body)) {
+    OnFoundRequest(now, message);
+    return;
+  }
+  if (message.to != m_self) {
+    // Votes and acknowledgements of a lost disk are not given by the new one. The leader is told,
+    // so that it replaces the member.
+    if (std::holds_alternative<AppendRequest>(message.body) ||
+        std::holds_alternative<SnapshotPart>(message.body)) {
+      SendWithTerm(message.from, message.term, IdentityNotice{message.to}, true);
+    }
+    return;
+  }
+  if (const auto* notice = std::get_if<IdentityNotice>(&message.body)) {
+    OnIdentityNotice(message, *notice);
+    MaintainMembers(now);
+    return;
+  }
+  if (const auto* reply = std::get_if<FoundReply>(&message.body)) {
+    OnFoundReply(now, message, *reply);
+    return;
+  }
+  if (HandleTerm(now, message)) Dispatch(now, message);
+  if (IsLeader()) MaintainMembers(now);
+}
+
+// Adopts a newer term and refuses an older one. Returns whether the message is to be handled.
+bool Replica::Impl::HandleTerm(TimePoint now, const ReplicaMessage& message) {
+  const auto* request = std::get_if<VoteRequest>(&message.body);
+  const auto* reply = std::get_if<VoteReply>(&message.body);
+  const bool from_leader = std::holds_alternative<AppendRequest>(message.body) ||
+                           std::holds_alternative<SnapshotPart>(message.body);
+  if (message.term > m_hard.term) {
+    if (request != nullptr && request->pre_vote) return true;
+    if (reply != nullptr && reply->pre_vote && reply->granted) return true;
+    // A candidate that cannot hear the leader does not depose it.
+    if (request != nullptr && !request->transfer && HeardFromLeader(now)) return false;
+    BecomeFollower(now, message.term,
+                   from_leader ? std::optional<ReplicaId>(message.from) : std::nullopt,
+                   RoleReason::kNewerTerm);
+    return true;
+  }
+  if (message.term < m_hard.term) {
+    // The reply carries the newer term, so that a leader or candidate of an old term gives up.
+    if (from_leader) Send(message.from, AppendReply{});
+    if (request != nullptr) Send(message.from, VoteReply{request->pre_vote, false});
+    return false;
+  }
+  return true;
+}
+
+void Replica::Impl::Dispatch(TimePoint now, const ReplicaMessage& message) {
+  std::visit(
+      [&](const auto& body) {
+        using Body = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<Body, VoteRequest>) OnVoteRequest(now, message, body);
+        if constexpr (std::is_same_v<Body, VoteReply>) OnVoteReply(now, message, body);
+        if constexpr (std::is_same_v<Body, AppendRequest>) OnAppendRequest(now, message, body);
+        if constexpr (std::is_same_v<Body, AppendReply>) OnAppendReply(now, message, body);
+        if constexpr (std::is_same_v<Body, SnapshotPart>) OnSnapshotPart(now, message, body);
+        if constexpr (std::is_same_v<Body, SnapshotReply>) OnSnapshotReply(now, message, body);
+        if constexpr (std::is_same_v<Body, TimeoutNow>) OnTimeoutNow(now, message);
+      },
+      message.body);
+}
+
+void Replica::Impl::Persisted(TimePoint now, std::uint64_t sequence) {
+  m_now = now;
+  std::optional<PendingBatch> last;
+  while (!m_pending.empty() && m_pending.front().sequence <= sequence) {
+    last = m_pending.front();
+    m_pending.pop_front();
+  }
+  if (m_storage_failed || !last || last->term != m_hard.term) return;
+  if (m_role == ReplicaRole::kCandidate && !m_pre_vote && m_hard.voted_for == m_self) {
+    CountVote(now, m_self);
+  } else if (IsLeader()) {
+    m_persisted_index = std::max(m_persisted_index, last->last_index);
+    AdvanceCommit(now);
+    if (IsLeader()) MaintainMembers(now);
+  }
+}
+
+void Replica::Impl::StorageFailed(TimePoint now, const Error& error) {
+  m_now = now;
+  if (m_storage_failed) return;
+  m_storage_failed = true;
+  m_storage_error = error.ToString();
+  // What was not written must not be claimed to others.
+  m_actions.erase(std::remove_if(m_actions.begin(), m_actions.end(),
+                                 [](const Action& action) {
+                                   return IsPersistAction(action) || WaitsForPersist(action);
+                                 }),
+                  m_actions.end());
+  if (IsLeader()) {
+    if (const auto successor = BestSuccessor(now)) Send(*successor, TimeoutNow{}, false);
+    FailBarriers();
+  }
+  m_transfer.reset();
+  m_heartbeat_due = false;
+  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  m_leader.reset();
+  AnnounceRole(RoleReason::kStorageFailed);
+}
+
+ActionBatch Replica::Impl::TakeActions() {
+  if (IsLeader() && !m_storage_failed) SendToAll(m_now);
+  ActionBatch batch;
+  batch.sequence = ++m_sequence;
+  batch.actions = std::move(m_actions);
+  m_actions.clear();
+  batch.needs_sync = std::any_of(batch.actions.begin(), batch.actions.end(), IsPersistAction);
+  if (batch.needs_sync) m_pending.push_back({m_sequence, m_hard.term, m_log.Last().index});
+  return batch;
+}
+
+ReplicaStatus Replica::Impl::GetStatus() const {
+  ReplicaStatus status;
+  status.self = m_self;
+  status.role = m_role;
+  status.term = m_hard.term;
+  status.leader = m_leader;
+  status.last = m_log.Last();
+  status.commit_index = m_commit_index;
+  status.snapshot_index = m_snapshot ? m_snapshot->last.index : 0;
+  status.members = m_log.Members();
+  status.accepts_proposals = IsLeader() && !m_transfer && !m_storage_failed;
+  status.storage_failed = m_storage_failed;
+  if (IsLeader()) {
+    for (const auto& [id, progress] : m_progress) status.match_index[id] = progress.match;
+  }
+  return status;
+}
+
+std::optional<LogEntry> Replica::Impl::EntryAt(std::uint64_t index) const {
+  if (index <= m_log.Base().index || index > m_log.Last().index) return std::nullopt;
+  return m_log.At(index);
+}
+
+Replica::Replica(ReplicaOptions options, PersistentState recovered, TimePoint now)
+    : m_impl(std::make_unique<Impl>(options, std::move(recovered), now)) {}
+Replica::~Replica() = default;
+void Replica::Tick(TimePoint now) { m_impl->Tick(now); }
+TimePoint Replica::NextDeadline() const { return m_impl->NextDeadline(); }
+void Replica::Step(TimePoint now, const std::string& from_host, const ReplicaMessage& message) {
+  m_impl->Step(now, from_host, message);
+}
+Result<LogPosition> Replica::Propose(TimePoint now, UnixMs timestamp, std::string payload) {
+  return m_impl->Propose(now, timestamp, std::move(payload));
+}
+Result<LogPosition> Replica::ProposeMembers(TimePoint now, const MemberChange& change) {
+  return m_impl->ProposeMembers(now, change);
+}
+Status Replica::ReadBarrier(TimePoint now, std::uint64_t id) {
+  return m_impl->ReadBarrier(now, id);
+}
+Status Replica::TransferLeadership(TimePoint now) { return m_impl->TransferLeadership(now); }
+void Replica::Persisted(TimePoint now, std::uint64_t sequence) { m_impl->Persisted(now, sequence); }
+void Replica::StorageFailed(TimePoint now, const Error& error) {
+  m_impl->StorageFailed(now, error);
+}
+void Replica::Compact(std::uint64_t index, std::string data) {
+  m_impl->Compact(index, std::move(data));
+}
+ActionBatch Replica::TakeActions() { return m_impl->TakeActions(); }
+ReplicaStatus Replica::GetStatus() const { return m_impl->GetStatus(); }
+std::optional<LogEntry> Replica::EntryAt(std::uint64_t index) const {
+  return m_impl->EntryAt(index);
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libcorneltray/consensus_election.cc
@@ -0,0 +1,177 @@
+#include <algorithm>
+#include <utility>
+
+#include "consensus_impl.h"
+
+namespace corneltray {
+
+// True while a leader is in force as far as this replica knows: it is the leader, or heard from one
+// within the shortest election timeout.
+bool Replica::Impl::HeardFromLeader(TimePoint now) const {
+  if (IsLeader()) return true;
+  return m_leader && m_has_heard_leader && now < m_heard_leader_at + m_options.election_timeout_min;
+}
+
+void Replica::Impl::BecomeFollower(TimePoint now, std::uint64_t term,
+                                   std::optional<ReplicaId> leader, RoleReason reason) {
+  if (IsLeader()) FailBarriers();
+  m_transfer.reset();
+  m_heartbeat_due = false;
+  m_returned.clear();
+  m_votes.clear();
+  m_pre_vote = false;
+  if (term > m_hard.term) {
+    m_hard = {term, std::nullopt};
+    PersistHard();
+  }
+  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  m_leader = std::move(leader);
+  ResetElectionDeadline(now);
+  AnnounceRole(reason);
+}
+
+// Asks the other voters for their votes. A pre-vote changes no state: it only finds out whether an
+// election could be won, so a replica that returns from a partition does not raise the term.
+void Replica::Impl::Campaign(TimePoint now, bool pre_vote, bool transfer) {
+  m_role = ReplicaRole::kCandidate;
+  m_pre_vote = pre_vote;
+  m_leader.reset();
+  m_votes.clear();
+  ResetElectionDeadline(now);
+  std::uint64_t asked_term = m_hard.term + 1;
+  if (!pre_vote) {
+    m_hard = {m_hard.term + 1, m_self};
+    asked_term = m_hard.term;
+    PersistHard();
+  }
+  AnnounceRole(transfer ? RoleReason::kTransferred : RoleReason::kElectionTimeout);
+  for (const auto& [id, role] : m_log.Members().members) {
+    if (role != MemberRole::kVoter || id == m_self) continue;
+    SendWithTerm(id, asked_term, VoteRequest{pre_vote, transfer, m_log.Last()}, true);
+  }
+  // The own vote of a real election counts once it is on disk; see Persisted.
+  if (pre_vote) CountVote(now, m_self);
+}
+
+void Replica::Impl::CountVote(TimePoint now, const ReplicaId& voter) {
+  const MemberSet& members = m_log.Members();
+  if (!members.IsVoter(voter)) return;
+  m_votes.insert(voter);
+  if (m_votes.size() < members.Quorum()) return;
+  if (m_pre_vote) {
+    Campaign(now, false, false);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void Replica::Impl::BecomeLeader(TimePoint now) {
+  m_role = ReplicaRole::kLeader;
+  m_leader = m_self;
+  m_votes.clear();
+  m_returned.clear();
+  m_barriers.clear();
+  m_transfer.reset();
+  m_incoming.reset();
+  m_round = 0;
+  m_persisted_index = 0;
+  m_uncommitted_bytes = 0;
+  m_progress.clear();
+  RefreshProgress(now);
+  AnnounceRole(RoleReason::kElected);
+  // Records of earlier terms are committed only through a record of this term.
+  m_term_start_index = AppendOwn(EntryKind::kNoop, 0, "").index;
+  m_heartbeat_due = true;
+}
+
+void Replica::Impl::OnVoteRequest(TimePoint now, const ReplicaMessage& message,
+                                  const VoteRequest& request) {
+  const LogPosition last = m_log.Last();
+  const bool log_is_current = request.last.term > last.term ||
+                              (request.last.term == last.term && request.last.index >= last.index);
+  if (request.pre_vote) {
+    const bool granted =
+        MayVote() && message.term > m_hard.term && log_is_current && !HeardFromLeader(now);
+    SendWithTerm(message.from, granted ? message.term : m_hard.term, VoteReply{true, granted},
+                 true);
+    return;
+  }
+  const bool free = !m_hard.voted_for || *m_hard.voted_for == message.from;
+  const bool granted = MayVote() && free && !m_leader && log_is_current;
+  if (granted) {
+    if (!m_hard.voted_for) {
+      m_hard.voted_for = message.from;
+      PersistHard();
+    }
+    ResetElectionDeadline(now);
+  }
+  Send(message.from, VoteReply{false, granted});
+}
+
+void Replica::Impl::OnVoteReply(TimePoint now, const ReplicaMessage& message,
+                                const VoteReply& reply) {
+  if (m_role != ReplicaRole::kCandidate || !reply.granted || reply.pre_vote != m_pre_vote) return;
+  const std::uint64_t asked_term = m_pre_vote ? m_hard.term + 1 : m_hard.term;
+  if (message.term != asked_term) return;
+  CountVote(now, message.from);
+}
+
+void Replica::Impl::OnTimeoutNow(TimePoint now, const ReplicaMessage& message) {
+  if (IsLeader() || m_leader != message.from || !m_log.Members().IsVoter(m_self)) return;
+  Campaign(now, false, true);
+}
+
+// A leader that has not heard from a majority for one election timeout gives up, so that its
+// callers learn that nothing can be committed here.
+void Replica::Impl::CheckQuorum(TimePoint now) {
+  const MemberSet& members = m_log.Members();
+  std::size_t heard = members.IsVoter(m_self) ? 1 : 0;
+  for (const auto& [id, progress] : m_progress) {
+    if (members.IsVoter(id) && now < progress.last_heard_at + m_options.election_timeout_min) {
+      ++heard;
+    }
+  }
+  if (heard < members.Quorum()) {
+    BecomeFollower(now, m_hard.term, std::nullopt, RoleReason::kQuorumLost);
+  }
+}
+
+// Returns the voter with the longest log among those heard from lately.
+std::optional<ReplicaId> Replica::Impl::BestSuccessor(TimePoint now) const {
+  std::optional<ReplicaId> best;
+  std::uint64_t best_match = 0;
+  for (const auto& [id, progress] : m_progress) {
+    if (!m_log.Members().IsVoter(id)) continue;
+    if (now >= progress.last_heard_at + m_options.election_timeout_min) continue;
+    if (!best || progress.match > best_match) {
+      best = id;
+      best_match = progress.match;
+    }
+  }
+  return best;
+}
+
+Status Replica::Impl::TransferLeadership(TimePoint now) {
+  m_now = now;
+  if (!IsLeader()) return NotLeader();
+  if (m_transfer) return {};
+  const auto target = BestSuccessor(now);
+  if (!target) return Error{ConsensusErrc::kInvalidChange, "no other voter is reachable"};
+  m_transfer = Transfer{*target, now + m_options.election_timeout_max, false};
+  ContinueTransfer(now);
+  return {};
+}
+
+void Replica::Impl::ContinueTransfer(TimePoint) {
+  if (!m_transfer || m_transfer->ordered) return;
+  const auto progress = m_progress.find(m_transfer->target);
+  if (progress == m_progress.end()) {
+    m_transfer.reset();
+    return;
+  }
+  if (progress->second.match != m_log.Last().index) return;
+  m_transfer->ordered = true;
+  Send(m_transfer->target, TimeoutNow{});
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libcorneltray/consensus_impl.h
@@ -0,0 +1,191 @@
+#ifndef CORNELTRAY_CONSENSUS_IMPL_H_
+#define CORNELTRAY_CONSENSUS_IMPL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "consensus_log.h"
+#include "corneltray/consensus.h"
+
+namespace corneltray {
+
+// What the leader knows of one other member.
+struct MemberProgress {
+  enum class Mode {
+    kProbe,      // the point of agreement is not known; one request at a time
+    kReplicate,  // requests are sent ahead of their replies
+    kSnapshot,   // the entries it needs are gone; parts are sent one at a time
+  };
+
+  Mode mode = Mode::kProbe;
+  std::uint64_t match = 0;
+  std::uint64_t next = 1;
+  std::uint32_t in_flight = 0;  // requests with entries since the last heartbeat
+  TimePoint last_heard_at;
+  std::uint64_t acked_round = 0;
+
+  std::optional<Snapshot> sending;
+  std::uint64_t sending_checksum = 0;
+  std::uint64_t sent_offset = 0;
+  TimePoint resend_part_at;
+};
+
+// Implementation of Replica. Its methods are spread over consensus.cc (time, messages, actions),
+// consensus_election.cc, consensus_replication.cc, consensus_snapshot.cc and consensus_members.cc.
+class Replica::Impl {
+ public:
+  Impl(ReplicaOptions options, PersistentState recovered, TimePoint now);
+
+  void Tick(TimePoint now);
+  TimePoint NextDeadline() const;
+  void Step(TimePoint now, const std::string& from_host, const ReplicaMessage& message);
+  Result<LogPosition> Propose(TimePoint now, UnixMs timestamp, std::string payload);
+  Result<LogPosition> ProposeMembers(TimePoint now, const MemberChange& change);
+  Status ReadBarrier(TimePoint now, std::uint64_t id);
+  Status TransferLeadership(TimePoint now);
+  void Persisted(TimePoint now, std::uint64_t sequence);
+  void StorageFailed(TimePoint now, const Error& error);
+  void Compact(std::uint64_t index, std::string data);
+  ActionBatch TakeActions();
+  ReplicaStatus GetStatus() const;
+  std::optional<LogEntry> EntryAt(std::uint64_t index) const;
+
+ private:
+  struct PendingBatch {
+    std::uint64_t sequence = 0;
+    std::uint64_t term = 0;
+    std::uint64_t last_index = 0;
+  };
+  struct Barrier {
+    std::uint64_t id = 0;
+    std::uint64_t round = 0;
+    std::uint64_t index = 0;
+  };
+  struct Transfer {
+    ReplicaId target;
+    TimePoint ends_at;
+    bool ordered = false;  // TimeoutNow was sent
+  };
+  struct IncomingSnapshot {
+    SnapshotPart head;  // without data
+    std::string data;
+  };
+
+  // consensus.cc
+  bool IsLeader() const { return m_role == ReplicaRole::kLeader; }
+  // Whether this disk may take part in elections: it was formatted for the first start, or its own
+  // log names it as a member.
+  bool MayVote() const;
+  void Emit(Action action);
+  void Send(const ReplicaId& to, MessageBody body, bool after_persist = true);
+  void SendWithTerm(const ReplicaId& to, std::uint64_t term, MessageBody body, bool after_persist);
+  void PersistHard();
+  void AnnounceRole(RoleReason reason);
+  void Dispatch(TimePoint now, const ReplicaMessage& message);
+  bool HandleTerm(TimePoint now, const ReplicaMessage& message);
+  void ResetElectionDeadline(TimePoint now);
+  Error NotLeader() const;
+
+  // consensus_election.cc
+  bool HeardFromLeader(TimePoint now) const;
+  void BecomeFollower(TimePoint now, std::uint64_t term, std::optional<ReplicaId> leader,
+                      RoleReason reason);
+  void Campaign(TimePoint now, bool pre_vote, bool transfer);
+  void CountVote(TimePoint now, const ReplicaId& voter);
+  void BecomeLeader(TimePoint now);
+  void OnVoteRequest(TimePoint now, const ReplicaMessage& message, const VoteRequest& request);
+  void OnVoteReply(TimePoint now, const ReplicaMessage& message, const VoteReply& reply);
+  void OnTimeoutNow(TimePoint now, const ReplicaMessage& message);
+  void CheckQuorum(TimePoint now);
+  void ContinueTransfer(TimePoint now);
+  std::optional<ReplicaId> BestSuccessor(TimePoint now) const;
+
+  // consensus_replication.cc
+  LogPosition AppendOwn(EntryKind kind, UnixMs timestamp, std::string payload);
+  void SendToAll(TimePoint now);
+  void SendHeartbeat(TimePoint now, const ReplicaId& to, MemberProgress& progress);
+  void SendEntries(TimePoint now, const ReplicaId& to, MemberProgress& progress);
+  void OnAppendRequest(TimePoint now, const ReplicaMessage& message, const AppendRequest& request);
+  void OnAppendReply(TimePoint now, const ReplicaMessage& message, const AppendReply& reply);
+  void OnRejected(MemberProgress& progress, const AppendReply& reply);
+  void AdvanceCommit(TimePoint now);
+  void CommitTo(std::uint64_t index);
+  void ConfirmBarriers();
+  void FailBarriers();
+
+  // consensus_snapshot.cc
+  void StartSnapshot(TimePoint now, const ReplicaId& to, MemberProgress& progress);
+  void SendPart(TimePoint now, const ReplicaId& to, MemberProgress& progress);
+  void OnSnapshotPart(TimePoint now, const ReplicaMessage& message, const SnapshotPart& part);
+  void OnSnapshotReply(TimePoint now, const ReplicaMessage& message, const SnapshotReply& reply);
+  void Install(const SnapshotPart& head, std::string data);
+
+  // consensus_members.cc
+  void StartFounding();
+  bool IsFounding() const;
+  void ContinueFounding(TimePoint now);
+  void OnFoundRequest(TimePoint now, const ReplicaMessage& message);
+  void OnFoundReply(TimePoint now, const ReplicaMessage& message, const FoundReply& reply);
+  void OnIdentityNotice(const ReplicaMessage& message, const IdentityNotice& notice);
+  bool ChangeInProgress() const;
+  LogPosition AppendMembers(TimePoint now, const MemberSet& members);
+  void RefreshProgress(TimePoint now);
+  void RefreshRole();
+  void MaintainMembers(TimePoint now);
+  void LeaveIfRemoved(TimePoint now);
+
+  ReplicaOptions m_options;
+  ReplicaId m_self;
+  std::vector<std::string> m_founding_hosts;
+  std::mt19937_64 m_random;
+  HardState m_hard;
+  ReplicaLog m_log;
+  std::optional<Snapshot> m_snapshot;
+  std::uint64_t m_commit_index = 0;
+  bool m_storage_failed = false;
+  std::string m_storage_error;
+
+  ReplicaRole m_role = ReplicaRole::kLearner;
+  std::optional<ReplicaId> m_leader;
+  TimePoint m_now;
+  TimePoint m_election_at;
+  TimePoint m_heard_leader_at;
+  bool m_has_heard_leader = false;
+
+  // Candidate.
+  bool m_pre_vote = false;
+  std::set<ReplicaId> m_votes;
+
+  // Founder.
+  std::map<std::string, ReplicaId> m_founding_replies;
+  TimePoint m_found_request_at;
+
+  // Leader.
+  std::map<ReplicaId, MemberProgress> m_progress;
+  TimePoint m_heartbeat_at;
+  bool m_heartbeat_due = false;
+  std::uint64_t m_term_start_index = 0;
+  std::uint64_t m_persisted_index = 0;  // of the own log, in this term
+  std::uint64_t m_uncommitted_bytes = 0;
+  std::uint64_t m_round = 0;
+  std::vector<Barrier> m_barriers;
+  std::optional<Transfer> m_transfer;
+  std::map<ReplicaId, ReplicaId> m_returned;  // old identity to the identity seen at that host
+
+  std::optional<IncomingSnapshot> m_incoming;
+
+  std::uint64_t m_sequence = 0;
+  std::deque<PendingBatch> m_pending;
+  std::vector<Action> m_actions;
+  std::optional<RoleChanged> m_announced;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_CONSENSUS_IMPL_H_
--- /dev/null
+++ b/src/libcorneltray/consensus_members.cc
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <utility>
+
+#include "consensus_impl.h"
+
+namespace corneltray {
+namespace {
+
+constexpr std::uint64_t kFoundingTerm = 1;
+constexpr int kFoundRequestHeartbeats = 3;
+
+std::string FounderHost(const std::vector<std::string>& founding_hosts) {
+  return *std::min_element(founding_hosts.begin(), founding_hosts.end());
+}
+
+}  // namespace
+
+// --- First start ---------------------------------------------------------------------------------
+// The founder votes for itself in term 1 and asks every founding host for the same vote, which that
+// host writes to its disk. With all votes it knows all disk identities and writes the first record,
+// the member set. It then stands for election in term 2 as usual. A host that was formatted a
+// second time can found nothing: the others have given their vote of term 1, or hold a log.
+
+void Replica::Impl::StartFounding() {
+  if (m_founding_hosts.empty() || FounderHost(m_founding_hosts) != m_self.host) return;
+  if (!m_log.Empty() || m_hard.term > 0) return;
+  m_hard = {kFoundingTerm, m_self};
+  PersistHard();
+}
+
+bool Replica::Impl::IsFounding() const {
+  return !m_founding_hosts.empty() && FounderHost(m_founding_hosts) == m_self.host &&
+         m_log.Empty() && m_hard.term == kFoundingTerm && m_hard.voted_for == m_self;
+}
+
+void Replica::Impl::ContinueFounding(TimePoint now) {
+  std::set<std::string> missing;
+  for (const std::string& host : m_founding_hosts) {
+    if (host != m_self.host && m_founding_replies.count(host) == 0) missing.insert(host);
+  }
+  if (missing.empty()) {
+    MemberSet members;
+    members.members[m_self] = MemberRole::kVoter;
+    for (const auto& [host, id] : m_founding_replies) members.members[id] = MemberRole::kVoter;
+    AppendOwn(EntryKind::kMembers, 0, EncodeMemberSet(members));
+    m_founding_replies.clear();
+    RefreshRole();
+    m_election_at = now;
+    return;
+  }
+  if (now < m_found_request_at) return;
+  m_found_request_at = now + kFoundRequestHeartbeats * m_options.heartbeat_interval;
+  for (const std::string& host : missing) Send({host, ""}, FoundRequest{});
+}
+
+void Replica::Impl::OnFoundRequest(TimePoint now, const ReplicaMessage& message) {
+  if (m_founding_hosts.empty() || !m_log.Empty() || message.term != kFoundingTerm) return;
+  if (message.from.host != FounderHost(m_founding_hosts)) return;
+  if (m_hard.term == 0) {
+    m_hard = {kFoundingTerm, message.from};
+    PersistHard();
+  }
+  if (m_hard.term != kFoundingTerm || m_hard.voted_for != message.from) return;
+  ResetElectionDeadline(now);
+  Send(message.from, FoundReply{true});
+}
+
+void Replica::Impl::OnFoundReply(TimePoint now, const ReplicaMessage& message,
+                                 const FoundReply& reply) {
+  if (!IsFounding() || message.term != kFoundingTerm || !reply.granted) return;
+  if (std::find(m_founding_hosts.begin(), m_founding_hosts.end(), message.from.host) ==
+      m_founding_hosts.end()) {
+    return;
+  }
+  m_founding_replies[message.from.host] = message.from;
+  ContinueFounding(now);
+}
+
+// --- Member changes ------------------------------------------------------------------------------
+
+bool Replica::Impl::ChangeInProgress() const {
+  return m_log.MembersIndex() > m_commit_index || m_commit_index < m_term_start_index;
+}
+
+LogPosition Replica::Impl::AppendMembers(TimePoint now, const MemberSet& members) {
+  const LogPosition position = AppendOwn(EntryKind::kMembers, 0, EncodeMemberSet(members));
+  RefreshProgress(now);
+  return position;
+}
+
+// Follows the members with one progress record for each other member.
+void Replica::Impl::RefreshProgress(TimePoint now) {
+  const auto& members = m_log.Members().members;
+  for (auto it = m_progress.begin(); it != m_progress.end();) {
+    it = members.count(it->first) > 0 ? std::next(it) : m_progress.erase(it);
+  }
+  for (const auto& [id, role] : members) {
+    if (id == m_self || m_progress.count(id) > 0) continue;
+    MemberProgress progress;
+    progress.next = m_log.Last().index + 1;
+    // A new leader gives every member one election timeout to answer.
+    progress.last_heard_at = now;
+    m_progress[id] = std::move(progress);
+  }
+}
+
+void Replica::Impl::RefreshRole() {
+  if (IsLeader() || m_role == ReplicaRole::kCandidate) return;
+  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  AnnounceRole(RoleReason::kMembersChanged);
+}
+
+Result<LogPosition> Replica::Impl::ProposeMembers(TimePoint now, const MemberChange& change) {
+  m_now = now;
+  if (m_storage_failed) return Error{ConsensusErrc::kStorageFailed, m_storage_error};
+  if (!IsLeader()) return NotLeader();
+  if (m_transfer) return Error{ConsensusErrc::kTransferring, m_transfer->target.host};
+  if (ChangeInProgress()) return Error{ConsensusErrc::kChangeInProgress, ""};
+  const auto invalid = [](const std::string& detail) {
+    return Error{ConsensusErrc::kInvalidChange, detail};
+  };
+  MemberSet members = m_log.Members();
+  const auto found = members.members.find(change.replica);
+  switch (change.kind) {
+    case MemberChangeKind::kAddLearner:
+      if (members.OfHost(change.replica.host)) return invalid("the host is a member already");
+      members.members[change.replica] = MemberRole::kLearner;
+      break;
+    case MemberChangeKind::kPromote: {
+      if (found == members.members.end()) return invalid("not a member");
+      if (found->second == MemberRole::kVoter) return invalid("a voter already");
+      const MemberProgress& progress = m_progress[change.replica];
+      if (progress.match + m_options.promote_lag < m_log.Last().index) {
+        return invalid("the learner has not caught up");
+      }
+      found->second = MemberRole::kVoter;
+      break;
+    }
+    case MemberChangeKind::kRemove:
+      if (found == members.members.end()) return invalid("not a member");
+      members.members.erase(found);
+      if (members.VoterCount() == 0) return invalid("the last voter cannot be removed");
+      break;
+  }
+  return AppendMembers(now, members);
+}
+
+// The leader addressed a disk identity that its host no longer has.
+void Replica::Impl::OnIdentityNotice(const ReplicaMessage& message, const IdentityNotice& notice) {
+  if (!IsLeader() || message.term != m_hard.term) return;
+  if (notice.addressed.host != message.from.host || notice.addressed == message.from) return;
+  if (m_log.Members().members.count(notice.addressed) == 0) return;
+  m_returned[notice.addressed] = message.from;
+}
+
+// Takes the next step of the automatic changes: a lost disk identity is replaced by the identity
+// that its host has now, as a joining learner; a joining learner that has caught up becomes a
+// voter. Each step changes at most one voter and waits for the commit of the one before.
+void Replica::Impl::MaintainMembers(TimePoint now) {
+  if (!IsLeader() || m_transfer || ChangeInProgress()) return;
+  MemberSet members = m_log.Members();
+  for (auto it = m_returned.begin(); it != m_returned.end();) {
+    const auto [lost, current] = *it;
+    it = m_returned.erase(it);
+    const auto found = members.members.find(lost);
+    if (found == members.members.end() || members.members.count(current) > 0) continue;
+    const bool was_voter = found->second == MemberRole::kVoter;
+    const MemberRole role = was_voter ? MemberRole::kJoining : found->second;
+    if (was_voter && members.VoterCount() == 1) continue;
+    members.members.erase(found);
+    members.members[current] = role;
+    AppendMembers(now, members);
+    return;
+  }
+  for (auto& [id, role] : members.members) {
+    const auto progress = m_progress.find(id);
+    if (role != MemberRole::kJoining || progress == m_progress.end()) continue;
+    const bool alive = now < progress->second.last_heard_at + m_options.election_timeout_min;
+    const bool caught_up = progress->second.match > 0 &&
+                           progress->second.match + m_options.promote_lag >= m_log.Last().index;
+    if (!alive || !caught_up) continue;
+    role = MemberRole::kVoter;
+    AppendMembers(now, members);
+    return;
+  }
+}
+
+// A leader that is no longer a voter leads until the change is committed, then hands over.
+void Replica::Impl::LeaveIfRemoved(TimePoint now) {
+  if (!IsLeader() || m_log.Members().IsVoter(m_self)) return;
+  if (m_log.MembersIndex() > m_commit_index) return;
+  if (const auto successor = BestSuccessor(now)) Send(*successor, TimeoutNow{});
+  BecomeFollower(now, m_hard.term, std::nullopt, RoleReason::kRemoved);
+}
+
+}  // namespace corneltray
