Add the log storage on files, first version without tests

Cause: a replica's state has to survive a restart, a torn write and a full disk.

Conclusion: file operations are an interface, so that the tests can inject faults.

--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -35,10 +35,16 @@
   virtual void Close(int descriptor) = 0;
   // Writes all bytes at the offset. After an error an unknown part of them is written.
   virtual int WriteAt(int descriptor, std::uint64_t offset, const std::string& bytes) = 0;
+  // Takes the lock of this file for this process, without waiting. EWOULDBLOCK if it is taken.
+  virtual int Lock(int descriptor) = 0;
   virtual int Truncate(int descriptor, std::uint64_t size) = 0;
   virtual int Sync(int descriptor) = 0;
   virtual int Rename(const std::string& from, const std::string& to) = 0;
   virtual int SyncFolder(const std::string& folder) = 0;
+  // Creates a folder and its parents; no error if it exists.
+  virtual int CreateFolder(const std::string& folder) = 0;
+  // Names of the files in a folder, in any order.
+  virtual int List(const std::string& folder, std::vector<std::string>* names) = 0;
   // ENOENT when there is no such file.
   virtual int Read(const std::string& path, std::string* bytes) = 0;
 };
--- /dev/null
+++ b/src/libcorneltray/log_storage.cc
@@ -0,0 +1,424 @@
+#include "corneltray/log_storage.h"
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <random>
+#include <utility>
+
+#include "log_storage_codec.h"
+
+namespace corneltray {
+namespace {
+
+constexpr char kIdentityName[] = "identity";
+constexpr char kHardStateName[] = "hard_state";
+constexpr char kSnapshotName[] = "snapshot";
+constexpr char kLogName[] = "log";
+constexpr char kTemporarySuffix[] = ".new";
+
+class StorageCategory : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "storage"; }
+  std::string message(int value) const override {
+    switch (static_cast<StorageErrc>(value)) {
+      case StorageErrc::kDiskFull:
+        return "disk full";
+      case StorageErrc::kWriteFailed:
+        return "write failed";
+      case StorageErrc::kReadFailed:
+        return "read failed";
+      case StorageErrc::kCorrupt:
+        return "corrupt file";
+      case StorageErrc::kAlreadyFormatted:
+        return "the folder already holds files";
+      case StorageErrc::kWrongHost:
+        return "the folder belongs to another host";
+      case StorageErrc::kInUse:
+        return "the folder is in use by another process";
+    }
+    return "unknown storage error";
+  }
+};
+
+Error WriteError(const std::string& path, int error) {
+  // EFBIG is the limit of one file, which a process meets like a full disk.
+  const bool full = error == ENOSPC || error == EDQUOT || error == EFBIG;
+  const StorageErrc code = full ? StorageErrc::kDiskFull : StorageErrc::kWriteFailed;
+  return {code, path + ": " + std::strerror(error)};
+}
+
+Error ReadError(const std::string& path, int error) {
+  return {StorageErrc::kReadFailed, path + ": " + std::strerror(error)};
+}
+
+Error CorruptError(const std::string& path, std::uint64_t offset, const std::string& what) {
+  return {StorageErrc::kCorrupt, path + " at offset " + std::to_string(offset) + ": " + what};
+}
+
+// Returns 128 random bits in hexadecimal.
+std::string NewDiskIdentity() {
+  std::random_device random;
+  std::string text;
+  for (int i = 0; i < 4; ++i) {
+    char word[9];
+    std::snprintf(word, sizeof word, "%08x", static_cast<unsigned>(random()));
+    text += word;
+  }
+  return text;
+}
+
+// Writes a whole file under a temporary name, syncs it, renames it and syncs the folder. Afterwards
+// either the old or the new content is there, never a part. With `keep_open` the descriptor of the
+// new file is returned in it.
+Status ReplaceFile(FileOperations& files, const std::string& folder, const std::string& name,
+                   const std::string& bytes, int* keep_open = nullptr) {
+  const std::string path = folder + '/' + name;
+  const std::string temporary = path + kTemporarySuffix;
+  int descriptor = -1;
+  if (const int error = files.Open(temporary, true, &descriptor)) return WriteError(path, error);
+  int error = files.Truncate(descriptor, 0);
+  if (error == 0) error = files.WriteAt(descriptor, 0, bytes);
+  if (error == 0) error = files.Sync(descriptor);
+  if (error == 0) error = files.Rename(temporary, path);
+  if (error == 0) error = files.SyncFolder(folder);
+  if (error != 0 || keep_open == nullptr) {
+    files.Close(descriptor);
+  } else {
+    *keep_open = descriptor;
+  }
+  if (error != 0) return WriteError(path, error);
+  return {};
+}
+
+// Writes the files of an empty replica. The identity comes last: a folder without it is not
+// complete.
+Status CreateFiles(FileOperations& files, const std::string& folder, const IdentityFile& identity) {
+  if (const int error = files.CreateFolder(folder)) return WriteError(folder, error);
+  if (Status s = ReplaceFile(files, folder, kLogName, EncodeLogHeader({})); !s) return s;
+  if (Status s = ReplaceFile(files, folder, kHardStateName, EncodeHardStateFile({})); !s) return s;
+  return ReplaceFile(files, folder, kIdentityName, EncodeIdentityFile(identity));
+}
+
+class FileLogStorage : public LogStorage {
+ public:
+  FileLogStorage(std::string folder, FileOperations& files)
+      : m_folder(std::move(folder)), m_files(files) {}
+  ~FileLogStorage() override {
+    if (m_log_descriptor >= 0) m_files.Close(m_log_descriptor);
+    if (m_lock_descriptor >= 0) m_files.Close(m_lock_descriptor);
+  }
+  FileLogStorage(const FileLogStorage&) = delete;
+  FileLogStorage& operator=(const FileLogStorage&) = delete;
+
+  Status Recover(const std::string& host);
+
+  PersistentState& Recovered() override { return m_recovered; }
+  const StorageReport& Report() const override { return m_report; }
+  Status Write(const Action& action) override;
+  Status Sync() override;
+  std::uint64_t SyncCount() const override { return m_sync_count; }
+
+ private:
+  std::string PathOf(const std::string& name) const { return m_folder + '/' + name; }
+  Status OpenIdentity(const std::string& host);
+  Status CheckAbandonedCreation();
+  Status RecoverSmallFiles();
+  Status RecoverLog();
+  Status ReadRecords(const std::string& bytes);
+  Status CutTail(const std::string& bytes, std::uint64_t offset);
+  Status MatchLogToSnapshot();
+
+  Status WriteEntries(const std::vector<LogEntry>& entries);
+  Status WriteSnapshot(const PersistSnapshot& action);
+  Status ReplaceLog(LogPosition base, const std::string& records);
+  std::uint64_t LastIndex() const { return m_base_index + m_offsets.size(); }
+  Status Remember(Status status);
+
+  std::string m_folder;
+  FileOperations& m_files;
+  PersistentState m_recovered;
+  StorageReport m_report;
+  int m_lock_descriptor = -1;
+  int m_log_descriptor = -1;
+  std::uint64_t m_base_index = 0;
+  std::vector<std::uint64_t> m_offsets;  // of the record with index m_base_index + 1 + i
+  std::uint64_t m_log_bytes = 0;
+  bool m_unsynced = false;
+  std::uint64_t m_sync_count = 0;
+  std::optional<Error> m_failed;
+};
+
+Status FileLogStorage::Recover(const std::string& host) {
+  if (Status s = OpenIdentity(host); !s) return s;
+  if (Status s = RecoverSmallFiles(); !s) return s;
+  if (Status s = RecoverLog(); !s) return s;
+  return MatchLogToSnapshot();
+}
+
+Status FileLogStorage::OpenIdentity(const std::string& host) {
+  std::string bytes;
+  const std::string path = PathOf(kIdentityName);
+  int error = m_files.Read(path, &bytes);
+  if (error == ENOENT) {
+    if (Status s = CheckAbandonedCreation(); !s) return s;
+    const IdentityFile fresh{{host, NewDiskIdentity()}, {}};
+    if (Status s = CreateFiles(m_files, m_folder, fresh); !s) return s;
+    m_report.created = true;
+    error = m_files.Read(path, &bytes);
+  }
+  if (error != 0) return ReadError(path, error);
+  const auto identity = DecodeIdentityFile(bytes);
+  if (!identity) return CorruptError(path, 0, "checksum does not match");
+  if (identity->self.host != host) {
+    return Error{StorageErrc::kWrongHost, path + " names " + identity->self.host};
+  }
+  m_recovered.self = identity->self;
+  m_recovered.founding_hosts = identity->founding_hosts;
+  error = m_files.Open(path, false, &m_lock_descriptor);
+  if (error != 0) return ReadError(path, error);
+  if (m_files.Lock(m_lock_descriptor) != 0) return Error{StorageErrc::kInUse, m_folder};
+  return {};
+}
+
+// A folder without an identity is new, or its creation was cut short before anything was stored. A
+// log with records but without an identity is damage: a new identity would hide the loss.
+Status FileLogStorage::CheckAbandonedCreation() {
+  std::string bytes;
+  if (m_files.Read(PathOf(kLogName), &bytes) == 0 && bytes.size() > kLogHeaderBytes) {
+    return CorruptError(PathOf(kIdentityName), 0, "missing beside a log with records");
+  }
+  if (m_files.Read(PathOf(kSnapshotName), &bytes) == 0) {
+    return CorruptError(PathOf(kIdentityName), 0, "missing beside a snapshot");
+  }
+  return {};
+}
+
+Status FileLogStorage::RecoverSmallFiles() {
+  std::string bytes;
+  if (const int error = m_files.Read(PathOf(kHardStateName), &bytes)) {
+    return ReadError(PathOf(kHardStateName), error);
+  }
+  const auto hard_state = DecodeHardStateFile(bytes);
+  if (!hard_state) return CorruptError(PathOf(kHardStateName), 0, "checksum does not match");
+  m_recovered.hard_state = *hard_state;
+
+  const int error = m_files.Read(PathOf(kSnapshotName), &bytes);
+  if (error == ENOENT) return {};
+  if (error != 0) return ReadError(PathOf(kSnapshotName), error);
+  m_recovered.snapshot = DecodeSnapshotFile(bytes);
+  if (!m_recovered.snapshot) {
+    return CorruptError(PathOf(kSnapshotName), 0, "checksum does not match");
+  }
+  return {};
+}
+
+Status FileLogStorage::RecoverLog() {
+  std::string bytes;
+  const std::string path = PathOf(kLogName);
+  if (const int error = m_files.Read(path, &bytes)) return ReadError(path, error);
+  const auto base = DecodeLogHeader(bytes);
+  if (!base) return CorruptError(path, 0, "damaged header");
+  if (const int error = m_files.Open(path, false, &m_log_descriptor)) return ReadError(path, error);
+  m_recovered.log_base = *base;
+  m_base_index = base->index;
+  return ReadRecords(bytes);
+}
+
+Status FileLogStorage::ReadRecords(const std::string& bytes) {
+  std::size_t offset = kLogHeaderBytes;
+  while (offset < bytes.size()) {
+    auto record = DecodeLogRecord(bytes, offset);
+    if (!record) return CutTail(bytes, offset);
+    if (record->entry.index != LastIndex() + 1) {
+      return CorruptError(PathOf(kLogName), offset,
+                          "record " + std::to_string(record->entry.index) + " follows record " +
+                              std::to_string(LastIndex()));
+    }
+    m_offsets.push_back(offset);
+    offset += record->size;
+    m_recovered.entries.push_back(std::move(record->entry));
+  }
+  m_log_bytes = offset;
+  return {};
+}
+
+// A damaged end of the file is a write that a crash cut short; it was never acknowledged. Damage
+// with a valid record after it is not, and must not be cut off.
+Status FileLogStorage::CutTail(const std::string& bytes, std::uint64_t offset) {
+  if (const auto valid = FindRecordAfter(bytes, offset)) {
+    return CorruptError(PathOf(kLogName), offset,
+                        "damaged record before a valid one at offset " + std::to_string(*valid));
+  }
+  m_report.truncated_bytes = bytes.size() - offset;
+  m_report.truncated_at = offset;
+  m_report.truncated_file = PathOf(kLogName);
+  m_log_bytes = offset;
+  int error = m_files.Truncate(m_log_descriptor, offset);
+  if (error == 0) error = m_files.Sync(m_log_descriptor);
+  if (error != 0) return WriteError(PathOf(kLogName), error);
+  return {};
+}
+
+// A crash between writing a snapshot and replacing the log leaves a log that does not reach the
+// snapshot, or contradicts it. The snapshot is the newer one.
+Status FileLogStorage::MatchLogToSnapshot() {
+  PersistentState& state = m_recovered;
+  if (!state.snapshot) {
+    if (state.log_base.index == 0) return {};
+    return CorruptError(
+        PathOf(kSnapshotName), 0,
+        "missing, but the log starts after record " + std::to_string(state.log_base.index));
+  }
+  const LogPosition last = state.snapshot->last;
+  if (last == state.log_base) return {};
+  if (last.index > state.log_base.index && last.index <= LastIndex()) {
+    const LogEntry& entry = state.entries[last.index - state.log_base.index - 1];
+    if (entry.term == last.term) return {};
+  }
+  if (last.index < state.log_base.index) {
+    return CorruptError(PathOf(kSnapshotName), 0, "older than the first record of the log");
+  }
+  state.entries.clear();
+  state.log_base = last;
+  return ReplaceLog(last, "");
+}
+
+Status FileLogStorage::Remember(Status status) {
+  if (!status) m_failed = status.error();
+  return status;
+}
+
+Status FileLogStorage::Write(const Action& action) {
+  if (m_failed) return *m_failed;
+  if (const auto* hard = std::get_if<PersistHardState>(&action)) {
+    return Remember(
+        ReplaceFile(m_files, m_folder, kHardStateName, EncodeHardStateFile(hard->hard_state)));
+  }
+  if (const auto* entries = std::get_if<PersistEntries>(&action)) {
+    return Remember(WriteEntries(entries->entries));
+  }
+  if (const auto* snapshot = std::get_if<PersistSnapshot>(&action)) {
+    return Remember(WriteSnapshot(*snapshot));
+  }
+  return {};
+}
+
+Status FileLogStorage::WriteEntries(const std::vector<LogEntry>& entries) {
+  if (entries.empty()) return {};
+  const std::string path = PathOf(kLogName);
+  const std::uint64_t first = entries.front().index;
+  if (first <= m_base_index || first > LastIndex() + 1) {
+    return Error{StorageErrc::kWriteFailed, path + ": record " + std::to_string(first) +
+                                                " does not follow " + std::to_string(LastIndex())};
+  }
+  if (first <= LastIndex()) {
+    // Synced at once: after a crash the file must not mix the new records with the old tail.
+    const std::uint64_t size = m_offsets[first - m_base_index - 1];
+    int error = m_files.Truncate(m_log_descriptor, size);
+    if (error == 0) error = m_files.Sync(m_log_descriptor);
+    if (error != 0) return WriteError(path, error);
+    m_offsets.resize(first - m_base_index - 1);
+    m_log_bytes = size;
+  }
+  std::string bytes;
+  std::vector<std::uint64_t> offsets;
+  for (const LogEntry& entry : entries) {
+    offsets.push_back(m_log_bytes + bytes.size());
+    bytes += EncodeLogRecord(entry);
+  }
+  if (const int error = m_files.WriteAt(m_log_descriptor, m_log_bytes, bytes)) {
+    return WriteError(path, error);
+  }
+  m_offsets.insert(m_offsets.end(), offsets.begin(), offsets.end());
+  m_log_bytes += bytes.size();
+  m_unsynced = true;
+  return {};
+}
+
+Status FileLogStorage::WriteSnapshot(const PersistSnapshot& action) {
+  if (Status s = ReplaceFile(m_files, m_folder, kSnapshotName, EncodeSnapshotFile(action.snapshot));
+      !s) {
+    return s;
+  }
+  const std::uint64_t keep_after = action.keep_after.index;
+  if (action.reset_log) return ReplaceLog(action.keep_after, "");
+  if (keep_after <= m_base_index) return {};
+  std::string bytes;
+  if (keep_after < LastIndex()) {
+    if (const int error = m_files.Read(PathOf(kLogName), &bytes)) {
+      return ReadError(PathOf(kLogName), error);
+    }
+    bytes = bytes.substr(m_offsets[keep_after - m_base_index], m_log_bytes);
+  }
+  return ReplaceLog(action.keep_after, bytes);
+}
+
+// Replaces the log file by one with these records, which follow the base.
+Status FileLogStorage::ReplaceLog(LogPosition base, const std::string& records) {
+  const std::string bytes = EncodeLogHeader(base) + records;
+  int descriptor = -1;
+  if (Status s = ReplaceFile(m_files, m_folder, kLogName, bytes, &descriptor); !s) return s;
+  m_files.Close(m_log_descriptor);
+  m_log_descriptor = descriptor;
+  const std::uint64_t first_kept = records.empty() ? m_offsets.size() : base.index - m_base_index;
+  const std::uint64_t first_offset = records.empty() ? 0 : m_offsets[first_kept];
+  std::vector<std::uint64_t> offsets;
+  for (std::uint64_t i = first_kept; i < m_offsets.size(); ++i) {
+    offsets.push_back(m_offsets[i] - first_offset + kLogHeaderBytes);
+  }
+  m_offsets = std::move(offsets);
+  m_base_index = base.index;
+  m_log_bytes = bytes.size();
+  m_unsynced = false;
+  return {};
+}
+
+Status FileLogStorage::Sync() {
+  if (m_failed) return *m_failed;
+  if (!m_unsynced) return {};
+  ++m_sync_count;
+  if (const int error = m_files.Sync(m_log_descriptor)) {
+    return Remember(WriteError(PathOf(kLogName), error));
+  }
+  m_unsynced = false;
+  return {};
+}
+
+}  // namespace
+
+std::error_code make_error_code(StorageErrc errc) {
+  static const StorageCategory category;
+  return {static_cast<int>(errc), category};
+}
+
+Result<ReplicaId> LogStorage::Format(const std::string& folder, const std::string& host,
+                                     const std::vector<std::string>& founding_hosts,
+                                     FileOperations& files) {
+  std::vector<std::string> names;
+  const int error = files.List(folder, &names);
+  if (error != 0 && error != ENOENT) return ReadError(folder, error);
+  if (!names.empty()) return Error{StorageErrc::kAlreadyFormatted, folder};
+  const IdentityFile identity{{host, NewDiskIdentity()}, founding_hosts};
+  if (Status s = CreateFiles(files, folder, identity); !s) return s.error();
+  return identity.self;
+}
+
+Result<std::unique_ptr<LogStorage>> LogStorage::Open(const std::string& folder,
+                                                     const std::string& host,
+                                                     FileOperations& files) {
+  auto storage = std::make_unique<FileLogStorage>(folder, files);
+  if (Status s = storage->Recover(host); !s) return s.error();
+  return std::unique_ptr<LogStorage>(std::move(storage));
+}
+
+Status LogStorage::Commit(const std::vector<ActionBatch>& batches) {
+  for (const ActionBatch& batch : batches) {
+    for (const Action& action : batch.actions) {
+      if (Status s = Write(action); !s) return s;
+    }
+  }
+  return Sync();
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libcorneltray/log_storage_codec.h
@@ -0,0 +1,54 @@
+#ifndef CORNELTRAY_LOG_STORAGE_CODEC_H_
+#define CORNELTRAY_LOG_STORAGE_CODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "corneltray/consensus.h"
+#include "corneltray/result.h"
+
+namespace corneltray {
+
+// Byte forms of the files of LogStorage. All numbers are little-endian.
+
+constexpr std::size_t kLogHeaderBytes = 32;
+
+// The log file starts with the position before its first record.
+std::string EncodeLogHeader(LogPosition base);
+std::optional<LogPosition> DecodeLogHeader(std::string_view bytes);
+
+// A record: length (4 bytes, of what follows the checksum), xxh64 checksum (8 bytes, over the
+// length and what follows), index, term, kind, timestamp, payload.
+std::string EncodeLogRecord(const LogEntry& entry);
+
+struct DecodedRecord {
+  LogEntry entry;
+  std::size_t size = 0;  // of the whole record
+};
+// Returns nothing when no complete record with a valid checksum starts at the offset.
+std::optional<DecodedRecord> DecodeLogRecord(std::string_view bytes, std::size_t offset);
+
+// Returns the offset of the first valid record after `offset`, or nothing.
+std::optional<std::size_t> FindRecordAfter(std::string_view bytes, std::size_t offset);
+
+struct IdentityFile {
+  ReplicaId self;
+  std::vector<std::string> founding_hosts;
+};
+
+// Small files: xxh64 checksum of the rest, then CBOR; the snapshot's data follows its CBOR part.
+// Decoding returns nothing for damaged bytes.
+std::string EncodeIdentityFile(const IdentityFile& identity);
+std::optional<IdentityFile> DecodeIdentityFile(std::string_view bytes);
+std::string EncodeHardStateFile(const HardState& state);
+std::optional<HardState> DecodeHardStateFile(std::string_view bytes);
+std::string EncodeSnapshotFile(const Snapshot& snapshot);
+std::optional<Snapshot> DecodeSnapshotFile(std::string_view bytes);
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_LOG_STORAGE_CODEC_H_
