Test the replicated log under random schedules of faults

Change: a simulator of hosts with disks, clocks and links, which checks after every step: one leader a term, log matching, committed records unchanged and on the disks of a majority when committed, votes only by intact disks of voters and only when durable, no stale read; at the end a healed group has to settle.

Conclusion: 6,000 schedules by default; CORNELTRAY_SCHEDULES raises it.

--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -125,6 +125,9 @@
   std::uint64_t term = 0;
 
   bool operator==(const LogPosition& o) const { return index == o.index && term == o.term; }
+  bool operator<(const LogPosition& o) const {
+    return index < o.index || (index == o.index && term < o.term);
+  }
 };
 
 struct HardState {
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -110,7 +110,9 @@
   }
   if (IsFounding()) ContinueFounding(now);
   if (now < m_election_at) return;
-  if (m_log.Members().IsVoter(m_self)) {
+  // A voter whose removal is in its log but not known to be committed still stands for election: it
+  // may hold the longest log, without which no other voter can win.
+  if (m_log.IsVoterSince(m_commit_index, m_self)) {
     Campaign(now, true, false);
   } else {
     ResetElectionDeadline(now);
--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -125,13 +125,7 @@
 // callers learn that nothing can be committed here.
 void Replica::Impl::CheckQuorum(TimePoint now) {
   const MemberSet& members = m_log.Members();
-  std::size_t heard = members.IsVoter(m_self) ? 1 : 0;
-  for (const auto& [id, progress] : m_progress) {
-    if (members.IsVoter(id) && now < progress.last_heard_at + m_options.election_timeout_min) {
-      ++heard;
-    }
-  }
-  if (heard < members.Quorum()) {
+  if (ReachableVoters(now, members) < members.Quorum()) {
     BecomeFollower(now, m_hard.term, std::nullopt, RoleReason::kQuorumLost);
   }
 }
--- a/src/libcorneltray/consensus_log.cc
+++ b/src/libcorneltray/consensus_log.cc
@@ -79,6 +79,11 @@
   return std::prev(after)->second;
 }
 
+bool ReplicaLog::IsVoterSince(std::uint64_t index, const ReplicaId& id) const {
+  auto set = std::prev(m_members.upper_bound(index));
+  return std::any_of(set, m_members.end(), [&](const auto& row) { return row.second.IsVoter(id); });
+}
+
 std::vector<LogEntry> ReplicaLog::Slice(std::uint64_t first, std::size_t max_bytes) const {
   std::vector<LogEntry> slice;
   std::size_t bytes = 0;
--- a/src/libcorneltray/consensus_log.h
+++ b/src/libcorneltray/consensus_log.h
@@ -50,6 +50,8 @@
   // Index of the record that set the current members.
   std::uint64_t MembersIndex() const { return m_members.rbegin()->first; }
   const MemberSet& MembersAt(std::uint64_t index) const;
+  // Whether the replica is a voter in the set in force at `index` or in any later one.
+  bool IsVoterSince(std::uint64_t index, const ReplicaId& id) const;
 
   // Entries from `first` up to `max_bytes` of payload, at least one if there is one.
   std::vector<LogEntry> Slice(std::uint64_t first, std::size_t max_bytes) const;
--- a/src/libcorneltray/consensus_members.cc
+++ b/src/libcorneltray/consensus_members.cc
@@ -88,6 +88,16 @@
   return position;
 }
 
+// Number of voters of a set that are this replica or answered it lately.
+std::size_t Replica::Impl::ReachableVoters(TimePoint now, const MemberSet& members) const {
+  std::size_t count = members.IsVoter(m_self) ? 1 : 0;
+  for (const auto& [id, progress] : m_progress) {
+    const bool reachable = now < progress.last_heard_at + m_options.election_timeout_min;
+    if (members.IsVoter(id) && reachable) ++count;
+  }
+  return count;
+}
+
 // Follows the members with one progress record for each other member.
 void Replica::Impl::RefreshProgress(TimePoint now) {
   const auto& members = m_log.Members().members;
@@ -142,6 +152,9 @@
       if (members.VoterCount() == 0) return invalid("the last voter cannot be removed");
       break;
   }
+  if (ReachableVoters(now, members) < members.Quorum()) {
+    return invalid("too few voters of the new set are reachable to commit it");
+  }
   return AppendMembers(now, members);
 }
 
--- /dev/null
+++ b/src/libcorneltray/consensus_property_test.cc
@@ -0,0 +1,186 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "consensus_simulator_test.h"
+
+namespace corneltray {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kDefaultSchedules = 6000;
+constexpr int kStepsOfSchedule = 40;
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+// One random step: a client call or a fault.
+void RandomStep(ConsensusSimulator& sim, std::mt19937_64& random, int* down) {
+  const std::size_t host = random() % sim.HostCount();
+  switch (random() % 24) {
+    case 0:
+    case 1:
+      // Two hosts at most are down at once, so that the second may fail during the repair of the
+      // first.
+      if (sim.IsUp(host) && *down < 2) {
+        sim.Crash(host);
+        ++*down;
+      }
+      break;
+    case 2:
+    case 3:
+    case 4:
+      if (!sim.IsUp(host)) {
+        sim.Restart(host);
+        --*down;
+      }
+      break;
+    case 5:
+      if (sim.IsUp(host) && sim.LoseDisk(host, random() % 3 == 0)) sim.Restart(host);
+      break;
+    case 6:
+      sim.Freeze(host, milliseconds(random() % 2000));
+      break;
+    case 7:
+      if (sim.IsUp(host) && *down < 2) {
+        sim.FillDisk(host);
+        sim.RunFor(milliseconds(random() % 300));
+        sim.Crash(host);
+        sim.Restart(host);
+      }
+      break;
+    case 8:
+      sim.Partition({host, random() % sim.HostCount()});
+      break;
+    case 9:
+    case 10:
+      sim.Heal();
+      break;
+    case 11:
+      sim.Transfer();
+      break;
+    case 12:
+    case 13:
+      sim.ChangeMembers();
+      break;
+    case 14:
+    case 15:
+      sim.Compact(host);
+      break;
+    case 16:
+    case 17:
+      sim.ReadBarrier();
+      break;
+    default:
+      for (std::uint64_t i = random() % 4 + 1; i > 0; --i) sim.Propose();
+      break;
+  }
+  sim.RunFor(milliseconds(random() % 400));
+}
+
+struct CountField {
+  const char* name;
+  std::uint64_t SimulatorCounts::*field;
+};
+constexpr CountField kCountFields[] = {
+    {"committed", &SimulatorCounts::committed},
+    {"elections", &SimulatorCounts::elections},
+    {"reads confirmed", &SimulatorCounts::reads_confirmed},
+    {"snapshots installed", &SimulatorCounts::snapshots_installed},
+    {"entries overwritten", &SimulatorCounts::entries_overwritten},
+    {"disks lost", &SimulatorCounts::disks_lost},
+    {"members changed", &SimulatorCounts::members_changed},
+    {"transfers", &SimulatorCounts::transfers},
+    {"storage failures", &SimulatorCounts::storage_failures},
+};
+
+// Runs the schedule of one seed. Returns what went wrong, or nothing.
+std::string RunSchedule(std::uint64_t seed, SimulatorCounts* counts) {
+  std::mt19937_64 random(seed * 7919 + 1);
+  SimulatorOptions options;
+  options.seed = seed;
+  options.hosts = 3 + random() % 3;
+  options.founders = options.hosts == 4 ? 3 : options.hosts;
+  try {
+    ConsensusSimulator sim(options);
+    sim.loss = static_cast<double>(random() % 4) * 0.05;
+    sim.duplication = static_cast<double>(random() % 3) * 0.05;
+    sim.max_delay = milliseconds(1 + random() % 120);
+    sim.max_sync_time = milliseconds(1 + random() % 40);
+    int down = 0;
+    for (int step = 0; step < kStepsOfSchedule; ++step) RandomStep(sim, random, &down);
+
+    sim.Heal();
+    sim.loss = sim.duplication = 0;
+    sim.max_delay = milliseconds(5);
+    sim.max_sync_time = milliseconds(3);
+    for (std::size_t host = 0; host < sim.HostCount(); ++host) sim.Restart(host);
+    if (!sim.RunUntil([&] { return sim.Leader().has_value(); }, std::chrono::seconds(20))) {
+      return "no leader after the faults ended\n" + sim.Describe();
+    }
+    const std::uint64_t before = sim.CommittedCount();
+    const auto settled = [&] {
+      if (!sim.IsSettled()) return false;
+      if (sim.CommittedCount() > before) return true;
+      sim.Propose();
+      return false;
+    };
+    if (!sim.RunUntil(settled, std::chrono::seconds(20))) {
+      return "not settled after the faults ended\n" + sim.Describe();
+    }
+    *counts = sim.Counts();
+  } catch (const RuleBroken& broken) {
+    return broken.what();
+  }
+  return "";
+}
+
+// Guards against every fault of design section 1.4 that concerns the log: a second leader in a
+// term, a committed record that changes, disappears or was not on a majority of disks, diverging
+// logs, a vote by a lost disk, a stale read, and a group that does not recover when a majority is
+// healed. CORNELTRAY_SCHEDULES sets the number of schedules, CORNELTRAY_SEED the first seed.
+TEST_CASE("random schedules of faults break no rule of the replicated log") {
+  const std::uint64_t first = FromEnvironment("CORNELTRAY_SEED", 1);
+  const std::uint64_t count = FromEnvironment("CORNELTRAY_SCHEDULES", kDefaultSchedules);
+  std::atomic<std::uint64_t> next{first};
+  std::mutex mutex;
+  std::vector<std::string> failures;
+  SimulatorCounts total;
+  const auto work = [&] {
+    for (std::uint64_t seed = next++; seed < first + count; seed = next++) {
+      SimulatorCounts counts;
+      const std::string failure = RunSchedule(seed, &counts);
+      const std::lock_guard<std::mutex> lock(mutex);
+      for (const CountField& row : kCountFields) total.*row.field += counts.*row.field;
+      if (failure.empty()) continue;
+      failures.push_back("CORNELTRAY_SEED=" + std::to_string(seed) + ": " + failure);
+    }
+  };
+  std::vector<std::thread> threads;
+  const unsigned thread_count = std::clamp(std::thread::hardware_concurrency(), 1U, 4U);
+  for (unsigned i = 0; i < thread_count; ++i) threads.emplace_back(work);
+  for (std::thread& thread : threads) thread.join();
+  for (std::size_t i = 0; i < std::min<std::size_t>(failures.size(), 3); ++i) MESSAGE(failures[i]);
+  CHECK(failures.size() == 0);
+  for (const CountField& row : kCountFields) {
+    CAPTURE(row.name);
+    // A single schedule that repeats a failure does not meet every situation.
+    if (count >= kDefaultSchedules) CHECK(total.*row.field > count / 100);
+    if (std::getenv("CORNELTRAY_COUNTS") != nullptr) {
+      MESSAGE(std::string(row.name) << ": " << total.*row.field);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace corneltray
--- /dev/null
+++ b/src/libcorneltray/consensus_simulator_test.h
@@ -0,0 +1,174 @@
+#ifndef CORNELTRAY_CONSENSUS_SIMULATOR_TEST_H_
+#define CORNELTRAY_CONSENSUS_SIMULATOR_TEST_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "corneltray/consensus.h"
+
+namespace corneltray {
+
+// Thrown when a replica breaks a rule of the protocol.
+struct RuleBroken : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct SimulatorOptions {
+  std::uint64_t seed = 0;
+  std::size_t hosts = 3;
+  std::size_t founders = 3;  // the first hosts; the others start as unformatted learners
+};
+
+// How often a run met the situations that the rules are about. A test that never meets them proves
+// nothing.
+struct SimulatorCounts {
+  std::uint64_t committed = 0;
+  std::uint64_t elections = 0;
+  std::uint64_t reads_confirmed = 0;
+  std::uint64_t snapshots_installed = 0;
+  std::uint64_t entries_overwritten = 0;
+  std::uint64_t disks_lost = 0;
+  std::uint64_t members_changed = 0;
+  std::uint64_t transfers = 0;
+  std::uint64_t storage_failures = 0;
+};
+
+// Replicas on simulated hosts with simulated disks, clock and network. After each call into a
+// replica its actions are executed and the rules of the protocol are checked; a broken rule throws
+// RuleBroken. The same seed gives the same run.
+class ConsensusSimulator {
+ public:
+  explicit ConsensusSimulator(const SimulatorOptions& options);
+
+  // Runs the events of the next `span`.
+  void RunFor(Duration span);
+  // Runs until the condition holds, at most `limit`. Returns whether it holds.
+  bool RunUntil(const std::function<bool()>& condition, Duration limit);
+
+  // Faults. A host that is down or frozen takes no fault that needs it to be up.
+  void Crash(std::size_t host);
+  void Restart(std::size_t host);
+  void Freeze(std::size_t host, Duration span);
+  // Fails the next write: the replica is told, and what is not synced is lost.
+  void FillDisk(std::size_t host);
+  // Crashes the host and gives it an empty folder, formatted again by mistake or not at all.
+  // Returns false, and does nothing, when a majority of some member set would be lost with it.
+  bool LoseDisk(std::size_t host, bool formatted_again);
+  void Partition(const std::set<std::size_t>& side);
+  void Heal();
+
+  // Client calls at a random host that believes it is the leader.
+  void Propose();
+  void ReadBarrier();
+  void Transfer();
+  void ChangeMembers();
+  void Compact(std::size_t host);
+
+  // Whether a leader leads a member set without lost disks or joining learners, and has committed
+  // everything on every member.
+  bool IsSettled() const;
+  std::string Describe() const;
+
+  std::size_t HostCount() const { return m_hosts.size(); }
+  bool IsUp(std::size_t host) const { return m_hosts[host].replica != nullptr; }
+  const Replica& At(std::size_t host) const { return *m_hosts[host].replica; }
+  std::optional<std::size_t> Leader() const;
+  std::uint64_t CommittedCount() const { return m_committed.size(); }
+  const SimulatorCounts& Counts() const { return m_counts; }
+
+  // Faults of the network, for each message.
+  double loss = 0;
+  double duplication = 0;
+  Duration max_delay = std::chrono::milliseconds(5);
+  Duration max_sync_time = std::chrono::milliseconds(3);
+
+ private:
+  struct Host {
+    std::string name;
+    PersistentState disk;
+    std::unique_ptr<Replica> replica;
+    std::uint64_t starts = 0;  // events of an earlier start are dropped
+    std::deque<ActionBatch> unsynced;
+    bool sync_running = false;
+    TimePoint frozen_until;
+    TimePoint tick_at;
+    bool started = false;  // the actions of the start are executed
+    std::uint64_t applied = 0;
+    MemberSet members;                                // in force after the actions handled so far
+    std::map<std::uint64_t, std::uint64_t> barriers;  // id to the index committed when asked
+  };
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::size_t host = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
+  };
+  struct Committed {
+    std::uint64_t term = 0;
+    std::string payload;
+  };
+
+  void Schedule(TimePoint at, std::size_t host, std::function<void()> run);
+  void ScheduleTick(std::size_t host);
+  bool RunNext(TimePoint limit);
+  void Start(std::size_t host);
+  // Executes what the last call into the replica asked for.
+  void Settle(std::size_t host);
+  void ApplyActions(std::size_t host, const ActionBatch& batch);
+  void Deliver(const ReplicaMessage& message);
+  void Release(std::size_t host, const ActionBatch& batch);
+  void StartSync(std::size_t host);
+  void FinishSync(std::size_t host);
+  void LoseUnsynced(std::size_t host);
+  static void WriteToDisk(PersistentState* disk, const Action& action);
+
+  void CheckLeader(std::size_t host);
+  void CheckEntries(std::size_t host, const std::vector<LogEntry>& entries);
+  void CheckApplied(std::size_t host, const std::vector<LogEntry>& entries);
+  void CheckDurable(std::size_t host, const LogEntry& entry);
+  void CheckVote(std::size_t host, const ReplicaMessage& message);
+  bool KeepsMajorities(const ReplicaId& lost) const;
+  bool KeepsMajority(const MemberSet& set, const ReplicaId& lost) const;
+  std::optional<std::size_t> RandomLeader();
+  std::size_t Random(std::size_t bound);
+  bool Chance(double probability);
+  Duration RandomUpTo(Duration bound);
+  [[noreturn]] void Fail(const std::string& what) const;
+
+  std::mt19937_64 m_random;
+  TimePoint m_now;
+  std::uint64_t m_event_order = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<Host> m_hosts;
+  std::set<std::pair<std::size_t, std::size_t>> m_cut;  // pairs of hosts without a link
+  std::uint64_t m_next_command = 0;
+  std::uint64_t m_next_barrier = 0;
+  std::uint64_t m_next_identity = 0;
+
+  // What the rules are checked against, over all replicas and the whole run.
+  std::map<std::uint64_t, ReplicaId> m_leaders;                            // by term
+  std::vector<Committed> m_committed;                                      // index 1 first
+  std::map<LogPosition, std::pair<std::uint64_t, std::string>> m_entries;  // previous term
+  std::map<std::pair<ReplicaId, std::uint64_t>, ReplicaId> m_votes;        // by voter, term
+  std::set<ReplicaId> m_lost;
+  std::set<ReplicaId> m_ever_voters;
+  SimulatorCounts m_counts;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_CONSENSUS_SIMULATOR_TEST_H_
