Add the membership table

Cause: every process needs the hosts and upstreams, and no entry host hears every announcement. Change: MembershipTable over FreshnessGroup (4-bit liveness marks by position, checksums per bucket) and bounded record broadcasts with pulls for missing records.

--- a/src/include/corneltray/membership.h
+++ b/src/include/corneltray/membership.h
@@ -160,10 +160,11 @@
   // incarnation or sequence changes nothing.
   MembershipOutput HandleAnnouncement(TimePoint now, const Announcement& announcement);
 
-  // Returns the heartbeats. Called every kHeartbeatInterval.
+  // Returns the first of the heartbeat's messages; Tick returns the others, spread over the
+  // interval. Called every kHeartbeatInterval.
   MembershipOutput Heartbeat(TimePoint now);
 
-  // Applies the deadlines. Called several times a second.
+  // Applies the deadlines and sends what is due. Called at least five times a second.
   MembershipOutput Tick(TimePoint now);
 
   // Update what this process says about itself. SetLeaving is final; its output is sent at once.
--- /dev/null
+++ b/src/libcorneltray/membership_gossip.cc
@@ -0,0 +1,418 @@
+#include <xxhash.h>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "membership_impl.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+using Urgency = BroadcastQueue::Urgency;
+
+constexpr std::size_t kPullsPerMessage = 4;
+constexpr std::size_t kKeyBytes = 8;       // of one member in a pull
+constexpr std::size_t kShortKeyBytes = 4;  // of one member in a full list
+constexpr std::size_t kMaxPullMembers = 120;
+constexpr std::size_t kReplyHeaderBytes = 80;
+// Marks that were on their way for longer could be taken for newer ones, as they have 4 bits.
+constexpr std::int64_t kMaxMarkDelayMs = 2000;
+// Group name of the hosts in a pull; no availability zone has an empty name.
+constexpr char kHostsGroup[] = "";
+
+std::string Text(const json& binary) {
+  const auto& bytes = binary.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+void AppendUint32(std::uint64_t value, std::string* out) {
+  for (int i = 0; i < 4; ++i) out->push_back(static_cast<char>((value >> (8 * i)) & 0xff));
+}
+
+std::string ShortKey(const std::string& name) {
+  std::string out;
+  AppendUint32(XXH64(name.data(), name.size(), 2), &out);
+  return out;
+}
+
+std::string MemberKey(const FreshnessGroup::Member& member) {
+  const std::uint64_t parts[] = {member.incarnation, member.version, member.leaving ? 1U : 0U};
+  std::string out = ShortKey(member.name);
+  AppendUint32(XXH64(parts, sizeof(parts), 0), &out);
+  return out;
+}
+
+std::unordered_set<std::string> SplitKeys(const std::string& text, std::size_t size) {
+  std::unordered_set<std::string> keys;
+  for (std::size_t at = 0; at + size <= text.size(); at += size) keys.insert(text.substr(at, size));
+  return keys;
+}
+
+}  // namespace
+
+MembershipOutput MembershipTable::Impl::HandleGossip(TimePoint now, const std::string& from,
+                                                     const json& body) {
+  MembershipOutput out;
+  if (from == m_name) return out;
+  try {
+    const auto incarnation = body.at("i").get<std::uint64_t>();
+    if (m_hosts.count(from) == 0 || m_hosts.at(from).info.incarnation < incarnation) {
+      HostInfo info;
+      if (m_hosts.count(from) != 0) info = m_hosts.at(from).info;
+      info.name = from;
+      info.incarnation = incarnation;
+      info.state = HostState::kAlive;
+      m_forgotten_hosts.erase(from);
+      AddHost(now, info, 0, &out);
+    }
+    if (m_hosts.at(from).info.incarnation > incarnation) return out;
+    bool use_marks = false;
+    if (!CountMessage(now, &m_hosts.at(from), body, &use_marks)) return out;
+    if (body.contains("s") && use_marks &&
+        m_host_group.Refresh(now, from, body["s"].get<std::uint64_t>())) {
+      RefreshHost(from, &out);
+    }
+    for (const json& item : body.value("d", json::array())) {
+      const auto record = DecodeRecord(item);
+      if (!record) {
+        ++m_malformed;
+        continue;
+      }
+      std::visit([&](const auto& value) { Apply(now, value, &out); }, *record);
+    }
+    MergeMarks(now, from, body, use_marks, &out);
+    if (body.contains("p")) {
+      for (const json& pull : body["p"]) Answer(now, from, pull, &out);
+    }
+    if (body.contains("f")) ApplyFullList(now, body["f"], &out);
+    if (body.contains("j")) out.messages.push_back(MakeHeartbeat(now, from, true));
+  } catch (const json::exception&) {
+    ++m_malformed;
+  }
+  return out;
+}
+
+// Returns false for a message that was taken in before. Sets `use_marks` if its marks are recent.
+bool MembershipTable::Impl::CountMessage(TimePoint now, HostEntry* sender, const json& body,
+                                         bool* use_marks) {
+  const auto counter = body.at("n").get<std::uint64_t>();
+  const std::int64_t offset = Millis(now - m_started_at) - body.at("t").get<std::int64_t>();
+  if (counter == sender->last_counter) return false;
+  *use_marks = counter > sender->last_counter;
+  sender->last_counter = std::max(counter, sender->last_counter);
+  if (!sender->has_offset || offset < sender->least_offset_ms) {
+    sender->has_offset = true;
+    sender->least_offset_ms = offset;
+  }
+  if (offset - sender->least_offset_ms > kMaxMarkDelayMs) *use_marks = false;
+  // Follows clocks that drift apart by up to 1 ms for each message.
+  ++sender->least_offset_ms;
+  return true;
+}
+
+void MembershipTable::Impl::MergeMarks(TimePoint now, const std::string& from, const json& body,
+                                       bool use_marks, MembershipOutput* out) {
+  if (body.contains("h")) {
+    FreshnessGroup::MergeResult result;
+    if (!m_host_group.Merge(now, Text(body["h"]), use_marks, &result)) ++m_malformed;
+    for (const std::string& name : result.refreshed) RefreshHost(name, out);
+    Pull(now, from, kHostsGroup, m_host_group, std::move(result.mismatched), out);
+  }
+  if (body.contains("u") && InOwnZone(m_hosts.at(from).info)) {
+    const std::string& zone = Self().info.availability_zone;
+    FreshnessGroup& group = UpstreamGroup(zone);
+    FreshnessGroup::MergeResult result;
+    if (!group.Merge(now, Text(body["u"]), use_marks, &result)) ++m_malformed;
+    for (const std::string& name : result.refreshed) RefreshUpstream(name, out);
+    Pull(now, from, zone, group, std::move(result.mismatched), out);
+  }
+  if (body.contains("c")) {
+    const auto zone = body["c"].at(0).get<std::string>();
+    if (zone == Self().info.availability_zone || zone.empty()) return;
+    FreshnessGroup& group = UpstreamGroup(zone);
+    std::vector<std::size_t> mismatched;
+    if (!group.Compare(Text(body["c"].at(1)), &mismatched)) ++m_malformed;
+    Pull(now, from, zone, group, std::move(mismatched), out);
+  }
+}
+
+// Asks the sender for the records of buckets that differ, within the allowance of this heartbeat.
+void MembershipTable::Impl::Pull(TimePoint now, const std::string& from,
+                                 const std::string& group_name, const FreshnessGroup& group,
+                                 std::vector<std::size_t> buckets, MembershipOutput* out) {
+  std::shuffle(buckets.begin(), buckets.end(), *m_random);
+  if (buckets.size() > kPullsPerMessage) buckets.resize(kPullsPerMessage);
+  for (const std::size_t bucket : buckets) {
+    if (m_pulls_left == 0) return;
+    --m_pulls_left;
+    std::string have;
+    for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
+      if (have.size() >= kMaxPullMembers * kKeyBytes) break;
+      have += MemberKey(member);
+    }
+    json body = Header(now);
+    body["p"] = json::array({json::array({group_name, bucket, Binary(have)})});
+    out->messages.push_back({from, std::move(body)});
+  }
+}
+
+void MembershipTable::Impl::Answer(TimePoint now, const std::string& from, const json& pull,
+                                   MembershipOutput* out) {
+  const auto group_name = pull.at(0).get<std::string>();
+  const auto bucket = pull.at(1).get<std::size_t>();
+  const auto have = SplitKeys(Text(pull.at(2)), kKeyBytes);
+  const bool hosts = group_name == kHostsGroup;
+  // Only a process of the zone itself can say what the zone has.
+  if (!hosts && group_name != Self().info.availability_zone) return;
+  const FreshnessGroup& group = hosts ? m_host_group : UpstreamGroup(group_name);
+  if (bucket >= group.BucketCount()) return;
+  std::vector<json> bodies{Header(now)};
+  bodies.back()["d"] = json::array();
+  std::size_t used = kReplyHeaderBytes;
+  const auto add = [&](const json& record) {
+    const std::size_t bytes = json::to_cbor(record).size();
+    if (used + bytes > kMaxGossipBytes) {
+      bodies.push_back(Header(now));
+      bodies.back()["d"] = json::array();
+      used = kReplyHeaderBytes;
+    }
+    used += bytes;
+    bodies.back()["d"].push_back(record);
+  };
+  std::string names;
+  for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
+    names += ShortKey(member.name);
+    if (have.count(MemberKey(member)) != 0) continue;
+    if (hosts) {
+      const HostEntry& entry = m_hosts.at(member.name);
+      add(EncodeRecord(HostRecord{entry.info, entry.version, member.sequence}));
+    } else {
+      const UpstreamEntry& entry = m_entries.at(member.name);
+      UpstreamRecord record{entry.announcement, entry.version, false};
+      record.announcement.sequence = member.sequence;
+      add(EncodeRecord(record));
+    }
+  }
+  const auto sender = m_hosts.find(from);
+  if (!hosts && sender != m_hosts.end() && !InOwnZone(sender->second.info) &&
+      names.size() + kReplyHeaderBytes < kMaxGossipBytes) {
+    json body = Header(now);
+    body["f"] = json::array({group_name, bucket, Binary(names)});
+    bodies.push_back(std::move(body));
+  }
+  for (json& body : bodies) {
+    if (m_answers_left == 0) return;
+    if (!body.contains("f") && body["d"].empty()) continue;
+    --m_answers_left;
+    out->messages.push_back({from, std::move(body)});
+  }
+}
+
+// Drops upstreams of another zone that the zone's own process no longer has.
+void MembershipTable::Impl::ApplyFullList(TimePoint now, const json& full, MembershipOutput* out) {
+  const auto zone = full.at(0).get<std::string>();
+  const auto bucket = full.at(1).get<std::size_t>();
+  if (zone == Self().info.availability_zone || zone.empty()) return;
+  FreshnessGroup& group = UpstreamGroup(zone);
+  if (bucket >= group.BucketCount()) return;
+  const auto names = SplitKeys(Text(full.at(2)), kShortKeyBytes);
+  std::vector<std::string> gone;
+  for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
+    if (names.count(ShortKey(member.name)) == 0) gone.push_back(member.name);
+  }
+  for (const std::string& name : gone) Remove(now, name, out);
+}
+
+void MembershipTable::Impl::AddHost(TimePoint now, const HostInfo& info, std::uint64_t version,
+                                    MembershipOutput* out) {
+  HostEntry entry;
+  entry.info = info;
+  entry.version = version;
+  const bool known = m_hosts.count(info.name) != 0;
+  m_hosts[info.name] = std::move(entry);
+  PutHostMember(now, m_hosts.at(info.name), true);
+  out->events.push_back(
+      {known ? MembershipEventType::kHostChanged : MembershipEventType::kHostJoined, info.name,
+       info.incarnation});
+}
+
+void MembershipTable::Impl::RefreshHost(const std::string& name, MembershipOutput* out) {
+  HostEntry& entry = m_hosts.at(name);
+  if (entry.liveness == HostLiveness::kAlive) return;
+  entry.reporters.clear();
+  entry.liveness = HostLiveness::kAlive;
+  out->events.push_back({MembershipEventType::kHostAlive, name, entry.info.incarnation});
+}
+
+void MembershipTable::Impl::RefreshUpstream(const std::string& name, MembershipOutput* out) {
+  UpstreamEntry& entry = m_entries.at(name);
+  if (entry.status == UpstreamStatus::kSuspect) SetStatus(&entry, UpstreamStatus::kReady, out);
+}
+
+void MembershipTable::Impl::Apply(TimePoint now, const HostRecord& record, MembershipOutput* out) {
+  const HostInfo& info = record.info;
+  if (info.name == m_name) {
+    // Another life of this process with a later start time: the clock was set back since then.
+    if (info.incarnation > Self().info.incarnation) {
+      Self().info.incarnation = info.incarnation + 1;
+      ChangeSelf();
+    }
+    return;
+  }
+  const auto it = m_hosts.find(info.name);
+  if (it == m_hosts.end()) {
+    if (info.name.empty() || m_forgotten_hosts.count(info.name) != 0) return;
+    AddHost(now, info, record.version, out);
+  } else {
+    HostEntry& known = it->second;
+    const bool newer =
+        info.incarnation > known.info.incarnation ||
+        (info.incarnation == known.info.incarnation && record.version > known.version);
+    if (!newer) return;
+    const bool restarted = info.incarnation > known.info.incarnation;
+    const bool was_leaving = known.info.state == HostState::kLeaving && !restarted;
+    if (restarted) {
+      AddHost(now, info, record.version, out);
+    } else {
+      std::map<std::string, double> demand = std::move(known.info.demand);
+      known.info = info;
+      known.info.demand = std::move(demand);
+      known.version = record.version;
+      if (was_leaving) known.info.state = HostState::kLeaving;
+      PutHostMember(now, known, false);
+      out->events.push_back({MembershipEventType::kHostChanged, info.name, info.incarnation});
+    }
+    if (info.state == HostState::kLeaving && !was_leaving) {
+      out->events.push_back({MembershipEventType::kHostLeaving, info.name, info.incarnation});
+      SpreadNow(now, record, false, out);
+    }
+  }
+  m_host_group.Refresh(now, info.name, record.sequence);
+  QueueHost(m_hosts.at(info.name));
+}
+
+void MembershipTable::Impl::Apply(TimePoint now, const SuspicionRecord& record,
+                                  MembershipOutput* /*out*/) {
+  const auto it = m_hosts.find(record.host);
+  if (it == m_hosts.end() || record.host == m_name || record.reporter == m_name) return;
+  HostEntry& entry = it->second;
+  if (entry.info.incarnation != record.incarnation) return;
+  if (!entry.reporters.emplace(record.reporter, now).second || entry.reporters.size() > 2) return;
+  m_queue.Put("s/" + record.host + "/" + record.reporter, Urgency::kSuspicion, true, Sends(),
+              record);
+}
+
+void MembershipTable::Impl::Apply(TimePoint /*now*/, const DemandRecord& record,
+                                  MembershipOutput* /*out*/) {
+  const auto it = m_hosts.find(record.host);
+  if (it == m_hosts.end() || record.host == m_name) return;
+  if (record.version <= it->second.demand_version) return;
+  it->second.demand_version = record.version;
+  it->second.info.demand = record.demand;
+  m_queue.Put("d/" + record.host, Urgency::kDemand, false, 3, record);
+}
+
+void MembershipTable::Impl::Apply(TimePoint now, const UpstreamRecord& record,
+                                  MembershipOutput* out) {
+  const Announcement& a = record.announcement;
+  const bool own_zone = a.availability_zone == Self().info.availability_zone;
+  if (a.name.empty() || a.availability_zone.empty()) return;
+  const auto it = m_entries.find(a.name);
+  if (record.gone) {
+    if (own_zone || it == m_entries.end()) return;
+    const Announcement& known = it->second.announcement;
+    const bool newer = a.incarnation > known.incarnation ||
+                       (a.incarnation == known.incarnation && a.sequence >= known.sequence);
+    if (!newer) return;
+    Remove(now, a.name, out);
+    m_tombstones[a.name].sequence = std::max(m_tombstones[a.name].sequence, a.sequence);
+    m_queue.Put("u/" + a.name, Urgency::kState, true, Sends(), record);
+    return;
+  }
+  const auto tombstone = m_tombstones.find(a.name);
+  if (tombstone != m_tombstones.end()) {
+    const Tombstone& t = tombstone->second;
+    const bool same = a.incarnation == t.incarnation;
+    const bool leaving = a.state == UpstreamState::kLeaving;
+    if (a.incarnation < t.incarnation || (same && a.sequence <= t.sequence) ||
+        (same && t.leaving && !leaving)) {
+      return;
+    }
+  }
+  if (it != m_entries.end()) {
+    UpstreamEntry& known = it->second;
+    if (a.incarnation < known.announcement.incarnation) return;
+    if (a.incarnation == known.announcement.incarnation) {
+      const bool starts_leaving =
+          a.state == UpstreamState::kLeaving && known.announcement.state == UpstreamState::kReady;
+      if (record.version <= known.version && !starts_leaving) return;
+      // This process has heard a later announcement itself, so what it knows is newer.
+      if (record.version <= known.direct_sequence && !starts_leaving) {
+        if (SameDescription(a, known.announcement)) {
+          known.version = record.version;
+        } else {
+          known.version = known.direct_sequence;
+          QueueUpstream(known, false);
+        }
+        PutUpstreamMember(now, known, false);
+        return;
+      }
+    }
+  }
+  Store(now, a, record.version, false, out);
+}
+
+// Takes in an announcement that is newer than what is known, or that says that a known incarnation
+// is leaving. `version` is the sequence at which its description last changed, as far as the sender
+// knows.
+void MembershipTable::Impl::Store(TimePoint now, const Announcement& announcement,
+                                  std::uint64_t version, bool direct, MembershipOutput* out) {
+  const auto it = m_entries.find(announcement.name);
+  const bool known = it != m_entries.end();
+  const bool same_life = known && it->second.announcement.incarnation == announcement.incarnation;
+  // An upstream that moved to another zone leaves the group of its former zone.
+  if (known && it->second.announcement.availability_zone != announcement.availability_zone) {
+    UpstreamGroup(it->second.announcement.availability_zone).Remove(announcement.name);
+  }
+  UpstreamEntry& entry = m_entries[announcement.name];
+  const bool was_leaving = same_life && entry.announcement.state == UpstreamState::kLeaving;
+  Announcement stored = announcement;
+  if (was_leaving) stored.state = UpstreamState::kLeaving;
+  const bool described = same_life && SameDescription(stored, entry.announcement);
+  if (same_life && !direct) {
+    stored.load = entry.announcement.load;
+    stored.sequence = std::max(stored.sequence, entry.announcement.sequence);
+  }
+  if (!same_life) entry = UpstreamEntry{};
+  entry.announcement = std::move(stored);
+  entry.zone_silent_since = now;
+  if (direct) entry.direct_sequence = announcement.sequence;
+  const bool changed = !described || !known;
+  if (changed || !direct) entry.version = std::max(version, same_life ? entry.version : 0);
+  const bool leaving = entry.announcement.state == UpstreamState::kLeaving;
+  PutUpstreamMember(now, entry, direct);
+  m_tombstones.erase(announcement.name);
+  if (!known || !same_life) {
+    ++m_upstream_version;
+    out->events.push_back(
+        {MembershipEventType::kUpstreamAdded, announcement.name, announcement.incarnation});
+  } else if (changed) {
+    ++m_upstream_version;
+    out->events.push_back(
+        {MembershipEventType::kUpstreamChanged, announcement.name, announcement.incarnation});
+  }
+  if (leaving) {
+    SetStatus(&entry, UpstreamStatus::kLeaving, out);
+  } else if (direct) {
+    RefreshUpstream(announcement.name, out);
+  }
+  if (!changed) return;
+  QueueUpstream(entry, false);
+  if (leaving && !was_leaving) {
+    SpreadNow(now, UpstreamRecord{entry.announcement, entry.version, false}, direct, out);
+  }
+}
+
+}  // namespace corneltray
