Exchange ages in place of sequences between hosts

Change: marks carry the age of the last news, rounded up, so news only grows older. Records carry the age too, written when they are sent. Processes of a zone follow the first removal that their evidence supports.

--- a/src/include/corneltray/freshness_group.h
+++ b/src/include/corneltray/freshness_group.h
@@ -9,27 +9,29 @@
 
 namespace corneltray {
 
-// Names with a sequence that grows while the named process lives, in hash buckets. Two processes
-// whose buckets hold the same names exchange liveness as 4 bits a name, by position: 1,000
-// upstreams cost 500 bytes. Each bucket also has a checksum over the record versions, by which
-// missing records are found. Not thread safe.
+// Names with the time at which any process last heard from each, in hash buckets. Two processes
+// whose buckets hold the same names exchange these times as ages of 4 bits, by position: 1,000
+// upstreams cost 500 bytes. Ages are rounded up, so that news grows older with each hop and cannot
+// circulate. (Sequences modulo 16 were tried: after a partition, hosts whose values lay around the
+// ring refreshed each other for ever.) Each bucket also has a checksum over the record versions, by
+// which missing records are found. Not thread safe.
 class FreshnessGroup {
  public:
   struct Member {
     std::string name;
     std::uint64_t incarnation = 0;
-    std::uint64_t version = 0;   // of the record
-    bool leaving = false;        // part of the content checksum
-    std::uint64_t sequence = 0;  // greatest known; its low 4 bits are the mark
-    TimePoint refreshed_at{};    // when a greater sequence last reached this process
+    std::uint64_t version = 0;  // of the record
+    bool leaving = false;       // part of the content checksum
+    TimePoint heard_at{};
   };
 
   struct MergeResult {
     std::vector<std::size_t> mismatched;  // buckets that differ in names or record versions
-    std::vector<std::string> refreshed;   // members with a greater sequence than before
+    std::vector<std::string> refreshed;   // members heard from later than was known
   };
 
-  explicit FreshnessGroup(std::size_t buckets);
+  // `step` is the unit of the ages, which reach up to 14 steps.
+  FreshnessGroup(std::size_t buckets, Duration step);
 
   std::size_t BucketCount() const { return m_buckets.size(); }
   std::size_t BucketOf(const std::string& name) const;
@@ -40,17 +42,17 @@
   // Adds a member, or replaces the one with this name.
   void Put(const Member& member);
   void Remove(const std::string& name);
-  // Takes in a sequence heard directly. Returns whether it was greater than the known one.
-  bool Refresh(TimePoint now, const std::string& name, std::uint64_t sequence);
+  // Notes that a member was heard from at a time. Returns whether that is later than was known.
+  bool Refresh(const std::string& name, TimePoint heard_at);
 
-  // Checksums and marks of all buckets.
-  std::string EncodeMarks() const;
+  // Checksums and ages of all buckets.
+  std::string EncodeMarks(TimePoint now) const;
   // Content checksums alone, 3 bytes a bucket.
   std::string EncodeContents() const;
 
-  // Compares with another process's EncodeMarks and, if `use_marks`, takes in its marks for the
-  // buckets that hold the same names. Returns false on a malformed text.
-  bool Merge(TimePoint now, const std::string& marks, bool use_marks, MergeResult* result);
+  // Compares with another process's EncodeMarks, which was `delay` on its way, and takes in its
+  // ages for the buckets that hold the same names. Returns false on a malformed text.
+  bool Merge(TimePoint now, const std::string& marks, Duration delay, MergeResult* result);
   // Compares with another process's EncodeContents. Returns false on a malformed text.
   bool Compare(const std::string& contents, std::vector<std::size_t>* mismatched) const;
 
@@ -71,6 +73,7 @@
 
   void UpdateChecksums(Bucket* bucket);
 
+  Duration m_step;
   std::vector<Bucket> m_buckets;
 };
 
--- a/src/include/corneltray/membership_records.h
+++ b/src/include/corneltray/membership_records.h
@@ -17,17 +17,18 @@
 
 // One upstream as gossip carries it: the described fields without the load.
 struct UpstreamRecord {
-  Announcement announcement;  // `sequence` is the greatest that the sender knows of
+  Announcement announcement;  // without `sequence`
   std::uint64_t version =
       0;              // sequence of the announcement in which a described field last changed
   bool gone = false;  // removed in its own availability zone
+  Duration age{};     // since any process heard from it
 };
 
 // One host as gossip carries it, without demand.
 struct HostRecord {
   HostInfo info;
   std::uint64_t version = 0;
-  std::uint64_t sequence = 0;  // greatest heartbeat count that the sender knows of
+  Duration age{};  // since any process heard from it
 };
 
 // One process's report that it has not heard of a host for too long.
@@ -66,17 +67,17 @@
     std::uint32_t sends_left = 0;
     nlohmann::json record;
     std::size_t bytes = 0;
+    TimePoint heard_at{};  // from which the age in the record is written when it is sent
   };
 
   BroadcastQueue();
   ~BroadcastQueue();
 
   void Put(const std::string& key, Urgency urgency, bool to_other_zones, std::uint32_t sends,
-           const MembershipRecord& record);
+           const MembershipRecord& record, TimePoint heard_at);
   // Returns records of at most `bytes` in total, and counts them as sent. Demand takes at most
   // `demand_bytes`.
-  nlohmann::json Take(std::size_t bytes, std::size_t demand_bytes, bool other_zone);
-  bool HasUrgent() const;
+  nlohmann::json Take(TimePoint now, std::size_t bytes, std::size_t demand_bytes, bool other_zone);
 
  private:
   std::vector<Item> m_items;
--- a/src/libcorneltray/freshness_group.cc
+++ b/src/libcorneltray/freshness_group.cc
@@ -12,8 +12,7 @@
 constexpr std::uint32_t kChecksumMask = 0xffffff;  // 3 bytes on the wire
 constexpr std::size_t kChecksumBytes = 3;
 constexpr std::size_t kMaxBucketMembers = 255;  // the count is one byte
-constexpr std::uint64_t kMarkMask = 15;
-constexpr std::uint64_t kMarkWindow = 7;  // a mark ahead by more is an older one
+constexpr std::int64_t kUnknownAge = 15;        // also the mask of a mark
 // A bucket on which no peer agreed for this long is out of step.
 constexpr std::chrono::milliseconds kOutOfStepAfter{1500};
 constexpr std::chrono::seconds kMaxHold{30};
@@ -46,7 +45,8 @@
 
 }  // namespace
 
-FreshnessGroup::FreshnessGroup(std::size_t buckets) : m_buckets(buckets) {}
+FreshnessGroup::FreshnessGroup(std::size_t buckets, Duration step)
+    : m_step(step), m_buckets(buckets) {}
 
 std::size_t FreshnessGroup::BucketOf(const std::string& name) const {
   return XXH64(name.data(), name.size(), 1) % m_buckets.size();
@@ -82,13 +82,12 @@
   UpdateChecksums(&bucket);
 }
 
-bool FreshnessGroup::Refresh(TimePoint now, const std::string& name, std::uint64_t sequence) {
+bool FreshnessGroup::Refresh(const std::string& name, TimePoint heard_at) {
   Bucket& bucket = m_buckets[BucketOf(name)];
   const auto at = LowerBound(bucket.members, name) - bucket.members.cbegin();
   const auto it = bucket.members.begin() + at;
-  if (it == bucket.members.end() || it->name != name || sequence <= it->sequence) return false;
-  it->sequence = sequence;
-  it->refreshed_at = now;
+  if (it == bucket.members.end() || it->name != name || heard_at <= it->heard_at) return false;
+  it->heard_at = heard_at;
   return true;
 }
 
@@ -105,16 +104,20 @@
   }
 }
 
-std::string FreshnessGroup::EncodeMarks() const {
+std::string FreshnessGroup::EncodeMarks(TimePoint now) const {
   std::string out;
+  const auto age = [&](const Member& member) {
+    const auto steps = (now - member.heard_at + m_step - Duration(1)) / m_step;
+    return static_cast<unsigned>(std::clamp<std::int64_t>(steps, 0, kUnknownAge));
+  };
   for (const Bucket& bucket : m_buckets) {
     const std::size_t count = std::min(bucket.members.size(), kMaxBucketMembers);
     out.push_back(static_cast<char>(count));
     AppendChecksum(bucket.names, &out);
     AppendChecksum(bucket.contents, &out);
     for (std::size_t i = 0; i < count; i += 2) {
-      std::uint64_t pair = bucket.members[i].sequence & kMarkMask;
-      if (i + 1 < count) pair |= (bucket.members[i + 1].sequence & kMarkMask) << 4;
+      unsigned pair = age(bucket.members[i]);
+      if (i + 1 < count) pair |= age(bucket.members[i + 1]) << 4;
       out.push_back(static_cast<char>(pair));
     }
   }
@@ -127,7 +130,7 @@
   return out;
 }
 
-bool FreshnessGroup::Merge(TimePoint now, const std::string& marks, bool use_marks,
+bool FreshnessGroup::Merge(TimePoint now, const std::string& marks, Duration delay,
                            MergeResult* result) {
   std::size_t at = 0;
   for (std::size_t b = 0; b < m_buckets.size(); ++b) {
@@ -146,15 +149,14 @@
     if (!same_names) continue;
     if (now - bucket.matched_at > kOutOfStepAfter) bucket.counts_from = now;
     bucket.matched_at = now;
-    if (!use_marks) continue;
     for (std::size_t i = 0; i < count; ++i) {
       const auto pair = static_cast<unsigned char>(marks[first_mark + i / 2]);
-      const std::uint64_t mark = (i % 2 == 0 ? pair : pair >> 4) & kMarkMask;
+      const std::int64_t age = (i % 2 == 0 ? pair : pair >> 4) & kUnknownAge;
+      if (age == kUnknownAge) continue;
       Member& member = bucket.members[i];
-      const std::uint64_t ahead = (mark - member.sequence) & kMarkMask;
-      if (ahead == 0 || ahead > kMarkWindow) continue;
-      member.sequence += ahead;
-      member.refreshed_at = now;
+      const TimePoint heard_at = now - delay - age * m_step;
+      if (heard_at <= member.heard_at) continue;
+      member.heard_at = heard_at;
       result->refreshed.push_back(member.name);
     }
   }
@@ -174,10 +176,10 @@
 
 Duration FreshnessGroup::Silence(TimePoint now, std::size_t bucket, const Member& member,
                                  bool has_peers) const {
-  const Duration plain = now - member.refreshed_at;
+  const Duration plain = now - member.heard_at;
   if (!has_peers || plain >= kMaxHold) return plain;
   const Bucket& state = m_buckets[bucket];
-  const Duration counted = now - std::max(member.refreshed_at, state.counts_from);
+  const Duration counted = now - std::max(member.heard_at, state.counts_from);
   const Duration lag = now - state.matched_at - kAgreementLasts;
   if (lag <= Duration::zero()) return counted;
   if (lag <= kNoAgreementFor) return counted - lag;
--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxDirectTargets = 64;
 constexpr std::size_t kAnnounceTargets = 16;
 constexpr std::size_t kDemandCustomers = 8;
+constexpr double kAllowancePerRoundMs = 500.0;
 constexpr std::chrono::seconds kLeavingMemory{24 * 3600};
 constexpr std::chrono::hours kHostMemory{2};        // an hour's partition, doubled
 constexpr std::chrono::seconds kZoneGoneAfter{60};  // no host of that zone was heard from
@@ -32,7 +33,7 @@
   HostEntry entry;
   entry.info = std::move(self);
   entry.version = 1;
-  PutHostMember(now, m_hosts.emplace(m_name, std::move(entry)).first->second, true);
+  PutHostMember(m_hosts.emplace(m_name, std::move(entry)).first->second, now);
   QueueHost(Self());
 }
 
@@ -41,53 +42,43 @@
   return 4 + 2 * static_cast<std::uint32_t>(std::log2(static_cast<double>(m_hosts.size()) + 1.0));
 }
 
-void MembershipTable::Impl::PutHostMember(TimePoint now, const HostEntry& entry, bool refreshed) {
-  const FreshnessGroup::Member* old = m_host_group.Find(entry.info.name);
-  FreshnessGroup::Member member{entry.info.name,
-                                entry.info.incarnation,
-                                entry.version,
-                                entry.info.state == HostState::kLeaving,
-                                old != nullptr ? old->sequence : 0,
-                                old != nullptr && !refreshed ? old->refreshed_at : now};
-  if (old != nullptr && old->incarnation != member.incarnation) member.sequence = 0;
-  m_host_group.Put(member);
+void MembershipTable::Impl::PutHostMember(const HostEntry& entry, TimePoint heard_at) {
+  const HostInfo& info = entry.info;
+  const FreshnessGroup::Member* old = m_host_group.Find(info.name);
+  if (old != nullptr) heard_at = std::max(heard_at, old->heard_at);
+  m_host_group.Put(
+      {info.name, info.incarnation, entry.version, info.state == HostState::kLeaving, heard_at});
 }
 
-void MembershipTable::Impl::PutUpstreamMember(TimePoint now, const UpstreamEntry& entry,
-                                              bool direct) {
+void MembershipTable::Impl::PutUpstreamMember(const UpstreamEntry& entry, TimePoint heard_at) {
   const Announcement& a = entry.announcement;
   FreshnessGroup& group = UpstreamGroup(a.availability_zone);
   const FreshnessGroup::Member* old = group.Find(a.name);
-  FreshnessGroup::Member member{
-      a.name, a.incarnation, entry.version, a.state == UpstreamState::kLeaving, a.sequence, now};
-  // A sequence heard directly is exact; one extended from marks may be ahead by a multiple of 16.
-  if (!direct && old != nullptr && old->incarnation == a.incarnation) {
-    member.sequence = std::max(member.sequence, old->sequence);
-    if (member.sequence == old->sequence) member.refreshed_at = old->refreshed_at;
-  }
-  group.Put(member);
+  if (old != nullptr) heard_at = std::max(heard_at, old->heard_at);
+  group.Put({a.name, a.incarnation, entry.version, a.state == UpstreamState::kLeaving, heard_at});
 }
 
-void MembershipTable::Impl::QueueUpstream(const UpstreamEntry& entry, bool gone) {
+void MembershipTable::Impl::QueueUpstream(const UpstreamEntry& entry) {
   const Announcement& a = entry.announcement;
   const bool leaving = a.state == UpstreamState::kLeaving;
   // Other zones get service replicas and the end of an engine at once; other changes of engines
   // reach them when they compare checksums, which costs less.
-  const bool other_zones = a.kind == UpstreamKind::kService || leaving || gone;
-  m_queue.Put("u/" + a.name, leaving && !gone ? Urgency::kLeaving : Urgency::kState, other_zones,
-              Sends(), UpstreamRecord{a, entry.version, gone});
+  const bool other_zones = a.kind == UpstreamKind::kService || leaving;
+  m_queue.Put("u/" + a.name, leaving ? Urgency::kLeaving : Urgency::kState, other_zones, Sends(),
+              UpstreamRecord{a, entry.version, false, {}},
+              UpstreamGroup(a.availability_zone).Find(a.name)->heard_at);
 }
 
 void MembershipTable::Impl::QueueHost(const HostEntry& entry) {
   const bool leaving = entry.info.state == HostState::kLeaving;
   m_queue.Put("h/" + entry.info.name, leaving ? Urgency::kLeaving : Urgency::kState, true, Sends(),
-              HostRecord{entry.info, entry.version, m_host_group.Find(entry.info.name)->sequence});
+              HostRecord{entry.info, entry.version, {}},
+              m_host_group.Find(entry.info.name)->heard_at);
 }
 
 void MembershipTable::Impl::ChangeSelf() {
   ++Self().version;
-  const FreshnessGroup::Member* member = m_host_group.Find(m_name);
-  PutHostMember(member->refreshed_at, Self(), false);
+  PutHostMember(Self(), TimePoint::min());
   QueueHost(Self());
 }
 
@@ -113,7 +104,7 @@
   for (const auto& [rate, customer] : largest) self.info.demand[customer] = rate;
   ++self.demand_version;
   m_queue.Put("d/" + m_name, Urgency::kDemand, false, 3,
-              DemandRecord{m_name, self.demand_version, self.info.demand});
+              DemandRecord{m_name, self.demand_version, self.info.demand}, {});
 }
 
 std::vector<std::string> MembershipTable::Impl::Names(bool own_zone, HostLiveness up_to) const {
@@ -168,17 +159,17 @@
   const HostInfo& peer = m_hosts.at(target).info;
   const std::string& zone = Self().info.availability_zone;
   json body = Header(now);
-  body["s"] = m_host_group.Find(m_name)->sequence;
-  if (with_hosts) body["h"] = Binary(m_host_group.EncodeMarks());
+  m_host_group.Refresh(m_name, now);
+  if (with_hosts) body["h"] = Binary(m_host_group.EncodeMarks(now));
   const bool own_zone = InOwnZone(peer);
   if (own_zone) {
-    body["u"] = Binary(UpstreamGroup(zone).EncodeMarks());
+    body["u"] = Binary(UpstreamGroup(zone).EncodeMarks(now));
   } else if (peer.region == Self().info.region) {
     body["c"] = json::array({zone, Binary(UpstreamGroup(zone).EncodeContents())});
   }
   const std::size_t used = json::to_cbor(body).size() + 8;
   const std::size_t left = used < kMaxGossipBytes ? kMaxGossipBytes - used : 0;
-  json records = m_queue.Take(left, std::min(left, kDemandBytes), !own_zone);
+  json records = m_queue.Take(now, left, std::min(left, kDemandBytes), !own_zone);
   if (!records.empty()) body["d"] = std::move(records);
   return {target, std::move(body)};
 }
@@ -188,7 +179,6 @@
   ++m_heartbeats;
   m_pulls_left = kPullsPerHeartbeat;
   m_answers_left = kAnswersPerHeartbeat;
-  m_host_group.Refresh(now, m_name, m_host_group.Find(m_name)->sequence + 1);
   m_targets = PickTargets();
   m_next_message_at = now;
   m_hosts_sent = false;
@@ -211,11 +201,11 @@
   }
 }
 
-// News of an upstream comes through several hosts, the more the larger the zone is. The allowance
-// covers the variation of that delay.
-Duration MembershipTable::Impl::GossipAllowance() const {
-  const double peers = 1.0 + static_cast<double>(Names(true, HostLiveness::kSuspect).size());
-  return std::chrono::milliseconds(static_cast<std::int64_t>(350.0 * std::log(peers)));
+// News comes through several processes, the more of them there are. The allowance covers the
+// greatest delay of news in the simulated schedules without faults.
+Duration MembershipTable::Impl::GossipAllowance(std::size_t processes) const {
+  const double rounds = std::log(static_cast<double>(std::max<std::size_t>(processes, 1)));
+  return std::chrono::milliseconds(static_cast<std::int64_t>(kAllowancePerRoundMs * rounds));
 }
 
 // Sends one urgent record at once: to every host of the zone from the process that heard the news
@@ -242,7 +232,7 @@
   if (Self().info.state == HostState::kLeaving) return out;
   Self().info.state = HostState::kLeaving;
   ChangeSelf();
-  SpreadNow(now, HostRecord{Self().info, Self().version, 0}, true, &out);
+  SpreadNow(now, HostRecord{Self().info, Self().version, {}}, true, &out);
   return out;
 }
 
@@ -252,7 +242,7 @@
   const auto it = m_hosts.find(peer.name);
   if (it == m_hosts.end() || it->second.info.incarnation < peer.incarnation) {
     m_forgotten_hosts.erase(peer.name);
-    AddHost(now, peer, 0, &out);
+    AddHost(peer, 0, now, &out);
   }
   // Asks for a heartbeat in return, so that a new process learns the members within one round trip.
   GossipMessage message = MakeHeartbeat(now, peer.name, true);
@@ -282,7 +272,7 @@
       return out;
     }
   }
-  Store(now, announcement, announcement.sequence, true, &out);
+  Store(now, announcement, announcement.sequence, now, true, &out);
   return out;
 }
 
@@ -302,16 +292,12 @@
   if (it == m_entries.end()) return;
   const Announcement& a = it->second.announcement;
   FreshnessGroup& group = UpstreamGroup(a.availability_zone);
-  const FreshnessGroup::Member* member = group.Find(name);
-  const std::uint64_t sequence =
-      std::max({a.sequence, it->second.version, it->second.direct_sequence,
-                member != nullptr ? member->sequence : 0});
-  m_tombstones[name] = {a.incarnation, sequence, a.state == UpstreamState::kLeaving,
+  const TimePoint heard_at = group.Find(name)->heard_at;
+  m_tombstones[name] = {a.incarnation, heard_at, a.state == UpstreamState::kLeaving,
                         now + kLeavingMemory};
   if (a.availability_zone == Self().info.availability_zone) {
-    UpstreamEntry gone = it->second;
-    gone.announcement.sequence = sequence;
-    QueueUpstream(gone, true);
+    m_queue.Put("u/" + name, Urgency::kState, true, Sends(),
+                UpstreamRecord{a, it->second.version, true, {}}, heard_at);
   }
   group.Remove(name);
   out->events.push_back({MembershipEventType::kUpstreamRemoved, name, a.incarnation});
@@ -336,17 +322,17 @@
   for (const auto& [name, entry] : m_hosts) {
     others += name != m_name && entry.liveness != HostLiveness::kFailed;
   }
+  const Duration allowance = GossipAllowance(others + 1);
   std::vector<std::string> forgotten;
   for (auto& [name, entry] : m_hosts) {
     if (name == m_name) continue;
     const FreshnessGroup::Member* member = m_host_group.Find(name);
-    const Duration silence =
-        m_host_group.Silence(now, m_host_group.BucketOf(name), *member, others > 1);
-    if (entry.liveness == HostLiveness::kAlive && silence >= kHostSuspectAfter) {
+    const Duration silence = now - member->heard_at;
+    if (entry.liveness == HostLiveness::kAlive && silence >= kHostSuspectAfter + allowance) {
       entry.liveness = HostLiveness::kSuspect;
       entry.reporters[m_name] = now;
       m_queue.Put("s/" + name, Urgency::kSuspicion, true, Sends(),
-                  SuspicionRecord{name, entry.info.incarnation, m_name});
+                  SuspicionRecord{name, entry.info.incarnation, m_name}, {});
       out->events.push_back({MembershipEventType::kHostSuspect, name, entry.info.incarnation});
     }
     for (auto it = entry.reporters.begin(); it != entry.reporters.end();) {
@@ -354,7 +340,8 @@
     }
     const bool confirmed = entry.reporters.size() >= 2 || others < 2;
     if (entry.liveness == HostLiveness::kSuspect &&
-        ((confirmed && silence >= kHostFailAfter) || silence >= kUnconfirmedFailAfter)) {
+        ((confirmed && silence >= kHostFailAfter + allowance) ||
+         silence >= kUnconfirmedFailAfter)) {
       entry.liveness = HostLiveness::kFailed;
       entry.failed_at = now;
       out->events.push_back({MembershipEventType::kHostFailed, name, entry.info.incarnation});
@@ -375,12 +362,12 @@
 
 void MembershipTable::Impl::TickOwnZone(TimePoint now, MembershipOutput* out) {
   FreshnessGroup& group = UpstreamGroup(Self().info.availability_zone);
-  const bool has_peers = !Names(true, HostLiveness::kSuspect).empty();
-  const Duration allowance = GossipAllowance();
+  const std::size_t peers = Names(true, HostLiveness::kSuspect).size();
+  const Duration allowance = GossipAllowance(peers + 1);
   std::vector<std::string> removed;
   for (std::size_t b = 0; b < group.BucketCount(); ++b) {
     for (const FreshnessGroup::Member& member : group.MembersOf(b)) {
-      const Duration silence = group.Silence(now, b, member, has_peers);
+      const Duration silence = group.Silence(now, b, member, peers > 0);
       UpstreamEntry& entry = m_entries.at(member.name);
       if (silence >= kUpstreamRemoveAfter + allowance) {
         removed.push_back(member.name);
--- a/src/libcorneltray/membership_gossip.cc
+++ b/src/libcorneltray/membership_gossip.cc
@@ -17,8 +17,7 @@
 constexpr std::size_t kShortKeyBytes = 4;  // of one member in a full list
 constexpr std::size_t kMaxPullMembers = 120;
 constexpr std::size_t kReplyHeaderBytes = 80;
-// Marks that were on their way for longer could be taken for newer ones, as they have 4 bits.
-constexpr std::int64_t kMaxMarkDelayMs = 2000;
+constexpr std::chrono::milliseconds kNewsSlack{500};
 // Group name of the hosts in a pull; no availability zone has an empty name.
 constexpr char kHostsGroup[] = "";
 
@@ -65,15 +64,13 @@
       info.incarnation = incarnation;
       info.state = HostState::kAlive;
       m_forgotten_hosts.erase(from);
-      AddHost(now, info, 0, &out);
+      AddHost(info, 0, now, &out);
     }
     if (m_hosts.at(from).info.incarnation > incarnation) return out;
-    bool use_marks = false;
-    if (!CountMessage(now, &m_hosts.at(from), body, &use_marks)) return out;
-    if (body.contains("s") && use_marks &&
-        m_host_group.Refresh(now, from, body["s"].get<std::uint64_t>())) {
-      RefreshHost(from, &out);
-    }
+    Duration delay{};
+    if (!CountMessage(now, &m_hosts.at(from), body, &delay)) return out;
+    m_host_group.Refresh(from, now - delay);
+    RefreshHost(from, &out);
     for (const json& item : body.value("d", json::array())) {
       const auto record = DecodeRecord(item);
       if (!record) {
@@ -82,7 +79,7 @@
       }
       std::visit([&](const auto& value) { Apply(now, value, &out); }, *record);
     }
-    MergeMarks(now, from, body, use_marks, &out);
+    MergeMarks(now, from, body, delay, &out);
     if (body.contains("p")) {
       for (const json& pull : body["p"]) Answer(now, from, pull, &out);
     }
@@ -94,29 +91,29 @@
   return out;
 }
 
-// Returns false for a message that was taken in before. Sets `use_marks` if its marks are recent.
+// Returns false for a message that was taken in before. Sets `delay` to the time that this message
+// was on its way beyond the fastest message of the sender.
 bool MembershipTable::Impl::CountMessage(TimePoint now, HostEntry* sender, const json& body,
-                                         bool* use_marks) {
+                                         Duration* delay) {
   const auto counter = body.at("n").get<std::uint64_t>();
   const std::int64_t offset = Millis(now - m_started_at) - body.at("t").get<std::int64_t>();
   if (counter == sender->last_counter) return false;
-  *use_marks = counter > sender->last_counter;
   sender->last_counter = std::max(counter, sender->last_counter);
   if (!sender->has_offset || offset < sender->least_offset_ms) {
     sender->has_offset = true;
     sender->least_offset_ms = offset;
   }
-  if (offset - sender->least_offset_ms > kMaxMarkDelayMs) *use_marks = false;
+  *delay = std::chrono::milliseconds(offset - sender->least_offset_ms);
   // Follows clocks that drift apart by up to 1 ms for each message.
   ++sender->least_offset_ms;
   return true;
 }
 
 void MembershipTable::Impl::MergeMarks(TimePoint now, const std::string& from, const json& body,
-                                       bool use_marks, MembershipOutput* out) {
+                                       Duration delay, MembershipOutput* out) {
   if (body.contains("h")) {
     FreshnessGroup::MergeResult result;
-    if (!m_host_group.Merge(now, Text(body["h"]), use_marks, &result)) ++m_malformed;
+    if (!m_host_group.Merge(now, Text(body["h"]), delay, &result)) ++m_malformed;
     for (const std::string& name : result.refreshed) RefreshHost(name, out);
     Pull(now, from, kHostsGroup, m_host_group, std::move(result.mismatched), out);
   }
@@ -124,7 +121,7 @@
     const std::string& zone = Self().info.availability_zone;
     FreshnessGroup& group = UpstreamGroup(zone);
     FreshnessGroup::MergeResult result;
-    if (!group.Merge(now, Text(body["u"]), use_marks, &result)) ++m_malformed;
+    if (!group.Merge(now, Text(body["u"]), delay, &result)) ++m_malformed;
     for (const std::string& name : result.refreshed) RefreshUpstream(name, out);
     Pull(now, from, zone, group, std::move(result.mismatched), out);
   }
@@ -187,12 +184,11 @@
     if (have.count(MemberKey(member)) != 0) continue;
     if (hosts) {
       const HostEntry& entry = m_hosts.at(member.name);
-      add(EncodeRecord(HostRecord{entry.info, entry.version, member.sequence}));
+      add(EncodeRecord(HostRecord{entry.info, entry.version, now - member.heard_at}));
     } else {
       const UpstreamEntry& entry = m_entries.at(member.name);
-      UpstreamRecord record{entry.announcement, entry.version, false};
-      record.announcement.sequence = member.sequence;
-      add(EncodeRecord(record));
+      add(EncodeRecord(
+          UpstreamRecord{entry.announcement, entry.version, false, now - member.heard_at}));
     }
   }
   const auto sender = m_hosts.find(from);
@@ -225,14 +221,14 @@
   for (const std::string& name : gone) Remove(now, name, out);
 }
 
-void MembershipTable::Impl::AddHost(TimePoint now, const HostInfo& info, std::uint64_t version,
+void MembershipTable::Impl::AddHost(const HostInfo& info, std::uint64_t version, TimePoint heard_at,
                                     MembershipOutput* out) {
   HostEntry entry;
   entry.info = info;
   entry.version = version;
   const bool known = m_hosts.count(info.name) != 0;
   m_hosts[info.name] = std::move(entry);
-  PutHostMember(now, m_hosts.at(info.name), true);
+  PutHostMember(m_hosts.at(info.name), heard_at);
   out->events.push_back(
       {known ? MembershipEventType::kHostChanged : MembershipEventType::kHostJoined, info.name,
        info.incarnation});
@@ -264,7 +260,7 @@
   const auto it = m_hosts.find(info.name);
   if (it == m_hosts.end()) {
     if (info.name.empty() || m_forgotten_hosts.count(info.name) != 0) return;
-    AddHost(now, info, record.version, out);
+    AddHost(info, record.version, now - record.age, out);
   } else {
     HostEntry& known = it->second;
     const bool newer =
@@ -274,14 +270,14 @@
     const bool restarted = info.incarnation > known.info.incarnation;
     const bool was_leaving = known.info.state == HostState::kLeaving && !restarted;
     if (restarted) {
-      AddHost(now, info, record.version, out);
+      AddHost(info, record.version, now - record.age, out);
     } else {
       std::map<std::string, double> demand = std::move(known.info.demand);
       known.info = info;
       known.info.demand = std::move(demand);
       known.version = record.version;
       if (was_leaving) known.info.state = HostState::kLeaving;
-      PutHostMember(now, known, false);
+      PutHostMember(known, now - record.age);
       out->events.push_back({MembershipEventType::kHostChanged, info.name, info.incarnation});
     }
     if (info.state == HostState::kLeaving && !was_leaving) {
@@ -289,7 +285,6 @@
       SpreadNow(now, record, false, out);
     }
   }
-  m_host_group.Refresh(now, info.name, record.sequence);
   QueueHost(m_hosts.at(info.name));
 }
 
@@ -301,7 +296,7 @@
   if (entry.info.incarnation != record.incarnation) return;
   if (!entry.reporters.emplace(record.reporter, now).second || entry.reporters.size() > 2) return;
   m_queue.Put("s/" + record.host + "/" + record.reporter, Urgency::kSuspicion, true, Sends(),
-              record);
+              record, {});
 }
 
 void MembershipTable::Impl::Apply(TimePoint /*now*/, const DemandRecord& record,
@@ -311,7 +306,7 @@
   if (record.version <= it->second.demand_version) return;
   it->second.demand_version = record.version;
   it->second.info.demand = record.demand;
-  m_queue.Put("d/" + record.host, Urgency::kDemand, false, 3, record);
+  m_queue.Put("d/" + record.host, Urgency::kDemand, false, 3, record, {});
 }
 
 void MembershipTable::Impl::Apply(TimePoint now, const UpstreamRecord& record,
@@ -319,16 +314,21 @@
   const Announcement& a = record.announcement;
   const bool own_zone = a.availability_zone == Self().info.availability_zone;
   if (a.name.empty() || a.availability_zone.empty()) return;
+  const TimePoint heard_at = now - record.age;
   const auto it = m_entries.find(a.name);
   if (record.gone) {
-    if (own_zone || it == m_entries.end()) return;
+    if (it == m_entries.end()) return;
     const Announcement& known = it->second.announcement;
-    const bool newer = a.incarnation > known.incarnation ||
-                       (a.incarnation == known.incarnation && a.sequence >= known.sequence);
-    if (!newer) return;
+    const TimePoint known_at = UpstreamGroup(known.availability_zone).Find(a.name)->heard_at;
+    // Within the zone a process removes by its own evidence, but follows the first one that did:
+    // until all have, their buckets differ and no ages can be read.
+    const bool newer = own_zone ? heard_at + kNewsSlack >= known_at &&
+                                      now - known_at >= kUpstreamRemoveAfter - kNewsSlack
+                                : heard_at >= known_at;
+    if (a.incarnation < known.incarnation || (a.incarnation == known.incarnation && !newer)) return;
     Remove(now, a.name, out);
-    m_tombstones[a.name].sequence = std::max(m_tombstones[a.name].sequence, a.sequence);
-    m_queue.Put("u/" + a.name, Urgency::kState, true, Sends(), record);
+    m_tombstones[a.name].heard_at = heard_at;
+    m_queue.Put("u/" + a.name, Urgency::kState, true, Sends(), record, heard_at);
     return;
   }
   const auto tombstone = m_tombstones.find(a.name);
@@ -336,11 +336,13 @@
     const Tombstone& t = tombstone->second;
     const bool same = a.incarnation == t.incarnation;
     const bool leaving = a.state == UpstreamState::kLeaving;
-    if (a.incarnation < t.incarnation || (same && a.sequence <= t.sequence) ||
-        (same && t.leaving && !leaving)) {
+    // Ages on the way here differ by the delay of the messages.
+    const bool no_news = heard_at <= t.heard_at + kNewsSlack;
+    if (a.incarnation < t.incarnation || (same && no_news) || (same && t.leaving && !leaving)) {
       return;
     }
   }
+  if (own_zone && it == m_entries.end() && record.age >= kUpstreamRemoveAfter) return;
   if (it != m_entries.end()) {
     UpstreamEntry& known = it->second;
     if (a.incarnation < known.announcement.incarnation) return;
@@ -354,21 +356,22 @@
           known.version = record.version;
         } else {
           known.version = known.direct_sequence;
-          QueueUpstream(known, false);
+          QueueUpstream(known);
         }
-        PutUpstreamMember(now, known, false);
+        PutUpstreamMember(known, heard_at);
         return;
       }
     }
   }
-  Store(now, a, record.version, false, out);
+  Store(now, a, record.version, heard_at, false, out);
 }
 
 // Takes in an announcement that is newer than what is known, or that says that a known incarnation
 // is leaving. `version` is the sequence at which its description last changed, as far as the sender
 // knows.
 void MembershipTable::Impl::Store(TimePoint now, const Announcement& announcement,
-                                  std::uint64_t version, bool direct, MembershipOutput* out) {
+                                  std::uint64_t version, TimePoint heard_at, bool direct,
+                                  MembershipOutput* out) {
   const auto it = m_entries.find(announcement.name);
   const bool known = it != m_entries.end();
   const bool same_life = known && it->second.announcement.incarnation == announcement.incarnation;
@@ -383,7 +386,6 @@
   const bool described = same_life && SameDescription(stored, entry.announcement);
   if (same_life && !direct) {
     stored.load = entry.announcement.load;
-    stored.sequence = std::max(stored.sequence, entry.announcement.sequence);
   }
   if (!same_life) entry = UpstreamEntry{};
   entry.announcement = std::move(stored);
@@ -392,7 +394,7 @@
   const bool changed = !described || !known;
   if (changed || !direct) entry.version = std::max(version, same_life ? entry.version : 0);
   const bool leaving = entry.announcement.state == UpstreamState::kLeaving;
-  PutUpstreamMember(now, entry, direct);
+  PutUpstreamMember(entry, heard_at);
   m_tombstones.erase(announcement.name);
   if (!known || !same_life) {
     ++m_upstream_version;
@@ -409,9 +411,10 @@
     RefreshUpstream(announcement.name, out);
   }
   if (!changed) return;
-  QueueUpstream(entry, false);
+  QueueUpstream(entry);
   if (leaving && !was_leaving) {
-    SpreadNow(now, UpstreamRecord{entry.announcement, entry.version, false}, direct, out);
+    SpreadNow(now, UpstreamRecord{entry.announcement, entry.version, false, now - heard_at}, direct,
+              out);
   }
 }
 
--- a/src/libcorneltray/membership_impl.h
+++ b/src/libcorneltray/membership_impl.h
@@ -17,6 +17,8 @@
 
 constexpr std::size_t kHostBuckets = 8;
 constexpr std::size_t kUpstreamBuckets = 16;
+constexpr std::chrono::milliseconds kHostAgeStep{750};
+constexpr std::chrono::milliseconds kUpstreamAgeStep{250};
 
 // Requests for missing records, and answers to them, that one process sends between heartbeats.
 constexpr std::size_t kPullsPerHeartbeat = 8;
@@ -53,7 +55,7 @@
 // What stays known of a removed upstream.
 struct Tombstone {
   std::uint64_t incarnation = 0;
-  std::uint64_t sequence = 0;
+  TimePoint heard_at{};
   bool leaving = false;
   TimePoint forget_at{};
 };
@@ -90,7 +92,7 @@
            info.region == Self().info.region;
   }
   FreshnessGroup& UpstreamGroup(const std::string& zone) {
-    return m_upstreams.try_emplace(zone, kUpstreamBuckets).first->second;
+    return m_upstreams.try_emplace(zone, kUpstreamBuckets, kUpstreamAgeStep).first->second;
   }
   std::uint32_t Sends() const;
 
@@ -98,21 +100,22 @@
   void Apply(TimePoint now, const HostRecord& record, MembershipOutput* out);
   void Apply(TimePoint now, const SuspicionRecord& record, MembershipOutput* out);
   void Apply(TimePoint now, const DemandRecord& record, MembershipOutput* out);
-  void Store(TimePoint now, const Announcement& announcement, std::uint64_t version, bool direct,
-             MembershipOutput* out);
+  void Store(TimePoint now, const Announcement& announcement, std::uint64_t version,
+             TimePoint heard_at, bool direct, MembershipOutput* out);
   void Remove(TimePoint now, const std::string& name, MembershipOutput* out);
-  void PutUpstreamMember(TimePoint now, const UpstreamEntry& entry, bool direct);
-  void PutHostMember(TimePoint now, const HostEntry& entry, bool refreshed);
-  void QueueUpstream(const UpstreamEntry& entry, bool gone);
+  void PutUpstreamMember(const UpstreamEntry& entry, TimePoint heard_at);
+  void PutHostMember(const HostEntry& entry, TimePoint heard_at);
+  void QueueUpstream(const UpstreamEntry& entry);
   void QueueHost(const HostEntry& entry);
   void RefreshHost(const std::string& name, MembershipOutput* out);
   void RefreshUpstream(const std::string& name, MembershipOutput* out);
-  void AddHost(TimePoint now, const HostInfo& info, std::uint64_t version, MembershipOutput* out);
+  void AddHost(const HostInfo& info, std::uint64_t version, TimePoint heard_at,
+               MembershipOutput* out);
   void SpreadNow(TimePoint now, const MembershipRecord& record, bool to_all, MembershipOutput* out);
 
-  bool CountMessage(TimePoint now, HostEntry* sender, const nlohmann::json& body, bool* use_marks);
+  bool CountMessage(TimePoint now, HostEntry* sender, const nlohmann::json& body, Duration* delay);
   void MergeMarks(TimePoint now, const std::string& from, const nlohmann::json& body,
-                  bool use_marks, MembershipOutput* out);
+                  Duration delay, MembershipOutput* out);
   void Pull(TimePoint now, const std::string& from, const std::string& group_name,
             const FreshnessGroup& group, std::vector<std::size_t> buckets, MembershipOutput* out);
   void Answer(TimePoint now, const std::string& from, const nlohmann::json& pull,
@@ -123,7 +126,7 @@
   GossipMessage MakeHeartbeat(TimePoint now, const std::string& target, bool with_hosts);
   std::vector<std::string> PickTargets();
   void SendDue(TimePoint now, MembershipOutput* out);
-  Duration GossipAllowance() const;
+  Duration GossipAllowance(std::size_t processes) const;
   std::vector<std::string> Names(bool own_zone, HostLiveness up_to) const;
   void TickHosts(TimePoint now, MembershipOutput* out);
   void TickOwnZone(TimePoint now, MembershipOutput* out);
@@ -141,7 +144,7 @@
   std::size_t m_answers_left = kAnswersPerHeartbeat;
   std::uint64_t m_demand_sent_at = 0;  // heartbeat
   BroadcastQueue m_queue;
-  FreshnessGroup m_host_group{kHostBuckets};
+  FreshnessGroup m_host_group{kHostBuckets, kHostAgeStep};
   std::map<std::string, FreshnessGroup> m_upstreams;  // by availability zone
   std::map<std::string, UpstreamEntry> m_entries;
   std::map<std::string, Tombstone> m_tombstones;
--- a/src/libcorneltray/membership_records.cc
+++ b/src/libcorneltray/membership_records.cc
@@ -25,6 +25,22 @@
 constexpr unsigned kGoneBit = 4;
 constexpr unsigned kChecksFenceBit = 8;
 
+std::int64_t AgeMs(Duration age) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1;
+}
+
+Duration ReadAge(const json& j) {
+  constexpr std::int64_t kMaxAgeMs = 86'400'000;
+  return std::chrono::milliseconds(std::clamp<std::int64_t>(j.get<std::int64_t>(), 0, kMaxAgeMs));
+}
+
+// Writes the age that a record has when it is sent.
+void WriteAge(Duration age, json* record) {
+  const auto type = static_cast<RecordType>((*record)[0].get<int>());
+  if (type == RecordType::kUpstream) (*record)[13] = AgeMs(age);
+  if (type == RecordType::kHost) (*record)[10][2] = AgeMs(age);
+}
+
 json Encode(const UpstreamRecord& record) {
   const Announcement& a = record.announcement;
   unsigned flags = 0;
@@ -43,8 +59,9 @@
   return json::array({static_cast<int>(RecordType::kUpstream), a.name, a.incarnation,
                       record.version, flags, a.service, a.availability_zone, a.address, a.fence,
                       a.accelerator, a.memory_bytes, static_cast<float>(a.layers_per_s),
-                      static_cast<float>(a.link_mbps), a.sequence, a.load.running, a.load.waiting,
-                      static_cast<int>(std::lround(a.load.kv_used * 100)), holdings});
+                      static_cast<float>(a.link_mbps), AgeMs(record.age), a.load.running,
+                      a.load.waiting, static_cast<int>(std::lround(a.load.kv_used * 100)),
+                      holdings});
 }
 
 json Encode(const HostRecord& record) {
@@ -52,7 +69,7 @@
   return json::array({static_cast<int>(RecordType::kHost), h.name, h.incarnation, record.version,
                       h.state == HostState::kLeaving ? 1 : 0, h.program, h.region,
                       h.availability_zone, h.peer_address, h.http_address,
-                      json::array({h.configuration_revision, h.fence, record.sequence})});
+                      json::array({h.configuration_revision, h.fence, AgeMs(record.age)})});
 }
 
 json Encode(const SuspicionRecord& record) {
@@ -90,7 +107,7 @@
   a.memory_bytes = j.at(10).get<std::uint64_t>();
   a.layers_per_s = j.at(11).get<double>();
   a.link_mbps = j.at(12).get<double>();
-  a.sequence = j.at(13).get<std::uint64_t>();
+  record.age = ReadAge(j.at(13));
   a.load.running = j.at(14).get<std::uint32_t>();
   a.load.waiting = j.at(15).get<std::uint32_t>();
   a.load.kv_used = j.at(16).get<int>() / 100.0;
@@ -121,7 +138,7 @@
   h.http_address = j.at(9).get<std::string>();
   h.configuration_revision = j.at(10).at(0).get<std::uint64_t>();
   h.fence = j.at(10).at(1).get<std::uint64_t>();
-  record.sequence = j.at(10).at(2).get<std::uint64_t>();
+  record.age = ReadAge(j.at(10).at(2));
   return record;
 }
 
@@ -192,16 +209,18 @@
 BroadcastQueue::~BroadcastQueue() = default;
 
 void BroadcastQueue::Put(const std::string& key, Urgency urgency, bool to_other_zones,
-                         std::uint32_t sends, const MembershipRecord& record) {
+                         std::uint32_t sends, const MembershipRecord& record, TimePoint heard_at) {
   m_items.erase(std::remove_if(m_items.begin(), m_items.end(),
                                [&](const Item& item) { return item.key == key; }),
                 m_items.end());
   Item item{key, urgency, to_other_zones, sends, EncodeRecord(record), 0};
-  item.bytes = json::to_cbor(item.record).size();
+  item.heard_at = heard_at;
+  item.bytes = json::to_cbor(item.record).size() + 4;  // the age may grow
   m_items.push_back(std::move(item));
 }
 
-json BroadcastQueue::Take(std::size_t bytes, std::size_t demand_bytes, bool other_zone) {
+json BroadcastQueue::Take(TimePoint now, std::size_t bytes, std::size_t demand_bytes,
+                          bool other_zone) {
   std::stable_sort(m_items.begin(), m_items.end(), [](const Item& a, const Item& b) {
     if (a.urgency != b.urgency) return a.urgency < b.urgency;
     return a.sends_left > b.sends_left;
@@ -213,6 +232,7 @@
     if (item.bytes > bytes || (demand && item.bytes > demand_bytes)) continue;
     bytes -= item.bytes;
     if (demand) demand_bytes -= item.bytes;
+    WriteAge(now - item.heard_at, &item.record);
     taken.push_back(item.record);
     --item.sends_left;
   }
@@ -222,9 +242,4 @@
   return taken;
 }
 
-bool BroadcastQueue::HasUrgent() const {
-  return std::any_of(m_items.begin(), m_items.end(),
-                     [](const Item& item) { return item.urgency == Urgency::kLeaving; });
-}
-
 }  // namespace corneltray
