--- a/src/include/corneltray/limiter.h
+++ b/src/include/corneltray/limiter.h
@@ -27,6 +27,9 @@
   };
 };
 
+// Gossip brings a change of demand to every host of a zone within this time.
+constexpr std::chrono::seconds kRaiseDelay{5};
+
 struct Admitted {};
 
 struct Refused {
@@ -46,8 +49,11 @@
   // Replaces the customers and their rates. Buckets of customers that stay keep their level.
   void SetCustomers(TimePoint now, const std::map<std::string, CustomerConfig>& customers);
 
-  // Divides each customer's rate over the live entry hosts in proportion to their gossiped demand.
-  // `configured_zone_share` is this availability zone's part of the rate (0 to 1).
+  // Divides this availability zone's part of each customer's rate (`configured_zone_share`, 0 to 1)
+  // over its live entry hosts in proportion to their gossiped demand. `hosts` may hold hosts of
+  // other zones and programs. A smaller share applies at once, a greater one after kRaiseDelay,
+  // when the other hosts have lowered theirs; so the sum over hosts stays within the rate. Called
+  // after each change of hosts, and every second.
   void SetHosts(TimePoint now, const std::vector<HostView>& hosts, double configured_zone_share);
 
   // Greatest number of requests in progress at this host, from the ready capacity. Zero: no limit.
@@ -68,9 +74,11 @@
 
  private:
   struct Bucket {
-    double rate = 0.0;   // of the whole customer
-    double burst = 0.0;  // of the whole customer
-    double share = 1.0;  // of this host
+    double rate = 0.0;          // of the whole customer
+    double burst = 0.0;         // of the whole customer
+    double share = 0.0;         // of this host, in force
+    double raised_share = 0.0;  // applies at raise_at
+    TimePoint raise_at{};
     double tokens = 0.0;
     TimePoint filled_at{};
     double demand = 0.0;  // decaying count of offered requests
@@ -79,9 +87,12 @@
   };
 
   void Fill(TimePoint now, Bucket* bucket) const;
-  bool WithinConcurrency(const Bucket& bucket) const;
+  void SetShare(TimePoint now, double share, Bucket* bucket) const;
+  bool WithinConcurrency(TimePoint now, const Bucket& bucket) const;
 
   std::string m_own_host;
+  std::vector<HostView> m_hosts;  // live entry hosts of this zone
+  double m_zone_share = 1.0;
   std::map<std::string, Bucket> m_buckets;
   std::uint32_t m_concurrency_limit = 0;
   std::uint32_t m_in_progress = 0;
--- a/src/include/corneltray/outlier.h
+++ b/src/include/corneltray/outlier.h
@@ -75,6 +75,7 @@
   double MedianLatency(const std::string& group) const;
 
   double m_max_ejected_ratio;
+  TimePoint m_any_ejected_until{};  // latest end of an ejection
   std::map<std::string, std::size_t> m_group_sizes;
   std::map<std::string, Member> m_members;
 };
--- a/src/include/corneltray/router.h
+++ b/src/include/corneltray/router.h
@@ -128,8 +128,8 @@
   Result<ReplicaRoute> ChooseReplica(TimePoint now, const std::string& service,
                                      const std::set<std::string>& excluded);
 
-  // Requests that the ready engines of this zone can run at once without queueing, for
-  // Limiter::SetConcurrencyLimit: the layers held, weighted by speed, over the layers of the model.
+  // Whole copies of the model that the ready engines of this zone hold together: their layers over
+  // the layers of the model. The concurrency limit follows from it.
   double ReadyPipelines(const ModelKey& key, std::uint32_t layers) const;
 
  private:
--- /dev/null
+++ b/src/libcorneltray/chain_search.cc
@@ -0,0 +1,90 @@
+#include "corneltray/chain_search.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace corneltray {
+namespace {
+
+constexpr double kUnreached = std::numeric_limits<double>::infinity();
+
+}  // namespace
+
+void ChainSearch::SetRanges(const std::vector<ChainSlot>& slots, std::uint32_t layers) {
+  m_layers = layers;
+  m_boundaries = {0, layers};
+  for (const ChainSlot& slot : slots) {
+    m_boundaries.push_back(std::min(slot.first, layers));
+    m_boundaries.push_back(std::min(slot.end, layers));
+  }
+  std::sort(m_boundaries.begin(), m_boundaries.end());
+  m_boundaries.erase(std::unique(m_boundaries.begin(), m_boundaries.end()), m_boundaries.end());
+  const std::size_t segments = m_boundaries.size() - 1;
+  m_covering.assign(segments, {});
+  m_first_boundary.assign(slots.size(), 0);
+  for (std::uint32_t i = 0; i < slots.size(); ++i) {
+    for (std::uint32_t b = 0; b < segments; ++b) {
+      if (slots[i].first > m_boundaries[b] || slots[i].end < m_boundaries[b + 1]) continue;
+      if (m_boundaries[b] == slots[i].first) m_first_boundary[i] = b;
+      m_covering[b].push_back(i);
+    }
+  }
+  m_best.resize(segments + 1);
+  m_via.resize(segments + 1);
+  m_via_start.resize(segments + 1);
+  m_run.resize(slots.size());
+  m_run_start.resize(slots.size());
+}
+
+const std::vector<ChainPart>& ChainSearch::Find(const std::vector<ChainSlot>& slots,
+                                                int only_first) {
+  m_chain.clear();
+  m_cost = kUnreached;
+  std::fill(m_best.begin(), m_best.end(), kUnreached);
+  m_best[0] = 0.0;
+  const std::size_t segments = m_covering.size();
+  for (std::size_t b = 0; b < segments; ++b) {
+    const double layers = m_boundaries[b + 1] - m_boundaries[b];
+    for (const std::uint32_t i : m_covering[b]) {
+      const ChainSlot& slot = slots[i];
+      if (!slot.usable) continue;
+      if (b == 0 && only_first >= 0 && i != static_cast<std::uint32_t>(only_first)) {
+        m_run[i] = kUnreached;
+        continue;
+      }
+      if (b == m_first_boundary[i]) m_run[i] = kUnreached;
+      const double entered = m_best[b] + slot.hop_cost_s;
+      if (entered < m_run[i]) {
+        m_run[i] = entered;
+        m_run_start[i] = static_cast<std::uint32_t>(b);
+      }
+      m_run[i] += layers * slot.layer_cost_s;
+      if (m_run[i] < m_best[b + 1]) {
+        m_best[b + 1] = m_run[i];
+        m_via[b + 1] = static_cast<std::int32_t>(i);
+        m_via_start[b + 1] = m_run_start[i];
+      }
+    }
+  }
+  if (m_layers == 0 || m_best[segments] == kUnreached) return m_chain;
+  m_cost = m_best[segments];
+  for (std::size_t b = segments; b > 0; b = m_via_start[b]) {
+    m_chain.push_back(
+        {static_cast<std::uint32_t>(m_via[b]), m_boundaries[m_via_start[b]], m_boundaries[b]});
+  }
+  std::reverse(m_chain.begin(), m_chain.end());
+  // A slot that would be left and entered again keeps the layers in between: one range covers them,
+  // and a chain names an engine once.
+  for (std::size_t a = 0; a < m_chain.size(); ++a) {
+    for (std::size_t z = m_chain.size() - 1; z > a; --z) {
+      if (m_chain[z].slot != m_chain[a].slot) continue;
+      m_chain[a].end = m_chain[z].end;
+      m_chain.erase(m_chain.begin() + static_cast<std::ptrdiff_t>(a) + 1,
+                    m_chain.begin() + static_cast<std::ptrdiff_t>(z) + 1);
+      break;
+    }
+  }
+  return m_chain;
+}
+
+}  // namespace corneltray
--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -84,6 +84,7 @@
 
 void MembershipTable::Impl::SetDemand(const std::map<std::string, double>& demand) {
   std::vector<std::pair<double, std::string>> largest;
+  largest.reserve(demand.size());
   for (const auto& [customer, rate] : demand) largest.emplace_back(rate, customer);
   std::sort(largest.rbegin(), largest.rend());
   if (largest.size() > kDemandCustomers) largest.resize(kDemandCustomers);
--- a/src/libcorneltray/membership_test.cc
+++ b/src/libcorneltray/membership_test.cc
@@ -124,9 +124,9 @@
     }
   }
 
-  void Deliver(const std::string& from, MembershipOutput out) {
-    for (MembershipEvent& event : out.events) events[from].push_back(event);
-    for (GossipMessage& message : out.messages) {
+  void Deliver(const std::string& from, const MembershipOutput& out) {
+    for (const MembershipEvent& event : out.events) events[from].push_back(event);
+    for (const GossipMessage& message : out.messages) {
       const std::size_t bytes = nlohmann::json::to_cbor(message.body).size();
       largest = std::max(largest, bytes);
       hosts[from].bytes += bytes;
@@ -147,7 +147,7 @@
   }
 
   void Every(const std::string& name, const MembershipTable* table, Duration interval,
-             Duration first, std::function<void()> action) {
+             Duration first, const std::function<void()>& action) {
     At(now + first, [=] {
       if (hosts[name].table.get() != table) return;
       action();
@@ -242,10 +242,11 @@
   }
 
   std::string PickUpstream() {
-    return std::next(upstreams.begin(), static_cast<long>(m_random() % upstreams.size()))->first;
+    return std::next(upstreams.begin(), static_cast<std::ptrdiff_t>(m_random() % upstreams.size()))
+        ->first;
   }
   std::string PickHost() {
-    return std::next(hosts.begin(), static_cast<long>(m_random() % hosts.size()))->first;
+    return std::next(hosts.begin(), static_cast<std::ptrdiff_t>(m_random() % hosts.size()))->first;
   }
   std::size_t Random(std::size_t n) { return m_random() % n; }
 
