--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -3,6 +3,7 @@
 find_package(OpenSSL REQUIRED)
 find_package(Boost 1.74 REQUIRED COMPONENTS log thread)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(HTTPLIB_LIBRARY cpp-httplib REQUIRED)
 find_library(CLP_LIBRARY Clp REQUIRED)
 find_library(COINUTILS_LIBRARY CoinUtils REQUIRED)
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
@@ -11,8 +12,11 @@
 # websocketpp works over standalone Asio when these two macros are set.
 target_compile_definitions(corneltray_dependencies INTERFACE
   ASIO_STANDALONE _WEBSOCKETPP_CPP11_STL_ BOOST_LOG_DYN_LINK BOOST_ALL_DYN_LINK)
+# Debian builds cpp-httplib as a shared library with OpenSSL. The macro changes the layout of its classes, so it has to
+# match the library.
+target_compile_definitions(corneltray_dependencies INTERFACE CPPHTTPLIB_OPENSSL_SUPPORT)
 target_link_libraries(corneltray_dependencies INTERFACE
-  Threads::Threads OpenSSL::Crypto Boost::log Boost::thread ${XXHASH_LIBRARY})
+  Threads::Threads OpenSSL::Crypto Boost::log Boost::thread ${XXHASH_LIBRARY} ${HTTPLIB_LIBRARY})
 
 add_library(corneltray_test_dependencies INTERFACE)
 target_link_libraries(corneltray_test_dependencies INTERFACE ${RAPIDCHECK_LIBRARY})
