--- a/src/include/corneltray/control_client.h
+++ b/src/include/corneltray/control_client.h
@@ -1,10 +1,15 @@
 #ifndef CORNELTRAY_CONTROL_CLIENT_H_
 #define CORNELTRAY_CONTROL_CLIENT_H_
 
+#include <cstddef>
+#include <mutex>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 #include "corneltray/booking.h"
+#include "corneltray/control_state.h"
+#include "corneltray/messages.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
 
@@ -34,6 +39,37 @@
 
   // Reads the state of one key through the leader, after everything committed before the call.
   virtual Result<BookingReply> ReadBooking(const BookingKey& key, TimePoint deadline) = 0;
+
+  // Returns the last accepted configuration changes, newest first. Fails with kUnavailable; the
+  // default does always, for stand-ins that need no history.
+  virtual Result<std::vector<ConfigurationHistoryRow>> ReadHistory(std::size_t limit,
+                                                                   TimePoint deadline);
+};
+
+// Program name in PeerIdentity of the processes that hold a replica of the log.
+inline constexpr char kControlProgram[] = "corneltray-control";
+
+// ControlClient over the links of a PeerNode. Sends each call to a connected control process and,
+// when that one fails or stays silent, repeats the same command at the next one until the deadline.
+// Thread-safe; the calls block, see ControlClient.
+class PeerControlClient : public ControlClient {
+ public:
+  // The node outlives the client.
+  explicit PeerControlClient(PeerNode* node);
+
+  Result<CommandReply> Propose(const Command& command, TimePoint deadline) override;
+  Result<BookingReply> ReadBooking(const BookingKey& key, TimePoint deadline) override;
+  Result<std::vector<ConfigurationHistoryRow>> ReadHistory(std::size_t limit,
+                                                           TimePoint deadline) override;
+
+ private:
+  // Returns the reply body, and whether any control process may have received the request.
+  Result<nlohmann::json> Call(MessageType type, const nlohmann::json& body, TimePoint deadline);
+  std::string PickHost();
+
+  PeerNode* m_node;
+  std::mutex m_mutex;
+  std::string m_preferred;  // control process that answered last
 };
 
 }  // namespace corneltray
--- /dev/null
+++ b/src/include/corneltray/control_state.h
@@ -0,0 +1,152 @@
+#ifndef CORNELTRAY_CONTROL_STATE_H_
+#define CORNELTRAY_CONTROL_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+#include "corneltray/booking.h"
+#include "corneltray/result.h"
+#include "corneltray/time.h"
+
+namespace corneltray {
+
+// Errors of the replicated state.
+enum class ControlStateErrc {
+  kMalformedSnapshot = 1,
+  kMalformedCommand,
+};
+
+std::error_code make_error_code(ControlStateErrc errc);
+
+// Returns the time embedded in a UUID version 7 in canonical lower-case text, or nothing if the
+// text is no such UUID.
+std::optional<UnixMs> IdempotencyKeyTime(const std::string& key);
+
+// Outcomes of keyed calls, one entry for each key younger than the retention. Deterministic: it
+// depends only on the commands applied and their log times. Not thread-safe.
+class BookingTable {
+ public:
+  BookingReply Claim(const ClaimBooking& command, UnixMs log_time);
+  BookingReply Finish(const FinishBooking& command, UnixMs log_time);
+  BookingReply MarkUnknown(const MarkBookingUnknown& command, UnixMs log_time);
+  BookingReply Refuse(const RefuseBooking& command, UnixMs log_time);
+
+  // Returns the state of a key without changing it; kAbsent for a key that was never claimed.
+  BookingReply Read(const BookingKey& key, UnixMs log_time) const;
+
+  // Forgets keys older than the retention. The cutoff never goes back: after a shorter retention
+  // has dropped keys, a longer one must not accept them as absent again.
+  void Expire(UnixMs log_time, std::int64_t retention_ms);
+
+  std::size_t Size() const { return m_entries.size(); }
+  // Keys with a time before this are refused as expired.
+  UnixMs Cutoff() const { return m_cutoff; }
+
+  nlohmann::json Snapshot() const;
+  // Replaces the content. Throws nlohmann::json::exception on a malformed snapshot.
+  void Restore(const nlohmann::json& snapshot);
+
+ private:
+  struct Entry {
+    BookingState state = BookingState::kInProgress;
+    std::string attempt;
+    std::string entry_host;
+    std::string request_hash;
+    UnixMs resolve_at = 0;
+    StoredAnswer answer;
+  };
+
+  std::optional<BookingReply> CheckKeyTime(const BookingKey& key, UnixMs log_time) const;
+  BookingReply ReplyFor(BookingVerdict verdict, const Entry& entry, UnixMs log_time) const;
+
+  std::map<BookingKey, Entry> m_entries;
+  // Keys by their time, so that expiry touches only what it drops.
+  std::multimap<UnixMs, BookingKey> m_by_time;
+  UnixMs m_cutoff = 0;
+};
+
+// One accepted change of the configuration.
+struct ConfigurationHistoryRow {
+  std::uint64_t revision = 0;
+  std::string change_id;
+  std::string author;
+  UnixMs time = 0;  // log time of the change
+};
+
+// The configuration document, its revision and the changes that led to it. Deterministic. Not
+// thread-safe.
+class ConfigurationStore {
+ public:
+  ConfigurationReply Apply(const ApplyConfiguration& command, UnixMs log_time);
+
+  std::uint64_t Revision() const { return m_revision; }
+  const ConfigurationDocument& Document() const { return m_document; }
+  const std::deque<ConfigurationHistoryRow>& History() const { return m_history; }
+  // The greatest retention of any site, so that no site's keys are forgotten early.
+  std::int64_t RetentionMs() const { return m_retention_ms; }
+
+  // Returns the document at an earlier revision, or nothing if it is no longer kept.
+  std::optional<ConfigurationDocument> DocumentAt(std::uint64_t revision) const;
+
+  nlohmann::json Snapshot() const;
+  // Replaces the content. Throws nlohmann::json::exception on a malformed snapshot.
+  void Restore(const nlohmann::json& snapshot);
+
+ private:
+  void SetRetention();
+
+  std::uint64_t m_revision = 0;
+  ConfigurationDocument m_document;
+  std::deque<ConfigurationHistoryRow> m_history;
+  std::map<std::string, ConfigurationReply> m_replies;  // by change id
+  std::deque<std::string> m_reply_order;                // change ids, oldest first
+  // Earlier documents, kept to compute differences. Not part of the snapshot.
+  std::map<std::uint64_t, ConfigurationDocument> m_earlier;
+  std::int64_t m_retention_ms;
+
+ public:
+  ConfigurationStore();
+};
+
+// The state machine of the replicated log. Applying the same records in the same order gives the
+// same state and replies on every replica. Not thread-safe.
+class ControlState {
+ public:
+  // Applies one committed command. `leader_time` is the wall clock of the leader that appended it.
+  CommandReply Apply(const Command& command, UnixMs leader_time);
+
+  BookingReply ReadBooking(const BookingKey& key) const;
+  const ConfigurationStore& configuration() const { return m_configuration; }
+  const BookingTable& bookings() const { return m_bookings; }
+  // Greatest committed leader timestamp.
+  UnixMs LogTime() const { return m_log_time; }
+
+  // Returns the whole state as bytes for a snapshot of the log.
+  std::string Snapshot() const;
+  // Replaces the state. Fails with kMalformedSnapshot and leaves the state unchanged.
+  Status Restore(const std::string& bytes);
+
+ private:
+  BookingTable m_bookings;
+  ConfigurationStore m_configuration;
+  UnixMs m_log_time = 0;
+};
+
+// Payload of one log record: the leader's clock and the command.
+std::string EncodeLogCommand(const Command& command, UnixMs leader_time);
+struct LogCommand {
+  Command command;
+  UnixMs leader_time = 0;
+};
+Result<LogCommand> DecodeLogCommand(const std::string& bytes);
+
+}  // namespace corneltray
+
+template <>
+struct std::is_error_code_enum<corneltray::ControlStateErrc> : std::true_type {};
+
+#endif  // CORNELTRAY_CONTROL_STATE_H_
