--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -120,8 +120,8 @@
   CommandReply Apply(const Command& command, UnixMs leader_time);
 
   BookingReply ReadBooking(const BookingKey& key) const;
-  const ConfigurationStore& configuration() const { return m_configuration; }
-  const BookingTable& bookings() const { return m_bookings; }
+  const ConfigurationStore& GetConfiguration() const { return m_configuration; }
+  const BookingTable& GetBookings() const { return m_bookings; }
   // Greatest committed leader timestamp.
   UnixMs LogTime() const { return m_log_time; }
 
@@ -136,14 +136,6 @@
   UnixMs m_log_time = 0;
 };
 
-// Payload of one log record: the leader's clock and the command.
-std::string EncodeLogCommand(const Command& command, UnixMs leader_time);
-struct LogCommand {
-  Command command;
-  UnixMs leader_time = 0;
-};
-Result<LogCommand> DecodeLogCommand(const std::string& bytes);
-
 }  // namespace corneltray
 
 template <>
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -17,7 +17,8 @@
   kConfigurationChanged,  // push: a new revision is committed
   kLeaseRequest,          // request: grant or renew the placement lease
   kLeaseRelease,          // push: the holder gives the lease up
-  kError,
+  kReply,                 // answers a request that succeeded
+  kError,                 // answers a request that was refused
 };
 
 template <>
@@ -33,6 +34,7 @@
       {MessageType::kConfigurationChanged, "configuration_changed"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
+      {MessageType::kReply, "reply"},
       {MessageType::kError, "error"},
   };
 };
