Add the setting peer.advertise for processes behind a forwarder

Cause: a host whose peers reach it through another address (a platform's address mapping, or the test forwarder that cuts an availability zone off) tells peers its bound address, and they connect past the forwarder. Change: peer.advertise, to be passed as PeerOptions::advertise_address by every program. Conclusion: the programs have to pass it on; without it partition tests cannot hold.

--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -19,6 +19,7 @@
   std::string availability_zone;
   std::string http_address;        // IP:PORT for callers, upstreams and operators
   std::string peer_address;        // IP:PORT for corneltray processes
+  std::string peer_advertise;      // IP:PORT that peers are told; empty: the bound address
   std::vector<std::string> seeds;  // peer addresses to join through
   std::string shared_key;
   std::string operator_key;
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -28,6 +28,8 @@
        "connections served at once, each on its own thread"},
       {"peer.address", T::kString, false, "\"127.0.0.1:0\"", 3, kMaxText, "",
        "IP:PORT for other corneltray processes"},
+      {"peer.advertise", T::kString, false, "\"\"", 0, kMaxText, "",
+       "IP:PORT that peers are told, when it differs from the bound one; empty: the bound one"},
       {"peer.seeds", T::kStringList, false, "[]", 0, 64, "", "peer addresses to join through"},
       {"peer.shared_key", T::kString, true, "", 16, kMaxText, "", "key that peers prove"},
       {"operator.key", T::kString, true, "", 16, kMaxText, "", "bearer key of operators"},
@@ -62,6 +64,7 @@
   settings.http_address = v["http"]["address"];
   settings.http_threads = v["http"]["threads"];
   settings.peer_address = v["peer"]["address"];
+  settings.peer_advertise = v["peer"]["advertise"];
   settings.seeds = v["peer"]["seeds"].get<std::vector<std::string>>();
   settings.shared_key = v["peer"]["shared_key"];
   settings.operator_key = v["operator"]["key"];
