--- a/src/fake-common/stand_in.cc
+++ b/src/fake-common/stand_in.cc
@@ -143,8 +143,9 @@
     const bool can_be_held = from.path.rfind("/fake/", 0) != 0;
     while (can_be_held && IsHeld()) std::this_thread::sleep_for(kPollInterval);
     HttpRequest request{from.method, from.path, {}, {}, {}, from.body};
-    for (std::size_t i = 1; i < from.matches.size(); ++i)
+    for (std::size_t i = 1; i < from.matches.size(); ++i) {
       request.captures.push_back(from.matches[i]);
+    }
     for (const auto& [name, value] : from.headers) {
       std::string lower = name;
       std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
--- a/src/fake-engine/engine.cc
+++ b/src/fake-engine/engine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <thread>
 
 #include "fake_model.h"
@@ -16,6 +17,7 @@
 constexpr milliseconds kForwardTimeout{30'000};
 constexpr milliseconds kNotifyTimeout{300};
 constexpr milliseconds kWeightsTimeout{60'000};
+constexpr milliseconds kWeightsRetry{100};
 constexpr std::size_t kMaxRecordedRequests = 4000;
 
 std::vector<StageRef> ParseStages(const json& body) {
@@ -452,12 +454,10 @@
 }
 
 HttpReply FakeEngine::Order(const HttpRequest& request) {
-  std::string weight_store;
-  std::uint64_t generation = 0;
+  bool must_start = false;
   try {
     const json body = json::parse(request.body);
     const std::uint64_t fence = body.at("fence");
-    weight_store = body.value("weight_store", "");
     std::vector<Holding> desired;
     std::uint64_t bytes = 0;
     for (const json& holding : body.at("holdings")) {
@@ -478,19 +478,17 @@
     m_fence = std::max(m_fence, fence);
     ++m_orders_accepted;
     m_desired = std::move(desired);
-    generation = ++m_order_generation;
+    m_weight_store = body.value("weight_store", "");
     std::set<LayerId> kept;
-    for (const Holding& holding : m_desired) {
-      for (std::uint32_t layer = holding.first_layer; layer <= holding.last_layer; ++layer) {
-        const LayerId id{holding.key.model, holding.key.version, holding.key.adapter, layer};
-        if (m_loaded.count(id) > 0) kept.insert(id);
-      }
-    }
+    std::copy_if(m_loaded.begin(), m_loaded.end(), std::inserter(kept, kept.end()),
+                 [this](const LayerId& id) { return IsDesired(id); });
     m_loaded = std::move(kept);
+    must_start = !m_is_loading;
+    m_is_loading = true;
   } catch (const json::exception& error) {
     return ErrorReply(400, "malformed_body", error.what());
   }
-  std::thread([this, generation, weight_store] { LoadWeights(generation, weight_store); }).detach();
+  if (must_start) std::thread([this] { LoadWeights(); }).detach();
   m_announcer->Kick();
   const std::lock_guard<std::mutex> lock(m_mutex);
   return JsonReply(200, {{"accepted", true}, {"fence", m_fence}});
@@ -515,32 +513,43 @@
   return std::nullopt;
 }
 
-void FakeEngine::LoadWeights(std::uint64_t generation, const std::string& weight_store) {
-  HttpConnection store(weight_store, kWeightsTimeout);
+void FakeEngine::LoadWeights() {
   while (true) {
     std::optional<LayerId> missing;
+    std::string weight_store;
     {
       const std::lock_guard<std::mutex> lock(m_mutex);
-      // A newer order has its own loader.
-      if (generation != m_order_generation) return;
       missing = NextMissing();
+      weight_store = m_weight_store;
+      if (!missing) {
+        m_is_loading = false;
+        break;
+      }
     }
-    if (!missing) break;
     const auto& [model, version, adapter, layer] = *missing;
     const auto reply =
-        store.Get("/v1/weights/" + model + "/" + version + "/" + std::to_string(layer) +
-                  "?bytes=" + std::to_string(m_options.layer_bytes));
+        HttpConnection(weight_store, kWeightsTimeout)
+            .Get("/v1/weights/" + model + "/" + version + "/" + std::to_string(layer) +
+                 "?bytes=" + std::to_string(m_options.layer_bytes));
     if (!reply || reply->status != 200) {
-      std::this_thread::sleep_for(milliseconds(100));
+      std::this_thread::sleep_for(kWeightsRetry);
       continue;
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (generation != m_order_generation) return;
-    m_loaded.insert(*missing);
+    // A newer order may have dropped the layer meanwhile.
+    if (IsDesired(*missing)) m_loaded.insert(*missing);
   }
   m_announcer->Kick();
 }
 
+bool FakeEngine::IsDesired(const LayerId& id) const {
+  const auto& [model, version, adapter, layer] = id;
+  const ModelKey key{model, version, adapter};
+  return std::any_of(m_desired.begin(), m_desired.end(), [&, layer = layer](const Holding& held) {
+    return held.key == key && held.first_layer <= layer && layer <= held.last_layer;
+  });
+}
+
 HttpReply FakeEngine::SetFault(const HttpRequest& request) {
   const auto body = ParseObject(request.body);
   if (!body) return ErrorReply(400, "malformed_body", "expected a JSON object");
--- a/src/fake-engine/engine.h
+++ b/src/fake-engine/engine.h
@@ -130,8 +130,10 @@
   // Counts one token run here and applies faults that wait for a number of tokens.
   void CountRun(const Job& job, std::int64_t index);
 
-  // Runs on its own thread for each accepted order: fetches missing layers one by one.
-  void LoadWeights(std::uint64_t generation, const std::string& weight_store);
+  // Runs on its own thread while layers of the last accepted order are missing: fetches them one
+  // by one.
+  void LoadWeights();
+  bool IsDesired(const LayerId& id) const;
   bool IsLoaded(const Holding& holding) const;
   std::optional<LayerId> NextMissing() const;
 
@@ -144,7 +146,8 @@
   std::vector<Holding> m_desired;
   std::set<LayerId> m_loaded;
   std::uint64_t m_fence = 0;
-  std::uint64_t m_order_generation = 0;
+  std::string m_weight_store;
+  bool m_is_loading = false;
   std::map<JobId, std::shared_ptr<Job>> m_jobs;
 
   // Counts. m_runs has, for each request, attempt and token index, the layer ranges run here.
--- a/src/fake-service/main.cc
+++ b/src/fake-service/main.cc
@@ -76,8 +76,9 @@
     if (m_leaving_since > 0) m_after_leaving.push_back(UnixNow());
     WaitSlow(lock);
     std::uint32_t level = 7;
-    for (const char c : request.captures[0])
+    for (const char c : request.captures[0]) {
       level = (level * 31 + static_cast<unsigned char>(c)) % 1000;
+    }
     return JsonReply(200, {{"item", request.captures[0]}, {"level", level}});
   }
 
@@ -156,7 +157,7 @@
     const std::string id =
         m_options.name + "-" + std::to_string(m_incarnation) + "-" + std::to_string(++m_booked);
     const json row = {{"id", id}, {"key", key}, {"replica", m_options.name}, {"request", request}};
-    const std::string line = row.dump();
+    std::string line = row.dump();
     if (m_options.store.empty()) {
       m_bookings.emplace_back(key, line);
     } else {
--- a/src/fake-weight-store/main.cc
+++ b/src/fake-weight-store/main.cc
@@ -17,7 +17,7 @@
 using Clock = std::chrono::steady_clock;
 using nlohmann::json;
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = 16'384;
 
 class WeightStore {
  public:
@@ -53,7 +53,7 @@
     for (std::uint64_t left = bytes; left > 0;) {
       const std::size_t size = std::min<std::uint64_t>(left, piece.size());
       std::this_thread::sleep_until(Reserve(size));
-      if (!sink.Write(std::string_view(piece).substr(0, size))) return;
+      if (!sink.Write({piece.data(), size})) return;
       m_bytes += size;
       left -= size;
     }
@@ -65,7 +65,7 @@
     m_free_at = std::max(m_free_at, Clock::now());
     if (m_bytes_per_s > 0) {
       m_free_at += std::chrono::duration_cast<Clock::duration>(
-          std::chrono::duration<double>(static_cast<double>(size) / m_bytes_per_s));
+          std::chrono::duration<double>{static_cast<double>(size) / m_bytes_per_s});
     }
     return m_free_at;
   }
--- /dev/null
+++ b/testsuite/harness.py
@@ -0,0 +1,467 @@
+"""Starts the programs for the end-to-end cases, talks to them and computes the expected answers.
+
+Nothing here waits for a fixed time: every wait is for an event or a condition, under a deadline.
+"""
+
+import argparse
+import atexit
+import http.client
+import json
+import os
+import pathlib
+import queue
+import select
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import uuid
+
+START_S = 20  # deadline for a program to report that it listens
+OPERATOR_KEY = "operator-key-for-tests"
+SHARED_KEY = "shared-key-for-tests-only"
+CUSTOMER_KEY = "customer-key-for-tests"
+MASK = (1 << 64) - 1
+
+
+class Timeout(AssertionError):
+    """A bounded wait ended without the event."""
+
+
+def wait_until(condition, seconds, what):
+    """Returns the first true value of `condition`; raises Timeout after `seconds`."""
+    end = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= end:
+            raise Timeout(f"not within {seconds} s: {what}")
+        time.sleep(0.01)
+
+
+# The fake model, as defined in src/fake-engine/fake_model.h.
+
+def mix(x):
+    x = (x + 0x9e3779b97f4a7c15) & MASK
+    x = ((x ^ (x >> 30)) * 0xbf58476d1ce4e5b9) & MASK
+    x = ((x ^ (x >> 27)) * 0x94d049bb133111eb) & MASK
+    return x ^ (x >> 31)
+
+
+def hash_text(text):
+    value = 0xcbf29ce484222325
+    for byte in text.encode():
+        value = ((value ^ byte) * 0x100000001b3) & MASK
+    return value
+
+
+def piece(hidden):
+    text = " "
+    for shift in (16, 32):
+        bits = hidden >> shift
+        text += "bdfgklmnprstvwyz"[bits % 16] + "aeiou"[(bits // 16) % 5]
+    return text
+
+
+def expected(prompt, max_tokens, layers, model="assistant", version="1", adapter="", accepted=()):
+    """Returns the tokens, the text pieces and the finish reason of a whole answer."""
+    seed = hash_text(f"{model}\n{version}\n{adapter}")
+    keys = [mix((seed + layer + 1) & MASK) for layer in range(layers)]
+    state, tokens, texts = hash_text(prompt), list(accepted), []
+    for token in accepted:
+        state = mix((state + token) & MASK)
+    while len(tokens) < max_tokens:
+        hidden = state
+        for key in keys:
+            hidden = mix(hidden ^ key)
+        tokens.append(hidden % 50000)
+        texts.append(piece(hidden))
+        state = mix((state + tokens[-1]) & MASK)
+        if prompt.endswith(".") and tokens[-1] % 8 == 0:
+            return tokens, texts, "stop"
+    return tokens, texts, "length"
+
+
+# HTTP and server-sent events.
+
+class Reply:
+    def __init__(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+    def json(self):
+        return json.loads(self.body)
+
+    def error(self):
+        """The error object of the body, or an empty one."""
+        try:
+            return self.json().get("error", {})
+        except (ValueError, AttributeError):
+            return {}
+
+    def __repr__(self):
+        return f"{self.status} {dict(self.headers)} {self.body[:400]!r}"
+
+
+def call(method, address, path, body=None, headers=None, timeout=15):
+    """One request on a connection of its own. A dict is sent as JSON, bytes and text as they are."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+        sent = {"Content-Type": "application/json"} if data is not None else {}
+        connection.request(method, path, data, {**sent, **(headers or {})})
+        answer = connection.getresponse()
+        return Reply(answer.status, answer.headers, answer.read())
+    finally:
+        connection.close()
+
+
+class Stream:
+    """A POST whose answer is a stream of server-sent events."""
+
+    def __init__(self, address, path, body, headers=None, timeout=15):
+        self.connection = http.client.HTTPConnection(address, timeout=timeout)
+        self.connection.request("POST", path, json.dumps(body),
+                                {"Content-Type": "application/json", **(headers or {})})
+        self.answer = self.connection.getresponse()
+        self.status, self.headers = self.answer.status, self.answer.headers
+        self.times = []  # arrival of each event
+
+    def next(self):
+        """Returns the next event as JSON, "[DONE]", or None at the end."""
+        while True:
+            line = self.answer.readline()
+            if not line:
+                return None
+            if line.startswith(b"data:"):
+                self.times.append(time.monotonic())
+                text = line[5:].strip().decode()
+                return text if text == "[DONE]" else json.loads(text)
+
+    def rest(self):
+        return list(iter(self.next, None))
+
+    def close(self):
+        sock = self.connection.sock
+        self.answer.close()
+        self.connection.close()
+        if sock is not None:
+            sock.close()
+
+
+def uuid7(age_s=0.0):
+    """A UUID version 7 whose time lies `age_s` seconds back."""
+    value = int((time.time() - age_s) * 1000) << 80 | 7 << 76 | 2 << 62
+    return str(uuid.UUID(int=value | uuid.uuid4().int & (0xfff << 64 | (1 << 62) - 1)))
+
+
+# Processes.
+
+class Process:
+    """A program whose JSON lines on standard output are events."""
+
+    def __init__(self, command, name, log_path):
+        self.name, self.command, self.log_path = name, command, log_path
+        self.events, self.lock = [], threading.Condition()
+        self.errors = open(log_path, "ab")  # closed with the process
+        self.popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=self.errors,
+                                      start_new_session=True)
+        self.pid = self.popen.pid
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+        self.http = self.peer = None
+
+    def _read(self):
+        for line in self.popen.stdout:
+            self.errors.write(line)
+            self.errors.flush()
+            try:
+                event = json.loads(line)
+            except ValueError:
+                continue
+            with self.lock:
+                self.events.append(event)
+                self.lock.notify_all()
+        with self.lock:
+            self.lock.notify_all()
+
+    def wait_event(self, name, seconds=START_S, since=0, **fields):
+        """Returns the first event at or after position `since` that has the name and fields."""
+        def find():
+            for event in self.events[since:]:
+                if event.get("event") == name and all(event.get(k) == v for k, v in fields.items()):
+                    return event
+            return None
+        end = time.monotonic() + seconds
+        with self.lock:
+            while not (found := find()):
+                ended = self.popen.poll() is not None and not self.reader.is_alive()
+                if ended or not self.lock.wait(max(0.0, min(0.2, end - time.monotonic()))):
+                    if ended or time.monotonic() >= end:
+                        raise Timeout(f"{self.name}: no event {name} {fields} in {seconds} s; "
+                                      f"status {self.popen.poll()}; last: {self.tail()}")
+            return found
+
+    def tail(self, lines=8):
+        return "\n".join(pathlib.Path(self.log_path).read_text(errors="replace").splitlines()[-lines:])
+
+    def alive(self):
+        return self.popen.poll() is None
+
+    def send(self, number):
+        if self.alive():
+            os.kill(self.pid, number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        self.popen.wait(10)
+
+    def freeze(self):
+        self.send(signal.SIGSTOP)
+
+    def thaw(self):
+        self.send(signal.SIGCONT)
+
+    def stop(self, seconds=20):
+        """Sends SIGTERM and returns the exit status."""
+        self.send(signal.SIGTERM)
+        try:
+            return self.popen.wait(seconds)
+        except subprocess.TimeoutExpired:
+            raise Timeout(f"{self.name}: no exit {seconds} s after SIGTERM; {self.tail()}") from None
+
+    def fault(self, fault, **fields):
+        reply = call("POST", self.http, "/fake/fault", {"fault": fault, **fields})
+        assert reply.status == 200, reply
+
+    def counts(self):
+        return call("GET", self.http, "/fake/counts").json()
+
+    def sockets(self):
+        """Inode numbers of the sockets that the process has open."""
+        found = set()
+        try:
+            for name in os.listdir(f"/proc/{self.pid}/fd"):
+                try:
+                    target = os.readlink(f"/proc/{self.pid}/fd/{name}")
+                except OSError:
+                    continue
+                if target.startswith("socket:["):
+                    found.add(int(target[8:-1]))
+        except OSError:
+            pass
+        return found
+
+
+def socket_inode(local_port, remote_port):
+    """Inode of the loopback connection with these ports, as seen from its client side."""
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        columns = line.split()
+        if (int(columns[1].split(":")[1], 16), int(columns[2].split(":")[1], 16)) == (
+                local_port, remote_port):
+            return int(columns[9])
+    return None
+
+
+class Forwarder:
+    """Forwards TCP to `target`. `mode_of(client port)` decides for each chunk and connection:
+    "pass", "drop" (bytes vanish, connections stay open) or "refuse" (connections are closed)."""
+
+    def __init__(self, target=None):
+        self.target, self.mode, self.mode_of = target, "pass", None
+        self.silenced = set()  # connections that never carry another byte
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port = self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self.pairs, self.ending = {}, False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _mode(self, client_port):
+        if self.ending:
+            return "refuse"
+        return self.mode_of(client_port) if self.mode_of else self.mode
+
+    def _accept(self):
+        while True:
+            try:
+                client, peer = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(client, peer[1]), daemon=True).start()
+
+    def _serve(self, client, port):
+        upstream = None
+        self.pairs[port] = client
+        try:
+            while (mode := self._mode(port)) == "drop":
+                if select.select([client], [], [], 0.1)[0] and not client.recv(65536):
+                    return
+            if mode == "refuse" or self.target is None:
+                return
+            host, target_port = self.target.rsplit(":", 1)
+            upstream = socket.create_connection((host, int(target_port)), 5)
+            upstream.settimeout(None)
+            for end in (client, upstream):
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._pump(client, upstream, port)
+        except OSError:
+            pass
+        finally:
+            self.pairs.pop(port, None)
+            client.close()
+            if upstream:
+                upstream.close()
+
+    def _pump(self, client, upstream, port):
+        while True:
+            ready, _, _ = select.select([client, upstream], [], [], 0.2)
+            mode = self._mode(port)
+            if mode == "refuse":
+                return
+            for end in ready:
+                data = end.recv(65536)
+                if not data:
+                    return
+                if mode == "pass" and port not in self.silenced:
+                    (upstream if end is client else client).sendall(data)
+
+    def silence_open(self):
+        """Every connection open now stays open and carries nothing more; new ones work."""
+        self.silenced.update(self.pairs)
+
+    def close(self):
+        self.ending = True
+        self.listener.close()
+
+
+# Cases.
+
+class Checks:
+    """Collects named checks; a failed one does not end the case."""
+
+    def __init__(self):
+        self.passed, self.failed = 0, 0
+
+    def check(self, ok, what, detail=""):
+        if ok:
+            self.passed += 1
+        else:
+            self.failed += 1
+            print(f"FAILED: {what} {detail}", flush=True)
+        return ok
+
+    def equal(self, got, want, what):
+        return self.check(got == want, what, f"got {got!r}, expected {want!r}")
+
+    def finish(self):
+        print(f"{self.passed} passed, {self.failed} failed")
+        sys.exit(1 if self.failed or not self.passed else 0)
+
+
+class Bench:
+    """A temporary folder with the processes and forwarders of one case."""
+
+    def __init__(self, build):
+        self.bin = pathlib.Path(build).resolve() / "bin"
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="corneltray-test-"))
+        self.processes, self.forwarders = [], []
+        atexit.register(self.close)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            for process in self.processes:
+                print(f"--- {process.name} ({process.popen.poll()})\n{process.tail(12)}", flush=True)
+        self.close()
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+            process.popen.stdout.close() if not process.reader.is_alive() else None
+        for forwarder in self.forwarders:
+            forwarder.close()
+        self.processes, self.forwarders = [], []
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def start(self, program, *arguments, name=None, wait=True):
+        name = name or program
+        process = Process([str(self.bin / program), *map(str, arguments)], name,
+                          self.folder / f"{name}.log")
+        self.processes.append(process)
+        if wait:
+            self.wait_listening(process)
+        return process
+
+    @staticmethod
+    def wait_listening(process):
+        event = process.wait_event("listening")
+        process.http, process.peer = event.get("http_address"), event.get("peer_address")
+
+    def forwarder(self, target=None):
+        self.forwarders.append(Forwarder(target))
+        return self.forwarders[-1]
+
+    def engine(self, name, holds=(), announce=(), zone="dkr-a", extra=(), wait=True):
+        arguments = ["--name", name, "--availability-zone", zone]
+        for hold in holds:
+            arguments += ["--hold", hold]
+        for target in announce:
+            arguments += ["--announce", target]
+        return self.start("fake-engine", *arguments, *extra, name=name, wait=wait)
+
+    def service(self, name, service="ledger", announce=(), zone="dkr-a", extra=(), wait=True):
+        arguments = ["--name", name, "--service", service, "--availability-zone", zone]
+        for target in announce:
+            arguments += ["--announce", target]
+        return self.start("fake-service", *arguments, *extra, name=name, wait=wait)
+
+
+def stages_of(*engines):
+    """The "stages" of a generate body from (engine, first, last) tuples."""
+    return [{"name": e.name, "address": e.http, "first_layer": first, "last_layer": last}
+            for e, first, last in engines]
+
+
+def generate_body(stages, prompt="a prompt", max_tokens=4, request_id="r", attempt=0, accepted=(),
+                  model="assistant", version="1", adapter=""):
+    return {"request_id": request_id, "attempt": attempt, "model": model, "version": version,
+            "adapter": adapter, "priority": 0, "prompt": prompt, "accepted": list(accepted),
+            "max_tokens": max_tokens, "deadline_unix_ms": int(time.time() * 1000) + 30000,
+            "stages": stages}
+
+
+def layer_runs(engine_counts, request_id):
+    """Maps (attempt, token index) to the sorted list of layers that the engines ran for it."""
+    runs = {}
+    for counts in engine_counts:
+        for attempt, tokens in counts["runs"].get(request_id, {}).items():
+            for index, ranges in tokens.items():
+                layers = runs.setdefault((int(attempt), int(index)), [])
+                for first, last in ranges:
+                    layers.extend(range(first, last + 1))
+    return {key: sorted(layers) for key, layers in runs.items()}
+
+
+def check_layer_runs(checks, engine_counts, request_id, count, layers, what):
+    """R1: no layer ran twice in an attempt, and each token had one attempt with all layers."""
+    runs = layer_runs(engine_counts, request_id)
+    whole = list(range(layers))
+    repeated = {key: run for key, run in runs.items() if len(set(run)) != len(run)}
+    complete = {index for (_, index), run in runs.items() if run == whole}
+    checks.equal(repeated, {}, f"{what}: no layer ran twice for a token")
+    checks.equal(sorted(set(range(count)) - complete), [], f"{what}: each token ran all layers")
+
+
+def main(run, description):
+    """Entry of a case: `run(checks, build)` does the work."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--build", default=pathlib.Path(__file__).resolve().parent.parent / "build")
+    checks = Checks()
+    run(checks, parser.parse_args().build)
+    checks.finish()
