Add the region builder to the harness and call faults by key to fake-service

Cause: the booking cases hold several bookings at different moments at once; one fault for all calls would hold the others too. Change: faults hold and die take a key; harness.Region starts control, entry, engine and service processes over three availability zones and can cut one off.

--- a/src/fake-service/main.cc
+++ b/src/fake-service/main.cc
@@ -86,12 +86,13 @@
     const auto body = ParseObject(request.body);
     if (!body) return ErrorReply(400, "malformed_body", "expected a JSON object");
     const std::string fault = body->value("fault", "");
-    const std::string moment = body->value("moment", "before");
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (fault == "die" && !body->contains("moment")) std::_Exit(1);
     if (fault == "die" || fault == "hold") {
-      m_moment = moment;
-      m_moment_fault = fault;
+      m_call_faults[body->value("key", "")] = {fault, body->value("moment", "before")};
+    } else if (fault == "release") {
+      m_call_faults.erase(body->value("key", ""));
+      m_changed.notify_all();
     } else if (fault == "slow") {
       m_delay = std::chrono::milliseconds(body->value("delay_ms", 1000));
     } else if (fault == "freeze") {
@@ -106,7 +107,7 @@
     } else if (fault == "stop_announcing") {
       m_announcer->SetStopped(true);
     } else if (fault == "none") {
-      m_moment_fault.clear();
+      m_call_faults.clear();
       m_delay = {};
       m_server->SetFrozen(false);
       m_announcer->SetStopped(false);
@@ -135,15 +136,29 @@
   void SetAnnouncer(Announcer* announcer) { m_announcer = announcer; }
 
  private:
-  // Applies the fault set for this moment of a booking: ends the process or holds the call.
+  // A fault of single calls: "die" or "hold", "before" or "after" the booking is recorded.
+  struct CallFault {
+    std::string fault;
+    std::string moment;
+  };
+
+  // Returns the fault set for this key, or for every key, at this moment of a booking.
+  std::string FaultOf(const std::string& key, const std::string& moment) const {
+    auto found = m_call_faults.find(key);
+    if (found == m_call_faults.end()) found = m_call_faults.find("");
+    if (found == m_call_faults.end() || found->second.moment != moment) return "";
+    return found->second.fault;
+  }
+
   void Pause(std::unique_lock<std::mutex>& lock, const std::string& moment,
              const std::string& key) {
     if (moment == "before") WaitSlow(lock);
-    if (m_moment_fault.empty() || m_moment != moment) return;
-    if (m_moment_fault == "die") std::_Exit(1);
+    const std::string fault = FaultOf(key, moment);
+    if (fault.empty()) return;
+    if (fault == "die") std::_Exit(1);
     ++m_held;
     PrintEvent({{"event", "held"}, {"moment", moment}, {"key", key}});
-    m_changed.wait(lock, [this] { return m_moment_fault.empty(); });
+    m_changed.wait(lock, [&] { return FaultOf(key, moment).empty(); });
     --m_held;
   }
 
@@ -193,8 +208,7 @@
   std::uint64_t m_stock_reads = 0;
   std::uint64_t m_running = 0;
   std::uint64_t m_held = 0;
-  std::string m_moment;
-  std::string m_moment_fault;
+  std::map<std::string, CallFault> m_call_faults;  // by key; "" is every key
   std::chrono::milliseconds m_delay{0};
   UnixMs m_leaving_since = 0;
   std::vector<UnixMs> m_after_leaving;
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -9,7 +9,6 @@
 import json
 import os
 import pathlib
-import queue
 import select
 import shutil
 import signal
@@ -422,6 +421,322 @@
         return self.start("fake-service", *arguments, *extra, name=name, wait=wait)
 
 
+# A whole region.
+
+LAYERS = 12
+MODEL = "assistant"
+HOLD = f"{MODEL}:1::"
+CHAINS = (("0-5", "6-11"), ("0-3", "4-11"))  # the layer ranges of the engines of one zone
+
+BASE = f"""
+[[model]]
+name = "{MODEL}"
+version = "1"
+adapters = ["wolof"]
+layers = {LAYERS}
+bytes_per_layer = 1000
+max_prompt_bytes = 4000
+max_tokens = 1000
+
+[[customer]]
+name = "tests"
+key = "{CUSTOMER_KEY}"
+requests_per_s = 1000.0
+burst = 1000.0
+
+[[service]]
+name = "ledger"
+lookup_path = "/v1/bookings/{{key}}"
+
+[bookings]
+resolve_after_ms = 300
+"""
+
+
+def auth(**headers):
+    """Headers of a caller; underscores in names become hyphens."""
+    return {"Authorization": f"Bearer {CUSTOMER_KEY}",
+            **{name.replace("_", "-"): str(value) for name, value in headers.items()}}
+
+
+def deadline(seconds):
+    """The deadline header for `seconds` from now."""
+    return {"Corneltray_Deadline_Ms": int((time.time() + seconds) * 1000)}
+
+
+class Answer:
+    """A streamed answer as a caller sees it; `read` collects until the end."""
+
+    def __init__(self, entry, prompt, max_tokens, adapter="", timeout=20, **headers):
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True}
+        if adapter:
+            body["adapter"] = adapter
+        self.stream = Stream(entry.http, "/v1/completions", body, auth(**headers), timeout)
+        self.status, self.request_id = self.stream.status, self.stream.headers.get("X-Request-Id")
+        self.texts, self.finish_reason, self.error, self.is_done = [], None, None, False
+
+    def take(self):
+        """Reads one event. Returns false at the end of the stream."""
+        event = self.stream.next()
+        if event is None:
+            return False
+        if event == "[DONE]":
+            self.is_done = True
+        elif "error" in event:
+            self.error = event["error"]
+        else:
+            choice = event["choices"][0]
+            if choice.get("text"):
+                self.texts.append(choice["text"])
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+        return True
+
+    def read(self):
+        while self.take():
+            pass
+        return self
+
+    def check(self, checks, prompt, max_tokens, what, adapter=""):
+        """R2: the whole answer to this very request."""
+        _, texts, reason = expected(prompt, max_tokens, LAYERS, adapter=adapter)
+        return checks.equal(
+            (self.status, "".join(self.texts), self.finish_reason, self.is_done, self.error),
+            (200, "".join(texts), reason, True, None), f"{what}: the whole answer")
+
+    def longest_pause(self):
+        times = self.stream.times
+        return max((b - a for a, b in zip(times, times[1:])), default=0.0)
+
+
+class Region(Bench):
+    """Control hosts, entry hosts, engines and services over three availability zones."""
+
+    ZONES = ("dkr-a", "dkr-b", "dkr-c")
+
+    def __init__(self, build, controls=3, entries=3, partitions=False, base=BASE, overlays=None,
+                 drain_grace_ms=100, apply=True):
+        super().__init__(build)
+        self.partitions, self.cuts, self.drain_grace_ms = partitions, set(), drain_grace_ms
+        self.zone_of, self.settings, self.fronts = {}, {}, {}
+        self.store = self.folder / "bookings.jsonl"
+        self.control_names = [f"control-{i}" for i in range(controls)]
+        if partitions:
+            for i in range(controls):
+                self._front(f"control-{i}", self.ZONES[i % 3])
+        self.controls = [self.control(i) for i in range(controls)]
+        if apply:
+            self.apply(0, base, overlays)
+        self.entries = [self.entry(i) for i in range(entries)]
+        for process in self.entries:
+            self.wait_listening(process)
+
+    def _front(self, name, zone):
+        front = self.fronts[name] = self.forwarder()
+        front.mode_of = lambda port: self._mode(front.port, port, zone)
+
+    def _mode(self, front_port, client_port, zone):
+        """Decides by the availability zone of the process that owns the connection."""
+        if not self.cuts:
+            return "pass"
+        inode = socket_inode(client_port, front_port)
+        for process in self.processes:
+            if inode in process.sockets():
+                pair = frozenset((self.zone_of.get(process.name, zone), zone))
+                return "drop" if pair in self.cuts else "pass"
+        return "pass"
+
+    def cut_off(self, zone):
+        """Partitions one availability zone from the others."""
+        self.cuts = {frozenset((zone, other)) for other in self.ZONES if other != zone}
+
+    def heal(self):
+        self.cuts = set()
+
+    def seeds(self, name):
+        if self.partitions:
+            return [self.fronts[c].address for c in self.control_names if c != name]
+        return [p.peer for p in self.processes if p.name in self.control_names and p.name != name]
+
+    def write_settings(self, name, zone, folder="", http="127.0.0.1:0", peer="127.0.0.1:0", more=""):
+        front = self.fronts.get(name)
+        quoted = ", ".join(f'"{s}"' for s in self.seeds(name))
+        controls = ", ".join(f'"{c}"' for c in self.control_names)
+        path = self.folder / f"{name}.toml"
+        path.write_text(f"""[host]
+name = "{name}"
+region = "dkr"
+site = "dkr"
+availability_zone = "{zone}"
+data_folder = "{folder}"
+[http]
+address = "{http}"
+threads = 96
+[peer]
+address = "{peer}"
+advertise = "{front.address if front else ''}"
+seeds = [{quoted}]
+shared_key = "{SHARED_KEY}"
+[operator]
+key = "{OPERATOR_KEY}"
+[control]
+hosts = [{controls}]
+[drain]
+grace_ms = {self.drain_grace_ms}
+deadline_ms = 20000
+{more}""")
+        return path
+
+    def launch(self, program, name, zone, folder="", http="127.0.0.1:0", peer="127.0.0.1:0",
+               more=""):
+        self.zone_of[name] = zone
+        if self.partitions and name not in self.fronts:
+            self._front(name, zone)
+        self.settings[name] = (program, zone, folder, more)
+        path = self.write_settings(name, zone, folder, http, peer, more)
+        process = self.start(program, "--settings", path, name=name)
+        if name in self.fronts:
+            self.fronts[name].target = process.peer
+        return process
+
+    def control(self, number, formatted=False):
+        """Formats the data folder of a control host and starts it."""
+        name, zone = self.control_names[number], self.ZONES[number % 3]
+        folder = self.folder / name
+        if not formatted:
+            path = self.write_settings(name, zone, folder)
+            done = subprocess.run([str(self.bin / "corneltray-control"), "--settings", str(path),
+                                   "--format"], capture_output=True, text=True, timeout=20,
+                                  check=False)
+            assert done.returncode == 0, done
+        return self.launch("corneltray-control", name, zone, folder)
+
+    def entry(self, number, zone=None):
+        return self.launch("corneltray-entry", f"entry-{number}", zone or self.ZONES[number % 3])
+
+    def restart(self, process):
+        """Starts an ended program again with its addresses and data folder."""
+        program, zone, folder, more = self.settings[process.name]
+        self.processes.remove(process)
+        fresh = self.launch(program, process.name, zone, folder, process.http, process.peer, more)
+        for group in (self.controls, getattr(self, "entries", [])):
+            if process in group:
+                group[group.index(process)] = fresh
+        return fresh
+
+    def zone_engines(self, zone, announce, chains=CHAINS, layers_per_s=0, holds=(HOLD,), extra=()):
+        """Starts the engines of one zone; each holds one range of layers."""
+        found = []
+        for c, chain in enumerate(chains):
+            for s, layers in enumerate(chain):
+                found.append(self.engine(
+                    f"{zone}-chain{c}-stage{s}", [hold + layers for hold in holds],
+                    [entry.http for entry in announce], zone,
+                    ["--layers-per-s", layers_per_s, "--model-layers", f"{MODEL}:{LAYERS}", *extra]))
+                self.zone_of[found[-1].name] = zone
+        return found
+
+    def ledgers(self, count=3, service="ledger", extra=(), shared=True):
+        """Starts replicas over the zones; they share their bookings through one file."""
+        store = ["--store", self.store] if shared else []
+        return [self.service(f"{service}-{i}", service, [
+            e.http for e in self.entries if self.zone_of[e.name] == self.ZONES[i % 3]],
+                             self.ZONES[i % 3], [*store, *extra]) for i in range(count)]
+
+    def booked(self, key):
+        """How often a key was booked, from the file that outlives every process."""
+        if not self.store.exists():
+            return 0
+        rows = [json.loads(line) for line in self.store.read_text().splitlines()]
+        return sum(row["key"] == key for row in rows)
+
+    # Operators.
+
+    def admin(self, method, process, path, body=None, timeout=15):
+        return call(method, process.http, f"/admin/v1/{path}", body,
+                    {"Authorization": f"Bearer {OPERATOR_KEY}"}, timeout)
+
+    def change(self, process, revision, base, overlays=None, change_id=None, timeout=15):
+        """One operator's change. Returns the reply."""
+        return self.admin("POST", process, "configuration", {
+            "change_id": change_id or str(uuid.uuid4()), "expected_revision": revision,
+            "base": base, "overlays": overlays or {}}, timeout)
+
+    def apply(self, revision, base=BASE, overlays=None):
+        """Applies a change through any control host once there is a leader."""
+        change_id = str(uuid.uuid4())
+        def attempt():
+            for process in self.controls:
+                if process.alive():
+                    reply = self.change(process, revision, base, overlays, change_id)
+                    if reply.status == 200:
+                        return reply
+            return None
+        return wait_until(attempt, 15, f"a change over revision {revision} is accepted").json()
+
+    def revision(self, process):
+        try:
+            reply = self.admin("GET", process, "configuration", timeout=2)
+            return reply.json().get("revision", 0) if reply.status == 200 else 0
+        except OSError:
+            return 0
+
+    # Callers.
+
+    def wait_ready(self, entries=None, model=True, service=None, seconds=15):
+        """Waits until each entry host answers the model and the service."""
+        for entry in entries or self.entries:
+            wait_until(lambda e=entry: call("GET", e.http, "/readyz").status == 200, seconds,
+                       f"{entry.name} is ready")
+            if model:
+                wait_until(lambda e=entry: self.complete(e, "probe", 1).status == 200, seconds,
+                           f"{entry.name} answers")
+            if service:
+                wait_until(lambda e=entry: self.stock(e, "probe", service).status == 200, seconds,
+                           f"{entry.name} reaches {service}")
+
+    def complete(self, entry, prompt, max_tokens, timeout=20, **headers):
+        return call("POST", entry.http, "/v1/completions",
+                    {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": False},
+                    auth(**headers), timeout)
+
+    def book(self, entry, key, body=None, seconds=5.0, service="ledger", timeout=None):
+        """One booking call. Returns None when the connection broke or stayed silent."""
+        try:
+            return call("POST", entry.http, f"/v1/services/{service}/v1/bookings",
+                        body or {"cloth": 7}, auth(Idempotency_Key=key, **deadline(seconds)),
+                        timeout or seconds + 3)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def stock(self, entry, item, service="ledger", timeout=10, **headers):
+        return call("GET", entry.http, f"/v1/services/{service}/v1/stock/{item}", None,
+                    auth(**headers), timeout)
+
+
+def outcome(reply):
+    """The outcome that a caller reads, or None without a reply."""
+    return reply.headers.get("Corneltray-Outcome") if reply is not None else None
+
+
+def in_parallel(*functions):
+    """Runs the functions at once and returns their results; the first exception is raised."""
+    results, errors = [None] * len(functions), []
+
+    def run(i):
+        try:
+            results[i] = functions[i]()
+        except BaseException as error:  # noqa: BLE001: raised again below
+            errors.append(error)
+    threads = [threading.Thread(target=run, args=(i,)) for i in range(len(functions))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if errors:
+        raise errors[0]
+    return results
+
+
 def stages_of(*engines):
     """The "stages" of a generate body from (engine, first, last) tuples."""
     return [{"name": e.name, "address": e.http, "first_layer": first, "last_layer": last}
