--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -680,6 +680,26 @@
         except OSError:
             return 0
 
+    def status(self, process):
+        try:
+            reply = self.admin("GET", process, "status", timeout=2)
+            return reply.json() if reply.status == 200 else {}
+        except OSError:
+            return {}
+
+    def leader(self, among=None):
+        """The control host that leads by its own status."""
+        def find():
+            return next((p for p in among or self.controls
+                         if p.alive() and self.status(p).get("role") == "leader"), None)
+        return wait_until(find, 10, "a leader")
+
+    def time_to_claim(self, entry):
+        """Seconds until a booking with a fresh key is done."""
+        begin = time.monotonic()
+        wait_until(lambda: outcome(self.book(entry, uuid7(), seconds=5)) == "done", 15, "a claim")
+        return time.monotonic() - begin
+
     # Callers.
 
     def wait_ready(self, entries=None, model=True, service=None, seconds=15):
