--- /dev/null
+++ b/src/libcorneltray/test_socket.h
@@ -0,0 +1,127 @@
+#ifndef CORNELTRAY_TEST_SOCKET_H_
+#define CORNELTRAY_TEST_SOCKET_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace corneltray {
+
+// A TCP connection for tests, which sends and receives exact bytes.
+class TestSocket {
+ public:
+  explicit TestSocket(int socket) : m_socket(socket) {}
+  explicit TestSocket(const std::string& address) : m_socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in target = Address(std::stoi(address.substr(address.rfind(':') + 1)));
+    if (::connect(m_socket, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0) Close();
+  }
+  ~TestSocket() { Close(); }
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
+
+  static sockaddr_in Address(int port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+  }
+
+  bool IsOpen() const { return m_socket >= 0; }
+  bool Send(const std::string& text) {
+    return ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(text.size());
+  }
+
+  // Reads until the text occurs, the peer closes or 5 s have passed. Returns all that was received
+  // since the last call. An empty text reads until the peer closes.
+  std::string ReadUntil(const std::string& text) {
+    std::string received;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (std::chrono::steady_clock::now() < until) {
+      if (!text.empty() && received.find(text) != std::string::npos) return received;
+      pollfd entry{m_socket, POLLIN, 0};
+      if (::poll(&entry, 1, 100) <= 0) continue;
+      char buffer[4096];
+      const ssize_t count = ::recv(m_socket, buffer, sizeof(buffer), 0);
+      if (count <= 0) {
+        m_peer_closed = true;
+        return received;
+      }
+      received.append(buffer, static_cast<std::size_t>(count));
+    }
+    return received;
+  }
+  std::string ReadAll() { return ReadUntil(""); }
+  bool PeerClosed() const { return m_peer_closed; }
+
+  // Closes with a reset, as when a host fails with unread data.
+  void Reset() {
+    const linger now{1, 0};
+    ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    Close();
+  }
+  void Close() {
+    if (m_socket >= 0) ::close(m_socket);
+    m_socket = -1;
+  }
+
+ private:
+  int m_socket;
+  bool m_peer_closed = false;
+};
+
+// A peer that runs a script on each accepted connection, one after the other.
+class ScriptedPeer {
+ public:
+  using Script = std::function<void(TestSocket*)>;
+
+  explicit ScriptedPeer(Script script) : m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own = TestSocket::Address(0);
+    ::bind(m_listener, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+    ::listen(m_listener, 16);
+    socklen_t length = sizeof(own);
+    ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&own), &length);
+    m_address = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+    m_thread = std::thread([this, script = std::move(script)] {
+      for (;;) {
+        const int socket = ::accept(m_listener, nullptr, nullptr);
+        if (socket < 0) return;
+        ++m_connections;
+        TestSocket connection(socket);
+        script(&connection);
+      }
+    });
+  }
+  ~ScriptedPeer() {
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_thread.join();
+    ::close(m_listener);
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+
+  const std::string& Address() const { return m_address; }
+  int Connections() const { return m_connections; }
+
+ private:
+  int m_listener;
+  std::string m_address;
+  std::atomic<int> m_connections{0};
+  std::thread m_thread;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_TEST_SOCKET_H_
