Test the log storage with torn, damaged and refused writes

Cause: recovery decides whether an acknowledged record survives.

Conclusion: a crash that loses unsynced pages out of order is not simulated on files; the records' checksums cover it.

--- /dev/null
+++ b/src/libcorneltray/log_storage_test.cc
@@ -0,0 +1,421 @@
+#include "corneltray/log_storage.h"
+
+#include <doctest/doctest.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "log_storage_codec.h"
+
+namespace corneltray {
+namespace {
+
+namespace fs = std::filesystem;
+
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = (fs::temp_directory_path() / "corneltray-storage-XXXXXX").string();
+    m_path = mkdtemp(pattern.data());
+  }
+  ~TemporaryFolder() { fs::remove_all(m_path); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  std::string Data() const { return m_path + "/data"; }
+  std::string File(const std::string& name) const { return Data() + '/' + name; }
+
+ private:
+  std::string m_path;
+};
+
+// The real files, with a fault after a number of calls.
+class FaultyFiles : public FileOperations {
+ public:
+  int bytes_left = -1;       // after these bytes a write ends short with ENOSPC
+  int syncs_left = -1;       // after these syncs a sync fails with EIO
+  int operations_left = -1;  // after these changes every call fails, as after a crash
+
+  int Open(const std::string& path, bool create, int* descriptor) override {
+    return Crashed(create) ? EIO : m_files.Open(path, create, descriptor);
+  }
+  void Close(int descriptor) override { m_files.Close(descriptor); }
+  int WriteAt(int descriptor, std::uint64_t offset, const std::string& bytes) override {
+    if (Crashed(true)) {
+      // A crash in the middle of a write leaves a part of it.
+      static_cast<void>(m_files.WriteAt(descriptor, offset, bytes.substr(0, bytes.size() / 2)));
+      return EIO;
+    }
+    if (bytes_left < 0) return m_files.WriteAt(descriptor, offset, bytes);
+    const auto fits = std::min<std::size_t>(bytes.size(), static_cast<std::size_t>(bytes_left));
+    const int error = m_files.WriteAt(descriptor, offset, bytes.substr(0, fits));
+    bytes_left -= static_cast<int>(fits);
+    return error == 0 && fits < bytes.size() ? ENOSPC : error;
+  }
+  int Lock(int descriptor) override { return m_files.Lock(descriptor); }
+  int Truncate(int descriptor, std::uint64_t size) override {
+    return Crashed(true) ? EIO : m_files.Truncate(descriptor, size);
+  }
+  int Sync(int descriptor) override {
+    if (syncs_left == 0) return EIO;
+    if (syncs_left > 0) --syncs_left;
+    return Crashed(true) ? EIO : m_files.Sync(descriptor);
+  }
+  int Rename(const std::string& from, const std::string& to) override {
+    return Crashed(true) ? EIO : m_files.Rename(from, to);
+  }
+  int SyncFolder(const std::string& folder) override {
+    return Crashed(true) ? EIO : m_files.SyncFolder(folder);
+  }
+  int CreateFolder(const std::string& folder) override { return m_files.CreateFolder(folder); }
+  int List(const std::string& folder, std::vector<std::string>* names) override {
+    return m_files.List(folder, names);
+  }
+  int Read(const std::string& path, std::string* bytes) override {
+    return m_files.Read(path, bytes);
+  }
+
+ private:
+  bool Crashed(bool changes) {
+    if (operations_left == 0) return true;
+    if (changes && operations_left > 0) --operations_left;
+    return false;
+  }
+  FileOperations& m_files = PosixFileOperations();
+};
+
+LogEntry Entry(std::uint64_t index, std::uint64_t term, std::string payload = "") {
+  if (payload.empty()) payload = "command " + std::to_string(index);
+  return {index, term, EntryKind::kCommand, static_cast<UnixMs>(1000 + index), payload};
+}
+
+std::vector<LogEntry> Entries(std::uint64_t first, std::uint64_t last, std::uint64_t term) {
+  std::vector<LogEntry> entries;
+  for (std::uint64_t i = first; i <= last; ++i) entries.push_back(Entry(i, term));
+  return entries;
+}
+
+PersistSnapshot SnapshotAt(LogPosition last, LogPosition keep_after, bool reset = false) {
+  Snapshot snapshot;
+  snapshot.last = last;
+  snapshot.timestamp = 7;
+  snapshot.members.members[{"a", "1"}] = MemberRole::kVoter;
+  snapshot.data = std::make_shared<const std::string>("state at " + std::to_string(last.index));
+  return {snapshot, keep_after, reset};
+}
+
+std::unique_ptr<LogStorage> MustOpen(const TemporaryFolder& folder,
+                                     FileOperations& files = PosixFileOperations()) {
+  auto opened = LogStorage::Open(folder.Data(), "a", files);
+  INFO((opened ? "" : opened.error().ToString()));
+  REQUIRE(opened.Ok());
+  return std::move(opened).value();
+}
+
+void MustCommit(LogStorage& storage, std::vector<Action> actions) {
+  REQUIRE(storage.Commit({{1, true, std::move(actions)}}).Ok());
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void WriteFile(const std::string& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary) << bytes;
+}
+
+// Guards against a host whose disk was lost coming back as the voter it was.
+TEST_CASE("a disk identity is made once") {
+  const TemporaryFolder folder;
+
+  SUBCASE("by the explicit format, which makes a founding voter") {
+    const auto formatted = LogStorage::Format(folder.Data(), "a", {"a", "b", "c"});
+    REQUIRE(formatted.Ok());
+    CHECK(formatted.value().disk_identity.size() == 32);
+    auto storage = MustOpen(folder);
+    CHECK(storage->Recovered().self == formatted.value());
+    CHECK(storage->Recovered().founding_hosts == std::vector<std::string>{"a", "b", "c"});
+    CHECK_FALSE(storage->Report().created);
+
+    SUBCASE("and not a second time") {
+      const auto again = LogStorage::Format(folder.Data(), "a", {"a", "b", "c"});
+      REQUIRE_FALSE(again.Ok());
+      CHECK(again.error().code == StorageErrc::kAlreadyFormatted);
+    }
+    SUBCASE("and is not open in two processes") {
+      const auto second = LogStorage::Open(folder.Data(), "a");
+      REQUIRE_FALSE(second.Ok());
+      CHECK(second.error().code == StorageErrc::kInUse);
+    }
+    SUBCASE("and does not serve another host") {
+      storage.reset();
+      const auto other = LogStorage::Open(folder.Data(), "b");
+      REQUIRE_FALSE(other.Ok());
+      CHECK(other.error().code == StorageErrc::kWrongHost);
+    }
+  }
+  SUBCASE("by the first start of an empty folder, which makes a learner") {
+    const ReplicaId first = MustOpen(folder)->Recovered().self;
+    auto storage = MustOpen(folder);
+    CHECK(storage->Recovered().self == first);
+    CHECK(storage->Recovered().founding_hosts.empty());
+
+    SUBCASE("with another identity after the folder was lost") {
+      storage.reset();
+      fs::remove_all(folder.Data());
+      CHECK(MustOpen(folder)->Recovered().self != first);
+    }
+    SUBCASE("but not beside a log that lost its identity") {
+      MustCommit(*storage, {PersistEntries{Entries(1, 2, 1)}});
+      storage.reset();
+      fs::remove(folder.File("identity"));
+      const auto opened = LogStorage::Open(folder.Data(), "a");
+      REQUIRE_FALSE(opened.Ok());
+      CHECK(opened.error().code == StorageErrc::kCorrupt);
+    }
+  }
+}
+
+// Guards against state that is acknowledged and gone after a restart.
+TEST_CASE("everything that was synced is there after a restart") {
+  const TemporaryFolder folder;
+  auto storage = MustOpen(folder);
+  const HardState hard_state{7, ReplicaId{"b", "2"}};
+  MustCommit(*storage, {PersistHardState{hard_state}, PersistEntries{Entries(1, 5, 3)}});
+
+  SUBCASE("term, vote and entries") {
+    storage.reset();
+    storage = MustOpen(folder);
+    CHECK(storage->Recovered().hard_state == hard_state);
+    CHECK(storage->Recovered().entries == Entries(1, 5, 3));
+  }
+  SUBCASE("entries that overwrite a tail") {
+    MustCommit(*storage, {PersistEntries{Entries(4, 4, 5)}});
+    storage.reset();
+    storage = MustOpen(folder);
+    std::vector<LogEntry> expected = Entries(1, 3, 3);
+    expected.push_back(Entry(4, 5));
+    CHECK(storage->Recovered().entries == expected);
+  }
+  SUBCASE("a snapshot and the entries kept around it") {
+    MustCommit(*storage, {SnapshotAt({4, 3}, {2, 3}), PersistEntries{Entries(6, 7, 3)}});
+    storage.reset();
+    storage = MustOpen(folder);
+    CHECK(*storage->Recovered().snapshot->data == "state at 4");
+    CHECK(storage->Recovered().snapshot->members.VoterCount() == 1);
+    CHECK(storage->Recovered().log_base == LogPosition{2, 3});
+    CHECK(storage->Recovered().entries == Entries(3, 7, 3));
+
+    SUBCASE("also when it replaces the whole log") {
+      MustCommit(*storage,
+                 {SnapshotAt({20, 9}, {20, 9}, true), PersistEntries{Entries(21, 22, 9)}});
+      storage.reset();
+      storage = MustOpen(folder);
+      CHECK(storage->Recovered().log_base == LogPosition{20, 9});
+      CHECK(storage->Recovered().entries == Entries(21, 22, 9));
+    }
+  }
+  SUBCASE("with one sync for all batches that wait") {
+    const std::uint64_t before = storage->SyncCount();
+    std::vector<ActionBatch> batches;
+    for (std::uint64_t i = 6; i <= 25; ++i) {
+      batches.push_back({i, true, {PersistEntries{Entries(i, i, 3)}}});
+    }
+    REQUIRE(storage->Commit(batches).Ok());
+    CHECK(storage->SyncCount() == before + 1);
+  }
+}
+
+// Guards against a crash in a write that stops the replica, and against damage that is cut off as
+// if it were such a crash.
+TEST_CASE("damage in the log is told from a torn end") {
+  const TemporaryFolder folder;
+  {
+    auto storage = MustOpen(folder);
+    MustCommit(*storage, {PersistEntries{Entries(1, 4, 3)}});
+  }
+  const std::string whole = ReadFile(folder.File("log"));
+  const std::size_t record = EncodeLogRecord(Entry(1, 3)).size();
+  const std::size_t last = kLogHeaderBytes + 3 * record;
+  REQUIRE(whole.size() == last + record);
+
+  SUBCASE("every length of the last record is cut off and reported") {
+    for (std::size_t size = last + 1; size < whole.size(); ++size) {
+      CAPTURE(size);
+      WriteFile(folder.File("log"), whole.substr(0, size));
+      auto storage = MustOpen(folder);
+      CHECK(storage->Recovered().entries == Entries(1, 3, 3));
+      CHECK(storage->Report().truncated_at == last);
+      CHECK(storage->Report().truncated_bytes == size - last);
+      MustCommit(*storage, {PersistEntries{Entries(4, 4, 3)}});
+      CHECK(ReadFile(folder.File("log")) == whole);
+    }
+  }
+  SUBCASE("every damaged byte of a record before a valid one is an error with its offset") {
+    for (std::size_t at = kLogHeaderBytes + record; at < kLogHeaderBytes + 2 * record; ++at) {
+      CAPTURE(at);
+      std::string bytes = whole;
+      bytes[at] = static_cast<char>(bytes[at] ^ 0x41);
+      WriteFile(folder.File("log"), bytes);
+      const auto opened = LogStorage::Open(folder.Data(), "a");
+      REQUIRE_FALSE(opened.Ok());
+      CHECK(opened.error().code == StorageErrc::kCorrupt);
+      const std::string place = "log at offset " + std::to_string(kLogHeaderBytes + record);
+      CHECK(opened.error().detail.find(place) != std::string::npos);
+      CHECK(ReadFile(folder.File("log")) == bytes);
+    }
+  }
+  SUBCASE("a missing record is an error") {
+    WriteFile(folder.File("log"),
+              whole.substr(0, kLogHeaderBytes) + whole.substr(kLogHeaderBytes + record));
+    CHECK(LogStorage::Open(folder.Data(), "a").error().code == StorageErrc::kCorrupt);
+  }
+  SUBCASE("every damaged byte of the other files is an error") {
+    for (const char* name : {"identity", "hard_state"}) {
+      const std::string good = ReadFile(folder.File(name));
+      for (std::size_t at = 0; at < good.size(); ++at) {
+        CAPTURE(name);
+        CAPTURE(at);
+        std::string bytes = good;
+        bytes[at] = static_cast<char>(bytes[at] ^ 0x41);
+        WriteFile(folder.File(name), bytes);
+        const auto opened = LogStorage::Open(folder.Data(), "a");
+        REQUIRE_FALSE(opened.Ok());
+        CHECK(opened.error().code == StorageErrc::kCorrupt);
+        CHECK(opened.error().detail.find(name) != std::string::npos);
+      }
+      WriteFile(folder.File(name), good);
+    }
+  }
+}
+
+// Guards against an acknowledgement of what a full disk did not take, and against the loss of what
+// it took before.
+TEST_CASE("a failed write is refused, said and loses nothing") {
+  const TemporaryFolder folder;
+  FaultyFiles files;
+  auto storage = MustOpen(folder, files);
+  MustCommit(*storage, {PersistEntries{Entries(1, 3, 2)}});
+
+  struct Fault {
+    const char* name;
+    int bytes_left;
+    int syncs_left;
+    StorageErrc expected;
+  };
+  const Fault faults[] = {
+      {"no byte fits", 0, -1, StorageErrc::kDiskFull},
+      {"a part of a record fits", 30, -1, StorageErrc::kDiskFull},
+      {"one of two records fits", 60, -1, StorageErrc::kDiskFull},
+      {"the sync fails", -1, 0, StorageErrc::kWriteFailed},
+  };
+  for (const Fault& fault : faults) {
+    CAPTURE(fault.name);
+    files.bytes_left = fault.bytes_left;
+    files.syncs_left = fault.syncs_left;
+    const Status refused = storage->Commit({{2, true, {PersistEntries{Entries(4, 5, 2)}}}});
+    REQUIRE_FALSE(refused.Ok());
+    CHECK(refused.error().code == fault.expected);
+    CHECK(refused.error().detail.find("log") != std::string::npos);
+
+    // The content of the file is not known any more, so nothing more is taken, even with space.
+    files.bytes_left = files.syncs_left = -1;
+    CHECK_FALSE(storage->Commit({{3, true, {PersistEntries{Entries(4, 4, 2)}}}}).Ok());
+    CHECK_FALSE(storage->Commit({{4, true, {PersistHardState{{9, {}}}}}}).Ok());
+
+    storage.reset();
+    storage = MustOpen(folder, files);
+    const auto& entries = storage->Recovered().entries;
+    REQUIRE(entries.size() >= 3);
+    CHECK(std::vector<LogEntry>(entries.begin(), entries.begin() + 3) == Entries(1, 3, 2));
+    CHECK(storage->Recovered().hard_state.term == 0);
+    MustCommit(*storage, {PersistEntries{Entries(4, 4, 2)}});
+    storage.reset();
+    storage = MustOpen(folder, files);
+    CHECK(storage->Recovered().entries == Entries(1, 4, 2));
+    // Back to three records for the next row.
+    MustCommit(*storage, {PersistEntries{{Entry(3, 2)}}});
+  }
+}
+
+// Guards against a real full disk being met differently from the injected one.
+TEST_CASE("the file size limit of the process is met like a full disk") {
+  const TemporaryFolder folder;
+  auto storage = MustOpen(folder);
+  MustCommit(*storage, {PersistEntries{Entries(1, 3, 2)}});
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  const auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit small = before;
+  small.rlim_cur = fs::file_size(folder.File("log")) + 20;
+  setrlimit(RLIMIT_FSIZE, &small);
+  const Status refused = storage->Commit({{2, true, {PersistEntries{Entries(4, 4, 2)}}}});
+  setrlimit(RLIMIT_FSIZE, &before);
+  std::signal(SIGXFSZ, old_handler);
+  REQUIRE_FALSE(refused.Ok());
+  CHECK(refused.error().code == StorageErrc::kDiskFull);
+  storage.reset();
+  storage = MustOpen(folder);
+  CHECK(storage->Recovered().entries == Entries(1, 3, 2));
+  CHECK(storage->Report().truncated_bytes == 20);
+}
+
+// Guards against a crash at any point of a sequence of writes: what was acknowledged is there, and
+// the rest is there in order or not at all.
+TEST_CASE("a crash at any file operation keeps what was acknowledged") {
+  const std::vector<std::vector<Action>> steps = {
+      {PersistHardState{{2, ReplicaId{"a", "1"}}}, PersistEntries{Entries(1, 4, 2)}},
+      {PersistEntries{Entries(3, 6, 3)}},
+      {SnapshotAt({5, 3}, {3, 3}, false)},
+      {PersistHardState{{4, {}}}, PersistEntries{Entries(7, 9, 4)}},
+      {SnapshotAt({12, 6}, {12, 6}, true), PersistEntries{Entries(13, 14, 6)}},
+      {PersistEntries{Entries(14, 15, 7)}},
+  };
+  const LogPosition last_after[] = {{0, 0}, {4, 2}, {6, 3}, {6, 3}, {9, 4}, {14, 6}, {15, 7}};
+  const std::uint64_t term_after[] = {0, 2, 2, 2, 4, 4, 4};
+  bool finished = false;
+  int crash_points = 0;
+  for (int operations = 0; !finished; ++operations) {
+    CAPTURE(operations);
+    const TemporaryFolder folder;
+    FaultyFiles files;
+    auto storage = MustOpen(folder, files);
+    files.operations_left = operations;
+    std::size_t acknowledged = 0;
+    for (const auto& step : steps) {
+      if (!storage->Commit({{acknowledged + 1, true, step}}).Ok()) break;
+      ++acknowledged;
+    }
+    finished = acknowledged == steps.size();
+    crash_points += finished ? 0 : 1;
+    storage.reset();
+    storage = MustOpen(folder);
+    const PersistentState& state = storage->Recovered();
+    CAPTURE(acknowledged);
+    CHECK(state.hard_state.term >= term_after[acknowledged]);
+    const LogPosition last =
+        state.entries.empty() ? state.log_base
+                              : LogPosition{state.entries.back().index, state.entries.back().term};
+    // The step that was cut short may have replaced a tail from its first new entry on.
+    const bool overwrites = acknowledged < steps.size() && (acknowledged == 1 || acknowledged == 5);
+    const std::uint64_t kept =
+        overwrites ? (acknowledged == 1 ? 2 : 13) : last_after[acknowledged].index;
+    CHECK(last.index >= kept);
+    CHECK(last.term >= (overwrites && acknowledged == 1 ? 2 : last_after[acknowledged].term));
+    if (acknowledged >= 3) CHECK(state.snapshot.has_value());
+    if (state.snapshot) CHECK(state.log_base.index <= state.snapshot->last.index);
+    if (state.snapshot) CHECK(last.index >= state.snapshot->last.index);
+  }
+  CHECK(crash_points > 30);
+}
+
+}  // namespace
+}  // namespace corneltray
