Test the replica call by call

Cause: four rules cannot be seen in random schedules, because a correct group never meets their violation: a founding vote is given once, an unformatted learner never votes, the only voter leads only after its own vote is on disk, a leader without a majority gives up.

--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -34,8 +34,8 @@
 
 // Largest payload of one log entry and largest part of a snapshot. A peer frame is limited to
 // 1 MiB, so a message with one such payload fits with room for its envelope.
-constexpr std::size_t kMaxEntryBytes = 512 * 1024;
-constexpr std::size_t kSnapshotPartBytes = 512 * 1024;
+constexpr std::size_t kMaxEntryBytes = std::size_t{512} * 1024;
+constexpr std::size_t kSnapshotPartBytes = std::size_t{512} * 1024;
 
 // Names one replica. The disk identity is random and written when the data folder is created, so a
 // host that lost its disk comes back under another ReplicaId and cannot vote on state it has lost.
@@ -345,7 +345,7 @@
   Duration heartbeat_interval = std::chrono::milliseconds(100);
   std::uint64_t seed = 0;  // of the election timeouts; differs between hosts
   // Proposals over this size in total wait for a commit. Bounds memory while a majority is away.
-  std::size_t max_uncommitted_bytes = 16 * 1024 * 1024;
+  std::size_t max_uncommitted_bytes = std::size_t{16} * 1024 * 1024;
   // Entries sent in one message, by size; at least one entry is sent.
   std::size_t max_append_bytes = kMaxEntryBytes;
   // Entries kept before a snapshot, so that a follower that is a little behind needs no snapshot.
--- /dev/null
+++ b/src/libcorneltray/consensus_test.cc
@@ -0,0 +1,504 @@
+#include "corneltray/consensus.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "consensus_simulator_test.h"
+
+namespace corneltray {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ReplicaId kA{"a", "a1"};
+const ReplicaId kB{"b", "b1"};
+const ReplicaId kC{"c", "c1"};
+const TimePoint kStart{std::chrono::hours(1)};
+
+MemberSet Voters(std::vector<ReplicaId> ids) {
+  MemberSet set;
+  for (ReplicaId& id : ids) set.members[std::move(id)] = MemberRole::kVoter;
+  return set;
+}
+
+LogEntry MembersEntry(const MemberSet& set) {
+  return {1, 1, EntryKind::kMembers, 0, EncodeMemberSet(set)};
+}
+
+LogEntry Command(std::uint64_t index, std::uint64_t term, std::string payload = "x") {
+  return {index, term, EntryKind::kCommand, 0, std::move(payload)};
+}
+
+// A voter of a, b, c with term 2 and the entries 1/1, 2/2, 3/2.
+PersistentState VoterState(const ReplicaId& self) {
+  PersistentState state;
+  state.self = self;
+  state.founding_hosts = {"a", "b", "c"};
+  state.hard_state.term = 2;
+  state.entries = {MembersEntry(Voters({kA, kB, kC})), Command(2, 2), Command(3, 2)};
+  return state;
+}
+
+// One replica whose disk and messages are in the hands of the test.
+class Bench {
+ public:
+  explicit Bench(PersistentState state, ReplicaOptions options = {})
+      : m_replica(options, std::move(state), kStart) {
+    Run();
+  }
+
+  Replica& Get() { return m_replica; }
+  ReplicaStatus Status() const { return m_replica.GetStatus(); }
+  TimePoint Now() const { return m_now; }
+
+  // Executes all actions, with an instant disk. Keeps the messages and other actions.
+  void Run() {
+    for (;;) {
+      ActionBatch batch = m_replica.TakeActions();
+      if (batch.actions.empty()) return;
+      Collect(batch);
+      if (batch.needs_sync) m_replica.Persisted(m_now, batch.sequence);
+    }
+  }
+  void Collect(const ActionBatch& batch) {
+    for (const Action& action : batch.actions) {
+      if (const auto* send = std::get_if<SendMessage>(&action)) sent.push_back(send->message);
+      actions.push_back(action);
+    }
+  }
+  void Receive(const ReplicaId& from, std::uint64_t term, MessageBody body) {
+    m_replica.Step(m_now, from.host, {from, Status().self, term, std::move(body)});
+    Run();
+  }
+  void Advance(Duration span) {
+    m_now += span;
+    m_replica.Tick(m_now);
+    Run();
+  }
+  // Makes the replica the leader of the next term with the votes of b.
+  void Elect() {
+    Advance(std::chrono::seconds(2));
+    const std::uint64_t term = Status().term + 1;
+    Receive(kB, term, VoteReply{true, true});
+    Receive(kB, term, VoteReply{false, true});
+    REQUIRE(Status().role == ReplicaRole::kLeader);
+  }
+  void Acknowledge(const ReplicaId& from, std::uint64_t index, std::uint64_t round = 0) {
+    Receive(from, Status().term, AppendReply{true, index, 0, {}, round});
+  }
+  // Returns the last message of a type, or nothing.
+  template <class Body>
+  const Body* LastSent() const {
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it) {
+      if (const auto* body = std::get_if<Body>(&it->body)) return body;
+    }
+    return nullptr;
+  }
+  template <class Kind>
+  std::size_t Count() const {
+    return static_cast<std::size_t>(
+        std::count_if(actions.begin(), actions.end(),
+                      [](const Action& a) { return std::holds_alternative<Kind>(a); }));
+  }
+
+  std::vector<ReplicaMessage> sent;
+  std::vector<Action> actions;
+
+ private:
+  TimePoint m_now = kStart;
+  Replica m_replica;
+};
+
+// Guards against a second leader in a term, and against a leader without all committed records.
+TEST_CASE("a vote is given only to a candidate that may lead") {
+  struct Row {
+    const char* name;
+    std::uint64_t term;
+    LogPosition last;
+    bool granted;
+  };
+  const Row rows[] = {
+      {"same log", 3, {3, 2}, true},
+      {"longer log", 3, {9, 2}, true},
+      {"newer last term", 3, {1, 3}, true},
+      {"shorter log", 3, {2, 2}, false},
+      {"older last term, longer log", 3, {50, 1}, false},
+      {"older term", 1, {9, 2}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    for (const bool pre_vote : {true, false}) {
+      CAPTURE(pre_vote);
+      Bench bench(VoterState(kA));
+      bench.Receive(kB, row.term, VoteRequest{pre_vote, false, row.last});
+      REQUIRE(bench.LastSent<VoteReply>() != nullptr);
+      CHECK(bench.LastSent<VoteReply>()->granted == row.granted);
+      // A pre-vote changes nothing, so that a returning host cannot raise the term.
+      if (pre_vote) CHECK(bench.Status().term == 2);
+    }
+  }
+
+  SUBCASE("and not to a second one in the same term") {
+    Bench bench(VoterState(kA));
+    bench.Receive(kB, 3, VoteRequest{false, false, {3, 2}});
+    bench.Receive(kC, 3, VoteRequest{false, false, {3, 2}});
+    CHECK_FALSE(bench.LastSent<VoteReply>()->granted);
+    bench.Receive(kB, 3, VoteRequest{false, false, {3, 2}});
+    CHECK(bench.LastSent<VoteReply>()->granted);
+  }
+  SUBCASE("and not while a leader is heard, unless that leader asked for it") {
+    Bench bench(VoterState(kA));
+    bench.Receive(kC, 2, AppendRequest{{3, 2}, {}, 3, 0});
+    bench.sent.clear();
+    bench.Receive(kB, 3, VoteRequest{false, false, {3, 2}});
+    CHECK(bench.LastSent<VoteReply>() == nullptr);
+    CHECK(bench.Status().term == 2);
+    bench.Receive(kB, 3, VoteRequest{false, true, {3, 2}});
+    CHECK(bench.LastSent<VoteReply>()->granted);
+  }
+  SUBCASE("and not by an unformatted learner, nor under a lost identity") {
+    PersistentState fresh;
+    fresh.self = {"a", "a2"};
+    Bench bench(fresh);
+    bench.Receive(kB, 3, VoteRequest{false, false, {3, 2}});
+    CHECK_FALSE(bench.LastSent<VoteReply>()->granted);
+    bench.sent.clear();
+    bench.Get().Step(bench.Now(), "b", {kB, kA, 3, VoteRequest{false, false, {3, 2}}});
+    bench.Run();
+    CHECK(bench.sent.empty());
+    bench.Advance(std::chrono::hours(1));
+    CHECK(bench.sent.empty());
+    CHECK(bench.Status().role == ReplicaRole::kLearner);
+  }
+}
+
+// Guards against an acknowledgement of state that a crash would take back.
+TEST_CASE("votes, acknowledgements and the own copy count only once they are on disk") {
+  const auto waits = [](const ActionBatch& batch) {
+    return std::all_of(batch.actions.begin(), batch.actions.end(), [](const Action& action) {
+      const auto* send = std::get_if<SendMessage>(&action);
+      return send == nullptr || send->after_persist;
+    });
+  };
+  SUBCASE("of a voter") {
+    Bench bench(VoterState(kA));
+    bench.Get().Step(kStart, "b", {kB, kA, 3, VoteRequest{false, false, {3, 2}}});
+    const ActionBatch batch = bench.Get().TakeActions();
+    CHECK(batch.needs_sync);
+    CHECK(waits(batch));
+  }
+  SUBCASE("of a follower") {
+    Bench bench(VoterState(kA));
+    bench.Get().Step(kStart, "b", {kB, kA, 2, AppendRequest{{3, 2}, {Command(4, 2)}, 3, 0}});
+    const ActionBatch batch = bench.Get().TakeActions();
+    CHECK(batch.needs_sync);
+    CHECK(waits(batch));
+  }
+  SUBCASE("of the only voter, which leads only when its own vote is on disk") {
+    PersistentState state = VoterState(kA);
+    state.entries[0] = MembersEntry(Voters({kA}));
+    Bench bench(state);
+    bench.Get().Tick(kStart + std::chrono::seconds(2));
+    const ActionBatch vote = bench.Get().TakeActions();
+    CHECK(bench.Status().role == ReplicaRole::kCandidate);
+    bench.Get().Persisted(kStart, vote.sequence);
+    CHECK(bench.Status().role == ReplicaRole::kLeader);
+    const ActionBatch noop = bench.Get().TakeActions();
+    CHECK(bench.Status().commit_index == 0);
+    bench.Get().Persisted(kStart, noop.sequence);
+    CHECK(bench.Status().commit_index == 4);
+  }
+}
+
+// Guards against logs that differ below a commit.
+TEST_CASE("a follower repairs its log and keeps what matches") {
+  struct Row {
+    const char* name;
+    AppendRequest request;
+    bool accepted;
+    std::uint64_t match;  // or the index of the hint
+    LogPosition last;
+    std::uint64_t commit;
+  };
+  const Row rows[] = {
+      {"heartbeat", {{3, 2}, {}, 3, 0}, true, 3, {3, 2}, 3},
+      {"commit beyond the match", {{2, 2}, {}, 3, 0}, true, 2, {3, 2}, 2},
+      {"new entry", {{3, 2}, {Command(4, 3)}, 3, 0}, true, 4, {4, 3}, 3},
+      {"repeated entry", {{2, 2}, {Command(3, 2)}, 2, 0}, true, 3, {3, 2}, 2},
+      {"older, shorter request keeps the tail",
+       {{1, 1}, {Command(2, 2)}, 0, 0},
+       true,
+       2,
+       {3, 2},
+       0},
+      {"conflict replaces the tail", {{1, 1}, {Command(2, 3)}, 0, 0}, true, 2, {2, 3}, 0},
+      {"gap", {{9, 3}, {}, 9, 0}, false, 3, {3, 2}, 0},
+      {"other term before", {{3, 1}, {}, 3, 0}, false, 1, {3, 2}, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Bench bench(VoterState(kA));
+    bench.Receive(kB, 3, row.request);
+    const auto* reply = bench.LastSent<AppendReply>();
+    REQUIRE(reply != nullptr);
+    CHECK(reply->accepted == row.accepted);
+    CHECK((row.accepted ? reply->match_index : reply->hint.index) == row.match);
+    CHECK(bench.Status().last == row.last);
+    CHECK(bench.Status().commit_index == row.commit);
+  }
+
+  SUBCASE("and drops entries that do not follow each other") {
+    Bench bench(VoterState(kA));
+    bench.Receive(kB, 3, AppendRequest{{3, 2}, {Command(5, 3)}, 0, 0});
+    CHECK(bench.LastSent<AppendReply>() == nullptr);
+    CHECK(bench.Status().last == LogPosition{3, 2});
+  }
+}
+
+// Guards against a leader of an old term that goes on believing that it leads.
+TEST_CASE("a leader gives up when it can no longer commit") {
+  Bench bench(VoterState(kA));
+  bench.Elect();
+
+  SUBCASE("because no majority has answered for one election timeout") {
+    bench.Advance(milliseconds(500));
+    CHECK(bench.Status().role == ReplicaRole::kLeader);
+    bench.Advance(milliseconds(150));
+    CHECK(bench.Status().role == ReplicaRole::kFollower);
+    CHECK(bench.Get().Propose(bench.Now(), 0, "x").error().code == ConsensusErrc::kNotLeader);
+  }
+  SUBCASE("because a newer term answers") {
+    bench.Receive(kB, 9, AppendReply{});
+    CHECK(bench.Status().role == ReplicaRole::kFollower);
+    CHECK(bench.Status().term == 9);
+  }
+  SUBCASE("because its disk is full, and asks the best voter to take over") {
+    bench.Acknowledge(kC, 4);
+    bench.sent.clear();
+    REQUIRE(bench.Get().Propose(bench.Now(), 0, "x").Ok());
+    bench.Get().StorageFailed(bench.Now(), Error{{}, "disk full: log"});
+    bench.Run();
+    REQUIRE(bench.sent.size() == 1);
+    CHECK(std::holds_alternative<TimeoutNow>(bench.sent[0].body));
+    CHECK(bench.sent[0].to == kC);
+    const auto refused = bench.Get().Propose(bench.Now(), 0, "x");
+    CHECK(refused.error().code == ConsensusErrc::kStorageFailed);
+    CHECK(refused.error().detail.find("disk full: log") != std::string::npos);
+    CHECK(bench.Status().storage_failed);
+    bench.sent.clear();
+    bench.Receive(kC, 9, VoteRequest{false, true, {9, 9}});
+    bench.Receive(kC, 9, AppendRequest{{4, 3}, {}, 4, 0});
+    bench.Advance(std::chrono::hours(1));
+    CHECK(bench.sent.empty());
+  }
+}
+
+// Guards against a read that misses a record committed by a successor.
+TEST_CASE("a read waits for a round of heartbeats and for the first record of the term") {
+  Bench bench(VoterState(kA));
+  bench.Elect();
+  REQUIRE(bench.Get().ReadBarrier(bench.Now(), 77).Ok());
+  bench.Run();
+  const std::uint64_t round = bench.LastSent<AppendRequest>()->round;
+  bench.Acknowledge(kB, 3, round);
+  CHECK(bench.Count<ReadBarrierConfirmed>() == 0);  // record 4 of this term is not committed
+  bench.Acknowledge(kB, 4, round);
+  CHECK(bench.Count<ReadBarrierConfirmed>() == 1);
+
+  REQUIRE(bench.Get().ReadBarrier(bench.Now(), 78).Ok());
+  bench.Run();
+  bench.Acknowledge(kB, 4, round);  // an answer to the round before
+  CHECK(bench.Count<ReadBarrierConfirmed>() == 1);
+  bench.Advance(milliseconds(700));
+  CHECK(bench.Count<ReadBarrierFailed>() == 1);
+}
+
+// Guards against two logs after the format of a host is repeated.
+TEST_CASE("the first start founds one log") {
+  PersistentState founder;
+  founder.self = kA;
+  founder.founding_hosts = {"a", "b", "c"};
+
+  SUBCASE("only with the votes of all founding hosts") {
+    Bench bench(founder);
+    bench.Receive(kB, 1, FoundReply{true});
+    bench.Advance(std::chrono::seconds(5));
+    CHECK(bench.Status().last.index == 0);
+    bench.Receive(kC, 1, FoundReply{true});
+    CHECK(bench.Status().members == Voters({kA, kB, kC}));
+    CHECK(bench.Status().last == LogPosition{1, 1});
+  }
+  SUBCASE("because a host votes for one founder, durably") {
+    PersistentState state = founder;
+    state.self = kB;
+    Bench bench(state);
+    const ReplicaId any_b{"b", ""};
+    bench.Get().Step(kStart, "a", {kA, any_b, 1, FoundRequest{}});
+    bench.Run();
+    CHECK(bench.LastSent<FoundReply>() != nullptr);
+    CHECK(bench.Count<PersistHardState>() == 1);
+    bench.sent.clear();
+    bench.Get().Step(kStart, "a", {{"a", "a2"}, any_b, 1, FoundRequest{}});
+    bench.Get().Step(kStart, "c", {kC, any_b, 1, FoundRequest{}});
+    bench.Run();
+    CHECK(bench.sent.empty());
+  }
+  SUBCASE("and a host with a log founds nothing") {
+    Bench bench(VoterState(kB));
+    bench.Get().Step(kStart, "a", {{"a", "a2"}, {"b", ""}, 1, FoundRequest{}});
+    bench.Run();
+    CHECK(bench.sent.empty());
+  }
+}
+
+// Guards against a lost disk that is not replaced, or by two steps at once.
+TEST_CASE("a lost disk is replaced step by step") {
+  Bench bench(VoterState(kA));
+  bench.Elect();
+  bench.Acknowledge(kB, 4);
+  const ReplicaId new_c{"c", "c2"};
+  bench.Receive(new_c, bench.Status().term, IdentityNotice{kC});
+  MemberSet expected = Voters({kA, kB});
+  expected.members[new_c] = MemberRole::kJoining;
+  CHECK(bench.Status().members == expected);
+
+  SUBCASE("the new identity becomes a voter once the removal is committed and it has caught up") {
+    bench.Acknowledge(new_c, 5);
+    CHECK(bench.Status().members == expected);
+    bench.Acknowledge(kB, 5);
+    CHECK(bench.Status().members == Voters({kA, kB, new_c}));
+  }
+  SUBCASE("a late notice of the replaced identity changes nothing") {
+    bench.Acknowledge(kB, 5);
+    bench.Receive({"c", "c3"}, bench.Status().term, IdentityNotice{kC});
+    CHECK(bench.Status().members == expected);
+  }
+  SUBCASE("and no other change is taken meanwhile") {
+    const auto change =
+        bench.Get().ProposeMembers(bench.Now(), {MemberChangeKind::kAddLearner, {"d", "d1"}});
+    CHECK(change.error().code == ConsensusErrc::kChangeInProgress);
+  }
+}
+
+// Guards against a snapshot that does not fit a frame, or is put together wrongly.
+TEST_CASE("a snapshot travels in parts under 1 MiB") {
+  Bench leader(VoterState(kA), [] {
+    ReplicaOptions options;
+    options.trailing_entries = 0;
+    return options;
+  }());
+  leader.Elect();
+  leader.Acknowledge(kB, 4);
+  std::string data(3 * kSnapshotPartBytes / 2 + 17, 'x');
+  for (std::size_t i = 0; i < data.size(); ++i) data[i] = static_cast<char>(i * 131 >> 3);
+  leader.Get().Compact(4, data);
+  leader.Run();
+
+  PersistentState empty;
+  empty.self = kC;
+  Bench follower(empty);
+  // Messages pass as bytes between the two. Each part arrives twice.
+  const std::uint64_t term = leader.Status().term;
+  leader.Receive(kC, term, AppendReply{false, 0, 3, {0, 0}, 0});
+  for (int exchange = 0; exchange < 10; ++exchange) {
+    for (const ReplicaMessage& message : std::exchange(leader.sent, {})) {
+      if (message.to != kC) continue;
+      const std::string bytes = EncodeReplicaMessage(message);
+      CHECK(bytes.size() < 1024 * 1024);
+      const ReplicaMessage decoded = DecodeReplicaMessage(bytes).value();
+      for (int copy = 0; copy < 2; ++copy) follower.Get().Step(kStart, "a", decoded);
+    }
+    follower.Run();
+    for (const ReplicaMessage& message : std::exchange(follower.sent, {})) {
+      leader.Get().Step(leader.Now(), "c", message);
+    }
+    leader.Run();
+  }
+  CHECK(follower.Status().commit_index == 4);
+  CHECK(follower.Status().members == leader.Status().members);
+  REQUIRE(follower.Count<RestoreSnapshot>() == 1);
+  for (const Action& action : follower.actions) {
+    const auto* restore = std::get_if<RestoreSnapshot>(&action);
+    if (restore != nullptr) CHECK(*restore->snapshot.data == data);
+  }
+  CHECK(leader.Status().match_index.at(kC) == 4);
+}
+
+// Guards against a message that another version or a fault garbles.
+TEST_CASE("every message passes the wire unchanged, and a malformed one is refused") {
+  Snapshot snapshot;
+  const MessageBody bodies[] = {
+      FoundRequest{},
+      FoundReply{true},
+      VoteRequest{true, false, {4, 3}},
+      VoteReply{false, true},
+      AppendRequest{{3, 2}, {Command(4, 2, std::string("\0\xff z", 4))}, 3, 8},
+      AppendReply{true, 4, 2, {1, 1}, 9},
+      SnapshotPart{{9, 3}, 12, Voters({kA, kB}), 5, 10, 77, std::string("\0\x80", 2), 4},
+      SnapshotReply{{9, 3}, 7, true, 4},
+      TimeoutNow{},
+      IdentityNotice{kC}};
+  for (const MessageBody& body : bodies) {
+    const ReplicaMessage message{kA, kB, 5, body};
+    const std::string bytes = EncodeReplicaMessage(message);
+    const auto decoded = DecodeReplicaMessage(bytes);
+    REQUIRE(decoded.Ok());
+    CHECK(decoded.value().body.index() == body.index());
+    CHECK(EncodeReplicaMessage(decoded.value()) == bytes);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      const auto cut = DecodeReplicaMessage(bytes.substr(0, size));
+      REQUIRE_FALSE(cut.Ok());
+      CHECK(cut.error().code == ConsensusErrc::kMalformedMessage);
+    }
+    nlohmann::json other = ReplicaMessageToJson(message);
+    other["kind"] = "unknown";
+    CHECK_FALSE(ReplicaMessageFromJson(other).Ok());
+  }
+}
+
+// Guards against a group that does not come back within the bounds of design section 7.
+TEST_CASE("a group of three recovers from one fault at a time") {
+  SimulatorOptions options;
+  options.seed = 5;
+  ConsensusSimulator sim(options);
+  const auto settled = [&] { return sim.IsSettled(); };
+  REQUIRE(sim.RunUntil(settled, std::chrono::seconds(5)));
+  const std::size_t leader = *sim.Leader();
+  const std::size_t follower = (leader + 1) % 3;
+
+  SUBCASE("the leader fails and another accepts commands within 3 s") {
+    sim.Crash(leader);
+    CHECK(sim.RunUntil([&] { return sim.Leader().has_value(); }, std::chrono::seconds(3)));
+  }
+  SUBCASE("the leader hands over") {
+    sim.Transfer();
+    CHECK(sim.RunUntil([&] { return sim.Leader().value_or(leader) != leader; }, milliseconds(200)));
+  }
+  SUBCASE("a follower loses its disk and is a voter again under its new identity") {
+    REQUIRE(sim.LoseDisk(follower, false));
+    sim.Restart(follower);
+    CHECK(sim.RunUntil(settled, std::chrono::seconds(5)));
+    CHECK(sim.At(leader).GetStatus().members.IsVoter(sim.At(follower).GetStatus().self));
+  }
+  SUBCASE("a second host fails during the repair: writes wait, nothing is lost") {
+    const std::size_t second = (leader + 2) % 3;
+    for (int i = 0; i < 20; ++i) sim.Propose();
+    REQUIRE(sim.RunUntil(settled, std::chrono::seconds(5)));
+    const std::uint64_t committed = sim.CommittedCount();
+    REQUIRE(sim.LoseDisk(follower, false));
+    sim.Crash(second);
+    sim.Restart(follower);
+    sim.RunFor(std::chrono::seconds(5));
+    sim.Propose();
+    CHECK_FALSE(sim.Leader().has_value());
+    CHECK(sim.CommittedCount() == committed);
+    sim.Restart(second);
+    CHECK(sim.RunUntil(settled, std::chrono::seconds(10)));
+    CHECK(sim.CommittedCount() > committed);
+  }
+}
+
+}  // namespace
+}  // namespace corneltray
