--- a/src/libcorneltray/router.cc
+++ b/src/libcorneltray/router.cc
@@ -8,12 +8,11 @@
 #include <utility>
 
 #include "corneltray/chain_search.h"
+#include "corneltray/placement.h"
 
 namespace corneltray {
 namespace {
 
-// One activation of one token between two stages.
-constexpr double kActivationMegabits = 0.13;
 constexpr double kHopSeconds = 0.0002;
 constexpr double kOtherZoneHopSeconds = 0.001;
 // Candidates named in an explanation, so that a log line stays short.
