--- a/src/include/corneltray/control_client.h
+++ b/src/include/corneltray/control_client.h
@@ -63,9 +63,10 @@
                                                            TimePoint deadline) override;
 
  private:
-  // Returns the reply body, and whether any control process may have received the request.
+  // Returns the reply body, which holds no error. Fails with kNotProposed only if no control
+  // process can have put the command into the log.
   Result<nlohmann::json> Call(MessageType type, const nlohmann::json& body, TimePoint deadline);
-  std::string PickHost();
+  std::string PickHost(const std::string& avoid);
 
   PeerNode* m_node;
   std::mutex m_mutex;
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -81,6 +81,8 @@
 // thread-safe.
 class ConfigurationStore {
  public:
+  ConfigurationStore();
+
   ConfigurationReply Apply(const ApplyConfiguration& command, UnixMs log_time);
 
   std::uint64_t Revision() const { return m_revision; }
@@ -89,7 +91,7 @@
   // The greatest retention of any site, so that no site's keys are forgotten early.
   std::int64_t RetentionMs() const { return m_retention_ms; }
 
-  // Returns the document at an earlier revision, or nothing if it is no longer kept.
+  // Returns the document at this or an earlier revision, or nothing if it is no longer kept.
   std::optional<ConfigurationDocument> DocumentAt(std::uint64_t revision) const;
 
   nlohmann::json Snapshot() const;
@@ -97,19 +99,22 @@
   void Restore(const nlohmann::json& snapshot);
 
  private:
+  // What an accepted change id stands for.
+  struct Change {
+    std::uint64_t revision = 0;
+    std::uint64_t document_hash = 0;  // a change id names one document
+  };
+
   void SetRetention();
 
   std::uint64_t m_revision = 0;
   ConfigurationDocument m_document;
   std::deque<ConfigurationHistoryRow> m_history;
-  std::map<std::string, ConfigurationReply> m_replies;  // by change id
-  std::deque<std::string> m_reply_order;                // change ids, oldest first
+  std::map<std::string, Change> m_changes;
+  std::deque<std::string> m_change_order;  // oldest first
   // Earlier documents, kept to compute differences. Not part of the snapshot.
   std::map<std::uint64_t, ConfigurationDocument> m_earlier;
   std::int64_t m_retention_ms;
-
- public:
-  ConfigurationStore();
 };
 
 // The state machine of the replicated log. Applying the same records in the same order gives the
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -75,8 +75,8 @@
   PeerNode& operator=(const PeerNode&) = delete;
 
   // Handlers are set before Start. A request of a type without a handler is answered with an error.
-  // Handlers must be idempotent: a request is sent again, with the same id, when its link is
-  // replaced.
+  // A request is sent again, with the same id, when its link is replaced; the copy is answered with
+  // the first reply and reaches no handler.
   void SetRequestHandler(MessageType type, RequestHandler handler);
   void SetPushHandler(MessageType type, PushHandler handler);
 
@@ -96,7 +96,8 @@
   void Send(const std::string& host, MessageType type, nlohmann::json body);
 
   // Sends a request. The callback runs exactly once: with the reply, the peer's error (kRefused),
-  // or kDeadlineExceeded or kNotConnected.
+  // or kDeadlineExceeded, kNotConnected or kStopped. After any error but kRefused the peer may have
+  // run it. A restarted peer does not get requests sent to its predecessor.
   void Request(const std::string& host, MessageType type, nlohmann::json body, TimePoint deadline,
                ReplyCallback callback);
 
--- a/src/libcorneltray/peer_links.cc
+++ b/src/libcorneltray/peer_links.cc
@@ -120,6 +120,9 @@
     }
     peer.active = 0;
     peer.replies = {};
+    // The old process may have run them, and the new one does not know: its answer to a second copy
+    // would say nothing about the first.
+    FailRequests(host, PeerErrc::kNotConnected);
     for (const LinkId id : older) CloseLink(id, true);
   }
   peer.identity = hello.identity;
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -181,6 +181,12 @@
     case ReplyCache::Seen::kAnswered:
       SendPayload(link, peer.replies.ReplyTo(message.id));
       return;
+    case ReplyCache::Seen::kForgotten:
+      SendPayload(
+          link,
+          EncodePeerMessage(
+              {MessageType::kError, 0, message.id, {{"message", "the reply is no longer kept"}}}));
+      return;
     case ReplyCache::Seen::kNew:
       break;
   }
--- a/src/libcorneltray/peer_replies.cc
+++ b/src/libcorneltray/peer_replies.cc
@@ -1,10 +1,12 @@
 #include "peer_replies.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace corneltray {
 
 ReplyCache::Seen ReplyCache::Begin(std::uint64_t id, std::uint64_t link) {
+  if (id <= m_forgotten && m_replies.count(id) == 0) return Seen::kForgotten;
   const auto [reply, inserted] = m_replies.try_emplace(id);
   reply->second.link = link;
   if (inserted) return Seen::kNew;
@@ -22,6 +24,7 @@
   while (m_answered.size() > 1 && (m_answered.size() > kMaxReplies || m_bytes > kMaxReplyBytes)) {
     const auto oldest = m_replies.find(m_answered.front());
     m_bytes -= oldest->second.payload.size();
+    m_forgotten = std::max(m_forgotten, oldest->first);
     m_replies.erase(oldest);
     m_answered.pop_front();
   }
--- a/src/libcorneltray/peer_replies.h
+++ b/src/libcorneltray/peer_replies.h
@@ -13,10 +13,15 @@
 // sent again after its link was replaced gets the first reply and does not run again.
 class ReplyCache {
  public:
-  enum class Seen { kNew, kInProgress, kAnswered };
+  enum class Seen {
+    kNew,
+    kInProgress,
+    kAnswered,
+    kForgotten,  // may have been answered before; must not run again
+  };
 
-  // Replies kept for each peer. Older ones can only be asked for by a request that stayed
-  // unanswered while that many later ones were answered; its handler then runs again.
+  // Replies kept for each peer. An older one can only be asked for by a request that stayed
+  // unanswered while that many later ones were answered.
   static constexpr std::size_t kMaxReplies = 1024;
   static constexpr std::size_t kMaxReplyBytes = 512UL * 1024UL;
 
@@ -40,6 +45,8 @@
 
   std::unordered_map<std::uint64_t, Reply> m_replies;
   std::deque<std::uint64_t> m_answered;  // oldest first
+  // Greatest id whose reply was dropped. Ids of one process increase.
+  std::uint64_t m_forgotten = 0;
   std::size_t m_bytes = 0;
 };
 
--- a/src/libcorneltray/peer_session_test.cc
+++ b/src/libcorneltray/peer_session_test.cc
@@ -127,6 +127,8 @@
     }
     CHECK(cache.Size() == ReplyCache::kMaxReplies);
     CHECK(cache.ReplyTo(1).empty());
+    CHECK(cache.Begin(1, 12) == ReplyCache::Seen::kForgotten);
+    CHECK(cache.Begin(1'000'000, 12) == ReplyCache::Seen::kNew);
   }
   SUBCASE("up to a size, but always the newest") {
     cache.Begin(2, 10);
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -263,11 +263,20 @@
 TEST_CASE("a restarted process replaces the old one") {
   Echo a(OptionsFor("a"));
   REQUIRE(a.node.Start().Ok());
+  std::promise<Result<json>> open;
   {
-    Echo old(OptionsFor("b", 1));
-    REQUIRE(old.node.Start().Ok());
-    old.node.Connect(a.node.ListenAddress());
+    PeerNode old(OptionsFor("b", 1));
+    std::atomic<int> requests{0};
+    old.SetRequestHandler(MessageType::kPropose,
+                          [&](const PeerIdentity&, const json&, const PeerNode::Responder&) {
+                            ++requests;  // and never answers
+                          });
+    REQUIRE(old.Start().Ok());
+    old.Connect(a.node.ListenAddress());
     REQUIRE(Eventually([&] { return IsConnected(a.node, "b"); }));
+    a.node.Request("b", MessageType::kPropose, {{"number", 1}}, Clock::now() + kPatience,
+                   [&](Result<json> reply) { open.set_value(std::move(reply)); });
+    REQUIRE(Eventually([&] { return requests == 1; }));
   }
   Echo restarted(OptionsFor("b", 2));
   REQUIRE(restarted.node.Start().Ok());
@@ -276,6 +285,10 @@
     const auto peers = a.node.Peers();
     return peers.size() == 1 && peers[0].connected && peers[0].identity.incarnation == 2;
   }));
+  // The old process may have run the request; the new one must not run it as well.
+  const auto unanswered = open.get_future().get();
+  REQUIRE_FALSE(unanswered.Ok());
+  CHECK(unanswered.error().code == make_error_code(PeerErrc::kNotConnected));
   CHECK(Ask(&a.node, "b", {{"number", 1}}).Ok());
   CHECK(restarted.requests == 1);
 }
