--- /dev/null
+++ b/src/corneltray-control/control_http.cc
@@ -0,0 +1,116 @@
+#include "control_http.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "corneltray/admin_api.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+HttpResponse Answer(int status, const json& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return response;
+}
+
+HttpResponse Refusal(int status, const std::string& code, const std::string& message) {
+  return Answer(status,
+                {{"error", {{"code", code}, {"message", message}, {"outcome", "not_run"}}}});
+}
+
+json StatusOf(const ControlHttpOptions& options) {
+  json status = options.control->Status();
+  if (status.is_null()) status = json::object();
+  status["program"] = kControlProgram;
+  status["host"] = options.settings->name;
+  status["region"] = options.settings->region;
+  status["availability_zone"] = options.settings->availability_zone;
+  status["draining"] = options.draining->load();
+  json hosts = json::array();
+  for (const HostView& view : options.membership->Hosts()) {
+    hosts.push_back({{"name", view.info.name},
+                     {"program", view.info.program},
+                     {"availability_zone", view.info.availability_zone},
+                     {"liveness", NameOf(view.liveness)},
+                     {"revision", view.info.configuration_revision}});
+  }
+  status["hosts"] = std::move(hosts);
+  return status;
+}
+
+HttpResponse Ready(const ControlHttpOptions& options) {
+  const char* reason = *options.draining                  ? "draining"
+                       : options.control->StorageFailed() ? "storage_failed"
+                       : !options.control->HasLeader()    ? "no_leader"
+                                                          : nullptr;
+  if (reason != nullptr) return Answer(503, {{"ready", false}, {"reason", reason}});
+  return Answer(200, {{"ready", true}});
+}
+
+HttpResponse Metrics(const ControlHttpOptions& options) {
+  const json status = options.control->Status();
+  std::string text;
+  const auto add = [&text](const std::string& name, const char* type, std::uint64_t value) {
+    text += "# TYPE corneltray_" + name + " " + type + "\n";
+    text += "corneltray_" + name + " " + std::to_string(value) + "\n";
+  };
+  if (status.is_object()) {
+    add("control_is_leader", "gauge", status["role"] == NameOf(ReplicaRole::kLeader) ? 1 : 0);
+    add("control_storage_failed", "gauge", status["storage_failed"].get<bool>() ? 1 : 0);
+    add("control_term", "gauge", status["term"]);
+    add("control_last_index", "gauge", status["last_index"]);
+    add("control_commit_index", "gauge", status["commit_index"]);
+    add("control_bookings", "gauge", status["bookings"]);
+    add("control_log_syncs_total", "counter", status["syncs"]);
+  }
+  add("configuration_revision", "gauge", options.feed->Document().revision);
+  const PeerCounters peers = options.node->Counters();
+  add("peer_frames_malformed_total", "counter", peers.malformed);
+  add("peer_frames_oversized_total", "counter", peers.oversized);
+  add("peer_frames_unauthenticated_total", "counter", peers.unauthenticated);
+  add("peer_frames_replayed_total", "counter", peers.replayed);
+  add("peer_links_replaced_total", "counter", peers.links_replaced);
+  add("peer_bytes_sent_total", "counter", peers.bytes_sent);
+  add("peer_bytes_received_total", "counter", peers.bytes_received);
+  HttpResponse response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = std::move(text);
+  return response;
+}
+
+}  // namespace
+
+std::unique_ptr<HttpServer> MakeControlHttpServer(const ControlHttpOptions& options) {
+  HttpServerOptions server_options;
+  server_options.address = options.settings->http_address;
+  server_options.threads = options.settings->http_threads;
+  const auto handle = [options](const HttpRequest& request) {
+    const std::string path = request.Path();
+    if (request.method != "GET") return Refusal(405, "method_not_allowed", "use GET");
+    if (path == "/healthz") return Answer(200, {{"alive", true}});
+    if (path == "/readyz") return Ready(options);
+    if (path == "/metrics") return Metrics(options);
+    if (path == "/v1/status") return Answer(200, StatusOf(options));
+    return Refusal(404, "not_found", "no such path at a control process");
+  };
+  const auto refuse = [](int status) {
+    return Refusal(status, status == 413 ? "body_too_large" : "malformed_request",
+                   "the request was refused before it was read");
+  };
+  auto server = std::make_unique<HttpServer>(server_options, handle, refuse);
+  server->SetLibraryPrefix("/admin/");
+  AdminOptions admin;
+  admin.operator_key = options.settings->operator_key;
+  admin.control = options.client;
+  admin.feed = options.feed;
+  admin.status = [options] { return StatusOf(options); };
+  admin.drain = options.drain;
+  RegisterAdminApi(server->Library(), std::move(admin));
+  return server;
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/corneltray-control/control_node.cc
@@ -0,0 +1,426 @@
+#include "control_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <random>
+#include <utility>
+
+#include "corneltray/control_protocol.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+// A snapshot is taken after this many entries, or a quarter of the bookings held if that is more,
+// so that the cost of a snapshot stays in proportion to the entries it replaces.
+constexpr std::uint64_t kMinEntriesPerSnapshot = 4096;
+constexpr std::chrono::seconds kMaxRequestTimeout{30};
+constexpr std::chrono::milliseconds kStatusTimeout{1000};
+constexpr std::chrono::milliseconds kHandOverPoll{10};
+constexpr std::size_t kMaxHistoryRows = 1000;
+
+ReplicaOptions MakeReplicaOptions() {
+  ReplicaOptions options;
+  options.seed = std::random_device{}();
+  return options;
+}
+
+TimePoint DeadlineOf(const json& body) {
+  const std::chrono::milliseconds timeout(body.at("timeout_ms").get<std::int64_t>());
+  return Clock::now() + std::clamp<std::chrono::milliseconds>(timeout, {}, kMaxRequestTimeout);
+}
+
+bool IsPersist(const Action& action) {
+  return std::holds_alternative<PersistHardState>(action) ||
+         std::holds_alternative<PersistEntries>(action) ||
+         std::holds_alternative<PersistSnapshot>(action);
+}
+
+// Completes a request once; later calls do nothing. Needed because a proposal is answered by its
+// commit or by its deadline, whichever comes first.
+ControlNode::Responder Once(ControlNode::Responder respond) {
+  auto open = std::make_shared<bool>(true);
+  return [open, respond = std::move(respond)](Result<json> result) {
+    if (!std::exchange(*open, false)) return;
+    respond(std::move(result));
+  };
+}
+
+}  // namespace
+
+ControlNode::ControlNode(ControlNodeOptions options, std::unique_ptr<LogStorage> storage)
+    : m_options(std::move(options)),
+      m_node(m_options.node),
+      m_replica(MakeReplicaOptions(), std::move(storage->Recovered()), Clock::now()),
+      m_storage(std::move(storage),
+                [this](std::uint64_t sequence, const corneltray::Status& status) {
+                  m_node->Post([this, sequence, status] { OnPersisted(sequence, status); });
+                }) {}
+
+void ControlNode::Register() {
+  m_node->SetPushHandler(MessageType::kReplica, [this](const PeerIdentity& from, const json& body) {
+    const auto message = ReplicaMessageFromJson(body);
+    if (!message || from.program != kControlProgram) return;
+    m_replica.Step(Clock::now(), from.host, message.value());
+    Drain();
+  });
+  m_node->SetRequestHandler(
+      MessageType::kPropose,
+      [this](const PeerIdentity&, const json& body, Responder respond) { Propose(body, respond); });
+  m_node->SetRequestHandler(MessageType::kReadBooking,
+                            [this](const PeerIdentity&, const json& body, Responder respond) {
+                              ReadBooking(body, respond);
+                            });
+  m_node->SetRequestHandler(MessageType::kConfigurationFetch,
+                            [this](const PeerIdentity&, const json& body, Responder respond) {
+                              FetchConfiguration(body, respond);
+                            });
+}
+
+void ControlNode::Begin() {
+  m_node->Post([this] {
+    m_replica.Tick(Clock::now());
+    Drain();
+  });
+}
+
+void ControlNode::Drain() {
+  while (true) {
+    ActionBatch batch = m_replica.TakeActions();
+    if (batch.actions.empty()) break;
+    Execute(std::move(batch));
+  }
+  PublishConfiguration();
+  CompactIfDue();
+  PlanTick();
+}
+
+void ControlNode::Execute(ActionBatch batch) {
+  ActionBatch persist;
+  persist.sequence = batch.sequence;
+  persist.needs_sync = batch.needs_sync;
+  std::vector<Action> others;
+  for (Action& action : batch.actions) {
+    (IsPersist(action) ? persist.actions : others).push_back(std::move(action));
+  }
+  if (batch.needs_sync) {
+    m_submitted = batch.sequence;
+    m_storage.Submit(std::move(persist));
+  }
+  struct Visitor {
+    ControlNode& node;
+    void operator()(PersistHardState&) const {}
+    void operator()(PersistEntries&) const {}
+    void operator()(PersistSnapshot&) const {}
+    void operator()(SendMessage& send) const { node.SendWhenPersisted(std::move(send)); }
+    void operator()(ApplyEntries& apply) const { node.Apply(apply.entries); }
+    void operator()(RestoreSnapshot& restore) const { node.Restore(restore.snapshot); }
+    void operator()(ReadBarrierConfirmed& read) const { node.FinishRead(read.id, true); }
+    void operator()(ReadBarrierFailed& read) const { node.FinishRead(read.id, false); }
+    void operator()(RoleChanged& change) const { node.OnRoleChanged(change); }
+  };
+  for (Action& action : others) std::visit(Visitor{*this}, action);
+}
+
+void ControlNode::SendWhenPersisted(SendMessage send) {
+  if (send.after_persist && m_persisted < m_submitted) {
+    if (m_storage_failed) return;  // it would promise what is not on disk
+    m_unsent.emplace_back(m_submitted, std::move(send.message));
+    return;
+  }
+  const std::string host = send.message.to.host;
+  m_node->Send(host, MessageType::kReplica, ReplicaMessageToJson(send.message));
+}
+
+void ControlNode::OnPersisted(std::uint64_t sequence, const corneltray::Status& status) {
+  const TimePoint now = Clock::now();
+  if (!status) {
+    m_storage_failed = true;
+    m_unsent.clear();  // they promise what is not on disk
+    LogEvent(LogLevel::kError, "storage_failed", {{"error", status.error().ToString()}});
+    m_replica.StorageFailed(now, status.error());
+    Drain();
+    return;
+  }
+  m_persisted = std::max(m_persisted, sequence);
+  while (!m_unsent.empty() && m_unsent.front().first <= m_persisted) {
+    const ReplicaMessage message = std::move(m_unsent.front().second);
+    m_unsent.pop_front();
+    m_node->Send(message.to.host, MessageType::kReplica, ReplicaMessageToJson(message));
+  }
+  m_replica.Persisted(now, sequence);
+  Drain();
+}
+
+void ControlNode::Apply(const std::vector<LogEntry>& entries) {
+  for (const LogEntry& entry : entries) {
+    m_applied = entry.index;
+    json reply;
+    if (entry.kind == EntryKind::kCommand) {
+      const auto command = DecodeCommand(entry.payload);
+      if (command) {
+        reply = ReplyBody(m_state.Apply(command.value(), entry.timestamp));
+      } else {
+        // The same bytes fail on every replica, so the states stay equal.
+        LogEvent(LogLevel::kError, "log_command_refused",
+                 {{"index", entry.index}, {"error", command.error().ToString()}});
+        reply = ErrorBody(ControlErrc::kNotProposed, command.error().ToString());
+      }
+    }
+    const auto [begin, end] = m_proposals.equal_range(entry.index);
+    for (auto waiting = begin; waiting != end; ++waiting) {
+      // Another record at this position: the proposal was never committed and never will be.
+      waiting->second.respond(
+          waiting->second.term == entry.term
+              ? reply
+              : ErrorBody(ControlErrc::kNotProposed, "replaced at a change of leader"));
+    }
+    m_proposals.erase(begin, end);
+  }
+}
+
+void ControlNode::Restore(const Snapshot& snapshot) {
+  const corneltray::Status restored = m_state.Restore(*snapshot.data);
+  if (!restored) {
+    m_options.on_fatal(restored.error().ToString());
+    return;
+  }
+  m_applied = m_compacted = snapshot.last.index;
+  LogEvent(LogLevel::kInfo, "snapshot_restored",
+           {{"index", m_applied}, {"revision", m_state.GetConfiguration().Revision()}});
+  // Whether their commands are part of the snapshot is not known here.
+  const auto end = m_proposals.upper_bound(m_applied);
+  for (auto waiting = m_proposals.begin(); waiting != end; ++waiting) {
+    waiting->second.respond(ErrorBody(ControlErrc::kUnavailable, "covered by a snapshot"));
+  }
+  m_proposals.erase(m_proposals.begin(), end);
+}
+
+void ControlNode::OnRoleChanged(const RoleChanged& change) {
+  LogEvent(LogLevel::kInfo, "role_changed",
+           {{"role", NameOf(change.role)},
+            {"reason", NameOf(change.reason)},
+            {"term", change.term},
+            {"leader", change.leader ? change.leader->host : ""}});
+  m_has_leader = change.leader.has_value();
+  if (m_has_leader && !std::exchange(m_leader_reported, true)) m_options.on_leader_known();
+}
+
+void ControlNode::FinishRead(std::uint64_t id, bool confirmed) {
+  const auto read = m_reads.extract(id);
+  if (read.empty()) return;
+  const WaitingRead& waiting = read.mapped();
+  waiting.respond(confirmed ? ReplyBody(m_state.ReadBooking(waiting.key))
+                            : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
+}
+
+void ControlNode::PublishConfiguration() {
+  const ConfigurationStore& store = m_state.GetConfiguration();
+  const std::uint64_t revision = store.Revision();
+  if (revision == m_published) return;
+  const RevisedDocument current{revision, store.Document()};
+  std::optional<RevisedDocument> previous;
+  if (const auto document = store.DocumentAt(revision - 1); document && revision > 1) {
+    previous = RevisedDocument{revision - 1, *document};
+  }
+  m_published = revision;
+  m_options.feed->Offer(current);
+  m_options.on_revision(revision);
+  const json update = MakeConfigurationUpdate(previous, current);
+  for (const PeerStatus& peer : m_node->Peers()) {
+    // Control processes get the document through the log.
+    if (!peer.connected || peer.identity.program == kControlProgram) continue;
+    m_node->Send(peer.identity.host, MessageType::kConfigurationChanged, update);
+  }
+}
+
+void ControlNode::CompactIfDue() {
+  const std::uint64_t due =
+      std::max<std::uint64_t>(kMinEntriesPerSnapshot, m_state.GetBookings().Size() / 4);
+  if (m_applied < m_compacted + due || m_storage_failed) return;
+  m_compacted = m_applied;
+  std::string data = m_state.Snapshot();
+  LogEvent(LogLevel::kInfo, "snapshot_taken", {{"index", m_applied}, {"bytes", data.size()}});
+  m_replica.Compact(m_applied, std::move(data));
+  Drain();
+}
+
+void ControlNode::PlanTick() {
+  const TimePoint next = m_replica.NextDeadline();
+  if (m_next_tick && *m_next_tick <= next) return;
+  m_next_tick = next;
+  m_node->RunAt(next, [this, next] {
+    // A later call may have planned an earlier tick; that one plans on.
+    if (m_next_tick != next) return;
+    m_next_tick.reset();
+    m_replica.Tick(Clock::now());
+    Drain();
+  });
+}
+
+bool ControlNode::Forward(MessageType type, const json& body, const Responder& respond) {
+  const ReplicaStatus status = m_replica.GetStatus();
+  if (status.role == ReplicaRole::kLeader) return false;
+  if (body.value("forwarded", false) || !status.leader) {
+    respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " knows no leader"));
+    return true;
+  }
+  const std::string leader = status.leader->host;
+  const auto peers = m_node->Peers();
+  const bool connected = std::any_of(peers.begin(), peers.end(), [&](const PeerStatus& peer) {
+    return peer.connected && peer.identity.host == leader;
+  });
+  if (!connected) {
+    respond(ErrorBody(ControlErrc::kNotProposed, "no link to the leader " + leader));
+    return true;
+  }
+  json forwarded = body;
+  forwarded["forwarded"] = true;
+  m_node->Request(
+      leader, type, std::move(forwarded), DeadlineOf(body), [respond](const Result<json>& reply) {
+        respond(reply
+                    ? reply
+                    : Result<json>(ErrorBody(ControlErrc::kUnavailable, reply.error().ToString())));
+      });
+  return true;
+}
+
+void ControlNode::Propose(const json& body, const Responder& respond) {
+  if (Forward(MessageType::kPropose, body, respond)) return;
+  const TimePoint deadline = DeadlineOf(body);
+  const auto& bytes = body.at("command").get_binary();
+  std::string command(bytes.begin(), bytes.end());
+  if (const auto decoded = DecodeCommand(command); !decoded) {
+    respond(decoded.error());
+    return;
+  }
+  const auto position = m_replica.Propose(Clock::now(), UnixNow(), std::move(command));
+  if (!position) {
+    respond(ErrorBody(ControlErrc::kNotProposed, position.error().ToString()));
+    Drain();
+    return;
+  }
+  const Responder once = Once(respond);
+  m_proposals.emplace(position.value().index, WaitingProposal{position.value().term, once});
+  m_node->RunAt(deadline, [once] {
+    once(ErrorBody(ControlErrc::kUnavailable, "not committed before the deadline"));
+  });
+  Drain();
+}
+
+void ControlNode::ReadBooking(const json& body, const Responder& respond) {
+  if (Forward(MessageType::kReadBooking, body, respond)) return;
+  const json& key = body.at("key");
+  const std::uint64_t id = ++m_last_read;
+  const TimePoint deadline = DeadlineOf(body);
+  m_reads[id] = {{key.at(0), key.at(1), key.at(2)}, Once(respond)};
+  const corneltray::Status started = m_replica.ReadBarrier(Clock::now(), id);
+  if (!started) {
+    m_reads.erase(id);
+    respond(ErrorBody(ControlErrc::kNotProposed, started.error().ToString()));
+  } else {
+    m_node->RunAt(deadline, [this, id] {
+      const auto read = m_reads.extract(id);
+      if (read.empty()) return;
+      read.mapped().respond(ErrorBody(ControlErrc::kUnavailable, "no majority answered"));
+    });
+  }
+  Drain();
+}
+
+void ControlNode::FetchConfiguration(const json& body, const Responder& respond) {
+  const ConfigurationStore& store = m_state.GetConfiguration();
+  if (body.contains("history")) {
+    const std::size_t limit =
+        std::min<std::size_t>(body.at("history").get<std::size_t>(), kMaxHistoryRows);
+    std::vector<ConfigurationHistoryRow> rows(store.History().rbegin(), store.History().rend());
+    if (rows.size() > limit) rows.resize(limit);
+    respond(json{{"history", HistoryToJson(rows)}});
+    return;
+  }
+  const std::uint64_t have = body.at("have");
+  if (have >= store.Revision()) {
+    respond(json{{"revision", store.Revision()}, {"unchanged", true}});
+    return;
+  }
+  std::optional<RevisedDocument> from;
+  if (have > 0) {
+    if (const auto document = store.DocumentAt(have)) from = RevisedDocument{have, *document};
+  }
+  respond(MakeConfigurationUpdate(from, {store.Revision(), store.Document()}));
+}
+
+json ControlNode::StatusNow() const {
+  const ReplicaStatus status = m_replica.GetStatus();
+  json members = json::array();
+  for (const auto& [id, role] : status.members.members) {
+    members.push_back({{"host", id.host},
+                       {"disk_identity", id.disk_identity},
+                       {"role", NameOf(role)},
+                       {"voter", role == MemberRole::kVoter}});
+  }
+  return {{"role", NameOf(status.role)},
+          {"term", status.term},
+          {"leader", status.leader ? status.leader->host : ""},
+          {"disk_identity", status.self.disk_identity},
+          {"last_index", status.last.index},
+          {"commit_index", status.commit_index},
+          {"snapshot_index", status.snapshot_index},
+          {"storage_failed", status.storage_failed},
+          {"members", std::move(members)},
+          {"log_time_ms", m_state.LogTime()},
+          {"bookings", m_state.GetBookings().Size()},
+          {"syncs", m_storage.SyncCount()}};
+}
+
+json ControlNode::Status() {
+  auto promise = std::make_shared<std::promise<json>>();
+  auto answer = promise->get_future();
+  m_node->Post([this, promise] { promise->set_value(StatusNow()); });
+  if (answer.wait_for(kStatusTimeout) != std::future_status::ready) return nullptr;
+  return answer.get();
+}
+
+void ControlNode::HandOver(TimePoint deadline) {
+  auto promise = std::make_shared<std::promise<bool>>();
+  auto started = promise->get_future();
+  m_node->Post([this, promise] {
+    // Fails at a follower, and without another voter to hand over to.
+    const bool ok = m_replica.TransferLeadership(Clock::now()).Ok();
+    if (ok) Drain();
+    promise->set_value(ok);
+  });
+  if (started.wait_until(deadline) != std::future_status::ready || !started.get()) return;
+  while (Clock::now() < deadline) {
+    const json status = Status();
+    if (status.is_null() || status["role"] != NameOf(ReplicaRole::kLeader)) return;
+    std::this_thread::sleep_for(kHandOverPoll);
+  }
+}
+
+std::optional<Result<json>> LocalControlClient::TryOnce(MessageType type, const json& body,
+                                                        TimePoint deadline) {
+  auto promise = std::make_shared<std::promise<Result<json>>>();
+  auto answer = promise->get_future();
+  m_node->Post([this, type, body, promise] {
+    const ControlNode::Responder respond =
+        Once([promise](Result<json> result) { promise->set_value(std::move(result)); });
+    if (type == MessageType::kPropose) {
+      m_control->Propose(body, respond);
+    } else if (type == MessageType::kReadBooking) {
+      m_control->ReadBooking(body, respond);
+    } else {
+      m_control->FetchConfiguration(body, respond);
+    }
+  });
+  // The answer comes at the deadline at the latest; the margin lets it name the reason.
+  if (answer.wait_until(deadline + kHandOverPoll * 10) != std::future_status::ready) {
+    return Result<json>(Error{PeerErrc::kDeadlineExceeded, "no answer of the own process"});
+  }
+  return answer.get();
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/corneltray-control/main.cc
@@ -0,0 +1,235 @@
+// corneltray-control: one replica of the replicated log of a region.
+#include <signal.h>  // NOLINT(modernize-deprecated-headers): sigtimedwait is POSIX
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "control_http.h"
+#include "control_node.h"
+#include "corneltray/log.h"
+#include "corneltray/log_storage.h"
+#include "corneltray/settings.h"
+
+namespace corneltray {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 2;
+constexpr int kExitDataFolder = 3;
+constexpr int kExitAddress = 4;
+constexpr int kExitFailed = 5;
+
+constexpr char kFooter[] =
+    "Exit codes: 0 stopped or done, 2 wrong arguments or settings, 3 data folder cannot be used,\n"
+    "4 an address cannot be bound, 5 failed while running.";
+
+constexpr std::chrono::milliseconds kSignalPoll{100};
+// A hand-over takes one election; longer would delay the stop of a host without another voter.
+constexpr std::chrono::milliseconds kHandOverTimeout{2000};
+constexpr std::chrono::milliseconds kIdleGrace{200};
+
+struct Arguments {
+  std::string settings;
+  bool format = false;
+  bool check = false;
+};
+
+int Fail(int code, const std::string& message) {
+  std::cerr << "corneltray-control: " << message << "\n";
+  return code;
+}
+
+// Checks what only this program needs.
+void CheckSettings(const HostSettings& settings, const std::string& file,
+                   std::vector<DocumentIssue>* issues) {
+  if (settings.data_folder.empty()) {
+    issues->push_back({file, 0, "host.data_folder", "is required for a control process"});
+  }
+}
+
+int Format(const HostSettings& settings) {
+  bool founding = false;
+  for (const std::string& host : settings.control_hosts) founding |= host == settings.name;
+  if (!founding) {
+    return Fail(kExitUsage, "host.name " + settings.name +
+                                " is not in control.hosts; only the hosts of the first start are "
+                                "formatted, any other one starts with an empty data folder");
+  }
+  const auto identity =
+      LogStorage::Format(settings.data_folder, settings.name, settings.control_hosts);
+  if (!identity) return Fail(kExitDataFolder, identity.error().ToString());
+  std::cout << "formatted " << settings.data_folder << " for " << identity.value().host
+            << " with disk identity " << identity.value().disk_identity << "\n";
+  return kExitOk;
+}
+
+// Everything that a running control process holds, in the order in which it is taken down.
+class Program {
+ public:
+  explicit Program(HostSettings settings) : m_settings(std::move(settings)) {}
+
+  int Run() {
+    // Blocked before any thread starts, so that only the wait below takes them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+
+    StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
+                 m_settings.log_level);
+    auto storage = LogStorage::Open(m_settings.data_folder, m_settings.name);
+    if (!storage) return Fail(kExitDataFolder, storage.error().ToString());
+    Report(storage.value()->Report());
+    if (const int code = Start(std::move(storage).value()); code != kExitOk) return code;
+    while (!m_stop) {
+      const timespec poll{0, std::chrono::nanoseconds(kSignalPoll).count()};
+      if (sigtimedwait(&signals, nullptr, &poll) > 0) break;
+    }
+    Stop();
+    return m_exit_code;
+  }
+
+ private:
+  static void Report(const StorageReport& report) {
+    if (report.created) LogEvent(LogLevel::kWarning, "data_folder_created", {{"role", "learner"}});
+    if (report.truncated_bytes == 0) return;
+    LogEvent(LogLevel::kWarning, "log_tail_truncated",
+             {{"file", report.truncated_file},
+              {"offset", report.truncated_at},
+              {"bytes", report.truncated_bytes}});
+  }
+
+  int Start(std::unique_ptr<LogStorage> storage) {
+    const auto incarnation = static_cast<std::uint64_t>(UnixNow());
+    PeerOptions peer;
+    peer.identity = {m_settings.name, kControlProgram, m_settings.region,
+                     m_settings.availability_zone, incarnation};
+    peer.listen_address = m_settings.peer_address;
+    peer.advertise_address = m_settings.peer_advertise;
+    peer.shared_key = m_settings.shared_key;
+    m_node = std::make_unique<PeerNode>(std::move(peer));
+    m_feed = std::make_unique<ConfigurationFeed>(nullptr, m_settings.site);
+    m_membership = std::make_unique<MembershipService>(m_node.get());
+    m_membership->SetChangeCallback([this](const std::vector<MembershipEvent>&) {
+      m_feed->NoteRevision(m_membership->GreatestRevision());
+    });
+    m_membership->Register();
+
+    ControlNodeOptions options;
+    options.host = m_settings.name;
+    options.node = m_node.get();
+    options.feed = m_feed.get();
+    options.on_revision = [this](std::uint64_t revision) {
+      m_membership->SetConfigurationRevision(revision);
+    };
+    options.on_leader_known = [] { LogEvent(LogLevel::kInfo, "ready", json::object()); };
+    options.on_fatal = [this](const std::string& why) {
+      LogEvent(LogLevel::kError, "failed", {{"error", why}});
+      m_exit_code = kExitFailed;
+      m_stop = true;
+    };
+    m_control = std::make_unique<ControlNode>(std::move(options), std::move(storage));
+    m_control->Register();
+    m_client = std::make_unique<LocalControlClient>(m_node.get(), m_control.get());
+
+    if (const corneltray::Status started = m_node->Start(); !started) {
+      return Fail(kExitAddress, started.error().ToString());
+    }
+    ControlHttpOptions http;
+    http.settings = &m_settings;
+    http.node = m_node.get();
+    http.control = m_control.get();
+    http.feed = m_feed.get();
+    http.membership = m_membership.get();
+    http.client = m_client.get();
+    http.draining = &m_draining;
+    http.drain = [this] { m_stop = true; };
+    m_http = MakeControlHttpServer(http);
+    if (const corneltray::Status started = m_http->Start(); !started) {
+      m_node->Stop();
+      return Fail(kExitAddress, started.error().ToString());
+    }
+    const std::string advertised =
+        m_settings.peer_advertise.empty() ? m_node->ListenAddress() : m_settings.peer_advertise;
+    LogEvent(LogLevel::kInfo, "listening",
+             {{"http_address", m_http->Address()}, {"peer_address", m_node->ListenAddress()}});
+    HostInfo self;
+    self.name = m_settings.name;
+    self.program = kControlProgram;
+    self.region = m_settings.region;
+    self.availability_zone = m_settings.availability_zone;
+    self.peer_address = advertised;
+    self.http_address = m_http->Address();
+    self.incarnation = incarnation;
+    m_membership->Start(std::move(self), m_settings.seeds);
+    for (const std::string& seed : m_settings.seeds) m_node->Connect(seed);
+    m_control->Begin();
+    return kExitOk;
+  }
+
+  void Stop() {
+    m_draining = true;
+    LogEvent(LogLevel::kInfo, "draining", json::object());
+    m_membership->SetLeaving();
+    m_control->HandOver(Clock::now() + kHandOverTimeout);
+    m_http->BeginDrain(kIdleGrace);
+    m_http->Stop(Clock::now() + std::chrono::milliseconds(m_settings.drain_deadline_ms));
+    m_node->Stop();
+    LogEvent(LogLevel::kInfo, "stopped", json::object());
+  }
+
+  using json = nlohmann::json;
+
+  HostSettings m_settings;
+  std::atomic<bool> m_stop{false};
+  std::atomic<bool> m_draining{false};
+  std::atomic<int> m_exit_code{kExitOk};
+  std::unique_ptr<PeerNode> m_node;
+  std::unique_ptr<ConfigurationFeed> m_feed;
+  std::unique_ptr<MembershipService> m_membership;
+  std::unique_ptr<ControlNode> m_control;
+  std::unique_ptr<LocalControlClient> m_client;
+  std::unique_ptr<HttpServer> m_http;
+};
+
+int Main(const Arguments& arguments) {
+  std::vector<DocumentIssue> issues;
+  HostSettings settings = LoadHostSettings(arguments.settings, &issues);
+  if (issues.empty()) CheckSettings(settings, arguments.settings, &issues);
+  for (const DocumentIssue& issue : issues) std::cerr << issue.ToString() << "\n";
+  if (!issues.empty()) return kExitUsage;
+  if (arguments.check) {
+    std::cout << arguments.settings << " is valid\n";
+    return kExitOk;
+  }
+  if (arguments.format) return Format(settings);
+  return Program(std::move(settings)).Run();
+}
+
+}  // namespace
+}  // namespace corneltray
+
+int main(int argc, char** argv) {
+  corneltray::Arguments arguments;
+  CLI::App app(
+      "One replica of the replicated log of a corneltray region: bookings and configuration.");
+  app.footer(corneltray::kFooter);
+  app.set_version_flag("--version", std::string("corneltray-control ") + CORNELTRAY_VERSION);
+  app.add_option("--settings", arguments.settings, "TOML settings of this host")->required();
+  auto* format = app.add_flag("--format", arguments.format,
+                              "create the data folder of a founding replica, once, and exit");
+  app.add_flag("--check", arguments.check, "check the settings and exit")->excludes(format);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? corneltray::kExitOk : corneltray::kExitUsage;
+  }
+  return corneltray::Main(arguments);
+}
--- a/src/include/corneltray/control_client.h
+++ b/src/include/corneltray/control_client.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <mutex>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,28 +50,46 @@
 // Program name in PeerIdentity of the processes that hold a replica of the log.
 inline constexpr char kControlProgram[] = "corneltray-control";
 
-// ControlClient over the links of a PeerNode. Sends each call to a connected control process and,
-// when that one fails or stays silent, repeats the same command at the next one until the deadline.
-// Thread-safe; the calls block, see ControlClient.
-class PeerControlClient : public ControlClient {
+// A ControlClient that repeats a call with the same command until it is answered or its deadline
+// has passed. Thread-safe if TryOnce is.
+class RetryingControlClient : public ControlClient {
  public:
-  // The node outlives the client.
-  explicit PeerControlClient(PeerNode* node);
-
   Result<CommandReply> Propose(const Command& command, TimePoint deadline) override;
   Result<BookingReply> ReadBooking(const BookingKey& key, TimePoint deadline) override;
   Result<std::vector<ConfigurationHistoryRow>> ReadHistory(std::size_t limit,
                                                            TimePoint deadline) override;
 
+ protected:
+  // Asks one control process and blocks until the deadline at the latest. Returns nothing when
+  // there is none to ask. An error means that the process may have taken the request.
+  virtual std::optional<Result<nlohmann::json>> TryOnce(MessageType type,
+                                                        const nlohmann::json& body,
+                                                        TimePoint deadline) = 0;
+
  private:
   // Returns the reply body, which holds no error. Fails with kNotProposed only if no control
   // process can have put the command into the log.
   Result<nlohmann::json> Call(MessageType type, const nlohmann::json& body, TimePoint deadline);
-  std::string PickHost(const std::string& avoid);
+};
+
+// ControlClient over the links of a PeerNode. Asks the connected control process that answered last
+// and, when it fails or stays silent, the next one.
+class PeerControlClient : public RetryingControlClient {
+ public:
+  // The node outlives the client.
+  explicit PeerControlClient(PeerNode* node);
+
+ protected:
+  std::optional<Result<nlohmann::json>> TryOnce(MessageType type, const nlohmann::json& body,
+                                                TimePoint deadline) override;
+
+ private:
+  std::string PickHost();
 
   PeerNode* m_node;
   std::mutex m_mutex;
   std::string m_preferred;  // control process that answered last
+  std::string m_failed;     // control process that failed last
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -1,6 +1,7 @@
 #ifndef CORNELTRAY_CONTROL_STATE_H_
 #define CORNELTRAY_CONTROL_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -22,6 +23,9 @@
 
 std::error_code make_error_code(ControlStateErrc errc);
 
+// A document travels whole in one log entry of 512 KiB and in one frame of 1 MiB.
+inline constexpr std::size_t kMaxDocumentBytes = 262'144;
+
 // Returns the time embedded in a UUID version 7 in canonical lower-case text, or nothing if the
 // text is no such UUID.
 std::optional<UnixMs> IdempotencyKeyTime(const std::string& key);
--- a/src/libcorneltray/configuration_store.cc
+++ b/src/libcorneltray/configuration_store.cc
@@ -17,8 +17,6 @@
 constexpr std::size_t kMaxChangeIds = 10'000;
 // Receivers further behind than this get the whole document.
 constexpr std::size_t kMaxEarlierDocuments = 64;
-// A document travels whole in one log entry of 512 KiB and in one frame of 1 MiB.
-constexpr std::size_t kMaxDocumentBytes = 256UL * 1024UL;
 constexpr std::size_t kMaxChangeIdBytes = 128;
 constexpr std::int64_t kDefaultRetentionMs = std::int64_t{48} * 3600 * 1000;
 
--- a/src/libcorneltray/control_client.cc
+++ b/src/libcorneltray/control_client.cc
@@ -7,7 +7,7 @@
 #include <thread>
 #include <utility>
 
-#include "control_protocol.h"
+#include "corneltray/control_protocol.h"
 #include "corneltray/peer.h"
 
 namespace corneltray {
@@ -38,9 +38,32 @@
   return Error{ControlErrc::kUnavailable, "no history here"};
 }
 
+Result<json> RetryingControlClient::Call(MessageType type, const json& body, TimePoint deadline) {
+  bool may_be_proposed = false;
+  std::string detail = "no control process is connected";
+  while (Clock::now() < deadline) {
+    const TimePoint try_deadline = std::min(deadline, Clock::now() + kTryTimeout);
+    json tried = body;
+    tried["timeout_ms"] = MillisecondsUntil(try_deadline);
+    std::optional<Result<json>> reply = TryOnce(type, tried, try_deadline);
+    if (reply && *reply) {
+      const json& answer = reply->value();
+      if (!answer.contains("error")) return *std::move(reply);
+      if (answer.value("error", "") != kNotProposedName) may_be_proposed = true;
+      detail = answer.value("detail", "");
+    } else if (reply) {
+      may_be_proposed = true;
+      detail = reply->error().ToString();
+      if (reply->error().code == make_error_code(PeerErrc::kStopped)) break;
+    }
+    Pause(deadline);
+  }
+  return Error{may_be_proposed ? ControlErrc::kUnavailable : ControlErrc::kNotProposed, detail};
+}
+
 PeerControlClient::PeerControlClient(PeerNode* node) : m_node(node) {}
 
-std::string PeerControlClient::PickHost(const std::string& avoid) {
+std::string PeerControlClient::PickHost() {
   std::vector<std::string> hosts;
   for (const PeerStatus& peer : m_node->Peers()) {
     if (peer.connected && peer.identity.program == kControlProgram) {
@@ -50,56 +73,38 @@
   if (hosts.empty()) return "";
   const std::lock_guard<std::mutex> lock(m_mutex);
   const auto preferred = std::find(hosts.begin(), hosts.end(), m_preferred);
-  if (preferred != hosts.end() && *preferred != avoid) return *preferred;
+  if (preferred != hosts.end()) return *preferred;
   // The one after the one that failed, so that every control process is tried in turn.
-  const auto next = std::upper_bound(hosts.begin(), hosts.end(), avoid);
+  const auto next = std::upper_bound(hosts.begin(), hosts.end(), m_failed);
   return next == hosts.end() ? hosts.front() : *next;
 }
 
-Result<json> PeerControlClient::Call(MessageType type, const json& body, TimePoint deadline) {
-  bool may_be_proposed = false;
-  std::string failed_host;
-  std::string detail = "no control process is connected";
-  while (Clock::now() < deadline) {
-    const std::string host = PickHost(failed_host);
-    if (host.empty()) {
-      Pause(deadline);
-      continue;
-    }
-    const TimePoint try_deadline = std::min(deadline, Clock::now() + kTryTimeout);
-    json tried = body;
-    tried["timeout_ms"] = MillisecondsUntil(try_deadline);
-    auto promise = std::make_shared<std::promise<Result<json>>>();
-    auto answer = promise->get_future();
-    m_node->Request(host, type, std::move(tried), try_deadline,
-                    [promise](Result<json> reply) { promise->set_value(std::move(reply)); });
-    Result<json> reply = answer.get();
-    if (reply && !reply.value().contains("error")) {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      m_preferred = host;
-      return reply;
-    }
-    failed_host = host;
-    if (reply) {
-      if (reply.value().value("error", "") != kNotProposedName) may_be_proposed = true;
-      detail = host + ": " + reply.value().value("detail", "");
-    } else {
-      may_be_proposed = true;
-      detail = reply.error().ToString();
-      if (reply.error().code == make_error_code(PeerErrc::kStopped)) break;
-    }
-    Pause(deadline);
+std::optional<Result<json>> PeerControlClient::TryOnce(MessageType type, const json& body,
+                                                       TimePoint deadline) {
+  const std::string host = PickHost();
+  if (host.empty()) return std::nullopt;
+  auto promise = std::make_shared<std::promise<Result<json>>>();
+  auto answer = promise->get_future();
+  m_node->Request(host, type, body, deadline,
+                  [promise](Result<json> reply) { promise->set_value(std::move(reply)); });
+  Result<json> reply = answer.get();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (reply && !reply.value().contains("error")) {
+    m_preferred = host;
+  } else {
+    m_failed = host;
+    if (m_preferred == host) m_preferred.clear();
   }
-  return Error{may_be_proposed ? ControlErrc::kUnavailable : ControlErrc::kNotProposed, detail};
+  return reply;
 }
 
-Result<CommandReply> PeerControlClient::Propose(const Command& command, TimePoint deadline) {
+Result<CommandReply> RetryingControlClient::Propose(const Command& command, TimePoint deadline) {
   const auto reply = Call(MessageType::kPropose, ProposeBody(command, 0), deadline);
   if (!reply) return reply.error();
   return ParseReplyBody(reply.value());
 }
 
-Result<BookingReply> PeerControlClient::ReadBooking(const BookingKey& key, TimePoint deadline) {
+Result<BookingReply> RetryingControlClient::ReadBooking(const BookingKey& key, TimePoint deadline) {
   const auto reply = Call(MessageType::kReadBooking, ReadBookingBody(key, 0), deadline);
   if (!reply) return Error{ControlErrc::kUnavailable, reply.error().ToString()};
   const auto parsed = ParseReplyBody(reply.value());
@@ -109,8 +114,8 @@
   return *booking;
 }
 
-Result<std::vector<ConfigurationHistoryRow>> PeerControlClient::ReadHistory(std::size_t limit,
-                                                                            TimePoint deadline) {
+Result<std::vector<ConfigurationHistoryRow>> RetryingControlClient::ReadHistory(
+    std::size_t limit, TimePoint deadline) {
   const auto reply = Call(MessageType::kConfigurationFetch, HistoryBody(limit), deadline);
   if (!reply) return Error{ControlErrc::kUnavailable, reply.error().ToString()};
   const auto rows = reply.value().find("history");
--- a/src/libcorneltray/control_client_test.cc
+++ b/src/libcorneltray/control_client_test.cc
@@ -8,7 +8,7 @@
 #include <set>
 #include <thread>
 
-#include "control_protocol.h"
+#include "corneltray/control_protocol.h"
 #include "corneltray/configuration_feed.h"
 #include "corneltray/peer.h"
 
--- a/src/libcorneltray/control_protocol.cc
+++ b/src/libcorneltray/control_protocol.cc
@@ -1,4 +1,4 @@
-#include "control_protocol.h"
+#include "corneltray/control_protocol.h"
 
 #include <utility>
 
