--- a/src/include/corneltray/answer_stream.h
+++ b/src/include/corneltray/answer_stream.h
@@ -160,6 +160,9 @@
   // Applies the deadlines. Returns nothing while none has passed.
   std::optional<AnswerAction> Tick(TimePoint now);
 
+  // The owner was busy with a caller who reads slowly: the next token is due counted from now.
+  void RestartProgress(TimePoint now);
+
   // No further attempt is possible: no chain is left or the retry budget is used up.
   AnswerAction GiveUp(TimePoint now);
 
--- a/src/include/corneltray/http_server.h
+++ b/src/include/corneltray/http_server.h
@@ -54,7 +54,7 @@
 struct HttpServerOptions {
   std::string address;         // IP:PORT; port 0 picks a free one
   std::uint32_t threads = 64;  // connections served at once
-  std::size_t max_body_bytes = 1U << 20;
+  std::function<std::size_t()> max_body_bytes = [] { return std::size_t{1} << 20; };
   std::size_t max_header_bytes = 32U << 10;
   std::chrono::milliseconds keep_alive{30'000};
   std::chrono::milliseconds read_timeout{10'000};  // for the headers, and again for the body
@@ -74,8 +74,9 @@
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
-  // Builds the response to a request that never reaches the handler.
-  using ErrorHandler = std::function<HttpResponse(int status)>;
+  // Builds the response to a request that never reaches the handler. `keyed` tells whether its head
+  // has an Idempotency-Key.
+  using ErrorHandler = std::function<HttpResponse(int status, bool keyed)>;
 
   HttpServer(HttpServerOptions options, Handler handler, ErrorHandler error_handler);
   ~HttpServer();
@@ -95,6 +96,8 @@
   // From now on every response says `Connection: close`, and idle connections are closed after
   // `idle_grace`, so that callers move to other hosts.
   void BeginDrain(std::chrono::milliseconds idle_grace);
+  // From now on new connections fail; requests in progress and idle connections go on.
+  void CloseListener();
   // Waits until no request is in progress. Returns false if the deadline passed first.
   bool WaitIdle(TimePoint deadline);
   // Stops accepting, closes idle connections and waits for the requests in progress; at the
--- a/src/include/corneltray/upstream_client.h
+++ b/src/include/corneltray/upstream_client.h
@@ -142,10 +142,10 @@
 
   // Blocks until the response is complete or the deadline has passed. `end` is kComplete for any
   // complete response whatever its status, kConnectFailed only if no byte was sent, and else
-  // kBroken. A response whose end is marked only by the close of the connection counts as broken
-  // unless `accept_unframed` is set, because a lost connection looks the same.
+  // kBroken. A response whose end is marked only by the close of the connection counts as broken,
+  // because a lost connection looks the same. `is_cancelled` may be empty.
   ServiceResponse Call(const std::string& address, const ServiceCall& call, TimePoint deadline,
-                       bool accept_unframed, const std::function<bool()>& is_cancelled);
+                       const std::function<bool()>& is_cancelled);
 
  private:
   CallWatchdog* m_watchdog;
--- a/src/libcorneltray/answer_stream.cc
+++ b/src/libcorneltray/answer_stream.cc
@@ -156,6 +156,12 @@
   return std::nullopt;
 }
 
+void AnswerStream::RestartProgress(TimePoint now) {
+  if (m_state == State::kRunning && !m_first_of_attempt) {
+    m_progress_by = std::max(m_progress_by, now + m_spec.progress_timeout);
+  }
+}
+
 AnswerAction AnswerStream::GiveUp(TimePoint now) {
   if (m_state == State::kFinished || m_state == State::kFailed) {
     return Discard(DiscardReason::kAfterEnd);
--- a/src/libcorneltray/answer_stream_test.cc
+++ b/src/libcorneltray/answer_stream_test.cc
@@ -120,10 +120,17 @@
     // Guards against a stream that is kept alive by events which are not progress.
     CHECK(Is<DiscardEvent>(stream.HandleEvent(Token(1, 0), later + milliseconds(400))));
     CHECK(!stream.Tick(later + milliseconds(499)));
+    AnswerStream slow_caller = stream;
     const auto action = stream.Tick(later + milliseconds(500));
     REQUIRE(action);
     CHECK(std::get<ResumeAnswer>(*action).reason == ResumeReason::kNoProgress);
 
+    // Guards against a caller on a slow link making its engine look stalled.
+    SUBCASE("unless the time went into writing to the caller") {
+      slow_caller.RestartProgress(later + milliseconds(700));
+      CHECK(!slow_caller.Tick(later + milliseconds(1199)));
+      CHECK(slow_caller.Tick(later + milliseconds(1200)));
+    }
     SUBCASE("and the next attempt goes on where the first stopped") {
       REQUIRE(stream.BeginAttempt(GoodChain(), later).Ok());
       CHECK(stream.Attempt() == 2);
--- a/src/libcorneltray/http_server.cc
+++ b/src/libcorneltray/http_server.cc
@@ -60,6 +60,7 @@
   std::string content_type;
   int reject_status = 0;
   bool must_close = true;  // until the head is understood
+  bool keyed = false;
 };
 
 thread_local HttpConnection* t_connection = nullptr;
@@ -145,7 +146,6 @@
     set_keep_alive_max_count(1'000'000);
     set_keep_alive_timeout(
         std::chrono::duration_cast<std::chrono::seconds>(m_options.keep_alive).count());
-    set_payload_max_length(m_options.max_body_bytes);
     RegisterRoutes();
   }
 
@@ -184,17 +184,21 @@
 
   bool WaitIdle(TimePoint deadline) { return m_pool.WaitIdle(deadline); }
 
-  // The library would skip a streamed response that has not begun when the listener is closed, so
-  // the requests in progress end first.
+  // Server::stop marks the listener as closed, and the library then skips streamed responses that
+  // have not begun. A shutdown of the socket ends its accept loop without that mark.
+  void CloseListener() {
+    if (!m_listener_closed.exchange(true)) ::shutdown(svr_sock_, SHUT_RDWR);
+  }
+
   void StopNow(TimePoint deadline) {
     if (!m_accept_thread.joinable()) return;
     if (!m_draining) BeginDrain(milliseconds(0));
+    CloseListener();
     if (!WaitIdle(deadline)) {
       const std::lock_guard<std::mutex> lock(m_sockets_mutex);
       for (const int socket : m_sockets) ::shutdown(socket, SHUT_RDWR);
     }
     m_idle_until = 0;
-    stop();
     m_accept_thread.join();
   }
 
@@ -224,26 +228,27 @@
     Delete(kInnerPath, with_body);
     set_pre_routing_handler([this](const httplib::Request&, httplib::Response& response) {
       if (t_request.reject_status == 0) return HandlerResponse::Unhandled;
-      Fill(m_error_handler(t_request.reject_status), &response);
+      Fill(m_error_handler(t_request.reject_status, t_request.keyed), &response);
       return HandlerResponse::Handled;
     });
     set_error_handler(
         HandlerWithResponse([this](const httplib::Request&, httplib::Response& response) {
           if (response.body.empty() && !response.content_provider_) {
-            Fill(m_error_handler(response.status), &response);
+            Fill(m_error_handler(response.status, t_request.keyed), &response);
           }
           return HandlerResponse::Handled;
         }));
     set_exception_handler(
         [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
-          Fill(m_error_handler(500), &response);
+          Fill(m_error_handler(500, t_request.keyed), &response);
         });
   }
 
   // Called by the library when the head of a request is complete.
   void PrepareRequest(httplib::Request* request) {
     t_connection->BeginBody();
-    t_request.reject_status = CheckFraming(*request, m_options.max_body_bytes);
+    t_request.keyed = request->has_header("Idempotency-Key");
+    t_request.reject_status = CheckFraming(*request, m_options.max_body_bytes());
     t_request.must_close = t_request.reject_status != 0;
     if (t_request.must_close) {
       request->headers.erase("Connection");
@@ -271,15 +276,16 @@
   void ReadAndHandle(const httplib::Request& request, httplib::Response* response,
                      const httplib::ContentReader& reader) {
     std::string body;
+    const std::size_t max_bytes = m_options.max_body_bytes();
     bool too_large = false;
     const bool complete = reader([&](const char* data, std::size_t size) {
-      too_large = body.size() + size > m_options.max_body_bytes;
+      too_large = body.size() + size > max_bytes;
       if (!too_large) body.append(data, size);
       return !too_large;
     });
     if (!complete) {
       t_request.must_close = true;
-      Fill(m_error_handler(too_large ? 413 : 400), response);
+      Fill(m_error_handler(too_large ? 413 : 400, t_request.keyed), response);
       return;
     }
     Handle(request, std::move(body), response);
@@ -380,7 +386,7 @@
 
   void Refuse(HttpConnection* connection) {
     connection->WaitReadable(kIdleSlice);
-    HttpResponse own = m_error_handler(503);
+    HttpResponse own = m_error_handler(503, true);
     std::string text = "HTTP/1.1 " + std::to_string(own.status) + " Refused\r\n";
     for (const auto& [name, value] : own.headers) text += name + ": " + value + "\r\n";
     text += "Content-Type: " + own.content_type +
@@ -398,6 +404,7 @@
   std::thread m_accept_thread;
   HttpWorkerPool m_pool;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_listener_closed{false};
   std::atomic<Duration::rep> m_idle_until{0};
   std::atomic<std::uint64_t> m_accepted{0};
   std::mutex m_sockets_mutex;
@@ -416,6 +423,7 @@
 Status HttpServer::Start() { return m_impl->Start(); }
 std::string HttpServer::Address() const { return m_impl->Address(); }
 void HttpServer::BeginDrain(milliseconds idle_grace) { m_impl->BeginDrain(idle_grace); }
+void HttpServer::CloseListener() { m_impl->CloseListener(); }
 bool HttpServer::WaitIdle(TimePoint deadline) { return m_impl->WaitIdle(deadline); }
 void HttpServer::Stop(TimePoint deadline) { m_impl->StopNow(deadline); }
 HttpServerCounters HttpServer::Counters() const { return m_impl->Counters(); }
--- a/src/libcorneltray/http_server_test.cc
+++ b/src/libcorneltray/http_server_test.cc
@@ -40,7 +40,7 @@
   return response;
 }
 
-HttpResponse ErrorPage(int status) {
+HttpResponse ErrorPage(int status, bool) {
   HttpResponse response;
   response.status = status;
   response.body = "error " + std::to_string(status);
@@ -51,7 +51,7 @@
   HttpServerOptions options;
   options.address = "127.0.0.1:0";
   options.threads = 4;
-  options.max_body_bytes = 1000;
+  options.max_body_bytes = [] { return std::size_t{1000}; };
   options.max_header_bytes = 16384;
   options.read_timeout = milliseconds(300);
   return options;
--- a/src/libcorneltray/upstream_client.cc
+++ b/src/libcorneltray/upstream_client.cc
@@ -306,8 +306,7 @@
 ServiceClient::ServiceClient(CallWatchdog* watchdog) : m_watchdog(watchdog) {}
 
 ServiceResponse ServiceClient::Call(const std::string& address, const ServiceCall& call,
-                                    TimePoint deadline, bool accept_unframed,
-                                    const std::function<bool()>& is_cancelled) {
+                                    TimePoint deadline, const std::function<bool()>& is_cancelled) {
   ServiceResponse response;
   // After the deadline nothing is sent at all; the check and the connect timeout keep the write
   // from starting late.
@@ -343,8 +342,7 @@
   response.status = result->status;
   response.content_type = result->get_header_value("Content-Type");
   for (const auto& [name, value] : result->headers) response.headers.emplace_back(name, value);
-  const bool framed = IsFramed(http, *result);
-  response.end = framed || accept_unframed ? CallEnd::kComplete : CallEnd::kBroken;
+  response.end = IsFramed(http, *result) ? CallEnd::kComplete : CallEnd::kBroken;
   return response;
 }
 
--- a/src/libcorneltray/upstream_client_test.cc
+++ b/src/libcorneltray/upstream_client_test.cc
@@ -154,7 +154,7 @@
   ServiceClient client(&watchdog);
   const ServiceCall call{
       method, "/v1/bookings?a=%2F", {{"Idempotency-Key", "k"}}, "text/plain", "x"};
-  return client.Call(address, call, Clock::now() + deadline, false, nullptr);
+  return client.Call(address, call, Clock::now() + deadline, nullptr);
 }
 
 // Script of the service -> end as the caller sees it. Guards against R3 and R4: an ending after
