--- a/src/include/corneltray/lease.h
+++ b/src/include/corneltray/lease.h
@@ -129,6 +129,7 @@
   // Runs what is due: a new round, a renewal, a lapse. `unix_now` is the wall clock, used only as a
   // lower bound of a new fence. To be called at NextDeadline.
   void Tick(TimePoint now, UnixMs unix_now);
+  // TimePoint::max() after Release.
   TimePoint NextDeadline() const;
 
   void OnReply(TimePoint now, const std::string& voter, const LeaseReply& reply);
@@ -136,7 +137,8 @@
   // Reports a fence seen in gossip or in an engine's announcement or refusal.
   void ObserveFence(std::uint64_t fence);
 
-  // Gives the lease up and stays out until Resume, as at a shutdown.
+  // Gives the lease up and stays out until Resume, as at a shutdown. To be called when no order is
+  // on its way, because another candidate may take over at once.
   void Release(TimePoint now);
   void Resume(TimePoint now);
 
--- a/src/libcorneltray/consensus_property_test.cc
+++ b/src/libcorneltray/consensus_property_test.cc
@@ -1,15 +1,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <atomic>
 #include <cstdlib>
 #include <mutex>
 #include <random>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include "consensus_simulator_test.h"
+#include "schedules_test.h"
 
 namespace corneltray {
 namespace {
@@ -19,11 +17,6 @@
 constexpr std::uint64_t kDefaultSchedules = 6000;
 constexpr int kStepsOfSchedule = 40;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 // One random step: a client call or a fault.
 void RandomStep(ConsensusSimulator& sim, std::mt19937_64& random, int* down) {
   const std::size_t host = random() % sim.HostCount();
@@ -150,32 +143,22 @@
 // logs, a vote by a lost disk, a stale read, and a group that does not recover when a majority is
 // healed. CORNELTRAY_SCHEDULES sets the number of schedules, CORNELTRAY_SEED the first seed.
 TEST_CASE("random schedules of faults break no rule of the replicated log") {
-  const std::uint64_t first = FromEnvironment("CORNELTRAY_SEED", 1);
-  const std::uint64_t count = FromEnvironment("CORNELTRAY_SCHEDULES", kDefaultSchedules);
-  std::atomic<std::uint64_t> next{first};
+  const ScheduleRange range = ScheduleRangeOr(kDefaultSchedules);
   std::mutex mutex;
-  std::vector<std::string> failures;
   SimulatorCounts total;
-  const auto work = [&] {
-    for (std::uint64_t seed = next++; seed < first + count; seed = next++) {
-      SimulatorCounts counts;
-      const std::string failure = RunSchedule(seed, &counts);
-      const std::lock_guard<std::mutex> lock(mutex);
-      for (const CountField& row : kCountFields) total.*row.field += counts.*row.field;
-      if (failure.empty()) continue;
-      failures.push_back("CORNELTRAY_SEED=" + std::to_string(seed) + ": " + failure);
-    }
-  };
-  std::vector<std::thread> threads;
-  const unsigned thread_count = std::clamp(std::thread::hardware_concurrency(), 1U, 4U);
-  for (unsigned i = 0; i < thread_count; ++i) threads.emplace_back(work);
-  for (std::thread& thread : threads) thread.join();
+  const auto failures = RunSchedules(range, [&](std::uint64_t seed) {
+    SimulatorCounts counts;
+    std::string failure = RunSchedule(seed, &counts);
+    const std::lock_guard<std::mutex> lock(mutex);
+    for (const CountField& row : kCountFields) total.*row.field += counts.*row.field;
+    return failure;
+  });
   for (std::size_t i = 0; i < std::min<std::size_t>(failures.size(), 3); ++i) MESSAGE(failures[i]);
   CHECK(failures.size() == 0);
   for (const CountField& row : kCountFields) {
     CAPTURE(row.name);
     // A single schedule that repeats a failure does not meet every situation.
-    if (count >= kDefaultSchedules) CHECK(total.*row.field > count / 100);
+    if (range.count >= kDefaultSchedules) CHECK(total.*row.field > range.count / 100);
     if (std::getenv("CORNELTRAY_COUNTS") != nullptr) {
       MESSAGE(std::string(row.name) << ": " << total.*row.field);
     }
