--- a/src/include/corneltray/booking_client.h
+++ b/src/include/corneltray/booking_client.h
@@ -17,6 +17,8 @@
 // up to the second, so that waiting callers do not load the leader.
 constexpr std::int64_t kFirstBookingPollMs = 50;
 constexpr std::int64_t kMaxBookingPollMs = 1000;
+// The last read before the caller's deadline comes this much earlier, to leave time for its reply.
+constexpr std::int64_t kBookingReadMarginMs = 50;
 // A leader is replaced within 3 s; a store that does not answer for longer is reported to the
 // caller.
 constexpr std::int64_t kBookingStoreWaitMs = 5000;
--- a/src/libcorneltray/answer_runner.cc
+++ b/src/libcorneltray/answer_runner.cc
@@ -56,7 +56,7 @@
 // Returns the engines that an ended attempt is blamed on: the one that is known to have failed, or
 // all of the chain.
 std::vector<std::string> Blamed(const ResumeAnswer& resume, const Chain& chain) {
-  const std::vector<std::string> all = StageNames(chain);
+  std::vector<std::string> all = StageNames(chain);
   if (std::find(all.begin(), all.end(), resume.failed_stage) != all.end()) {
     return {resume.failed_stage};
   }
@@ -163,7 +163,7 @@
   if (m_hung_up) return std::nullopt;
   if (last) return last;
   const TimePoint now = Clock::now();
-  if (const auto late = m_stream.Tick(now)) return late;
+  if (auto late = m_stream.Tick(now)) return late;
   return m_stream.HandleAttemptFailure(ReasonOf(end), now);
 }
 
--- a/src/libcorneltray/answer_stream_test.cc
+++ b/src/libcorneltray/answer_stream_test.cc
@@ -39,8 +39,9 @@
 TEST_CASE("an answer of one attempt") {
   AnswerStream stream(Spec());
   REQUIRE(stream.BeginAttempt(GoodChain(), kStart).Ok());
-  for (std::uint32_t i = 0; i < 3; ++i)
+  for (std::uint32_t i = 0; i < 3; ++i) {
     CHECK(Is<DeliverToken>(stream.HandleEvent(Token(1, i), kStart)));
+  }
 
   SUBCASE("ends with its stop reason") {
     CHECK(Is<FinishAnswer>(stream.HandleEvent(DoneEvent{"r1", 1, "stop", 3}, kStart)));
--- a/src/libcorneltray/booking_client.cc
+++ b/src/libcorneltray/booking_client.cc
@@ -164,9 +164,10 @@
 }
 
 BookingAction BookingFlow::Wait(UnixMs now) {
-  const UnixMs next = now + m_poll_ms;
-  if (next >= m_request.deadline)
+  if (now + kBookingReadMarginMs >= m_request.deadline) {
     return Answer(BookingState::kInProgress, BookingCode::kInProgress);
+  }
+  const UnixMs next = std::min(now + m_poll_ms, m_request.deadline - kBookingReadMarginMs);
   m_poll_ms = std::min(2 * m_poll_ms, kMaxBookingPollMs);
   m_step = Step::kWaiting;
   return ReadBookingState{next};
--- a/src/libcorneltray/booking_client_test.cc
+++ b/src/libcorneltray/booking_client_test.cc
@@ -244,9 +244,9 @@
     while (!m_late_commands.empty() || !m_late_sends.empty()) DeliverLate();
   }
 
-  int executed() const { return m_executed; }
-  int not_run_told() const { return m_not_run_told; }
-  const std::map<std::string, int>& done_bodies() const { return m_done_bodies; }
+  int Executed() const { return m_executed; }
+  int NotRunTold() const { return m_not_run_told; }
+  const std::map<std::string, int>& DoneBodies() const { return m_done_bodies; }
 
  private:
   struct Actor {
@@ -368,8 +368,9 @@
     if (!m_answered[actor->attempt]) {
       m_answered[actor->attempt] = true;
       if (action.outcome.outcome == BookingState::kNotRun) ++m_not_run_told;
-      if (action.outcome.outcome == BookingState::kDone)
+      if (action.outcome.outcome == BookingState::kDone) {
         ++m_done_bodies[action.outcome.answer.body];
+      }
     }
     const auto next = actor->flow.ContinueAfterAnswer(m_now, m_now + 20'000);
     if (next) {
@@ -401,12 +402,12 @@
     CAPTURE(seed);
     World world(seed);
     world.Run();
-    REQUIRE(world.executed() <= 1);
-    if (world.not_run_told() > 0) REQUIRE(world.executed() == 0);
-    REQUIRE(world.done_bodies().size() <= 1);
-    if (!world.done_bodies().empty()) REQUIRE(world.executed() == 1);
-    runs_with_done += world.done_bodies().empty() ? 0 : 1;
-    runs_with_not_run += world.not_run_told() > 0 ? 1 : 0;
+    REQUIRE(world.Executed() <= 1);
+    if (world.NotRunTold() > 0) REQUIRE(world.Executed() == 0);
+    REQUIRE(world.DoneBodies().size() <= 1);
+    if (!world.DoneBodies().empty()) REQUIRE(world.Executed() == 1);
+    runs_with_done += world.DoneBodies().empty() ? 0 : 1;
+    runs_with_not_run += world.NotRunTold() > 0 ? 1 : 0;
   }
   // Guards against a model in which nothing ever happens.
   CHECK(runs_with_done > 100);
--- a/src/libcorneltray/http_connection.cc
+++ b/src/libcorneltray/http_connection.cc
@@ -17,9 +17,8 @@
 constexpr int kBodyTimeouts = 12;
 
 // Returns the events that are ready, or 0 after the timeout or on an error.
-int Poll(int socket, short events,
-         milliseconds timeout) {  // NOLINT(google-runtime-int): poll's type
-  pollfd entry{socket, events, 0};
+int Poll(int socket, int events, milliseconds timeout) {
+  pollfd entry{socket, static_cast<decltype(pollfd::events)>(events), 0};
   const TimePoint until = Clock::now() + timeout;
   for (;;) {
     const auto left = std::chrono::duration_cast<milliseconds>(until - Clock::now());
--- a/src/libcorneltray/http_server.cc
+++ b/src/libcorneltray/http_server.cc
@@ -119,11 +119,11 @@
 }
 
 const std::string& HttpRequest::Header(const std::string& name) const {
-  static const std::string kNone;
+  static const std::string none;
   for (const auto& [key, value] : headers) {
     if (key == name) return value;
   }
-  return kNone;
+  return none;
 }
 
 std::string HttpRequest::Path() const { return target.substr(0, target.find('?')); }
--- a/src/libcorneltray/http_server_test.cc
+++ b/src/libcorneltray/http_server_test.cc
@@ -214,6 +214,7 @@
       ErrorPage);
   REQUIRE(server.Start().Ok());
   std::vector<std::unique_ptr<TestSocket>> callers;
+  callers.reserve(4);
   for (int i = 0; i < 4; ++i) callers.push_back(std::make_unique<TestSocket>(server.Address()));
 
   // Guards against a crowd of connections that wait without an answer.
--- a/src/libcorneltray/service_runner.cc
+++ b/src/libcorneltray/service_runner.cc
@@ -101,22 +101,23 @@
     ServiceResponse answer = m_entry.services->Call(route.replica.address, m_call,
                                                     std::min(m_context.deadline, begin + time),
                                                     m_context.http.has_hung_up);
-    if (answer.end == CallEnd::kComplete) m_last = std::move(answer);
+    const CallEnd end = answer.end;
+    if (end == CallEnd::kComplete) m_last = std::move(answer);
     if (m_last.status != 0 && !IsUnavailable(m_last.status)) {
       m_entry.routing->ReportSuccess(m_request.service, route.replica.name, Clock::now() - begin);
       return true;
     }
-    m_sent = m_sent || answer.end != CallEnd::kConnectFailed;
+    m_sent = m_sent || end != CallEnd::kConnectFailed;
     m_excluded.insert(route.replica.name);
     if (!m_context.http.has_hung_up()) {
       m_entry.routing->ReportFailure(m_request.service, route.replica.name);
     }
-    m_entry.metrics->Count("lookup_failures", NameOf(answer.end));
+    m_entry.metrics->Count("lookup_failures", NameOf(end));
     LogEvent(LogLevel::kWarning, "lookup_failed",
              {{"request_id", m_context.request_id},
               {"attempt", m_tries},
               {"replica", route.replica.name},
-              {"end", NameOf(answer.end)}});
+              {"end", NameOf(end)}});
     return false;
   }
 
--- a/src/libcorneltray/test_socket.h
+++ b/src/libcorneltray/test_socket.h
@@ -44,13 +44,12 @@
            static_cast<ssize_t>(text.size());
   }
 
-  // Reads until the text occurs, the peer closes or 5 s have passed. Returns all that was received
-  // since the last call. An empty text reads until the peer closes.
-  std::string ReadUntil(const std::string& text) {
+  // Reads while the condition holds for what this call has received, the peer closes or 5 s have
+  // passed, and returns it.
+  std::string ReadWhile(const std::function<bool(const std::string&)>& wants_more) {
     std::string received;
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (std::chrono::steady_clock::now() < until) {
-      if (!text.empty() && received.find(text) != std::string::npos) return received;
+    while (std::chrono::steady_clock::now() < until && wants_more(received)) {
       pollfd entry{m_socket, POLLIN, 0};
       if (::poll(&entry, 1, 100) <= 0) continue;
       char buffer[4096];
@@ -63,6 +62,22 @@
     }
     return received;
   }
+  // Reads until the text occurs; an empty text reads until the peer closes.
+  std::string ReadUntil(const std::string& text) {
+    return ReadWhile([&text](const std::string& received) {
+      return text.empty() || received.find(text) == std::string::npos;
+    });
+  }
+  // Reads one HTTP request with its body.
+  std::string ReadRequest() {
+    return ReadWhile([](const std::string& received) {
+      const std::size_t head = received.find("\r\n\r\n");
+      if (head == std::string::npos) return true;
+      const std::size_t at = received.find("Content-Length: ");
+      const std::size_t length = at < head ? std::stoul(received.substr(at + 16)) : 0;
+      return received.size() < head + 4 + length;
+    });
+  }
   std::string ReadAll() { return ReadUntil(""); }
   bool PeerClosed() const { return m_peer_closed; }
 
@@ -95,7 +110,7 @@
 
   explicit ScriptedPeer(Script script) : m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in own = TestSocket::Address(0);
-    ::bind(m_listener, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+    (void)::bind(m_listener, reinterpret_cast<sockaddr*>(&own), sizeof(own));
     ::listen(m_listener, 16);
     socklen_t length = sizeof(own);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&own), &length);
--- a/src/libcorneltray/upstream_client_test.cc
+++ b/src/libcorneltray/upstream_client_test.cc
@@ -229,7 +229,7 @@
     std::string request;
     ScriptedPeer service([&](TestSocket* socket) {
       request = socket->ReadUntil("\r\n\r\nx");
-      socket->Send("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 3\r\n\r\n\0\xff\n");
+      socket->Send("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 3\r\n\r\n");
       socket->Send(std::string("\0\xff\n", 3));
     });
     const ServiceResponse response = Call(service.Address());
