Keep the signature of the HTTP server's error handler

Change: IsKeyedRequest says whether the request on this thread may have an idempotency key. A request whose head is not understood counts as keyed.

--- a/src/corneltray-entry/entry_process.cc
+++ b/src/corneltray-entry/entry_process.cc
@@ -35,7 +35,7 @@
 }
 
 // Answers requests that the server refuses before they reach the filters.
-HttpResponse MakeServerError(int status, bool keyed) {
+HttpResponse MakeServerError(int status) {
   ApiError error{ApiCode::kMalformedBody,
                  "the request is malformed or incomplete",
                  "",
@@ -49,7 +49,7 @@
   } else if (status >= 500) {
     error = {ApiCode::kUpstreamFailed, "internal error", "", BookingState::kUnknown, 0, 0};
   }
-  if (keyed) error.outcome = BookingState::kUnknown;
+  if (HttpServer::IsKeyedRequest()) error.outcome = BookingState::kUnknown;
   return MakeErrorResponse(error, RandomId());
 }
 
--- a/src/include/corneltray/http_server.h
+++ b/src/include/corneltray/http_server.h
@@ -74,9 +74,8 @@
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
-  // Builds the response to a request that never reaches the handler. `keyed` tells whether its head
-  // has an Idempotency-Key.
-  using ErrorHandler = std::function<HttpResponse(int status, bool keyed)>;
+  // Builds the response to a request that never reaches the handler.
+  using ErrorHandler = std::function<HttpResponse(int status)>;
 
   HttpServer(HttpServerOptions options, Handler handler, ErrorHandler error_handler);
   ~HttpServer();
@@ -106,6 +105,10 @@
 
   HttpServerCounters Counters() const;
 
+  // For an ErrorHandler: whether the request on this thread may have an Idempotency-Key, so that
+  // "not run" cannot be said of it.
+  static bool IsKeyedRequest();
+
  private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/libcorneltray/http_server.cc
+++ b/src/libcorneltray/http_server.cc
@@ -60,7 +60,7 @@
   std::string content_type;
   int reject_status = 0;
   bool must_close = true;  // until the head is understood
-  bool keyed = false;
+  bool keyed = true;       // until the head is known
 };
 
 thread_local HttpConnection* t_connection = nullptr;
@@ -228,19 +228,19 @@
     Delete(kInnerPath, with_body);
     set_pre_routing_handler([this](const httplib::Request&, httplib::Response& response) {
       if (t_request.reject_status == 0) return HandlerResponse::Unhandled;
-      Fill(m_error_handler(t_request.reject_status, t_request.keyed), &response);
+      Fill(m_error_handler(t_request.reject_status), &response);
       return HandlerResponse::Handled;
     });
     set_error_handler(
         HandlerWithResponse([this](const httplib::Request&, httplib::Response& response) {
           if (response.body.empty() && !response.content_provider_) {
-            Fill(m_error_handler(response.status, t_request.keyed), &response);
+            Fill(m_error_handler(response.status), &response);
           }
           return HandlerResponse::Handled;
         }));
     set_exception_handler(
         [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
-          Fill(m_error_handler(500, t_request.keyed), &response);
+          Fill(m_error_handler(500), &response);
         });
   }
 
@@ -285,7 +285,7 @@
     });
     if (!complete) {
       t_request.must_close = true;
-      Fill(m_error_handler(too_large ? 413 : 400, t_request.keyed), response);
+      Fill(m_error_handler(too_large ? 413 : 400), response);
       return;
     }
     Handle(request, std::move(body), response);
@@ -385,8 +385,9 @@
   }
 
   void Refuse(HttpConnection* connection) {
+    t_request = {};
     connection->WaitReadable(kIdleSlice);
-    HttpResponse own = m_error_handler(503, true);
+    HttpResponse own = m_error_handler(503);
     std::string text = "HTTP/1.1 " + std::to_string(own.status) + " Refused\r\n";
     for (const auto& [name, value] : own.headers) text += name + ": " + value + "\r\n";
     text += "Content-Type: " + own.content_type +
@@ -416,6 +417,7 @@
                                     std::move(error_handler))) {}
 HttpServer::~HttpServer() = default;
 
+bool HttpServer::IsKeyedRequest() { return t_request.keyed; }
 httplib::Server* HttpServer::Library() { return m_impl.get(); }
 void HttpServer::SetLibraryPrefix(std::string prefix) {
   m_impl->SetLibraryPrefix(std::move(prefix));
--- a/src/libcorneltray/http_server_test.cc
+++ b/src/libcorneltray/http_server_test.cc
@@ -40,7 +40,7 @@
   return response;
 }
 
-HttpResponse ErrorPage(int status, bool) {
+HttpResponse ErrorPage(int status) {
   HttpResponse response;
   response.status = status;
   response.body = "error " + std::to_string(status);
