--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -67,17 +67,17 @@
     m_replica.Step(Clock::now(), from.host, message.value());
     Drain();
   });
-  m_node->SetRequestHandler(
-      MessageType::kPropose,
-      [this](const PeerIdentity&, const json& body, Responder respond) { Propose(body, respond); });
+  m_node->SetRequestHandler(MessageType::kPropose,
+                            [this](const PeerIdentity&, const json& body,
+                                   const Responder& respond) { Propose(body, respond); });
   m_node->SetRequestHandler(MessageType::kReadBooking,
-                            [this](const PeerIdentity&, const json& body, Responder respond) {
-                              ReadBooking(body, respond);
-                            });
-  m_node->SetRequestHandler(MessageType::kConfigurationFetch,
-                            [this](const PeerIdentity&, const json& body, Responder respond) {
-                              FetchConfiguration(body, respond);
-                            });
+                            [this](const PeerIdentity&, const json& body,
+                                   const Responder& respond) { ReadBooking(body, respond); });
+  m_node->SetRequestHandler(
+      MessageType::kConfigurationFetch,
+      [this](const PeerIdentity&, const json& body, const Responder& respond) {
+        FetchConfiguration(body, respond);
+      });
 }
 
 void ControlNode::Begin() {
