Run the demo and the end-to-end cases against the first programs

Change: an empty header counts as absent (the HTTP library drops it), so the row of an empty deadline became a check that the answer is served; a key from the future has outcome unknown, since only a committed record may say not run; hang-up counts layers instead of assuming two stages, because a chain may have three.

--- a/testsuite/bad-input/run.py
+++ b/testsuite/bad-input/run.py
@@ -63,7 +63,7 @@
     yield completion(413, "prompt_too_long", "prompt", {"prompt": "x" * 4001})
     yield completion(413, "body_too_large", None, {"prompt": "x" * 30000})
     yield completion(503, "no_pipeline", None, {"model": "unplaced"})
-    for value in ("soon", "-5", "1.5", ""):
+    for value in ("soon", "-5", "1.5", "0x10", "9" * 16):
         yield completion(400, "invalid_deadline", None, {}, Corneltray_Deadline_Ms=value)
     yield completion(400, "deadline_passed", None, {}, Corneltray_Deadline_Ms=ms(-1))
     for headers in ({}, {"Authorization": "Bearer wrong-key-wrong-key"}, {"Authorization": "Basic x"}):
@@ -75,7 +75,8 @@
         yield booking(400, "idempotency_key_required" if not key else "idempotency_key_invalid",
                       "not_run", key)
     yield booking(400, "idempotency_key_expired", "unknown", h.uuid7(OLD_S))
-    yield booking(400, "idempotency_key_invalid", "not_run", h.uuid7(-600))
+    # A key from the future may become valid, so only a committed record could say "not run".
+    yield booking(400, "idempotency_key_invalid", "unknown", h.uuid7(-600))
     yield booking(404, "unknown_service", "not_run", h.uuid7(), "/v1/services/other/v1/bookings")
     yield (503, "no_replica", None, "not_run", "GET", "/v1/services/absent/v1/stock/x", None,
            h.auth(Corneltray_Deadline_Ms=ms(2)))
@@ -100,6 +101,8 @@
         c.equal([e.counts()["requests"] for e in engines], before, "no engine was asked")
         c.equal(ledgers[0].counts()["calls"], {}, "no service was called")
 
+        empty = region.complete(entry, "p", 3, Corneltray_Deadline_Ms="")
+        c.equal(empty.status, 200, "an empty header counts as absent")
         key = h.uuid7()
         c.equal(h.outcome(region.book(entry, key)), "done", "a good booking")
         reused = region.book(entry, key, {"cloth": 8})
--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -50,7 +50,7 @@
         lost = victim.counts()
         victim.kill()
         answer.read().check(c, prompt, 60, "engine killed in mid-answer")
-        say(f"{victim.name} killed after {len(lost['runs'].get(answer.request_id, {}).get('0', {}))} "
+        say(f"{victim.name} killed after {sum(map(len, lost['runs'][answer.request_id].values()))} "
             f"tokens; answer complete, longest pause {answer.longest_pause() * 1000:.0f} ms")
         counts = [engine.counts() for engine in survivors]
         for text, done, number in [*((p, a, 12) for p, a in zip(PROMPTS, answers)),
--- a/testsuite/hang-up/run.py
+++ b/testsuite/hang-up/run.py
@@ -26,15 +26,17 @@
         answers = [h.Answer(entry, f"caller {i}", 1000) for i in range(CALLERS)]
         for answer in answers:
             c.check(answer.take(), "the answer has begun")
-        c.equal(active(), 2 * CALLERS, "each answer has two stages")
+        stages = active()
+        c.check(stages >= 2 * CALLERS, "each answer has two stages or more", stages)
         for answer in answers:
             answer.stream.close()
         h.wait_until(lambda: active() == 0, FREED_S, "all stages freed after the hang-up")
-        c.equal(sum(e.counts()["cancelled"] for e in engines), 2 * CALLERS, "all were cancelled")
-        before = sum(e.counts()["tokens"] for e in engines)
+        c.equal(sum(e.counts()["cancelled"] for e in engines), stages, "all were cancelled")
+        before = sum(e.counts()["layers_run"] for e in engines)
         answer = h.Answer(entry, "next caller", 10).read()
         answer.check(c, "next caller", 10, "the next caller")
-        c.equal(sum(e.counts()["tokens"] for e in engines) - before, 20, "nothing else ran")
+        c.equal(sum(e.counts()["layers_run"] for e in engines) - before, 10 * h.LAYERS,
+                "nothing else ran")
         # A caller of one JSON body hangs up as well.
         import http.client
         import json
@@ -42,7 +44,7 @@
         connection.request("POST", "/v1/completions", json.dumps(
             {"model": h.MODEL, "prompt": "left", "max_tokens": 1000}),
             {"Content-Type": "application/json", **h.auth()})
-        h.wait_until(lambda: active() == 2, 5, "the request runs")
+        h.wait_until(lambda: active() >= 2, 5, "the request runs")
         connection.close()
         h.wait_until(lambda: active() == 0, FREED_S, "freed without a stream")
 
--- a/testsuite/stage-death/run.py
+++ b/testsuite/stage-death/run.py
@@ -27,7 +27,7 @@
         engine.fault(failure)
 
 
-def repair(region, engine, failure):
+def repair(engine, failure):
     """Brings the group back to its size for the next row."""
     if failure == "stop":
         engine.thaw()
@@ -52,7 +52,8 @@
             answer.read().check(c, prompt, COUNT, what)
             c.check(answer.longest_pause() < EXTRA_S, f"{what}: under {EXTRA_S} s extra",
                     f"{answer.longest_pause():.2f} s")
-            repair(region, victim, failure)
+            print(f"{what}: longest pause {answer.longest_pause() * 1000:.0f} ms")
+            repair(victim, failure)
             counts = [e.counts() for e in engines if e.alive()]
             if failure != "kill":  # the counts of a killed engine are gone
                 h.check_layer_runs(c, counts, answer.request_id, COUNT, h.LAYERS, what)
