Draw chains from a division of the flow

Cause: the cheapest chain, even with noise, overloads engines that are fast or flexible and gets worse with the lag of the reports. Change: the router divides the work of the ready engines of its zone once for each change of the index and draws chains by that division. Of two draws the second is taken if its most loaded engine has under 0.6 of the first one's load for the chains that use it. The search by cost stays for all other cases.

--- a/src/include/corneltray/range_layout.h
+++ b/src/include/corneltray/range_layout.h
@@ -39,6 +39,14 @@
   // Tokens a second that a layout allows; 0 if a layer is not held.
   double Throughput(const Layout& layout);
 
+  // Tokens a second that each engine runs at each layer, by layer, in a division of the work that
+  // reaches Throughput within a few percent; empty if a layer is not held.
+  struct Work {
+    std::uint32_t engine = 0;
+    double tokens_per_s = 0.0;
+  };
+  std::vector<std::vector<Work>> Division(const Layout& layout);
+
   // Returns a layout from nothing. `operations` bounds the work of the search.
   Layout Plan(std::uint64_t operations);
 
--- a/src/libcorneltray/admin_api.cc
+++ b/src/libcorneltray/admin_api.cc
@@ -8,9 +8,9 @@
 #include <string>
 #include <utility>
 
-#include "corneltray/control_protocol.h"
 #include "corneltray/configuration_feed.h"
 #include "corneltray/control_client.h"
+#include "corneltray/control_protocol.h"
 #include "peer_frame.h"
 
 namespace corneltray {
--- a/src/libcorneltray/control_client_test.cc
+++ b/src/libcorneltray/control_client_test.cc
@@ -8,8 +8,8 @@
 #include <set>
 #include <thread>
 
-#include "corneltray/control_protocol.h"
 #include "corneltray/configuration_feed.h"
+#include "corneltray/control_protocol.h"
 #include "corneltray/peer.h"
 
 namespace corneltray {
--- a/src/libcorneltray/range_layout.cc
+++ b/src/libcorneltray/range_layout.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kBisections = 16;
+constexpr int kDivisionRounds = 100;
 constexpr double kGain = 1.001;  // a move counts if the throughput grows by this factor
 constexpr double kRounding = 1e-9;
 
@@ -122,6 +123,42 @@
 
 double RangeLayout::Throughput(const Layout& layout) { return Evaluate(layout).tokens_per_s; }
 
+// Starts from work spread evenly over each range and scales layers and engines in turn until both
+// fit. The result stays as even as it can be, so that chains change engines seldom.
+std::vector<std::vector<RangeLayout::Work>> RangeLayout::Division(const Layout& layout) {
+  const double target = Evaluate(layout).tokens_per_s;
+  if (target <= 0.0) return {};
+  std::vector<std::vector<Work>> division(m_layers);
+  for (std::uint32_t e = 0; e < m_engines.size(); ++e) {
+    const LayoutRange& range = layout[e];
+    const double even = m_engines[e].layers_per_s / std::max(1U, range.end - range.first);
+    for (std::uint32_t layer = range.first; layer < range.end; ++layer) {
+      division[layer].push_back({e, std::min(even, m_engines[e].link_tokens_per_s)});
+    }
+  }
+  std::vector<double> sums(m_engines.size());
+  for (int round = 0; round < kDivisionRounds; ++round) {
+    std::fill(sums.begin(), sums.end(), 0.0);
+    for (auto& works : division) {
+      double sum = 0.0;
+      for (const Work& work : works) sum += work.tokens_per_s;
+      for (Work& work : works) {
+        work.tokens_per_s *= target / sum;
+        sums[work.engine] += work.tokens_per_s;
+      }
+    }
+    if (round + 1 == kDivisionRounds) break;
+    for (auto& works : division) {
+      for (Work& work : works) {
+        const LayoutEngine& engine = m_engines[work.engine];
+        const double scale = std::min(1.0, engine.layers_per_s / sums[work.engine]);
+        work.tokens_per_s = std::min(work.tokens_per_s * scale, engine.link_tokens_per_s);
+      }
+    }
+  }
+  return division;
+}
+
 // Places each engine without a range, widest first, over the layers that have the least work.
 void RangeLayout::PlaceByLevel(Layout* layout) const {
   std::vector<double> level(m_layers, 0.0);
--- a/src/libcorneltray/router.cc
+++ b/src/libcorneltray/router.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "corneltray/chain_search.h"
+#include "corneltray/flow_sampler.h"
 #include "corneltray/placement.h"
+#include "corneltray/range_layout.h"
 
 namespace corneltray {
 namespace {
@@ -17,10 +19,18 @@
 constexpr double kOtherZoneHopSeconds = 0.001;
 // Candidates named in an explanation, so that a log line stays short.
 constexpr std::size_t kMaxExplained = 8;
+constexpr double kLeastUsed = 1e-6;
 // The cost of each engine is multiplied by a random factor up to 1 plus this. Routers that see the
 // same old reports then do not all choose the same engine.
 constexpr double kCostNoise = 0.5;
 
+// Draws from the division of the flow until a second chain avoids the most loaded engine of the
+// first.
+constexpr int kMaxDraws = 6;
+// The second chain is taken if its load is under this part of the first one's. Without a margin,
+// routers that see the same old reports all move to the same engines (bench/, lag 5 s).
+constexpr double kSecondChoiceGain = 0.6;
+
 class RouterCategory : public std::error_category {
  public:
   const char* name() const noexcept override { return "router"; }
@@ -51,6 +61,7 @@
   bool own_zone = false;
   bool suspect = false;
   double layers_per_s = 0.0;
+  double link_tokens_per_s = 0.0;
 };
 
 // Engines of one model, with the ranges that they hold.
@@ -59,7 +70,8 @@
   std::vector<ChainSlot> slots;
   std::vector<double> hop_cost_s;
   ChainSearch search;
-  std::uint32_t layers = 0;  // for which `search` was prepared
+  FlowSampler flow;          // over the ready engines of the own zone
+  std::uint32_t layers = 0;  // for which `search` and `flow` were prepared
   std::uint64_t turn = 0;
 };
 
@@ -134,6 +146,15 @@
     return !m_excluded[i] && InTier(member, tier) && (!m_ejected[i] || tier == Tier::kEjected);
   }
 
+  void Prepare(ModelIndex* index, std::uint32_t layers) const;
+  struct ChainLoad {
+    double value = 0.0;
+    std::uint32_t slot = 0;
+  };
+  ChainLoad LoadOf(TimePoint now, const ModelIndex& index,
+                   const std::vector<ChainPart>& chain) const;
+  void PrepareSearch(TimePoint now, ModelIndex* index, Tier tier);
+  const std::vector<ChainPart>* DrawChain(TimePoint now, ModelIndex* index, int first_slot);
   const std::vector<ChainPart>* FindChain(TimePoint now, ModelIndex* index, Tier tier,
                                           std::uint64_t prefix_hash, RouteReason* reason);
   const std::vector<ChainPart>* FindGreedy(ModelIndex* index, Tier tier, bool least_outstanding);
@@ -154,6 +175,7 @@
   std::vector<char> m_excluded;
   std::vector<char> m_ejected;
   std::vector<ChainPart> m_greedy;
+  std::vector<ChainPart> m_drawn;
 };
 
 void Router::Impl::SetUpstreams(const std::vector<UpstreamView>& upstreams) {
@@ -173,7 +195,8 @@
                   m_load->Intern(a.name),
                   a.availability_zone == m_options.availability_zone,
                   view.status == UpstreamStatus::kSuspect,
-                  std::max(a.layers_per_s, 1e-3)};
+                  std::max(a.layers_per_s, 1e-3),
+                  std::max(a.link_mbps, 0.1) / kActivationMegabits};
     if (a.kind == UpstreamKind::kService) {
       m_services[a.service].members.push_back(std::move(member));
       continue;
@@ -229,9 +252,82 @@
   return queue < load_factor * mean + 1.0 ? found : -1;
 }
 
-const std::vector<ChainPart>* Router::Impl::FindChain(TimePoint now, ModelIndex* index, Tier tier,
-                                                      std::uint64_t prefix_hash,
-                                                      RouteReason* reason) {
+void Router::Impl::Prepare(ModelIndex* index, std::uint32_t layers) const {
+  index->layers = layers;
+  index->search.SetRanges(index->slots, layers);
+  std::vector<LayoutEngine> engines;
+  std::vector<std::uint32_t> slots;
+  Layout layout;
+  for (std::uint32_t i = 0; i < index->members.size(); ++i) {
+    const ChainSlot& slot = index->slots[i];
+    const std::uint32_t end = std::min(slot.end, layers);
+    if (!InTier(index->members[i], Tier::kOwnZone) || slot.first >= end) continue;
+    engines.push_back(
+        {index->members[i].layers_per_s, index->members[i].link_tokens_per_s, layers});
+    slots.push_back(i);
+    layout.push_back({slot.first, end});
+  }
+  std::vector<std::vector<FlowSampler::Share>> division;
+  for (const auto& works : RangeLayout(engines, layers).Division(layout)) {
+    auto& shares = division.emplace_back();
+    for (const RangeLayout::Work& work : works) {
+      shares.push_back({slots[work.engine], work.tokens_per_s});
+    }
+  }
+  index->flow = FlowSampler(std::move(division));
+}
+
+// Returns how loaded the most loaded engine of a chain is for the part of the chains that use it,
+// with that engine's slot; infinity if the chain uses an engine that is barred.
+Router::Impl::ChainLoad Router::Impl::LoadOf(TimePoint now, const ModelIndex& index,
+                                             const std::vector<ChainPart>& chain) const {
+  ChainLoad load;
+  if (chain.empty()) load.value = std::numeric_limits<double>::infinity();
+  for (const ChainPart& part : chain) {
+    const Member& member = index.members[part.slot];
+    if (!IsUsable(member, part.slot, Tier::kOwnZone)) {
+      load.value = std::numeric_limits<double>::infinity();
+      return load;
+    }
+    const double used = std::max(index.flow.UsedBy(part.slot), kLeastUsed);
+    const double value = (m_load->Queue(now, member.id) + 1.0) / used;
+    if (value > load.value) load = {value, part.slot};
+  }
+  return load;
+}
+
+// Two random choices from the division of the flow. Returns no chain if every draw uses an engine
+// that is barred.
+const std::vector<ChainPart>* Router::Impl::DrawChain(TimePoint now, ModelIndex* index,
+                                                      int first_slot) {
+  m_drawn.clear();
+  ChainLoad first;
+  first.value = std::numeric_limits<double>::infinity();
+  for (int draw = 0; draw < kMaxDraws; ++draw) {
+    const auto& chain = index->flow.Draw(first_slot, m_random);
+    const ChainLoad load = LoadOf(now, *index, chain);
+    if (std::isinf(load.value)) continue;
+    if (m_drawn.empty()) {
+      m_drawn = chain;
+      first = load;
+      continue;
+    }
+    const bool avoids = std::none_of(
+        chain.begin(), chain.end(), [&](const ChainPart& part) { return part.slot == first.slot; });
+    if (!avoids) continue;
+    if (load.value < kSecondChoiceGain * first.value) m_drawn = chain;
+    return &m_drawn;
+  }
+  if (m_drawn.empty() || first_slot >= 0) return &m_drawn;
+  // Most of the flow goes through that engine. Other engines may still be able to replace it.
+  PrepareSearch(now, index, Tier::kOwnZone);
+  index->slots[first.slot].usable = false;
+  const auto& other = index->search.Find(index->slots, -1);
+  if (LoadOf(now, *index, other).value < kSecondChoiceGain * first.value) m_drawn = other;
+  return &m_drawn;
+}
+
+void Router::Impl::PrepareSearch(TimePoint now, ModelIndex* index, Tier tier) {
   for (std::size_t i = 0; i < index->members.size(); ++i) {
     const Member& member = index->members[i];
     ChainSlot& slot = index->slots[i];
@@ -241,16 +337,25 @@
     slot.layer_cost_s = (m_load->Queue(now, member.id) + 1.0) / member.layers_per_s * noise;
     slot.hop_cost_s = index->hop_cost_s[i];
   }
-  *reason = RouteReason::kCheapest;
+}
+
+const std::vector<ChainPart>* Router::Impl::FindChain(TimePoint now, ModelIndex* index, Tier tier,
+                                                      std::uint64_t prefix_hash,
+                                                      RouteReason* reason) {
+  int holder = -1;
   if (const auto* affinity = std::get_if<PrefixAffinity>(&m_options.policy)) {
-    const int holder = AffinityHolder(now, *index, tier, prefix_hash, affinity->load_factor);
-    if (holder >= 0) {
-      const auto& chain = index->search.Find(index->slots, holder);
-      if (!chain.empty()) {
-        *reason = RouteReason::kPrefixAffinity;
-        return &chain;
-      }
+    holder = AffinityHolder(now, *index, tier, prefix_hash, affinity->load_factor);
+  }
+  const bool has_flow = tier == Tier::kOwnZone && !index->flow.empty();
+  for (const int first : {holder, -1}) {
+    *reason = first >= 0 ? RouteReason::kPrefixAffinity : RouteReason::kCheapest;
+    if (has_flow) {
+      const auto* drawn = DrawChain(now, index, first);
+      if (!drawn->empty()) return drawn;
     }
+    PrepareSearch(now, index, tier);
+    const auto& chain = index->search.Find(index->slots, first);
+    if (!chain.empty() || first < 0) return &chain;
   }
   return &index->search.Find(index->slots, -1);
 }
@@ -347,8 +452,7 @@
   if (it == m_models.end() || it->second.members.empty() || layers == 0) return none;
   ModelIndex& index = it->second;
   if (index.layers != layers) {
-    index.search.SetRanges(index.slots, layers);
-    index.layers = layers;
+    Prepare(&index, layers);
   }
   const std::size_t barred = MarkBarred(now, index.members, excluded);
   for (const Tier tier : kTiers) {
