Pull several buckets at once and pass records on less often

Cause: each process passed every record on 12 to 22 times and sorted an unbounded queue for each message; at 399 hosts a cold start did not finish in 40 s of virtual time. Later news that was still too old ended a host's suspicion and dropped the reports behind it. Change: 3 sends for ordinary records, none for records that were asked for, a bounded queue, pulls and answers that fill their messages, host marks in every heartbeat, and no recovery on news over the suspicion deadline.

--- /dev/null
+++ b/bench/membership_bench.cc
@@ -0,0 +1,123 @@
+#include <algorithm>
+#include <vector>
+
+#include "../src/libcorneltray/membership_simulation.h"
+#include "report.h"
+
+namespace corneltray::bench {
+namespace {
+
+using membership_simulation::Sim;
+using membership_simulation::SimOptions;
+using std::chrono::seconds;
+
+constexpr double kBytesPerS = 3000.0;  // each host may spend this much on control
+constexpr std::uint64_t kSeed = 1;
+
+void ResetBytes(Sim* sim) {
+  for (auto& [name, host] : sim->hosts) host.bytes = 0;
+}
+
+double MeanBytesPerS(const Sim& sim, double length_s) {
+  double sum = 0.0;
+  for (const auto& [name, host] : sim.hosts) sum += static_cast<double>(host.bytes);
+  return sum / static_cast<double>(sim.hosts.size()) / length_s;
+}
+
+double WorstBytesPerS(const Sim& sim, double length_s) {
+  double worst = 0.0;
+  for (const auto& [name, host] : sim.hosts) {
+    worst = std::max(worst, static_cast<double>(host.bytes));
+  }
+  return worst / length_s;
+}
+
+// Hosts and upstreams that are up, but not ready in the eyes of some host of their zone.
+std::size_t FalseSuspicions(const Sim& sim) {
+  std::size_t count = 0;
+  for (const auto& [host, events] : sim.events) {
+    for (const MembershipEvent& event : events) {
+      count += event.type == MembershipEventType::kUpstreamSuspect ||
+               event.type == MembershipEventType::kUpstreamRemoved ||
+               event.type == MembershipEventType::kHostSuspect;
+    }
+  }
+  return count;
+}
+
+// Runs until every host has every upstream of its zone. Returns the seconds that took.
+double RunUntilKnown(Sim* sim, std::size_t upstreams_per_zone, int limit_s) {
+  for (int second = 1; second <= limit_s; ++second) {
+    sim->Run(seconds(1));
+    bool all = true;
+    for (const auto& [name, host] : sim->hosts) {
+      if (!all) break;
+      std::size_t own = 0;
+      for (const UpstreamView& view : host.table->Upstreams(sim->now)) {
+        own += view.announcement.availability_zone == host.zone;
+      }
+      all = own == upstreams_per_zone;
+    }
+    if (all) return second;
+  }
+  return -1.0;
+}
+
+double SecondsUntilUnused(Sim* sim, const std::string& name) {
+  sim->upstreams[name].announcement.state = UpstreamState::kLeaving;
+  sim->Announce(name);
+  for (int ms = 50; ms <= 10'000; ms += 50) {
+    sim->Run(std::chrono::milliseconds(50));
+    if (sim->HostsThatUse(name) == 0) return ms / 1000.0;
+  }
+  return 10.0;
+}
+
+void Bench(Report* report, const std::string& title, const SimOptions& options, int limit_s) {
+  Sim sim(kSeed, options);
+  const std::string seeds = std::to_string(kSeed);
+  const double known_s = RunUntilKnown(&sim, options.upstreams_per_zone, limit_s);
+  report->Add({title + "cold start until all of a zone is known", seeds, known_s, "s", "",
+               Goal::kNone, 0.0});
+  report->Add({title + "bytes sent during the cold start, mean", seeds, MeanBytesPerS(sim, known_s),
+               "B/s", "", Goal::kNone, 0.0});
+  sim.Run(seconds(20));
+  ResetBytes(&sim);
+  sim.events.clear();
+  constexpr int kSteadySeconds = 10;
+  sim.Run(seconds(kSteadySeconds));
+  report->Add({title + "bytes sent per host, mean", seeds, MeanBytesPerS(sim, kSteadySeconds),
+               "B/s", "", Goal::kAtMost, kBytesPerS});
+  report->Add({title + "bytes sent per host, worst", seeds, WorstBytesPerS(sim, kSteadySeconds),
+               "B/s", "", Goal::kAtMost, kBytesPerS});
+  for (auto& [n, h] : sim.hosts) if (h.bytes > 30000) printf("%s %lu\n", n.c_str(), h.bytes);
+  std::map<std::string,int> cc; for (auto& [h, ev] : sim.events) for (auto& e : ev) ++cc[std::string(NameOf(e.type)) + (ev.size() > 20 ? " "+h : "")]; for (auto& [a,b] : cc) printf("%s %d\n", a.c_str(), b);
+  report->Add({title + "largest message", seeds, static_cast<double>(sim.largest), "B", "",
+               Goal::kAtMost, static_cast<double>(kMaxGossipBytes)});
+  report->Add({title + "false suspicions in " + std::to_string(kSteadySeconds) + " s", seeds,
+               static_cast<double>(FalseSuspicions(sim)), "", "", Goal::kAtMost, 0.0});
+  report->Add({title + "leaving upstream unused everywhere after", seeds,
+               SecondsUntilUnused(&sim, "up-0-3"), "s", "", Goal::kAtMost, 3.0});
+  // The deployment may lose one message in twenty.
+  sim.m_options.loss = 0.05;
+  report->Add({title + "the same with 5% loss", seeds, SecondsUntilUnused(&sim, "up-0-4"), "s", "",
+               Goal::kAtMost, 3.0});
+}
+
+}  // namespace
+
+void RunMembershipBench(Report* report) {
+  report->Section("membership (virtual time; bytes are CBOR bodies without frames)");
+  SimOptions today;
+  today.hosts_per_zone = 7;  // entry, control and placement processes
+  today.upstreams_per_zone = 15;
+  Bench(report, "21 hosts, 45 replicas: ", today, 30);
+  SimOptions later;
+  later.zones = 7;
+  later.regions = 2;
+  later.hosts_per_zone = getenv("HPZ") ? atoi(getenv("HPZ")) : 57;
+  later.upstreams_per_zone = getenv("UPZ") ? atoi(getenv("UPZ")) : 1029;
+  Bench(report, "399 hosts, 7,203 replicas: ", later, 25);
+}
+
+}  // namespace corneltray::bench
--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -37,9 +37,12 @@
   QueueHost(Self());
 }
 
-// Each record is sent about three times the rounds that an epidemic needs, as messages may be lost.
-std::uint32_t MembershipTable::Impl::Sends() const {
-  return 4 + 2 * static_cast<std::uint32_t>(std::log2(static_cast<double>(m_hosts.size()) + 1.0));
+// How often this process passes a record on. News that must be everywhere at once is sent more
+// often than an epidemic needs, as messages may be lost; for the rest, checksums find what was
+// missed.
+std::uint32_t MembershipTable::Impl::Sends(Urgency urgency) const {
+  if (urgency == Urgency::kState || urgency == Urgency::kDemand) return 3;
+  return 4 + static_cast<std::uint32_t>(std::log2(static_cast<double>(m_hosts.size()) + 1.0));
 }
 
 void MembershipTable::Impl::PutHostMember(const HostEntry& entry, TimePoint heard_at) {
@@ -64,14 +67,18 @@
   // Other zones get service replicas and the end of an engine at once; other changes of engines
   // reach them when they compare checksums, which costs less.
   const bool other_zones = a.kind == UpstreamKind::kService || leaving;
-  m_queue.Put("u/" + a.name, leaving ? Urgency::kLeaving : Urgency::kState, other_zones, Sends(),
+  if (m_is_pulled) return;
+  const Urgency urgency = leaving ? Urgency::kLeaving : Urgency::kState;
+  m_queue.Put("u/" + a.name, urgency, other_zones, Sends(urgency),
               UpstreamRecord{a, entry.version, false, {}},
               UpstreamGroup(a.availability_zone).Find(a.name)->heard_at);
 }
 
 void MembershipTable::Impl::QueueHost(const HostEntry& entry) {
   const bool leaving = entry.info.state == HostState::kLeaving;
-  m_queue.Put("h/" + entry.info.name, leaving ? Urgency::kLeaving : Urgency::kState, true, Sends(),
+  if (m_is_pulled) return;
+  const Urgency urgency = leaving ? Urgency::kLeaving : Urgency::kState;
+  m_queue.Put("h/" + entry.info.name, urgency, true, Sends(urgency),
               HostRecord{entry.info, entry.version, {}},
               m_host_group.Find(entry.info.name)->heard_at);
 }
@@ -104,7 +111,7 @@
   self.info.demand.clear();
   for (const auto& [rate, customer] : largest) self.info.demand[customer] = rate;
   ++self.demand_version;
-  m_queue.Put("d/" + m_name, Urgency::kDemand, false, 3,
+  m_queue.Put("d/" + m_name, Urgency::kDemand, false, Sends(Urgency::kDemand),
               DemandRecord{m_name, self.demand_version, self.info.demand}, {});
 }
 
@@ -155,13 +162,12 @@
   return {{"n", ++m_counter}, {"t", Millis(now - m_started_at)}, {"i", Self().info.incarnation}};
 }
 
-GossipMessage MembershipTable::Impl::MakeHeartbeat(TimePoint now, const std::string& target,
-                                                   bool with_hosts) {
+GossipMessage MembershipTable::Impl::MakeHeartbeat(TimePoint now, const std::string& target) {
   const HostInfo& peer = m_hosts.at(target).info;
   const std::string& zone = Self().info.availability_zone;
   json body = Header(now);
   m_host_group.Refresh(m_name, now);
-  if (with_hosts) body["h"] = Binary(m_host_group.EncodeMarks(now));
+  body["h"] = Binary(m_host_group.EncodeMarks(now));
   const bool own_zone = InOwnZone(peer);
   if (own_zone) {
     body["u"] = Binary(UpstreamGroup(zone).EncodeMarks(now));
@@ -179,10 +185,10 @@
   MembershipOutput out;
   ++m_heartbeats;
   m_pulls_left = kPullsPerHeartbeat;
+  m_other_pulls_left = kOtherPullsPerHeartbeat;
   m_answers_left = kAnswersPerHeartbeat;
   m_targets = PickTargets();
   m_next_message_at = now;
-  m_hosts_sent = false;
   SendDue(now, &out);
   return out;
 }
@@ -195,10 +201,7 @@
     const std::string target = m_targets.front();
     m_targets.erase(m_targets.begin());
     if (m_hosts.count(target) == 0) continue;
-    const bool own_zone = InOwnZone(m_hosts.at(target).info);
-    // One of the messages within the zone carries the host marks, and each one to another zone.
-    out->messages.push_back(MakeHeartbeat(now, target, !m_hosts_sent || !own_zone));
-    if (own_zone) m_hosts_sent = true;
+    out->messages.push_back(MakeHeartbeat(now, target));
   }
 }
 
@@ -246,7 +249,7 @@
     AddHost(peer, 0, now, &out);
   }
   // Asks for a heartbeat in return, so that a new process learns the members within one round trip.
-  GossipMessage message = MakeHeartbeat(now, peer.name, true);
+  GossipMessage message = MakeHeartbeat(now, peer.name);
   message.body["j"] = 1;
   out.messages.push_back(std::move(message));
   return out;
@@ -297,7 +300,7 @@
   m_tombstones[name] = {a.incarnation, heard_at, a.state == UpstreamState::kLeaving,
                         now + kLeavingMemory};
   if (a.availability_zone == Self().info.availability_zone) {
-    m_queue.Put("u/" + name, Urgency::kState, true, Sends(),
+    m_queue.Put("u/" + name, Urgency::kState, true, Sends(Urgency::kState),
                 UpstreamRecord{a, it->second.version, true, {}}, heard_at);
   }
   group.Remove(name);
@@ -311,6 +314,8 @@
   SendDue(now, &out);
   TickHosts(now, &out);
   TickOwnZone(now, &out);
+  if (now < m_other_zones_at) return out;
+  m_other_zones_at = now + kHeartbeatInterval;
   TickOtherZones(now, &out);
   for (auto it = m_tombstones.begin(); it != m_tombstones.end();) {
     it = it->second.forget_at <= now ? m_tombstones.erase(it) : std::next(it);
@@ -332,7 +337,7 @@
     if (entry.liveness == HostLiveness::kAlive && silence >= kHostSuspectAfter + allowance) {
       entry.liveness = HostLiveness::kSuspect;
       entry.reporters[m_name] = now;
-      m_queue.Put("s/" + name, Urgency::kSuspicion, true, Sends(),
+      m_queue.Put("s/" + name, Urgency::kSuspicion, true, Sends(Urgency::kSuspicion),
                   SuspicionRecord{name, entry.info.incarnation, m_name}, {});
       out->events.push_back({MembershipEventType::kHostSuspect, name, entry.info.incarnation});
     }
@@ -369,11 +374,11 @@
   for (std::size_t b = 0; b < group.BucketCount(); ++b) {
     for (const FreshnessGroup::Member& member : group.MembersOf(b)) {
       const Duration silence = group.Silence(now, b, member, peers > 0);
+      if (silence < kUpstreamSuspectAfter + allowance) continue;
       UpstreamEntry& entry = m_entries.at(member.name);
       if (silence >= kUpstreamRemoveAfter + allowance) {
         removed.push_back(member.name);
-      } else if (silence >= kUpstreamSuspectAfter + allowance &&
-                 entry.status == UpstreamStatus::kReady) {
+      } else if (entry.status == UpstreamStatus::kReady) {
         SetStatus(&entry, UpstreamStatus::kSuspect, out);
       }
     }
--- a/src/libcorneltray/membership_gossip.cc
+++ b/src/libcorneltray/membership_gossip.cc
@@ -12,7 +12,6 @@
 using nlohmann::json;
 using Urgency = BroadcastQueue::Urgency;
 
-constexpr std::size_t kPullsPerMessage = 4;
 constexpr std::size_t kKeyBytes = 8;       // of one member in a pull
 constexpr std::size_t kShortKeyBytes = 4;  // of one member in a full list
 constexpr std::size_t kMaxPullMembers = 120;
@@ -70,7 +69,8 @@
     Duration delay{};
     if (!CountMessage(now, &m_hosts.at(from), body, &delay)) return out;
     m_host_group.Refresh(from, now - delay);
-    RefreshHost(from, &out);
+    RefreshHost(now, from, &out);
+    m_is_pulled = body.contains("a");
     for (const json& item : body.value("d", json::array())) {
       const auto record = DecodeRecord(item);
       if (!record) {
@@ -79,13 +79,15 @@
       }
       std::visit([&](const auto& value) { Apply(now, value, &out); }, *record);
     }
+    m_is_pulled = false;
     MergeMarks(now, from, body, delay, &out);
     if (body.contains("p")) {
-      for (const json& pull : body["p"]) Answer(now, from, pull, &out);
+      AnswerAll(now, from, body["p"], &out);
     }
-    if (body.contains("f")) ApplyFullList(now, body["f"], &out);
-    if (body.contains("j")) out.messages.push_back(MakeHeartbeat(now, from, true));
+    for (const json& full : body.value("f", json::array())) ApplyFullList(now, full, &out);
+    if (body.contains("j")) out.messages.push_back(MakeHeartbeat(now, from));
   } catch (const json::exception&) {
+    m_is_pulled = false;
     ++m_malformed;
   }
   return out;
@@ -114,7 +116,7 @@
   if (body.contains("h")) {
     FreshnessGroup::MergeResult result;
     if (!m_host_group.Merge(now, Text(body["h"]), delay, &result)) ++m_malformed;
-    for (const std::string& name : result.refreshed) RefreshHost(name, out);
+    for (const std::string& name : result.refreshed) RefreshHost(now, name, out);
     Pull(now, from, kHostsGroup, m_host_group, std::move(result.mismatched), out);
   }
   if (body.contains("u") && InOwnZone(m_hosts.at(from).info)) {
@@ -122,7 +124,7 @@
     FreshnessGroup& group = UpstreamGroup(zone);
     FreshnessGroup::MergeResult result;
     if (!group.Merge(now, Text(body["u"]), delay, &result)) ++m_malformed;
-    for (const std::string& name : result.refreshed) RefreshUpstream(name, out);
+    for (const std::string& name : result.refreshed) RefreshUpstream(now, name, out);
     Pull(now, from, zone, group, std::move(result.mismatched), out);
   }
   if (body.contains("c")) {
@@ -139,24 +141,68 @@
 void MembershipTable::Impl::Pull(TimePoint now, const std::string& from,
                                  const std::string& group_name, const FreshnessGroup& group,
                                  std::vector<std::size_t> buckets, MembershipOutput* out) {
+  const bool other_zone = group_name != kHostsGroup && group_name != Self().info.availability_zone;
   std::shuffle(buckets.begin(), buckets.end(), *m_random);
-  if (buckets.size() > kPullsPerMessage) buckets.resize(kPullsPerMessage);
+  std::size_t* left = other_zone ? &m_other_pulls_left : &m_pulls_left;
+  json pulls = json::array();
+  std::size_t used = kReplyHeaderBytes;
+  const auto send = [&] {
+    if (pulls.empty() || *left == 0) return;
+    --*left;
+    json body = Header(now);
+    body["p"] = std::move(pulls);
+    pulls = json::array();
+    used = kReplyHeaderBytes;
+    out->messages.push_back({from, std::move(body)});
+  };
   for (const std::size_t bucket : buckets) {
-    if (m_pulls_left == 0) return;
-    --m_pulls_left;
     std::string have;
     for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
       if (have.size() >= kMaxPullMembers * kKeyBytes) break;
       have += MemberKey(member);
     }
-    json body = Header(now);
-    body["p"] = json::array({json::array({group_name, bucket, Binary(have)})});
+    json pull = json::array({group_name, bucket, Binary(have)});
+    const std::size_t bytes = json::to_cbor(pull).size();
+    if (used + bytes > kMaxGossipBytes) send();
+    used += bytes;
+    pulls.push_back(std::move(pull));
+  }
+  send();
+}
+
+// Collects what answers a pull into messages that keep the size limit.
+struct MembershipTable::Impl::AnswerMessages {
+  // Adds an item to the list under a key.
+  void Add(const char* key, json item) {
+    const std::size_t bytes = json::to_cbor(item).size();
+    if (bodies.empty() || used + bytes > kMaxGossipBytes) {
+      bodies.push_back({{"a", 1}});
+      used = kReplyHeaderBytes;
+    }
+    used += bytes;
+    json& list = bodies.back()[key];
+    if (list.is_null()) list = json::array();
+    list.push_back(std::move(item));
+  }
+
+  std::vector<json> bodies;
+  std::size_t used = 0;
+};
+
+void MembershipTable::Impl::AnswerAll(TimePoint now, const std::string& from, const json& pulls,
+                                      MembershipOutput* out) {
+  AnswerMessages messages;
+  for (const json& pull : pulls) Answer(now, from, pull, &messages);
+  for (json& body : messages.bodies) {
+    if (m_answers_left == 0) return;
+    --m_answers_left;
+    body.update(Header(now));
     out->messages.push_back({from, std::move(body)});
   }
 }
 
 void MembershipTable::Impl::Answer(TimePoint now, const std::string& from, const json& pull,
-                                   MembershipOutput* out) {
+                                   AnswerMessages* messages) {
   const auto group_name = pull.at(0).get<std::string>();
   const auto bucket = pull.at(1).get<std::size_t>();
   const auto have = SplitKeys(Text(pull.at(2)), kKeyBytes);
@@ -165,44 +211,23 @@
   if (!hosts && group_name != Self().info.availability_zone) return;
   const FreshnessGroup& group = hosts ? m_host_group : UpstreamGroup(group_name);
   if (bucket >= group.BucketCount()) return;
-  std::vector<json> bodies{Header(now)};
-  bodies.back()["d"] = json::array();
-  std::size_t used = kReplyHeaderBytes;
-  const auto add = [&](const json& record) {
-    const std::size_t bytes = json::to_cbor(record).size();
-    if (used + bytes > kMaxGossipBytes) {
-      bodies.push_back(Header(now));
-      bodies.back()["d"] = json::array();
-      used = kReplyHeaderBytes;
-    }
-    used += bytes;
-    bodies.back()["d"].push_back(record);
-  };
   std::string names;
   for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
     names += ShortKey(member.name);
     if (have.count(MemberKey(member)) != 0) continue;
+    const Duration age = now - member.heard_at;
     if (hosts) {
       const HostEntry& entry = m_hosts.at(member.name);
-      add(EncodeRecord(HostRecord{entry.info, entry.version, now - member.heard_at}));
+      messages->Add("d", EncodeRecord(HostRecord{entry.info, entry.version, age}));
     } else {
       const UpstreamEntry& entry = m_entries.at(member.name);
-      add(EncodeRecord(
-          UpstreamRecord{entry.announcement, entry.version, false, now - member.heard_at}));
+      messages->Add("d",
+                    EncodeRecord(UpstreamRecord{entry.announcement, entry.version, false, age}));
     }
   }
   const auto sender = m_hosts.find(from);
-  if (!hosts && sender != m_hosts.end() && !InOwnZone(sender->second.info) &&
-      names.size() + kReplyHeaderBytes < kMaxGossipBytes) {
-    json body = Header(now);
-    body["f"] = json::array({group_name, bucket, Binary(names)});
-    bodies.push_back(std::move(body));
-  }
-  for (json& body : bodies) {
-    if (m_answers_left == 0) return;
-    if (!body.contains("f") && body["d"].empty()) continue;
-    --m_answers_left;
-    out->messages.push_back({from, std::move(body)});
+  if (!hosts && sender != m_hosts.end() && !InOwnZone(sender->second.info)) {
+    messages->Add("f", json::array({group_name, bucket, Binary(names)}));
   }
 }
 
@@ -234,17 +259,24 @@
        info.incarnation});
 }
 
-void MembershipTable::Impl::RefreshHost(const std::string& name, MembershipOutput* out) {
+void MembershipTable::Impl::RefreshHost(TimePoint now, const std::string& name,
+                                        MembershipOutput* out) {
   HostEntry& entry = m_hosts.at(name);
   if (entry.liveness == HostLiveness::kAlive) return;
+  // Later news that is itself too old does not end a suspicion, nor drop the reports behind it.
+  if (now - m_host_group.Find(name)->heard_at >= kHostSuspectAfter) return;
   entry.reporters.clear();
   entry.liveness = HostLiveness::kAlive;
   out->events.push_back({MembershipEventType::kHostAlive, name, entry.info.incarnation});
 }
 
-void MembershipTable::Impl::RefreshUpstream(const std::string& name, MembershipOutput* out) {
+void MembershipTable::Impl::RefreshUpstream(TimePoint now, const std::string& name,
+                                            MembershipOutput* out) {
   UpstreamEntry& entry = m_entries.at(name);
-  if (entry.status == UpstreamStatus::kSuspect) SetStatus(&entry, UpstreamStatus::kReady, out);
+  if (entry.status != UpstreamStatus::kSuspect) return;
+  const FreshnessGroup& group = UpstreamGroup(entry.announcement.availability_zone);
+  if (now - group.Find(name)->heard_at >= kUpstreamSuspectAfter) return;
+  SetStatus(&entry, UpstreamStatus::kReady, out);
 }
 
 void MembershipTable::Impl::Apply(TimePoint now, const HostRecord& record, MembershipOutput* out) {
@@ -295,8 +327,8 @@
   HostEntry& entry = it->second;
   if (entry.info.incarnation != record.incarnation) return;
   if (!entry.reporters.emplace(record.reporter, now).second || entry.reporters.size() > 2) return;
-  m_queue.Put("s/" + record.host + "/" + record.reporter, Urgency::kSuspicion, true, Sends(),
-              record, {});
+  m_queue.Put("s/" + record.host + "/" + record.reporter, Urgency::kSuspicion, true,
+              Sends(Urgency::kSuspicion), record, {});
 }
 
 void MembershipTable::Impl::Apply(TimePoint /*now*/, const DemandRecord& record,
@@ -306,7 +338,7 @@
   if (record.version <= it->second.demand_version) return;
   it->second.demand_version = record.version;
   it->second.info.demand = record.demand;
-  m_queue.Put("d/" + record.host, Urgency::kDemand, false, 3, record, {});
+  m_queue.Put("d/" + record.host, Urgency::kDemand, false, Sends(Urgency::kDemand), record, {});
 }
 
 void MembershipTable::Impl::Apply(TimePoint now, const UpstreamRecord& record,
@@ -328,7 +360,7 @@
     if (a.incarnation < known.incarnation || (a.incarnation == known.incarnation && !newer)) return;
     Remove(now, a.name, out);
     m_tombstones[a.name].heard_at = heard_at;
-    m_queue.Put("u/" + a.name, Urgency::kState, true, Sends(), record, heard_at);
+    m_queue.Put("u/" + a.name, Urgency::kState, true, Sends(Urgency::kState), record, heard_at);
     return;
   }
   const auto tombstone = m_tombstones.find(a.name);
@@ -408,7 +440,7 @@
   if (leaving) {
     SetStatus(&entry, UpstreamStatus::kLeaving, out);
   } else if (direct) {
-    RefreshUpstream(announcement.name, out);
+    RefreshUpstream(now, announcement.name, out);
   }
   if (!changed) return;
   QueueUpstream(entry);
--- a/src/libcorneltray/membership_impl.h
+++ b/src/libcorneltray/membership_impl.h
@@ -22,6 +22,7 @@
 
 // Requests for missing records, and answers to them, that one process sends between heartbeats.
 constexpr std::size_t kPullsPerHeartbeat = 8;
+constexpr std::size_t kOtherPullsPerHeartbeat = 2;  // for upstreams of other zones
 constexpr std::size_t kAnswersPerHeartbeat = 24;
 
 inline std::int64_t Millis(Duration d) {
@@ -94,7 +95,7 @@
   FreshnessGroup& UpstreamGroup(const std::string& zone) {
     return m_upstreams.try_emplace(zone, kUpstreamBuckets, kUpstreamAgeStep).first->second;
   }
-  std::uint32_t Sends() const;
+  std::uint32_t Sends(BroadcastQueue::Urgency urgency) const;
 
   void Apply(TimePoint now, const UpstreamRecord& record, MembershipOutput* out);
   void Apply(TimePoint now, const HostRecord& record, MembershipOutput* out);
@@ -107,8 +108,8 @@
   void PutHostMember(const HostEntry& entry, TimePoint heard_at);
   void QueueUpstream(const UpstreamEntry& entry);
   void QueueHost(const HostEntry& entry);
-  void RefreshHost(const std::string& name, MembershipOutput* out);
-  void RefreshUpstream(const std::string& name, MembershipOutput* out);
+  void RefreshHost(TimePoint now, const std::string& name, MembershipOutput* out);
+  void RefreshUpstream(TimePoint now, const std::string& name, MembershipOutput* out);
   void AddHost(const HostInfo& info, std::uint64_t version, TimePoint heard_at,
                MembershipOutput* out);
   void SpreadNow(TimePoint now, const MembershipRecord& record, bool to_all, MembershipOutput* out);
@@ -118,12 +119,15 @@
                   Duration delay, MembershipOutput* out);
   void Pull(TimePoint now, const std::string& from, const std::string& group_name,
             const FreshnessGroup& group, std::vector<std::size_t> buckets, MembershipOutput* out);
+  struct AnswerMessages;
+  void AnswerAll(TimePoint now, const std::string& from, const nlohmann::json& pulls,
+                 MembershipOutput* out);
   void Answer(TimePoint now, const std::string& from, const nlohmann::json& pull,
-              MembershipOutput* out);
+              AnswerMessages* messages);
   void ApplyFullList(TimePoint now, const nlohmann::json& full, MembershipOutput* out);
 
   nlohmann::json Header(TimePoint now);
-  GossipMessage MakeHeartbeat(TimePoint now, const std::string& target, bool with_hosts);
+  GossipMessage MakeHeartbeat(TimePoint now, const std::string& target);
   std::vector<std::string> PickTargets();
   void SendDue(TimePoint now, MembershipOutput* out);
   Duration GossipAllowance(std::size_t processes) const;
@@ -139,8 +143,10 @@
   std::uint64_t m_heartbeats = 0;
   std::vector<std::string> m_targets;  // of this heartbeat, not yet sent to
   TimePoint m_next_message_at{};
-  bool m_hosts_sent = false;  // in this heartbeat
+  TimePoint m_other_zones_at{};
   std::size_t m_pulls_left = kPullsPerHeartbeat;
+  std::size_t m_other_pulls_left = kOtherPullsPerHeartbeat;
+  bool m_is_pulled = false;  // the records being taken in were asked for, so others have them too
   std::size_t m_answers_left = kAnswersPerHeartbeat;
   std::uint64_t m_demand_sent_at = 0;  // heartbeat
   BroadcastQueue m_queue;
--- a/src/libcorneltray/membership_records.cc
+++ b/src/libcorneltray/membership_records.cc
@@ -16,6 +16,7 @@
 // it.
 constexpr std::size_t kMaxRecordBytes = 1000;
 constexpr std::size_t kMaxDemands = 64;
+constexpr std::size_t kMaxQueued = 256;
 constexpr std::size_t kUpstreamFields = 18;
 constexpr std::size_t kHostFields = 11;
 
@@ -216,6 +217,12 @@
   Item item{key, urgency, to_other_zones, sends, EncodeRecord(record), 0};
   item.heard_at = heard_at;
   item.bytes = json::to_cbor(item.record).size() + 4;  // the age may grow
+  if (m_items.size() >= kMaxQueued) {
+    // The least urgent goes. Processes that miss it find that by checksum.
+    m_items.erase(
+        std::max_element(m_items.begin(), m_items.end(),
+                         [](const Item& a, const Item& b) { return a.urgency < b.urgency; }));
+  }
   m_items.push_back(std::move(item));
 }
 
