--- a/src/include/corneltray/answer_stream.h
+++ b/src/include/corneltray/answer_stream.h
@@ -98,7 +98,10 @@
   };
 };
 
-enum class AnswerFailure { kUpstreamFailed, kDeadlineExceeded };
+enum class AnswerFailure {
+  kUpstreamFailed,    // attempts failed, and no further one was possible before the deadline
+  kDeadlineExceeded,  // the deadline passed while an attempt was making progress
+};
 
 template <>
 struct EnumNames<AnswerFailure> {
@@ -164,7 +167,7 @@
   void RestartProgress(TimePoint now);
 
   // No further attempt is possible: no chain is left or the retry budget is used up.
-  AnswerAction GiveUp(TimePoint now);
+  AnswerAction GiveUp();
 
   // Time at which Tick has something to do.
   TimePoint NextDeadline() const;
--- a/src/libcorneltray/answer_runner.cc
+++ b/src/libcorneltray/answer_runner.cc
@@ -84,11 +84,11 @@
     if (!route) route = NextRoute();
     std::optional<AnswerAction> action;
     if (!route) {
-      action = m_stream.GiveUp(Clock::now());
+      action = m_stream.GiveUp();
     } else if (const Status begun = m_stream.BeginAttempt(route->chain, Clock::now()); !begun) {
       LogEvent(LogLevel::kError, "chain_refused",
                {{"request_id", m_context->request_id}, {"detail", begun.error().ToString()}});
-      action = m_stream.GiveUp(Clock::now());
+      action = m_stream.GiveUp();
     } else {
       LogChain(*m_context, *route, m_stream.Attempt());
       action = RunAttempt(*route, on_token);
@@ -105,7 +105,7 @@
     route.reset();
     if (!WaitForRetry()) {
       if (IsGone()) return {"", std::nullopt, true};
-      const AnswerAction end = m_stream.GiveUp(Clock::now());
+      const AnswerAction end = m_stream.GiveUp();
       return {"", std::get<FailAnswer>(end).failure, false};
     }
   }
--- a/src/libcorneltray/answer_stream.cc
+++ b/src/libcorneltray/answer_stream.cc
@@ -162,12 +162,11 @@
   }
 }
 
-AnswerAction AnswerStream::GiveUp(TimePoint now) {
+AnswerAction AnswerStream::GiveUp() {
   if (m_state == State::kFinished || m_state == State::kFailed) {
     return Discard(DiscardReason::kAfterEnd);
   }
-  return Fail(now >= m_spec.deadline ? AnswerFailure::kDeadlineExceeded
-                                     : AnswerFailure::kUpstreamFailed);
+  return Fail(AnswerFailure::kUpstreamFailed);
 }
 
 TimePoint AnswerStream::NextDeadline() const {
@@ -184,7 +183,7 @@
   // With every token accepted only the end marker is missing, and a further attempt has nothing to
   // add.
   if (NextIndex() == m_spec.max_tokens) return Finish("length");
-  if (now >= m_spec.deadline) return Fail(AnswerFailure::kDeadlineExceeded);
+  if (now >= m_spec.deadline) return Fail(AnswerFailure::kUpstreamFailed);
   m_state = State::kWaiting;
   return ResumeAnswer{reason, std::move(failed_stage)};
 }
--- a/src/libcorneltray/http_connection.cc
+++ b/src/libcorneltray/http_connection.cc
@@ -53,7 +53,7 @@
 
 void HttpConnection::BeginRequest() {
   m_in_headers = true;
-  m_header_bytes = 0;
+  m_head.clear();
   m_read_by = Clock::now() + m_read_timeout;
 }
 
@@ -88,8 +88,8 @@
   }
   const std::size_t count = std::min(size, m_end - m_begin);
   if (m_in_headers) {
-    m_header_bytes += count;
-    if (m_header_bytes > m_max_header_bytes) return -1;
+    if (m_head.size() + count > m_max_header_bytes) return -1;
+    m_head.append(m_buffer + m_begin, count);
   }
   std::memcpy(ptr, m_buffer + m_begin, count);
   m_begin += count;
--- a/src/libcorneltray/http_connection.h
+++ b/src/libcorneltray/http_connection.h
@@ -23,6 +23,9 @@
   // The headers are complete: from now on the body is read.
   void BeginBody();
 
+  // Returns the bytes of the request line and headers read since BeginRequest.
+  const std::string& Head() const { return m_head; }
+
   // Returns whether a byte is waiting, within a time.
   bool WaitReadable(std::chrono::milliseconds timeout) const;
   // Returns whether the peer has closed the connection or its sending half. Any thread.
@@ -46,7 +49,7 @@
   TimePoint m_read_by{};
   TimePoint m_body_by{};
   bool m_in_headers = true;
-  std::size_t m_header_bytes = 0;
+  std::string m_head;
   char m_buffer[4096];
   std::size_t m_begin = 0;
   std::size_t m_end = 0;
--- a/src/libcorneltray/http_server.cc
+++ b/src/libcorneltray/http_server.cc
@@ -78,6 +78,22 @@
          text.find_first_not_of("0123456789") == std::string::npos;
 }
 
+// The library drops headers with an empty value; this adds them again, because "empty" and
+// "missing" are different answers to a caller.
+void RestoreEmptyHeaders(const std::string& head, httplib::Request* request) {
+  std::size_t begin = head.find("\r\n");
+  while (begin != std::string::npos) {
+    begin += 2;
+    const std::size_t end = head.find("\r\n", begin);
+    if (end == std::string::npos || end == begin) return;
+    const std::size_t colon = head.find(':', begin);
+    if (colon < end && head.find_first_not_of(" \t", colon + 1) == end) {
+      request->headers.emplace(head.substr(begin, colon - begin), "");
+    }
+    begin = end;
+  }
+}
+
 // Returns the status with which a request is refused because of its framing, or 0. Ambiguous
 // framing would let one caller's bytes be read as another request.
 int CheckFraming(const httplib::Request& request, std::size_t max_body_bytes) {
@@ -246,6 +262,7 @@
 
   // Called by the library when the head of a request is complete.
   void PrepareRequest(httplib::Request* request) {
+    RestoreEmptyHeaders(t_connection->Head(), request);
     t_connection->BeginBody();
     t_request.keyed = request->has_header("Idempotency-Key");
     t_request.reject_status = CheckFraming(*request, m_options.max_body_bytes());
--- a/src/libcorneltray/http_server_test.cc
+++ b/src/libcorneltray/http_server_test.cc
@@ -94,6 +94,7 @@
        "HTTP/1.1 400"},
       {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400"},
       {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: \r\n\r\nhello", "HTTP/1.1 400"},
       {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 400"},
       {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", "HTTP/1.1 413"},
       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x') +
@@ -136,6 +137,24 @@
   CHECK(caller.PeerClosed());
 }
 
+// Guards against an empty header being taken for a missing one.
+TEST_CASE("an empty header reaches the handler") {
+  HttpServer server(
+      Options(),
+      [](const HttpRequest& request) {
+        HttpResponse response;
+        for (const auto& [name, value] : request.headers) response.body += name + "=" + value + ";";
+        return response;
+      },
+      ErrorPage);
+  REQUIRE(server.Start().Ok());
+  TestSocket caller(server.Address());
+  caller.Send("GET / HTTP/1.1\r\nX-Empty:\r\nX-Blank: \r\nX-Full: 1\r\n\r\n");
+  const std::string reply = caller.ReadUntil("x-full=1;");
+  CHECK(reply.find("x-empty=;") != std::string::npos);
+  CHECK(reply.find("x-blank=;") != std::string::npos);
+}
+
 TEST_CASE("a streamed response") {
   Event hung_up;
   Event started;
