Try replicas of a service again while no byte can be sent

Cause: of 20 bookings at once one was told not_run: the accept queue of the only replica was full, the connect timed out, and no other replica was there. Change: BookingRunner goes through the replicas up to three times before it records not_run; nothing was sent in those rounds. Conclusion: not_run is left to replicas that stay away.

--- a/src/libcorneltray/booking_runner.cc
+++ b/src/libcorneltray/booking_runner.cc
@@ -28,6 +28,9 @@
 // How long an outcome is recorded after the caller was answered.
 constexpr std::int64_t kBackgroundMs = 60'000;
 constexpr milliseconds kSleepSlice{50};
+// How often all replicas are tried while no byte can be sent. A burst of connections can overflow
+// the accept queue of a healthy replica, which then answers the next attempt.
+constexpr int kSendRounds = 3;
 
 std::string HashRequest(const HttpRequest& http, const std::string& target) {
   const std::string text = http.method + "\n" + target + "\n" + http.body;
@@ -127,13 +130,18 @@
   }
 
   BookingAction Execute(const SendBooking& step) {
-    const Result<ReplicaRoute> route = m_entry.routing->ChooseReplica(m_call.service, m_tried);
+    Result<ReplicaRoute> route = m_entry.routing->ChooseReplica(m_call.service, m_tried);
+    if (!route && !m_tried.empty() && ++m_rounds < kSendRounds) {
+      std::this_thread::sleep_for(kSleepSlice);
+      m_tried.clear();
+      route = m_entry.routing->ChooseReplica(m_call.service, m_tried);
+    }
     // The check comes last before the call, because the process may have been frozen until now.
     if (!route || UnixNow() >= step.send_before || Clock::now() >= m_deadline) {
       return m_flow.HandleSend(NotSent{false}, UnixNow());
     }
     const Replica& replica = route.value().replica;
-    LogReplica(m_log_context, route.value(), static_cast<std::uint32_t>(m_tried.size() + 1));
+    LogReplica(m_log_context, route.value(), ++m_sends);
     m_tried.insert(replica.name);
     const WorkTicket work(m_entry.routing, {replica.name});
     const TimePoint begin = Clock::now();
@@ -147,6 +155,7 @@
     }
     m_entry.routing->ReportFailure(m_call.service, replica.name);
     if (answer.end == CallEnd::kConnectFailed) {
+      m_entry.metrics->Count("booking_connects_failed", m_call.service);
       return m_flow.HandleSend(NotSent{true}, UnixNow());
     }
     return m_flow.HandleSend(AnswerBroken{}, UnixNow());
@@ -309,6 +318,8 @@
   } m_log_context;
   BookingFlow m_flow;
   std::set<std::string> m_tried;
+  int m_rounds = 0;
+  std::uint32_t m_sends = 0;
   std::set<std::string> m_lookup_failed;
   bool m_in_background = false;
 };
--- a/src/libcorneltray/service_runner_test.cc
+++ b/src/libcorneltray/service_runner_test.cc
@@ -26,8 +26,8 @@
     kLarge
   };
 
-  explicit TestService(Fault fault)
-      : m_fault(fault), m_peer([this](TestSocket* socket) { Serve(socket); }) {}
+  explicit TestService(Fault fault, int port = 0)
+      : m_fault(fault), m_peer([this](TestSocket* socket) { Serve(socket); }, port) {}
 
   const std::string& Address() const { return m_peer.Address(); }
   int Booked() const { return m_booked; }
@@ -225,6 +225,21 @@
     }
     CHECK(service.Booked() == 4);
   }
+  // Guards against "not run" for a replica that only had a full accept queue for a moment.
+  SUBCASE("is sent when the replica accepts again") {
+    const std::string address = NobodyAddress();
+    entry.AddService("back", address);
+    std::unique_ptr<TestService> service;
+    std::thread opener([&] {
+      while (entry.metrics.Text({}).find("booking_connects_failed") == std::string::npos) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+      service = std::make_unique<TestService>(Fault::kNone, std::stoi(address.substr(10)));
+    });
+    CHECK(OutcomeOf(HandleApiRequest(entry.context, Booking(key))) == "done");
+    opener.join();
+    CHECK(service->Booked() == 1);
+  }
   // Guards against R3: a key that was told as not run must not run for a delayed duplicate.
   SUBCASE("without a replica is not run, now and later") {
     const HttpResponse first = HandleApiRequest(entry.context, Booking(key));
--- a/src/libcorneltray/test_socket.h
+++ b/src/libcorneltray/test_socket.h
@@ -108,8 +108,11 @@
  public:
   using Script = std::function<void(TestSocket*)>;
 
-  explicit ScriptedPeer(Script script) : m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in own = TestSocket::Address(0);
+  explicit ScriptedPeer(Script script, int port = 0)
+      : m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in own = TestSocket::Address(port);
     (void)::bind(m_listener, reinterpret_cast<sockaddr*>(&own), sizeof(own));
     ::listen(m_listener, 16);
     socklen_t length = sizeof(own);
