Show no configuration before the log is recovered

Cause: after a restart of every host, configuration-changes saw revision 0 at a control process that had not applied its log yet; an operator could take it for the current revision. Change: a control process publishes and answers fetches only once it has applied an entry of the current term and what its disk held; GET configuration answers 503 until then. A process without a configuration takes the greatest of all control processes in reach.

--- a/src/corneltray-control/control_http.cc
+++ b/src/corneltray-control/control_http.cc
@@ -46,6 +46,7 @@
   const char* reason = *options.draining                  ? "draining"
                        : options.control->StorageFailed() ? "storage_failed"
                        : !options.control->HasLeader()    ? "no_leader"
+                       : !options.control->CaughtUp()     ? "recovering"
                                                           : nullptr;
   if (reason != nullptr) return Answer(503, {{"ready", false}, {"reason", reason}});
   return Answer(200, {{"ready", true}});
@@ -108,6 +109,7 @@
   admin.control = options.client;
   admin.feed = options.feed;
   admin.status = [options] { return StatusOf(options); };
+  admin.recovered = [options] { return options.control->CaughtUp(); };
   admin.drain = options.drain;
   RegisterAdminApi(server->Library(), std::move(admin));
   return server;
--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -81,6 +81,7 @@
 }
 
 void ControlNode::Begin() {
+  m_recovered_index = m_replica.GetStatus().last.index;
   m_node->Post([this] {
     m_replica.Tick(Clock::now());
     Drain();
@@ -93,6 +94,7 @@
     if (batch.actions.empty()) break;
     Execute(std::move(batch));
   }
+  CheckCaughtUp();
   PublishConfiguration();
   CompactIfDue();
   PlanTick();
@@ -158,6 +160,7 @@
 void ControlNode::Apply(const std::vector<LogEntry>& entries) {
   for (const LogEntry& entry : entries) {
     m_applied = entry.index;
+    m_applied_term = entry.term;
     json reply;
     if (entry.kind == EntryKind::kCommand) {
       const auto command = DecodeCommand(entry.payload);
@@ -189,6 +192,7 @@
     return;
   }
   m_applied = m_compacted = snapshot.last.index;
+  m_applied_term = snapshot.last.term;
   LogEvent(LogLevel::kInfo, "snapshot_restored",
            {{"index", m_applied}, {"revision", m_state.GetConfiguration().Revision()}});
   // Whether their commands are part of the snapshot is not known here.
@@ -217,7 +221,18 @@
                             : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
 }
 
+void ControlNode::CheckCaughtUp() {
+  if (m_caught_up || !m_has_leader) return;
+  // A leader starts its term with an entry after everything that was committed before. Entries on
+  // the own disk are waited for as well, unless the leader has replaced them.
+  const ReplicaStatus status = m_replica.GetStatus();
+  if (m_applied_term != status.term) return;
+  if (m_applied < std::min(m_recovered_index, status.last.index)) return;
+  m_caught_up = true;
+}
+
 void ControlNode::PublishConfiguration() {
+  if (!m_caught_up) return;
   const ConfigurationStore& store = m_state.GetConfiguration();
   const std::uint64_t revision = store.Revision();
   if (revision == m_published) return;
@@ -332,6 +347,10 @@
 }
 
 void ControlNode::FetchConfiguration(const json& body, const Responder& respond) {
+  if (!m_caught_up) {
+    respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is still recovering"));
+    return;
+  }
   const ConfigurationStore& store = m_state.GetConfiguration();
   if (body.contains("history")) {
     const std::size_t limit =
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -59,6 +59,9 @@
   // From any thread.
   bool HasLeader() const { return m_has_leader; }
   bool StorageFailed() const { return m_storage_failed; }
+  // False from the start until every entry that was committed before it is applied. Until then the
+  // configuration here may be older than one that this host has shown before.
+  bool CaughtUp() const { return m_caught_up; }
 
  private:
   struct WaitingProposal {
@@ -79,6 +82,7 @@
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
   void FinishRead(std::uint64_t id, bool confirmed);
+  void CheckCaughtUp();
   void PublishConfiguration();
   void CompactIfDue();
   void PlanTick();
@@ -99,11 +103,14 @@
   std::uint64_t m_persisted = 0;
   std::optional<TimePoint> m_next_tick;
   std::uint64_t m_applied = 0;
+  std::uint64_t m_applied_term = 0;
+  std::uint64_t m_recovered_index = 0;  // last entry on the disk at the start
   std::uint64_t m_compacted = 0;
   std::uint64_t m_published = 0;
   bool m_leader_reported = false;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
+  std::atomic<bool> m_caught_up{false};
   StorageThread m_storage;  // last: its thread uses the members above until it is joined
 };
 
--- a/src/libcorneltray/admin_api.cc
+++ b/src/libcorneltray/admin_api.cc
@@ -109,6 +109,13 @@
 
   void GetConfiguration(const httplib::Request&, httplib::Response* response) {
     const RevisedDocument document = m_options.feed->Document();
+    // Revision 0 of a process that does not know better would invite a change over it.
+    if (document.revision == 0 && !(m_options.recovered && m_options.recovered())) {
+      Refuse(response, {503, "configuration_unknown",
+                        "no configuration is in force at this process yet; ask another one", "",
+                        "not_run", std::nullopt});
+      return;
+    }
     json overlays = json::object();
     for (const auto& [site, text] : document.document.overlays) overlays[site] = text;
     Answer(response, 200,
--- a/src/libcorneltray/admin_api_test.cc
+++ b/src/libcorneltray/admin_api_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <httplib.h>
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -44,6 +45,7 @@
   StandInClient control;
   ConfigurationFeed feed{nullptr, "dkr"};
   int drains = 0;
+  std::atomic<bool> recovered{false};
   httplib::Server server;
   int port = 0;
   std::thread thread;
@@ -54,6 +56,7 @@
     options.control = &control;
     options.feed = &feed;
     options.status = [] { return json{{"host", "control-1"}}; };
+    options.recovered = [this] { return recovered.load(); };
     options.drain = [this] { ++drains; };
     RegisterAdminApi(&server, std::move(options));
     port = server.bind_to_any_port("127.0.0.1");
@@ -105,6 +108,12 @@
     CHECK(error["revision"] == 1);
     CHECK(error["outcome"] == "not_run");
   }
+  // Guards against a change over revision 0 that a process shows only because it is behind.
+  SUBCASE("and do not read revision 0 from a process that has not fetched it") {
+    CHECK(bench.Get("configuration")->status == 503);
+    bench.recovered = true;
+    CHECK(json::parse(bench.Get("configuration")->body)["revision"] == 0);
+  }
   SUBCASE("and read it as it is in force") {
     REQUIRE(bench.feed.Offer({1, bench.control.store.Document()}));
     const json body = json::parse(bench.Get("configuration")->body);
--- a/src/libcorneltray/configuration_feed.cc
+++ b/src/libcorneltray/configuration_feed.cc
@@ -116,7 +116,9 @@
   void Poll() {
     const bool ready = Ready();
     const TimePoint now = Clock::now();
-    if (!ready) {
+    if (Current() == nullptr) {
+      FetchFirst();
+    } else if (!ready) {
       for (const std::string& host : ControlHosts()) Fetch(host, false);
     } else if (now >= m_next_refresh) {
       m_next_refresh = now + kRefreshInterval;
@@ -127,6 +129,30 @@
     });
   }
 
+  // The first configuration is the greatest of all control processes in reach: one that is behind
+  // itself must not decide what a restarted process serves.
+  void FetchFirst() {
+    if (m_first_open > 0) return;
+    const std::vector<std::string> hosts = ControlHosts();
+    m_first_open = hosts.size();
+    for (const std::string& host : hosts) {
+      m_node->Request(host, MessageType::kConfigurationFetch, {{"have", 0}},
+                      Clock::now() + kFetchTimeout,
+                      [weak = weak_from_this()](const Result<json>& reply) {
+                        if (const auto self = weak.lock()) self->TakeFirst(reply);
+                      });
+    }
+  }
+
+  void TakeFirst(const Result<json>& reply) {
+    if (reply && reply.value().is_object() && reply.value().contains("document")) {
+      const auto document = ApplyConfigurationUpdate({}, reply.value());
+      if (document && document.value().revision > m_first.revision) m_first = document.value();
+    }
+    if (--m_first_open > 0 || m_first.revision == 0) return;
+    Offer(m_first);
+  }
+
   void FetchFromNext() {
     const std::vector<std::string> hosts = ControlHosts();
     if (!hosts.empty()) Fetch(hosts[m_next_host++ % hosts.size()], false);
@@ -175,8 +201,10 @@
 
   PeerNode* m_node;
   std::string m_site;
-  TimePoint m_next_refresh;     // I/O thread only
-  std::size_t m_next_host = 0;  // I/O thread only
+  TimePoint m_next_refresh;      // I/O thread only
+  std::size_t m_next_host = 0;   // I/O thread only
+  std::size_t m_first_open = 0;  // I/O thread only: requests of FetchFirst without a reply
+  RevisedDocument m_first;       // I/O thread only: greatest reply to them
 
   mutable std::mutex m_mutex;  // guards the members below
   RevisedDocument m_document;
--- a/src/libcorneltray/control_client_test.cc
+++ b/src/libcorneltray/control_client_test.cc
@@ -208,6 +208,29 @@
   node.Stop();
 }
 
+// Guards against a restarted process that serves what a control process that is behind gave it.
+TEST_CASE("the first configuration is the greatest in reach") {
+  StandIn behind("control-1", Behaviour::kAnswer);
+  StandIn current("control-2", Behaviour::kAnswer);
+  behind.Change(DocumentText(1000));
+  for (int i = 1; i <= 3; ++i) current.Change(DocumentText(1000 * i));
+  PeerNode node(OptionsFor("entry", "corneltray-entry"));
+  REQUIRE(node.Start().Ok());
+  node.Connect(behind.node.ListenAddress());
+  node.Connect(current.node.ListenAddress());
+  REQUIRE(Eventually([&] { return node.Peers().size() == 2; }));
+  ConfigurationFeed feed(&node, "dkr");
+  std::atomic<std::uint64_t> first{0};
+  feed.SetChangeCallback([&](const std::shared_ptr<const Configuration>& now) {
+    std::uint64_t none = 0;
+    first.compare_exchange_strong(none, now->revision);
+  });
+  feed.Start();
+  REQUIRE(Eventually([&] { return feed.Ready(); }));
+  CHECK(first == 3);
+  node.Stop();
+}
+
 TEST_CASE("a difference turns one document into the other") {
   ConfigurationDocument base{"a\nb\nc\nd\n", {{"dkr", "x\n"}, {"karachi/1~", "y"}}};
   struct Row {
