Stop the peer loop when its timer is due at the same moment

Cause: under the thread sanitizer a unit test hung for minutes in PeerNode::Stop. The regular timer was already in Asio's queue when its handle was replaced by the stop timer, ran all the same and replaced the stop timer, so the loop never ended. Change: a timer does nothing once its handle is gone, and the stop has a handle of its own.

--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -41,9 +41,10 @@
   }
   if (m_thread.joinable()) {
     m_transport.Post([this] {
+      m_tick_timer.reset();
       m_links.clear();
       m_transport.CloseAll();
-      m_tick_timer =
+      m_stop_timer =
           m_transport.StartTimer(Clock::now() + kStopDelay, [this] { m_transport.StopLoop(); });
     });
     m_thread.join();
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -153,6 +153,7 @@
   std::atomic<std::thread::id> m_loop_thread{};
   std::mt19937_64 m_random;
   std::shared_ptr<void> m_tick_timer;
+  std::shared_ptr<void> m_stop_timer;
   std::map<LinkId, Link> m_links;
   std::map<std::string, Peer> m_peers;      // by host
   std::map<std::string, Target> m_targets;  // by address
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -211,6 +211,19 @@
   }
 }
 
+// Guards against a stop that waits for ever because it meets the regular timer of the loop.
+TEST_CASE("a process stops at any moment") {
+  for (int i = 0; i < 8; ++i) {
+    Echo a(OptionsFor("a"));
+    REQUIRE(a.node.Start().Ok());
+    // The loop is busy when its timer (every 100 ms) and the stop become due together.
+    a.node.RunAt(Clock::now() + std::chrono::milliseconds(90),
+                 [] { std::this_thread::sleep_for(std::chrono::milliseconds(15)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(95));
+    a.node.Stop();
+  }
+}
+
 // Guards against two links between one pair of processes that both keep opening.
 TEST_CASE("processes that dial each other settle on one link") {
   Echo a(OptionsFor("a"));
--- a/src/libcorneltray/peer_transport.cc
+++ b/src/libcorneltray/peer_transport.cc
@@ -1,6 +1,7 @@
 #include "peer_transport.h"
 
 #include <map>
+#include <memory>
 #include <utility>
 #include <variant>
 #include <websocketpp/client.hpp>
@@ -218,8 +219,11 @@
 
 std::shared_ptr<void> PeerTransport::StartTimer(TimePoint when, std::function<void()> function) {
   auto timer = std::make_shared<asio::steady_timer>(m_impl->Loop(), when);
-  timer->async_wait([function = std::move(function)](const asio::error_code& code) {
-    if (!code) function();
+  // A timer that has expired may be in Asio's queue already when its handle is destroyed; Asio then
+  // reports no cancellation.
+  timer->async_wait([handle = std::weak_ptr<asio::steady_timer>(timer),
+                     function = std::move(function)](const asio::error_code& code) {
+    if (!code && !handle.expired()) function();
   });
   return timer;
 }
