Fail the unit tests when they hang

Cause: a peer loop that did not stop left the unit tests waiting for 10 minutes without a verdict. Change: a limit of 900 s for the unit tests, reported as a failure. Conclusion: a hang costs one verdict and not the whole run.

--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -13,6 +13,8 @@
 
 TOP = pathlib.Path(__file__).resolve().parent.parent
 CASE_TIMEOUT_S = 300
+# A hang is a failure; the sanitizer build takes several times as long as the normal one.
+UNIT_TIMEOUT_S = 900
 
 
 def known_red():
@@ -25,8 +27,12 @@
 
 def run_unit(build):
     """Runs the unit tests. Returns passed and failed counts of test cases."""
-    done = subprocess.run([str(build / "bin" / "corneltray_test")], capture_output=True, text=True,
-                          check=False)
+    try:
+        done = subprocess.run([str(build / "bin" / "corneltray_test")], capture_output=True,
+                              text=True, timeout=UNIT_TIMEOUT_S, check=False)
+    except subprocess.TimeoutExpired as error:
+        print(f"unit tests: no result after {UNIT_TIMEOUT_S} s\n{error.stdout}")
+        return 0, 1
     summary = re.search(r"test cases: *\d+ \| *(\d+) passed \| *(\d+) failed", done.stdout)
     if done.returncode != 0 or not summary:
         print(done.stdout[-20000:], done.stderr[-20000:])
