--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "corneltray/booking.h"
 #include "corneltray/result.h"
@@ -50,9 +51,11 @@
   // Keys with a time before this are refused as expired.
   UnixMs Cutoff() const { return m_cutoff; }
 
-  nlohmann::json Snapshot() const;
-  // Replaces the content. Throws nlohmann::json::exception on a malformed snapshot.
-  void Restore(const nlohmann::json& snapshot);
+  // Appends the content as bytes. A JSON value of the whole table would take several times its
+  // memory, and longer than an election timeout at 100,000 keys.
+  void AppendSnapshot(std::string* bytes) const;
+  // Replaces the content. Returns false and changes nothing on a malformed snapshot.
+  bool Restore(std::string_view snapshot);
 
  private:
   struct Entry {
--- a/src/libcorneltray/booking_table.cc
+++ b/src/libcorneltray/booking_table.cc
@@ -1,15 +1,12 @@
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
-#include "booking_json.h"
 #include "corneltray/control_state.h"
 
 namespace corneltray {
 namespace {
 
-using nlohmann::json;
-
 // Clocks of callers may be ahead by this much.
 constexpr std::int64_t kMaxKeyLeadMs = std::int64_t{5} * 60 * 1000;
 // Upper bound of `bookings.max_stored_answer_bytes`. Entry processes apply the configured limit;
@@ -26,6 +23,55 @@
   return -1;
 }
 
+// Numbers are 8 bytes, least significant first; texts are their length and their bytes.
+void AppendNumber(std::string* bytes, std::int64_t number) {
+  auto rest = static_cast<std::uint64_t>(number);
+  for (std::size_t i = 0; i < sizeof rest; ++i) {
+    bytes->push_back(static_cast<char>(rest & 0xff));
+    rest >>= 8;
+  }
+}
+
+void AppendText(std::string* bytes, std::string_view text) {
+  AppendNumber(bytes, static_cast<std::int64_t>(text.size()));
+  bytes->append(text);
+}
+
+// Reads what the functions above wrote. After the end of the bytes it gives zeros and empty texts,
+// and Ok turns false.
+class SnapshotReader {
+ public:
+  explicit SnapshotReader(std::string_view bytes) : m_rest(bytes) {}
+
+  std::int64_t Number() {
+    const std::string_view bytes = Take(sizeof(std::uint64_t));
+    std::uint64_t number = 0;
+    for (std::size_t i = bytes.size(); i > 0; --i) {
+      number = (number << 8) | static_cast<unsigned char>(bytes[i - 1]);
+    }
+    return static_cast<std::int64_t>(number);
+  }
+  std::string Text() { return std::string(Take(static_cast<std::uint64_t>(Number()))); }
+
+  bool Ok() const { return m_ok; }
+  bool AtEnd() const { return m_rest.empty(); }
+
+ private:
+  std::string_view Take(std::uint64_t size) {
+    if (size > m_rest.size()) {
+      m_ok = false;
+      m_rest = {};
+      return {};
+    }
+    const std::string_view taken = m_rest.substr(0, size);
+    m_rest.remove_prefix(size);
+    return taken;
+  }
+
+  std::string_view m_rest;
+  bool m_ok = true;
+};
+
 }  // namespace
 
 std::optional<UnixMs> IdempotencyKeyTime(const std::string& key) {
@@ -189,34 +235,53 @@
   m_by_time.erase(m_by_time.begin(), end);
 }
 
-json BookingTable::Snapshot() const {
-  json entries = json::array();
+void BookingTable::AppendSnapshot(std::string* bytes) const {
+  AppendNumber(bytes, m_cutoff);
+  AppendNumber(bytes, static_cast<std::int64_t>(m_entries.size()));
   for (const auto& [key, entry] : m_entries) {
-    json encoded = {ToJson(key),      NameOf(entry.state), entry.attempt,
-                    entry.entry_host, entry.request_hash,  entry.resolve_at};
-    if (entry.state == BookingState::kDone) encoded.push_back(ToJson(entry.answer));
-    entries.push_back(std::move(encoded));
+    for (const std::string* text : {&key.customer, &key.service, &key.idempotency_key,
+                                    &entry.attempt, &entry.entry_host, &entry.request_hash}) {
+      AppendText(bytes, *text);
+    }
+    AppendText(bytes, NameOf(entry.state));
+    AppendNumber(bytes, entry.resolve_at);
+    if (entry.state != BookingState::kDone) continue;
+    AppendNumber(bytes, entry.answer.status);
+    AppendText(bytes, entry.answer.content_type);
+    AppendText(bytes, entry.answer.body);
+    AppendNumber(bytes, entry.answer.body_stored ? 1 : 0);
   }
-  return {{"cutoff", m_cutoff}, {"entries", std::move(entries)}};
 }
 
-void BookingTable::Restore(const json& snapshot) {
+bool BookingTable::Restore(std::string_view snapshot) {
+  SnapshotReader reader(snapshot);
   BookingTable restored;
-  restored.m_cutoff = snapshot.at("cutoff");
-  for (const json& encoded : snapshot.at("entries")) {
-    const BookingKey key = BookingKeyFromJson(encoded.at(0));
-    Entry& entry = restored.m_entries[key];
-    entry.state = EnumFromJson<BookingState>(encoded.at(1));
-    entry.attempt = encoded.at(2);
-    entry.entry_host = encoded.at(3);
-    entry.request_hash = encoded.at(4);
-    entry.resolve_at = encoded.at(5);
-    if (entry.state == BookingState::kDone) entry.answer = StoredAnswerFromJson(encoded.at(6));
+  restored.m_cutoff = reader.Number();
+  const std::int64_t count = reader.Number();
+  for (std::int64_t i = 0; i < count && reader.Ok(); ++i) {
+    BookingKey key;
+    Entry entry;
+    for (std::string* text : {&key.customer, &key.service, &key.idempotency_key, &entry.attempt,
+                              &entry.entry_host, &entry.request_hash}) {
+      *text = reader.Text();
+    }
+    const auto state = ParseEnum<BookingState>(reader.Text());
     const auto time = IdempotencyKeyTime(key.idempotency_key);
-    if (!time) throw json::other_error::create(501, "a key without a time", &encoded);
+    if (!state || !time) return false;
+    entry.state = *state;
+    entry.resolve_at = reader.Number();
+    if (entry.state == BookingState::kDone) {
+      entry.answer.status = static_cast<std::uint32_t>(reader.Number());
+      entry.answer.content_type = reader.Text();
+      entry.answer.body = reader.Text();
+      entry.answer.body_stored = reader.Number() != 0;
+    }
     restored.m_by_time.emplace(*time, key);
+    restored.m_entries.emplace_hint(restored.m_entries.end(), std::move(key), std::move(entry));
   }
+  if (!reader.Ok() || !reader.AtEnd()) return false;
   *this = std::move(restored);
+  return true;
 }
 
 }  // namespace corneltray
--- a/src/libcorneltray/control_state.cc
+++ b/src/libcorneltray/control_state.cc
@@ -1,11 +1,11 @@
 #include "corneltray/control_state.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
-#include "booking_json.h"
-
 namespace corneltray {
 namespace {
 
@@ -63,30 +63,45 @@
 }
 
 std::string ControlState::Snapshot() const {
-  const json snapshot = {{"version", kSnapshotVersion},
-                         {"log_time", m_log_time},
-                         {"bookings", m_bookings.Snapshot()},
-                         {"configuration", m_configuration.Snapshot()}};
-  std::string bytes;
-  json::to_cbor(snapshot, bytes);
+  const json head = {{"version", kSnapshotVersion},
+                     {"log_time", m_log_time},
+                     {"configuration", m_configuration.Snapshot()}};
+  // The head is self-delimiting only for a decoder, so its size comes first.
+  std::string head_bytes;
+  json::to_cbor(head, head_bytes);
+  std::string bytes = std::to_string(head_bytes.size()) + "\n";
+  bytes += head_bytes;
+  m_bookings.AppendSnapshot(&bytes);
   return bytes;
 }
 
 Status ControlState::Restore(const std::string& bytes) {
+  const auto malformed = [](const std::string& detail) {
+    return Error{ControlStateErrc::kMalformedSnapshot, detail};
+  };
+  std::size_t head_size = 0;
+  const char* const end = bytes.data() + bytes.size();
+  const auto [after, failure] = std::from_chars(bytes.data(), end, head_size);
+  if (failure != std::errc() || after == end || *after != '\n') return malformed("no size");
+  const std::size_t head_at = static_cast<std::size_t>(after - bytes.data()) + 1;
+  if (head_size > bytes.size() - head_at) return malformed("truncated");
   try {
-    const json snapshot = json::from_cbor(bytes);
-    const int version = snapshot.at("version");
-    if (version != kSnapshotVersion) {
-      return Error{ControlStateErrc::kMalformedSnapshot, "version " + std::to_string(version)};
-    }
+    const auto head_begin = bytes.begin() + static_cast<std::ptrdiff_t>(head_at);
+    const json head =
+        json::from_cbor(head_begin, head_begin + static_cast<std::ptrdiff_t>(head_size));
+    const int version = head.at("version");
+    if (version != kSnapshotVersion) return malformed("version " + std::to_string(version));
     ControlState restored;
-    restored.m_log_time = snapshot.at("log_time");
-    restored.m_bookings.Restore(snapshot.at("bookings"));
-    restored.m_configuration.Restore(snapshot.at("configuration"));
+    restored.m_log_time = head.at("log_time");
+    restored.m_configuration.Restore(head.at("configuration"));
+    const std::string_view all = bytes;
+    if (!restored.m_bookings.Restore(all.substr(head_at + head_size))) {
+      return malformed("bookings");
+    }
     *this = std::move(restored);
     return {};
-  } catch (const json::exception& failure) {
-    return Error{ControlStateErrc::kMalformedSnapshot, failure.what()};
+  } catch (const json::exception& wrong) {
+    return malformed(wrong.what());
   }
 }
 
--- a/src/libcorneltray/control_state_test.cc
+++ b/src/libcorneltray/control_state_test.cc
@@ -228,10 +228,21 @@
   ControlState state;
   state.Apply(ClaimOf(Key(kNow), kAttempt), kNow);
   const std::string before = state.Snapshot();
-  for (const std::string bad : {"", "x", "\xa0"}) {
+  state.Apply(DoneOf(Key(kNow), kAttempt), kNow);
+  const std::string good = state.Snapshot();
+  REQUIRE(good != before);
+  for (const std::string bad : {"", "x", "\xa0", "99999999999999999999\n", "5\n", "-1\n"}) {
     CHECK_FALSE(state.Restore(bad).Ok());
-    CHECK(state.Snapshot() == before);
   }
+  // Guards against a snapshot that lost its tail, or that holds more than it should.
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    CAPTURE(size);
+    CHECK_FALSE(state.Restore(good.substr(0, size)).Ok());
+  }
+  CHECK_FALSE(state.Restore(good + "x").Ok());
+  CHECK(state.Snapshot() == good);
+  REQUIRE(state.Restore(before).Ok());
+  CHECK(state.Snapshot() == before);
 }
 
 // What callers were told about one key; later replies must not contradict it.
