--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -90,8 +90,12 @@
                "B/s", "", Goal::kAtMost, kBytesPerS});
   report->Add({title + "bytes sent per host, worst", seeds, WorstBytesPerS(sim, kSteadySeconds),
                "B/s", "", Goal::kAtMost, kBytesPerS});
-  for (auto& [n, h] : sim.hosts) if (h.bytes > 30000) printf("%s %lu\n", n.c_str(), h.bytes);
-  std::map<std::string,int> cc; for (auto& [h, ev] : sim.events) for (auto& e : ev) ++cc[std::string(NameOf(e.type)) + (ev.size() > 20 ? " "+h : "")]; for (auto& [a,b] : cc) printf("%s %d\n", a.c_str(), b);
+  for (auto& [n, h] : sim.hosts)
+    if (h.bytes > 30000) printf("%s %lu\n", n.c_str(), h.bytes);
+  std::map<std::string, int> cc;
+  for (auto& [h, ev] : sim.events)
+    for (auto& e : ev) ++cc[std::string(NameOf(e.type)) + (ev.size() > 20 ? " " + h : "")];
+  for (auto& [a, b] : cc) printf("%s %d\n", a.c_str(), b);
   report->Add({title + "largest message", seeds, static_cast<double>(sim.largest), "B", "",
                Goal::kAtMost, static_cast<double>(kMaxGossipBytes)});
   report->Add({title + "false suspicions in " + std::to_string(kSteadySeconds) + " s", seeds,
--- a/bench/stubs.cc
+++ /dev/null
@@ -1,4 +0,0 @@
-#include "report.h"
-namespace corneltray::bench {
-void RunOverloadBench(Report*) {}
-}  // namespace corneltray::bench
