--- a/bench/main.cc
+++ b/bench/main.cc
@@ -9,7 +9,7 @@
   std::string only;
   CLI::App app{"Measures placement, routing, overload and membership in virtual time"};
   app.add_option("--json", json_file, "file for all figures as JSON");
-  app.add_option("--only", only, "placement, routing, overload or membership");
+  app.add_option("--only", only, "placement, routing, overload, membership or capacity");
   CLI11_PARSE(app, argc, argv);
   const auto start = std::chrono::steady_clock::now();
   corneltray::bench::Report report;
@@ -17,6 +17,7 @@
   if (only.empty() || only == "routing") corneltray::bench::RunRoutingBench(&report);
   if (only.empty() || only == "overload") corneltray::bench::RunOverloadBench(&report);
   if (only.empty() || only == "membership") corneltray::bench::RunMembershipBench(&report);
+  if (only.empty() || only == "capacity") corneltray::bench::RunCapacityBench(&report);
   const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
   report.Section("whole run");
   report.Add({"wall time", "-", took.count(), "s", "", corneltray::bench::Goal::kAtMost, 300.0});
--- a/bench/report.h
+++ b/bench/report.h
@@ -45,6 +45,7 @@
 void RunRoutingBench(Report* report);
 void RunOverloadBench(Report* report);
 void RunMembershipBench(Report* report);
+void RunCapacityBench(Report* report);
 
 }  // namespace corneltray::bench
 
