Let two entry processes compete for the claim in the booking model

Cause: the model had one claimer, so a repeat that takes an unknown claim over could not be expressed. Change: two claimers with the holder recorded in the claim, and the variant BROKEN_CLAIM_TAKEN_OVER. Conclusion: taking over a claim is now shown to book twice.

--- a/spec/booking.pml
+++ b/spec/booking.pml
@@ -1,5 +1,5 @@
-/* The booking claim of design section 5.3: one key, a claimer that may freeze at any step, a caller
- * that retries through another host, and the service with its idempotent lookup. The log is one
+/* The booking claim of design section 5.3: one key, two entry processes that both want to run it and
+ * may freeze at any step, a caller that retries through a third, and the service with its lookup. The log is one
  * atomic state, because log.pml covers it; a proposal may be lost before it is durable.
  *
  * Checked: the service books at most once; `not_run` is reported only if the key has not run and
@@ -8,6 +8,7 @@
 mtype = { absent, in_progress, done, not_run, unknown };
 
 mtype state = absent;
+byte holder = 0;          /* process that holds the claim */
 bool claim_due = false;   /* log time is past resolve_at */
 byte booked = 0;          /* bookings at the service */
 bool reported_not_run = false;
@@ -34,20 +35,24 @@
   claim_due = true
 }
 
-/* The entry process named in the claim. It may freeze between any two steps. */
-active proctype Claimer() {
+/* An entry process that asks for the claim. It may freeze between any two steps. */
+active [2] proctype Claimer() {
   bool sent = false;
 #ifdef BROKEN_SEND_BEFORE_DURABLE
   /* The claim is proposed and the request sent; the leader may fail before the claim commits. */
   requests++;
   sent = true;
   if
-  :: atomic { state == absent -> state = in_progress }
+  :: atomic { state == absent -> state = in_progress; holder = _pid }
   :: skip /* the proposal is lost */
   fi;
 #else
   if
-  :: atomic { state == absent -> state = in_progress }
+  :: atomic { state == absent -> state = in_progress; holder = _pid }
+#ifdef BROKEN_CLAIM_TAKEN_OVER
+  /* Wrong: an unknown claim is given to the next process that asks. */
+  :: atomic { state == unknown -> state = in_progress; holder = _pid }
+#endif
   :: atomic { state != absent -> goto end_claimer } /* the claim was refused */
   :: goto end_claimer                               /* the proposal is lost */
   fi;
@@ -62,7 +67,7 @@
      if
      :: atomic { booked > 0 -> /* a complete response */
           if
-          :: state == in_progress || state == unknown -> state = done
+          :: holder == _pid && (state == in_progress || state == unknown) -> state = done
           :: else
           fi
         }
@@ -72,7 +77,8 @@
      /* Only the claimer knows that nothing was sent, and that it will not send. */
      atomic {
        if
-       :: state == in_progress || state == unknown -> state = not_run; REPORT_NOT_RUN
+       :: holder == _pid && (state == in_progress || state == unknown) ->
+          state = not_run; REPORT_NOT_RUN
        :: else
        fi
      }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -19,6 +19,7 @@
   "booking   rejected  -DBROKEN_SEND_BEFORE_DURABLE"
   "booking   rejected  -DBROKEN_NOT_RUN_AFTER_LOOKUP"
   "booking   rejected  -DBROKEN_RETRY_SENDS"
+  "booking   rejected  -DBROKEN_CLAIM_TAKEN_OVER"
   "booking   rejected  -DREACH_DONE_BY_LOOKUP"
 )
 jobs_at_once=3
