Check in the property test that nothing is sent after the caller was answered

Change: the model counts sends after an answer. Conclusion: the property test guards each rule that the model does not enforce itself.

--- a/src/libcorneltray/booking_client_test.cc
+++ b/src/libcorneltray/booking_client_test.cc
@@ -245,6 +245,7 @@
   }
 
   int Executed() const { return m_executed; }
+  int SendsAfterAnswer() const { return m_sends_after_answer; }
   int NotRunTold() const { return m_not_run_told; }
   const std::map<std::string, int>& DoneBodies() const { return m_done_bodies; }
 
@@ -325,6 +326,7 @@
   }
 
   void Do(Actor* actor, const SendBooking& action) {
+    if (m_answered[actor->attempt]) ++m_sends_after_answer;
     if (m_now >= action.send_before) {
       actor->pending = actor->flow.HandleSend(NotSent{false}, m_now);
       return;
@@ -391,6 +393,7 @@
   int m_attempts = 0;
   int m_executed = 0;
   int m_not_run_told = 0;
+  int m_sends_after_answer = 0;
 };
 
 // Guards against R3 and R4 over random interleavings with lost and late messages, crashes and
@@ -403,6 +406,7 @@
     World world(seed);
     world.Run();
     REQUIRE(world.Executed() <= 1);
+    REQUIRE(world.SendsAfterAnswer() == 0);
     if (world.NotRunTold() > 0) REQUIRE(world.Executed() == 0);
     REQUIRE(world.DoneBodies().size() <= 1);
     if (!world.DoneBodies().empty()) REQUIRE(world.Executed() == 1);
