--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -364,7 +364,8 @@
 
 
 class Bench:
-    """A temporary folder with the processes and forwarders of one case."""
+    """A temporary folder with the processes and forwarders of one case. The folder with the logs
+    stays when CORNELTRAY_TEST_KEEP is set."""
 
     def __init__(self, build):
         self.bin = pathlib.Path(build).resolve() / "bin"
@@ -388,7 +389,8 @@
         for forwarder in self.forwarders:
             forwarder.close()
         self.processes, self.forwarders = [], []
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if "CORNELTRAY_TEST_KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def start(self, program, *arguments, name=None, wait=True):
         name = name or program
@@ -443,8 +445,8 @@
 [[customer]]
 name = "tests"
 key = "{CUSTOMER_KEY}"
-requests_per_s = 1000.0
-burst = 1000.0
+requests_per_s = 100000.0
+burst = 100000.0
 
 [[service]]
 name = "ledger"
@@ -476,6 +478,8 @@
         self.stream = Stream(entry.http, "/v1/completions", body, auth(**headers), timeout)
         self.status, self.request_id = self.stream.status, self.stream.headers.get("X-Request-Id")
         self.texts, self.finish_reason, self.error, self.is_done = [], None, None, False
+        if self.status != 200:
+            self.error = json.loads(self.stream.answer.read()).get("error")
 
     def take(self):
         """Reads one event. Returns false at the end of the stream."""
--- a/testsuite/leaving-upstream/run.py
+++ b/testsuite/leaving-upstream/run.py
@@ -34,10 +34,9 @@
                 answer = h.Answer(entry, prompt, 5).read()
                 if "".join(answer.texts) != "".join(h.expected(prompt, 5, h.LAYERS)[1]):
                     failures.append((prompt, answer.error))
-                if region.stock(entry, "cloth").status != 200:
-                    failures.append("stock")
-                if h.outcome(region.book(entry, h.uuid7())) != "done":
-                    failures.append("booking")
+                for reply in (region.stock(entry, "cloth"), region.book(entry, h.uuid7())):
+                    if h.outcome(reply) != "done":
+                        failures.append(reply)
 
         threads = [threading.Thread(target=load, args=(entry, i))
                    for i, entry in enumerate(region.entries * 2)]
@@ -62,7 +61,7 @@
             c.check(since > 0, f"{process.name} was leaving")
             print(f"{process.name}: last new work "
                   f"{max(counts['after_leaving'], default=since) - since} ms after leaving")
-        c.equal(failures, [], "no caller noticed")
+        c.equal(failures[:3], [], f"no caller noticed ({len(failures)} failures)")
         long_answer.read().check(c, "long", 600, "the answer in progress")
         c.equal(leaving[0].counts()["cancelled"], 0, "its running work finished there")
 
--- a/testsuite/stage-death/run.py
+++ b/testsuite/stage-death/run.py
@@ -11,7 +11,7 @@
 import harness as h  # noqa: E402
 
 EXTRA_S = 1.0  # design 7: under 1 s extra
-COUNT = 60
+COUNT = 100  # 1 s at the pace of the engines, so that the failure falls into the answer
 CHAINS = (("0-5", "6-11"),) * 4
 TABLE = [  # failure, stage
     ("kill", 0), ("kill", 1), ("freeze", 0), ("freeze", 1), ("silent", 0), ("silent", 1), ("stop", 1),
@@ -61,8 +61,9 @@
         answer = h.Answer(entry, "twice", COUNT)
         for _ in range(2):
             answer.take()
-            victim = next(e for e in engines if e.alive() and e.counts()["active"])
-            victim.kill()
+            # Between two attempts no engine is active.
+            h.wait_until(lambda: next((e for e in engines if e.alive() and e.counts()["active"]),
+                                      None), 5, "a busy engine").kill()
         answer.read().check(c, "twice", COUNT, "two failures in one answer")
         # No chain is left.
         answer = h.Answer(entry, "cut", 1000, **h.deadline(5))
