Check that a torn end of the log is gone from the file

Records of equal size wrote over it, so the test did not see it.

Change: the test compares the size of the file after the recovery.

--- a/src/libcorneltray/log_storage_test.cc
+++ b/src/libcorneltray/log_storage_test.cc
@@ -255,6 +255,7 @@
       CHECK(storage->Recovered().entries == Entries(1, 3, 3));
       CHECK(storage->Report().truncated_at == last);
       CHECK(storage->Report().truncated_bytes == size - last);
+      CHECK(fs::file_size(folder.File("log")) == last);
       MustCommit(*storage, {PersistEntries{Entries(4, 4, 3)}});
       CHECK(ReadFile(folder.File("log")) == whole);
     }
