Divide only the used part of a customer's rate by demand

Cause: Limiter::SetHosts divided nine tenths of a rate by gossiped demand, however small the demand was. Change: the part of the rate that is in use follows the demand, the rest is divided equally. The shares of all hosts still sum to the share of the zone. Conclusion: a customer below its rate is no longer refused because its callers changed the host.

--- a/src/libcorneltray/limiter.cc
+++ b/src/libcorneltray/limiter.cc
@@ -75,8 +75,13 @@
       total += it->second;
       if (host.info.name == m_own_host) own = it->second;
     }
+    // Only the part of the rate that is in use follows the demand. The unused part stays divided
+    // equally, so that a customer below its rate is admitted at a host it has not called before.
+    const double rate = bucket.rate * m_zone_share;
+    const double used = rate > 0.0 ? std::min(1.0, total / rate) : 0.0;
     const double proportional = total > 0.0 ? own / total : 1.0 / count;
-    SetShare(now, m_zone_share * (kEqualPart / count + (1.0 - kEqualPart) * proportional), &bucket);
+    const double by_demand = kEqualPart / count + (1.0 - kEqualPart) * proportional;
+    SetShare(now, m_zone_share * ((1.0 - used) / count + used * by_demand), &bucket);
   }
 }
 
