Promote a learner only when its log names it

A learner was promoted while it lacked the record that made it a member; it then refused its vote, because its log did not name it, and that vote was needed when another disk was lost.

Change: both the automatic and the explicit promotion wait until the learner has the record of the current member set. The contract test of the replacement checks it.

--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -135,6 +135,7 @@
   void OnIdentityNotice(const ReplicaMessage& message, const IdentityNotice& notice);
   bool ChangeInProgress() const;
   LogPosition AppendMembers(TimePoint now, const MemberSet& members);
+  bool HasCaughtUp(const MemberProgress& progress) const;
   std::size_t ReachableVoters(TimePoint now, const MemberSet& members) const;
   void RefreshProgress(TimePoint now);
   void RefreshRole();
--- a/src/libcorneltray/consensus_members.cc
+++ b/src/libcorneltray/consensus_members.cc
@@ -98,6 +98,13 @@
   return count;
 }
 
+// Whether a learner may become a voter: it lacks few entries, and its log names it as a member. A
+// replica that does not find itself in its log gives no vote, and its vote may be needed at once.
+bool Replica::Impl::HasCaughtUp(const MemberProgress& progress) const {
+  return progress.match >= m_log.MembersIndex() &&
+         progress.match + m_options.promote_lag >= m_log.Last().index;
+}
+
 // Follows the members with one progress record for each other member.
 void Replica::Impl::RefreshProgress(TimePoint now) {
   const auto& members = m_log.Members().members;
@@ -140,7 +147,7 @@
       if (found == members.members.end()) return invalid("not a member");
       if (found->second == MemberRole::kVoter) return invalid("a voter already");
       const MemberProgress& progress = m_progress[change.replica];
-      if (progress.match + m_options.promote_lag < m_log.Last().index) {
+      if (!HasCaughtUp(progress)) {
         return invalid("the learner has not caught up");
       }
       found->second = MemberRole::kVoter;
@@ -189,9 +196,7 @@
     const auto progress = m_progress.find(id);
     if (role != MemberRole::kJoining || progress == m_progress.end()) continue;
     const bool alive = now < progress->second.last_heard_at + m_options.election_timeout_min;
-    const bool caught_up = progress->second.match > 0 &&
-                           progress->second.match + m_options.promote_lag >= m_log.Last().index;
-    if (!alive || !caught_up) continue;
+    if (!alive || !HasCaughtUp(progress->second)) continue;
     role = MemberRole::kVoter;
     AppendMembers(now, members);
     return;
--- a/src/libcorneltray/consensus_test.cc
+++ b/src/libcorneltray/consensus_test.cc
@@ -376,9 +376,10 @@
   CHECK(bench.Status().members == expected);
 
   SUBCASE("the new identity becomes a voter once the removal is committed and it has caught up") {
-    bench.Acknowledge(new_c, 5);
-    CHECK(bench.Status().members == expected);
+    bench.Acknowledge(new_c, 4);  // does not have the record yet that names it
     bench.Acknowledge(kB, 5);
+    CHECK(bench.Status().members == expected);
+    bench.Acknowledge(new_c, 5);
     CHECK(bench.Status().members == Voters({kA, kB, new_c}));
   }
   SUBCASE("a late notice of the replaced identity changes nothing") {
