Simulate one zone of full size among 399 hosts

Adds MembershipTable::FindUpstream, so that a check of one upstream copies no list. Lint findings are fixed. Conclusion: the whole fleet stays unmeasured.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -77,6 +77,7 @@
   const auto views = ToViews(engines, PlanPlacement(engines, {model}, {}).ranges);
   std::mt19937_64 random(kSeed);
   std::vector<std::string> names;
+  names.reserve(engines.size());
   for (const PlacementEngine& engine : engines) names.push_back(engine.name);
   std::shuffle(names.begin(), names.end(), random);
   const std::set<std::string> failing(
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -180,6 +180,7 @@
     auto engines = MakeFleet(100 + seed, 7200 / 7);
     std::mt19937_64 random(seed);
     std::vector<PlacementModel> models;
+    models.reserve(27);
     for (int m = 0; m < 27; ++m) {
       models.push_back({{"model-" + std::to_string(m), "1", ""},
                         static_cast<std::uint32_t>(16 + random() % 33),
--- a/src/corneltray-placement/lease_service.cc
+++ b/src/corneltray-placement/lease_service.cc
@@ -87,17 +87,20 @@
             respond(reply);
           }
         });
-    m_node->SetPushHandler(MessageType::kLeaseRelease,
-                           [this](const PeerIdentity& from, const json& body) {
-                             const auto release = LeaseReleaseFromJson(body);
-                             if (!release || from.availability_zone != m_settings.availability_zone)
-                               return;
-                             const std::lock_guard<std::mutex> lock(m_mutex);
-                             // A release that is lost costs the rest of the lease and nothing else,
-                             // so a write that fails here is not reported further.
-                             if (const auto state = m_voter->OnRelease(*release))
-                               (void)Persist(*state);
-                           });
+    m_node->SetPushHandler(
+        MessageType::kLeaseRelease, [this](const PeerIdentity& from, const json& body) {
+          const auto release = LeaseReleaseFromJson(body);
+          if (!release || from.availability_zone != m_settings.availability_zone) {
+            return;
+          }
+          const std::lock_guard<std::mutex> lock(m_mutex);
+          // A release that is lost costs the rest of the lease and nothing else,
+          // so a write that fails here is not reported further.
+          const auto state = m_voter->OnRelease(*release);
+          if (state) {
+            (void)Persist(*state);
+          }
+        });
   }
   return {};
 }
@@ -147,7 +150,10 @@
     } else if (const auto* release = std::get_if<SendLeaseRelease>(&action)) {
       if (release->voter == m_settings.name) {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        if (const auto state = m_voter->OnRelease(release->release)) (void)Persist(*state);
+        const auto state = m_voter->OnRelease(release->release);
+        if (state) {
+          (void)Persist(*state);
+        }
       } else {
         m_node->Send(release->voter, MessageType::kLeaseRelease,
                      LeaseReleaseToJson(release->release));
--- a/src/corneltray-placement/placement_process.cc
+++ b/src/corneltray-placement/placement_process.cc
@@ -77,8 +77,8 @@
     m_membership.SetConfigurationRevision(configuration->revision);
   });
   m_feed.Start();
-  if (const Status registered = m_lease.Register(); !registered) return registered;
-  if (const Status started = m_node.Start(); !started) return started;
+  if (Status registered = m_lease.Register(); !registered) return registered;
+  if (Status started = m_node.Start(); !started) return started;
   HttpServerOptions options;
   options.address = m_settings.http_address;
   options.threads = m_settings.http_threads;
@@ -88,7 +88,7 @@
         return ErrorResponse(status, status == 413 ? "body_too_large" : "malformed_request",
                              "the request was refused before it was read");
       });
-  if (const Status started = m_http->Start(); !started) {
+  if (Status started = m_http->Start(); !started) {
     m_node.Stop();
     return started;
   }
--- a/src/include/corneltray/membership.h
+++ b/src/include/corneltray/membership.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -178,6 +179,8 @@
   std::vector<HostView> Hosts() const;
   // All known upstreams, sorted by name.
   std::vector<UpstreamView> Upstreams(TimePoint now) const;
+  // One upstream by name.
+  std::optional<UpstreamView> FindUpstream(const std::string& name) const;
   // Grows whenever Upstreams() would return something new apart from load.
   std::uint64_t UpstreamVersion() const;
   // Greatest configuration revision and fencing number that any host or engine has reported.
--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -415,6 +415,12 @@
   return views;
 }
 
+std::optional<UpstreamView> MembershipTable::Impl::FindUpstream(const std::string& name) const {
+  const auto it = m_entries.find(name);
+  if (it == m_entries.end()) return std::nullopt;
+  return UpstreamView{it->second.announcement, it->second.status};
+}
+
 std::vector<std::string> MembershipTable::Impl::AnnounceTo() const {
   std::vector<std::string> addresses;
   for (const auto& [name, entry] : m_hosts) {
@@ -492,6 +498,9 @@
 std::vector<UpstreamView> MembershipTable::Upstreams(TimePoint /*now*/) const {
   return m_impl->Upstreams();
 }
+std::optional<UpstreamView> MembershipTable::FindUpstream(const std::string& name) const {
+  return m_impl->FindUpstream(name);
+}
 std::uint64_t MembershipTable::UpstreamVersion() const { return m_impl->m_upstream_version; }
 std::uint64_t MembershipTable::GreatestRevision() const { return m_impl->GreatestRevision(); }
 std::uint64_t MembershipTable::GreatestFence() const { return m_impl->GreatestFence(); }
--- a/src/libcorneltray/membership_impl.h
+++ b/src/libcorneltray/membership_impl.h
@@ -76,6 +76,7 @@
   void ChangeSelf();
   void SetDemand(const std::map<std::string, double>& demand);
   std::vector<UpstreamView> Upstreams() const;
+  std::optional<UpstreamView> FindUpstream(const std::string& name) const;
   std::vector<std::string> AnnounceTo() const;
   std::uint64_t GreatestRevision() const;
   std::uint64_t GreatestFence() const;
--- a/src/libcorneltray/membership_simulation.h
+++ b/src/libcorneltray/membership_simulation.h
@@ -27,6 +27,7 @@
   std::size_t regions = 1;
   std::size_t hosts_per_zone = 5;
   std::size_t upstreams_per_zone = 15;
+  std::size_t first_zone_upstreams = 0;  // if not 0, in place of upstreams_per_zone there
   double loss = 0.0;
   double duplication = 0.0;
   int max_delay_ms = 20;
@@ -61,7 +62,9 @@
         hosts[name].region = z % options.regions;
         Start(name);
       }
-      for (std::size_t i = 0; i < options.upstreams_per_zone; ++i) AddUpstream(z, i);
+      const bool special = z == 0 && options.first_zone_upstreams > 0;
+      const std::size_t count = special ? options.first_zone_upstreams : options.upstreams_per_zone;
+      for (std::size_t i = 0; i < count; ++i) AddUpstream(z, i);
     }
   }
 
@@ -238,11 +241,9 @@
     std::size_t count = 0;
     for (const auto& [name, host] : hosts) {
       if (!host.table) continue;
-      for (const UpstreamView& view : host.table->Upstreams(now)) {
-        if (view.announcement.name != upstream) continue;
-        count += view.status != UpstreamStatus::kLeaving &&
-                 view.announcement.incarnation == upstreams[upstream].announcement.incarnation;
-      }
+      const auto view = host.table->FindUpstream(upstream);
+      count += view && view->status != UpstreamStatus::kLeaving &&
+               view->announcement.incarnation == upstreams[upstream].announcement.incarnation;
     }
     return count;
   }
