Send heartbeats of the log every 250 ms

Cause: an idle control leader sent 5,551 B/s and a follower 3,500 B/s against 3 KB/s; most of it were heartbeats of the log every 100 ms. Change: ReplicaOptions::heartbeat_interval 250 ms; the election timeout stays 600 to 1,200 ms.

--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -342,7 +342,9 @@
 struct ReplicaOptions {
   Duration election_timeout_min = std::chrono::milliseconds(600);
   Duration election_timeout_max = std::chrono::milliseconds(1200);
-  Duration heartbeat_interval = std::chrono::milliseconds(100);
+  // Two heartbeats fit in the shortest election timeout, so one lost heartbeat starts no election.
+  // Idle heartbeats are most of what a control host sends.
+  Duration heartbeat_interval = std::chrono::milliseconds(250);
   std::uint64_t seed = 0;  // of the election timeouts; differs between hosts
   // Proposals over this size in total wait for a commit. Bounds memory while a majority is away.
   std::size_t max_uncommitted_bytes = std::size_t{16} * 1024 * 1024;
