Hand the upstreams to the router whenever their version has grown

The router got a new list only with a membership event, and not every change of the list comes with one.

--- a/src/corneltray-entry/entry_process.cc
+++ b/src/corneltray-entry/entry_process.cc
@@ -148,6 +148,8 @@
     m_reported_ready = true;
     LogEvent(LogLevel::kInfo, "ready", {{"revision", m_feed.Current()->revision}});
   }
+  // Not every change of the list comes with an event.
+  UpdateUpstreams();
   const TimePoint now = Clock::now();
   if (now < m_limits_at) return;
   m_limits_at = now + kLimitsInterval;
@@ -187,7 +189,15 @@
         {{"change", NameOf(event.type)}, {"name", event.name}, {"incarnation", event.incarnation}});
     if (event.type == MembershipEventType::kUpstreamRemoved) m_routing.ForgetUpstream(event.name);
   }
+  UpdateUpstreams();
+}
+
+void EntryProcess::UpdateUpstreams() {
   const std::lock_guard<std::mutex> lock(m_upstreams_mutex);
+  // Read first: a change between the two reads is then taken in by the next update.
+  const std::uint64_t version = m_membership.UpstreamVersion();
+  if (version == m_upstream_version) return;
+  m_upstream_version = version;
   m_routing.SetUpstreams(m_membership.Upstreams());
 }
 
--- a/src/corneltray-entry/entry_process.h
+++ b/src/corneltray-entry/entry_process.h
@@ -45,6 +45,7 @@
   nlohmann::json ChainsDocument() const;
   void HandleMembership(const std::vector<MembershipEvent>& events);
   void HandleConfiguration(const std::shared_ptr<const Configuration>& configuration);
+  void UpdateUpstreams();
   void Tick();
   void ShutDown();
   bool IsReady() const;
@@ -73,7 +74,8 @@
   // Held over reading the upstreams and handing them to the router, so that an older list never
   // replaces a newer one.
   std::mutex m_upstreams_mutex;
-  TimePoint m_limits_at{};  // next update of hosts and demand
+  std::uint64_t m_upstream_version = 0;  // of the list that the router has
+  TimePoint m_limits_at{};               // next update of hosts and demand
   bool m_reported_ready = false;
 };
 
