Show the entry host's view when a caller notices a leaving upstream

Cause: one run of leaving-upstream had no_pipeline at one entry host while a chain was left; nothing in the report told what that host believed. Change: the case prints /v1/status of the entry host at the first failure. Conclusion: left open, with the means to see it next time.

--- a/testsuite/leaving-upstream/run.py
+++ b/testsuite/leaving-upstream/run.py
@@ -24,7 +24,12 @@
         ledgers = [region.service(f"ledger-{i}", announce=[region.entries[0].http],
                                   extra=["--store", region.store]) for i in range(3)]
         region.wait_ready(service="ledger")
-        ending, failures = threading.Event(), []
+        ending, failures, views = threading.Event(), [], []
+
+        def fail(entry, what):
+            if not failures:  # what the entry host believed, for the report
+                views.append(h.call("GET", entry.http, "/v1/status").body.decode())
+            failures.append(what)
 
         def load(entry, number):
             count = 0
@@ -33,10 +38,10 @@
                 prompt = f"load {number} {count}"
                 answer = h.Answer(entry, prompt, 5).read()
                 if "".join(answer.texts) != "".join(h.expected(prompt, 5, h.LAYERS)[1]):
-                    failures.append((prompt, answer.error))
+                    fail(entry, (entry.name, prompt, answer.error))
                 for reply in (region.stock(entry, "cloth"), region.book(entry, h.uuid7())):
                     if h.outcome(reply) != "done":
-                        failures.append(reply)
+                        fail(entry, (entry.name, reply))
 
         threads = [threading.Thread(target=load, args=(entry, i))
                    for i, entry in enumerate(region.entries * 2)]
@@ -61,7 +66,7 @@
             c.check(since > 0, f"{process.name} was leaving")
             print(f"{process.name}: last new work "
                   f"{max(counts['after_leaving'], default=since) - since} ms after leaving")
-        c.equal(failures[:3], [], f"no caller noticed ({len(failures)} failures)")
+        c.equal(failures[:3], [], f"no caller noticed ({len(failures)} failures)") or print(views)
         long_answer.read().check(c, "long", 600, "the answer in progress")
         c.equal(leaving[0].counts()["cancelled"], 0, "its running work finished there")
 
