Let the leader judge a configuration change once for all replicas

Cause: every replica validated a change when it applied the record. During a roll-out, replicas of two program versions know different keys, would judge one record differently and hold different revisions. Change: the leader seals a change with its verdict and the greatest retention before it proposes it; replicas take both as they are. The stand-in client of the admin test seals as the leader does. Conclusion: the state depends on the log alone.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -308,10 +308,14 @@
   const TimePoint deadline = DeadlineOf(body);
   const auto& bytes = body.at("command").get_binary();
   std::string command(bytes.begin(), bytes.end());
-  if (const auto decoded = DecodeCommand(command); !decoded) {
+  const auto decoded = DecodeCommand(command);
+  if (!decoded) {
     respond(decoded.error());
     return;
   }
+  if (const auto* change = std::get_if<ApplyConfiguration>(&decoded.value())) {
+    command = EncodeCommand(SealChange(*change));
+  }
   const auto position = m_replica.Propose(Clock::now(), UnixNow(), std::move(command));
   if (!position) {
     respond(ErrorBody(ControlErrc::kNotProposed, position.error().ToString()));
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -84,6 +84,10 @@
   UnixMs time = 0;  // log time of the change
 };
 
+// Checks a change and fills in what every replica has to agree on. Called by the leader before it
+// proposes the change; ConfigurationStore takes an unsealed change as valid.
+ApplyConfiguration SealChange(ApplyConfiguration change);
+
 // The configuration document, its revision and the changes that led to it. Deterministic. Not
 // thread-safe.
 class ConfigurationStore {
@@ -112,8 +116,6 @@
     std::uint64_t document_hash = 0;  // a change id names one document
   };
 
-  void SetRetention();
-
   std::uint64_t m_revision = 0;
   ConfigurationDocument m_document;
   std::deque<ConfigurationHistoryRow> m_history;
--- a/src/libcorneltray/admin_api_test.cc
+++ b/src/libcorneltray/admin_api_test.cc
@@ -24,7 +24,9 @@
  public:
   Result<CommandReply> Propose(const Command& command, TimePoint) override {
     if (failure) return Error{*failure, "stand-in"};
-    return CommandReply(store.Apply(std::get<ApplyConfiguration>(command), 1'000));
+    // As the leader does before it proposes a change.
+    const ApplyConfiguration change = SealChange(std::get<ApplyConfiguration>(command));
+    return CommandReply(store.Apply(change, 1'000));
   }
   Result<BookingReply> ReadBooking(const BookingKey&, TimePoint) override {
     return Error{ControlErrc::kUnavailable, "stand-in"};
--- a/src/libcorneltray/booking.cc
+++ b/src/libcorneltray/booking.cc
@@ -43,7 +43,9 @@
           {"change_id", c.change_id},
           {"expected_revision", c.expected_revision},
           {"author", c.author},
-          {"document", ToJson(c.document)}};
+          {"document", ToJson(c.document)},
+          {"problem", c.problem},
+          {"retention_ms", c.retention_ms}};
 }
 
 Command DecodeClaim(const json& v) {
@@ -70,8 +72,9 @@
 }
 
 Command DecodeApply(const json& v) {
-  return ApplyConfiguration{v.at("change_id"), v.at("expected_revision"), v.at("author"),
-                            DocumentFromJson(v.at("document"))};
+  return ApplyConfiguration{v.at("change_id"), v.at("expected_revision"),
+                            v.at("author"),    DocumentFromJson(v.at("document")),
+                            v.at("problem"),   v.at("retention_ms")};
 }
 
 struct CommandDecoder {
--- a/src/libcorneltray/configuration_store.cc
+++ b/src/libcorneltray/configuration_store.cc
@@ -33,7 +33,9 @@
 }
 
 // Returns why a change cannot be accepted at any revision; empty when it can.
-std::string CheckChange(const ApplyConfiguration& command, const ConfigurationDocument& document) {
+// The overlays are sorted.
+std::string CheckChange(const ApplyConfiguration& command) {
+  const ConfigurationDocument& document = command.document;
   if (command.change_id.empty() || command.change_id.size() > kMaxChangeIdBytes) {
     return "change_id must have 1 to " + std::to_string(kMaxChangeIdBytes) + " bytes";
   }
@@ -53,8 +55,29 @@
   return detail;
 }
 
+// Returns the greatest retention of any site, or 0 if no site is complete.
+std::int64_t GreatestRetentionMs(const ConfigurationDocument& document) {
+  std::int64_t retention = 0;
+  std::vector<std::string> sites = {""};
+  for (const auto& overlay : document.overlays) sites.push_back(overlay.first);
+  for (const std::string& site : sites) {
+    const ParsedDocument parsed = ParseConfiguration(document, site);
+    if (!parsed.issues.empty()) continue;  // a base that is complete only with an overlay
+    retention =
+        std::max(retention, MakeConfiguration(parsed.values, site, 0).bookings.retention_ms);
+  }
+  return retention;
+}
+
 }  // namespace
 
+ApplyConfiguration SealChange(ApplyConfiguration change) {
+  std::sort(change.document.overlays.begin(), change.document.overlays.end());
+  change.problem = CheckChange(change);
+  change.retention_ms = change.problem.empty() ? GreatestRetentionMs(change.document) : 0;
+  return change;
+}
+
 ConfigurationStore::ConfigurationStore() : m_retention_ms(kDefaultRetentionMs) {}
 
 ConfigurationReply ConfigurationStore::Apply(const ApplyConfiguration& command, UnixMs log_time) {
@@ -74,15 +97,14 @@
             "expected revision " + std::to_string(command.expected_revision) +
                 ", the current one is " + std::to_string(m_revision)};
   }
-  std::string problem = CheckChange(command, document);
-  if (!problem.empty()) {
-    return {ConfigurationVerdict::kInvalid, m_revision, std::move(problem)};
+  if (!command.problem.empty()) {
+    return {ConfigurationVerdict::kInvalid, m_revision, command.problem};
   }
   if (m_revision > 0) m_earlier[m_revision] = std::move(m_document);
   while (m_earlier.size() > kMaxEarlierDocuments) m_earlier.erase(m_earlier.begin());
   m_document = std::move(document);
   ++m_revision;
-  SetRetention();
+  if (command.retention_ms > 0) m_retention_ms = command.retention_ms;
   m_history.push_back({m_revision, command.change_id, command.author, log_time});
   if (m_history.size() > kMaxHistoryRows) m_history.pop_front();
   m_changes[command.change_id] = {m_revision, hash};
@@ -101,19 +123,6 @@
   return found->second;
 }
 
-void ConfigurationStore::SetRetention() {
-  std::int64_t retention = 0;
-  std::vector<std::string> sites = {""};
-  for (const auto& overlay : m_document.overlays) sites.push_back(overlay.first);
-  for (const std::string& site : sites) {
-    const ParsedDocument parsed = ParseConfiguration(m_document, site);
-    if (!parsed.issues.empty()) continue;  // a base that is complete only with an overlay
-    retention = std::max(retention,
-                         MakeConfiguration(parsed.values, site, m_revision).bookings.retention_ms);
-  }
-  if (retention > 0) m_retention_ms = retention;
-}
-
 json ConfigurationStore::Snapshot() const {
   json history = json::array();
   for (const ConfigurationHistoryRow& row : m_history) {
--- a/src/libcorneltray/control_state_test.cc
+++ b/src/libcorneltray/control_state_test.cc
@@ -47,7 +47,7 @@
   return "[bookings]\nretention_ms = " + std::to_string(retention_ms) + "\n";
 }
 Command ApplyOf(const std::string& id, std::uint64_t expected, const std::string& base) {
-  return ApplyConfiguration{id, expected, "operator", {base, {}}};
+  return SealChange({id, expected, "operator", {base, {}}, "", 0});
 }
 
 // Each row is one fault of section 7: what happened to the key before, what arrives then, and the
@@ -212,6 +212,21 @@
     CHECK(reply.detail.find("base:3: bookings.retention_ms") != std::string::npos);
     CHECK(state.GetConfiguration().Revision() == 1);
   }
+  // Guards against replicas of different program versions that judge one record differently.
+  SUBCASE("and a replica takes the leader's verdict and retention as they are") {
+    ApplyConfiguration change = std::get<ApplyConfiguration>(ApplyOf("c2", 1, other));
+    CHECK(change.retention_ms == 2 * kHourMs);
+    SUBCASE("for a document that its own version would refuse") {
+      change.document.base = "[a-newer-table]\n";
+      CHECK(Change(state.Apply(change, kNow)).verdict == ConfigurationVerdict::kApplied);
+      CHECK(state.GetConfiguration().RetentionMs() == 2 * kHourMs);
+    }
+    SUBCASE("for a document that its own version would accept") {
+      change.problem = "base:1: refused by the leader";
+      CHECK(Change(state.Apply(change, kNow)).verdict == ConfigurationVerdict::kInvalid);
+      CHECK(state.GetConfiguration().RetentionMs() == kHourMs);
+    }
+  }
   SUBCASE("and history and change ids are bounded") {
     for (std::uint64_t revision = 1; revision < 1100; ++revision) {
       state.Apply(ApplyOf("n" + std::to_string(revision), revision, base), kNow);
