Name the counters of peer links alike in every program

Change: PeerMetricsText writes the seven counters for both programs. Conclusion: the traffic of an entry process can be measured.

--- a/src/corneltray-control/control_http.cc
+++ b/src/corneltray-control/control_http.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "corneltray/admin_api.h"
+#include "corneltray/metrics.h"
 
 namespace corneltray {
 namespace {
@@ -52,7 +53,7 @@
   return Answer(200, {{"ready", true}});
 }
 
-HttpResponse Metrics(const ControlHttpOptions& options) {
+HttpResponse ReportMetrics(const ControlHttpOptions& options) {
   const json status = options.control->Status();
   std::string text;
   const auto add = [&text](const std::string& name, const char* type, std::uint64_t value) {
@@ -69,14 +70,7 @@
     add("control_log_syncs_total", "counter", status["syncs"]);
   }
   add("configuration_revision", "gauge", options.feed->Document().revision);
-  const PeerCounters peers = options.node->Counters();
-  add("peer_frames_malformed_total", "counter", peers.malformed);
-  add("peer_frames_oversized_total", "counter", peers.oversized);
-  add("peer_frames_unauthenticated_total", "counter", peers.unauthenticated);
-  add("peer_frames_replayed_total", "counter", peers.replayed);
-  add("peer_links_replaced_total", "counter", peers.links_replaced);
-  add("peer_bytes_sent_total", "counter", peers.bytes_sent);
-  add("peer_bytes_received_total", "counter", peers.bytes_received);
+  text += PeerMetricsText(options.node->Counters());
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
   response.body = std::move(text);
@@ -94,7 +88,7 @@
     if (request.method != "GET") return Refusal(405, "method_not_allowed", "use GET");
     if (path == "/healthz") return Answer(200, {{"alive", true}});
     if (path == "/readyz") return Ready(options);
-    if (path == "/metrics") return Metrics(options);
+    if (path == "/metrics") return ReportMetrics(options);
     if (path == "/v1/status") return Answer(200, StatusOf(options));
     return Refusal(404, "not_found", "no such path at a control process");
   };
--- a/src/corneltray-entry/entry_process.cc
+++ b/src/corneltray-entry/entry_process.cc
@@ -97,9 +97,13 @@
   m_http = std::make_unique<HttpServer>(
       options, [this](const HttpRequest& request) { return Handle(request); }, MakeServerError);
   m_http->SetLibraryPrefix(kAdminPrefix);
-  RegisterAdminApi(m_http->Library(),
-                   {m_settings.operator_key, &m_control, &m_feed,
-                    [this] { return StatusDocument(); }, [this] { m_drain_requested = true; }});
+  AdminOptions admin;
+  admin.operator_key = m_settings.operator_key;
+  admin.control = &m_control;
+  admin.feed = &m_feed;
+  admin.status = [this] { return StatusDocument(); };
+  admin.drain = [this] { m_drain_requested = true; };
+  RegisterAdminApi(m_http->Library(), std::move(admin));
 }
 
 EntryProcess::~EntryProcess() {
@@ -293,7 +297,6 @@
 
 HttpResponse EntryProcess::HandleMetrics() const {
   const HttpServerCounters http = m_http->Counters();
-  const PeerCounters peer = m_node.Counters();
   const auto configuration = m_feed.Current();
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
@@ -306,11 +309,8 @@
                        configuration ? static_cast<double>(configuration->revision) : 0.0},
                       {"upstreams", static_cast<double>(m_membership.Upstreams().size())},
                       {"upstreams_ejected", static_cast<double>(m_routing.Ejected().size())},
-                      {"gossip_malformed", static_cast<double>(m_membership.MalformedCount())},
-                      {"peer_frames_malformed", static_cast<double>(peer.malformed)},
-                      {"peer_frames_unauthenticated", static_cast<double>(peer.unauthenticated)},
-                      {"peer_bytes_sent", static_cast<double>(peer.bytes_sent)},
-                      {"peer_bytes_received", static_cast<double>(peer.bytes_received)}});
+                      {"gossip_malformed", static_cast<double>(m_membership.MalformedCount())}});
+  response.body += PeerMetricsText(m_node.Counters());
   return response;
 }
 
--- a/src/include/corneltray/admin_api.h
+++ b/src/include/corneltray/admin_api.h
@@ -26,7 +26,7 @@
   // Whether the document of `feed` may be shown while it is at revision 0: true at a control
   // process that has recovered its log. Empty: never, because the process may only not have fetched
   // it yet.
-  std::function<bool()> recovered;
+  std::function<bool()> recovered{};
 };
 
 // Registers the routes below /admin/v1 of design section 6.1 on a server: configuration, history,
--- a/src/include/corneltray/metrics.h
+++ b/src/include/corneltray/metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "corneltray/peer.h"
 #include "corneltray/time.h"
 
 namespace corneltray {
@@ -37,6 +38,10 @@
   std::unique_ptr<Impl> m_impl;
 };
 
+// Returns the exposition of the counters of the links to other processes, the same for every
+// program.
+std::string PeerMetricsText(const PeerCounters& counters);
+
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_METRICS_H_
--- a/src/libcorneltray/metrics.cc
+++ b/src/libcorneltray/metrics.cc
@@ -148,4 +148,22 @@
   return text;
 }
 
+std::string PeerMetricsText(const PeerCounters& counters) {
+  const std::pair<std::string_view, std::uint64_t> rows[] = {
+      {"frames_malformed", counters.malformed},
+      {"frames_oversized", counters.oversized},
+      {"frames_unauthenticated", counters.unauthenticated},
+      {"frames_replayed", counters.replayed},
+      {"links_replaced", counters.links_replaced},
+      {"bytes_sent", counters.bytes_sent},
+      {"bytes_received", counters.bytes_received},
+  };
+  std::string text;
+  for (const auto& [name, value] : rows) {
+    const std::string metric = "corneltray_peer_" + std::string(name) + "_total";
+    text += "# TYPE " + metric + " counter\n" + metric + " " + std::to_string(value) + "\n";
+  }
+  return text;
+}
+
 }  // namespace corneltray
