Measure recovery, and hold overload to its stated goals

Cause: make bench printed no recovery times, and the overload part compared with goals of its own (0.8 of the capacity, 0.9 of a small customer's share) in place of the stated 0.95 of the peak and 5%.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,8 @@
 
 bench: build
 	@$(BUILD_DIR)/bin/corneltray_bench --json bench-results.json
+	@python3 bench/process_slopes.py --build $(BUILD_DIR)
+	@python3 bench/recovery.py --build $(BUILD_DIR)
 
 model-check: packages
 	@spec/check.sh
--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -13,6 +13,10 @@
 namespace corneltray::bench {
 namespace {
 
+// Under overload the goodput stays at 95% of its peak, and small customers keep their share within
+// 5%.
+constexpr double kGoodputOfPeak = 0.95;
+constexpr double kSmallShare = 0.95;
 constexpr std::uint64_t kSeed = 1;
 constexpr std::size_t kHosts = 6;
 constexpr double kDeadlineS = 5.0;
@@ -26,6 +30,7 @@
   const double capacity = plan.throughput[0].tokens_per_s / (kPromptPasses + kTokens - 1);
   // Two large customers that offer ten times as much as each of the eight small ones.
   const std::vector<double> weights{10, 10, 1, 1, 1, 1, 1, 1, 1, 1};
+  double peak = 0.0;
   for (const double load : {0.5, 0.9, 1.0, 1.5, 2.0, 3.0}) {
     SimulationOptions options;
     options.seed = kSeed;
@@ -51,12 +56,16 @@
     };
     const std::string title = Number(load) + " x capacity: ";
     const std::string seeds = std::to_string(kSeed);
+    peak = std::max(peak, limited.good_per_s);
     report->Add({title + "goodput over capacity", seeds, limited.good_per_s / capacity, "",
-                 "no admission " + Number(without.good_per_s / capacity),
-                 load > 1.0 ? Goal::kAtLeast : Goal::kNone, 0.8});
+                 "no admission " + Number(without.good_per_s / capacity), Goal::kNone, 0.0});
+    if (load > 1.0) {
+      report->Add({title + "goodput over its peak", seeds, limited.good_per_s / peak, "", "",
+                   Goal::kAtLeast, kGoodputOfPeak});
+    }
     report->Add({title + "small customers' good part of their share", seeds, small_share(limited),
                  "", "no admission " + Number(small_share(without)),
-                 load > 1.0 ? Goal::kAtLeast : Goal::kNone, 0.9});
+                 load > 1.0 ? Goal::kAtLeast : Goal::kNone, kSmallShare});
     report->Add({title + "first token p95 of admitted", seeds, limited.first_token_p95_s, "s",
                  "no admission " + Number(without.first_token_p95_s), Goal::kNone, 0.0});
   }
