Stop dialling the addresses of hosts that are gone

Cause: MembershipService kept a dial target for every address it ever learnt. Change: PeerNode::Forget; an address is dialled as long as the membership table lists its host, which is 2 h after a failure, so that an hour's partition heals by itself. Seeds are kept always.

--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -59,7 +59,7 @@
 
 // Authenticated links between corneltray processes over websocketpp, with CBOR messages. Owns its
 // I/O thread. Every callback and handler runs on that thread and must not block; Send, Request,
-// Connect, Post and RunAt may be called from any thread.
+// Connect, Forget, Post and RunAt may be called from any thread.
 class PeerNode {
  public:
   using ReplyCallback = std::function<void(Result<nlohmann::json>)>;
@@ -91,6 +91,9 @@
   // Keeps a link to this address, opening it again with backoff whenever it is lost.
   void Connect(const std::string& address);
 
+  // Stops opening links to this address. A link that is open stays until it is lost.
+  void Forget(const std::string& address);
+
   // Sends without a reply; dropped when there is no link to that host process.
   // `host` is PeerIdentity::host.
   void Send(const std::string& host, MessageType type, nlohmann::json body);
--- a/src/libcorneltray/membership_service.cc
+++ b/src/libcorneltray/membership_service.cc
@@ -43,6 +43,7 @@
       m_table.emplace(Clock::now(), std::move(self), &m_random);
     }
     for (const std::string& seed : seeds) m_node->Connect(seed);
+    m_seeds.insert(seeds.begin(), seeds.end());
     m_heartbeat_at = Clock::now();
     m_node->Post([weak = weak_from_this()] {
       if (const auto own = weak.lock()) own->Tick();
@@ -107,16 +108,23 @@
     m_greeted = std::move(connected);
   }
 
-  // Opens links to hosts that were learnt by gossip.
+  // Keeps links to the hosts that were learnt by gossip until the table forgets them. A failed host
+  // is still dialled for as long, because it may be behind a partition that heals; later its
+  // address is given up, because a host that was replaced does not come back under it.
   void ConnectHosts() {
+    std::set<std::string> wanted;
     for (const HostView& host : Read([](const MembershipTable& table) { return table.Hosts(); })) {
       const std::string& address = host.info.peer_address;
-      if (host.liveness == HostLiveness::kFailed || address.empty() ||
-          address == m_own_peer_address) {
-        continue;
-      }
-      if (m_connected.insert(address).second) m_node->Connect(address);
+      if (address.empty() || address == m_own_peer_address || m_seeds.count(address) > 0) continue;
+      const bool known = m_connected.count(address) > 0;
+      if (!known && host.liveness == HostLiveness::kFailed) continue;
+      wanted.insert(address);
+      if (!known) m_node->Connect(address);
     }
+    for (const std::string& address : m_connected) {
+      if (wanted.count(address) == 0) m_node->Forget(address);
+    }
+    m_connected = std::move(wanted);
   }
 
   PeerNode* m_node;
@@ -125,10 +133,11 @@
   mutable std::mutex m_mutex;
   std::optional<MembershipTable> m_table;  // from Start on
   std::string m_own_peer_address;
+  std::set<std::string> m_seeds;  // kept whatever happens, set by Start
   // Used on the I/O thread only.
   TimePoint m_heartbeat_at{};
   std::map<std::string, std::uint64_t> m_greeted;
-  std::set<std::string> m_connected;
+  std::set<std::string> m_connected;  // learnt addresses that links are kept to
 };
 
 MembershipService::MembershipService(PeerNode* node) : m_impl(std::make_shared<Impl>(node)) {}
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -98,6 +98,10 @@
   Dispatch([this, address] { m_targets.try_emplace(address); });
 }
 
+void PeerLoop::Forget(const std::string& address) {
+  Dispatch([this, address] { m_targets.erase(address); });
+}
+
 void PeerLoop::Send(const std::string& host, MessageType type, json body) {
   Dispatch([this, host, type, body = std::move(body)] {
     Link* link = ActiveLink(host);
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -63,6 +63,7 @@
   PeerCounters Counters() const;
 
   void Connect(const std::string& address);
+  void Forget(const std::string& address);
   void Send(const std::string& host, MessageType type, nlohmann::json body);
   void Request(const std::string& host, MessageType type, nlohmann::json body, TimePoint deadline,
                PeerNode::ReplyCallback callback);
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -242,6 +242,21 @@
   CHECK(a.node.Counters().links_replaced == 0);
 }
 
+// Guards against an address that is given up too early, or that cannot be used again.
+TEST_CASE("a forgotten address keeps its open link and can be connected again") {
+  Echo a(OptionsFor("a"));
+  Echo b(OptionsFor("b"));
+  REQUIRE(a.node.Start().Ok());
+  REQUIRE(b.node.Start().Ok());
+  a.node.Connect(b.node.ListenAddress());
+  REQUIRE(Eventually([&] { return IsConnected(a.node, "b"); }));
+  a.node.Forget(b.node.ListenAddress());
+  CHECK(Ask(&a.node, "b", {{"number", 1}}).Ok());
+  a.node.Connect(b.node.ListenAddress());
+  CHECK(Ask(&a.node, "b", {{"number", 2}}).Ok());
+  CHECK(a.node.Counters().links_replaced == 0);
+}
+
 // Guards against a process with another key, and against two processes under one name.
 TEST_CASE("strangers get no link") {
   Echo a(OptionsFor("a"));
