--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -1,44 +1,28 @@
 // corneltray-control: one replica of the replicated log of a region.
 #include <signal.h>  // NOLINT(modernize-deprecated-headers): sigtimedwait is POSIX
 
-#include <CLI/CLI.hpp>
 #include <atomic>
 #include <chrono>
 #include <iostream>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <variant>
 
 #include "control_http.h"
 #include "control_node.h"
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
-#include "corneltray/settings.h"
+#include "corneltray/program.h"
 
 namespace corneltray {
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitUsage = 2;
-constexpr int kExitDataFolder = 3;
-constexpr int kExitAddress = 4;
-constexpr int kExitFailed = 5;
-
-constexpr char kFooter[] =
-    "Exit codes: 0 stopped or done, 2 wrong arguments or settings, 3 data folder cannot be used,\n"
-    "4 an address cannot be bound, 5 failed while running.";
-
 constexpr std::chrono::milliseconds kSignalPoll{100};
 // A hand-over takes one election; longer would delay the stop of a host without another voter.
 constexpr std::chrono::milliseconds kHandOverTimeout{2000};
 constexpr std::chrono::milliseconds kIdleGrace{200};
 
-struct Arguments {
-  std::string settings;
-  bool format = false;
-  bool check = false;
-};
-
 int Fail(int code, const std::string& message) {
   std::cerr << "corneltray-control: " << message << "\n";
   return code;
@@ -199,37 +183,21 @@
   std::unique_ptr<HttpServer> m_http;
 };
 
-int Main(const Arguments& arguments) {
-  std::vector<DocumentIssue> issues;
-  HostSettings settings = LoadHostSettings(arguments.settings, &issues);
-  if (issues.empty()) CheckSettings(settings, arguments.settings, &issues);
-  for (const DocumentIssue& issue : issues) std::cerr << issue.ToString() << "\n";
-  if (!issues.empty()) return kExitUsage;
-  if (arguments.check) {
-    std::cout << arguments.settings << " is valid\n";
-    return kExitOk;
-  }
-  if (arguments.format) return Format(settings);
+int Main(int argc, char** argv) {
+  bool format = false;
+  const ProgramSpec spec{
+      kControlProgram,
+      "One replica of the replicated log of a region: bookings and configuration.",
+      {{"--format", "create the data folder of a founding replica, once, and exit", &format}},
+      CheckSettings};
+  auto parsed = ParseProgramArguments(spec, argc, argv);
+  if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
+  HostSettings settings = std::get<HostSettings>(std::move(parsed));
+  if (format) return Format(settings);
   return Program(std::move(settings)).Run();
 }
 
 }  // namespace
 }  // namespace corneltray
 
-int main(int argc, char** argv) {
-  corneltray::Arguments arguments;
-  CLI::App app(
-      "One replica of the replicated log of a corneltray region: bookings and configuration.");
-  app.footer(corneltray::kFooter);
-  app.set_version_flag("--version", std::string("corneltray-control ") + CORNELTRAY_VERSION);
-  app.add_option("--settings", arguments.settings, "TOML settings of this host")->required();
-  auto* format = app.add_flag("--format", arguments.format,
-                              "create the data folder of a founding replica, once, and exit");
-  app.add_flag("--check", arguments.check, "check the settings and exit")->excludes(format);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? corneltray::kExitOk : corneltray::kExitUsage;
-  }
-  return corneltray::Main(arguments);
-}
+int main(int argc, char** argv) { return corneltray::Main(argc, argv); }
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -68,6 +68,8 @@
   };
 
   std::optional<BookingReply> CheckKeyTime(const BookingKey& key, UnixMs log_time) const;
+  std::optional<BookingReply> CheckClaimer(const BookingKey& key, const std::string& attempt,
+                                           UnixMs log_time) const;
   BookingReply ReplyFor(BookingVerdict verdict, const Entry& entry, UnixMs log_time) const;
 
   std::map<BookingKey, Entry> m_entries;
--- a/src/libcorneltray/booking_table.cc
+++ b/src/libcorneltray/booking_table.cc
@@ -125,6 +125,22 @@
   return std::nullopt;
 }
 
+// Returns the refusal of an attempt that does not hold the claim of the key, or nothing.
+std::optional<BookingReply> BookingTable::CheckClaimer(const BookingKey& key,
+                                                       const std::string& attempt,
+                                                       UnixMs log_time) const {
+  const auto found = m_entries.find(key);
+  if (found == m_entries.end()) {
+    if (auto refusal = CheckKeyTime(key, log_time)) return refusal;
+    BookingReply reply;
+    reply.verdict = BookingVerdict::kNotClaimer;
+    reply.log_time = log_time;
+    return reply;
+  }
+  if (found->second.attempt == attempt) return std::nullopt;
+  return ReplyFor(BookingVerdict::kNotClaimer, found->second, log_time);
+}
+
 BookingReply BookingTable::Claim(const ClaimBooking& command, UnixMs log_time) {
   const auto found = m_entries.find(command.key);
   if (found != m_entries.end()) {
@@ -148,18 +164,8 @@
 }
 
 BookingReply BookingTable::Finish(const FinishBooking& command, UnixMs log_time) {
-  const auto found = m_entries.find(command.key);
-  if (found == m_entries.end()) {
-    if (auto refusal = CheckKeyTime(command.key, log_time)) return *refusal;
-    BookingReply reply;
-    reply.verdict = BookingVerdict::kNotClaimer;
-    reply.log_time = log_time;
-    return reply;
-  }
-  Entry& entry = found->second;
-  if (entry.attempt != command.attempt) {
-    return ReplyFor(BookingVerdict::kNotClaimer, entry, log_time);
-  }
+  if (auto refusal = CheckClaimer(command.key, command.attempt, log_time)) return *refusal;
+  Entry& entry = m_entries.find(command.key)->second;
   if (entry.state == BookingState::kDone || entry.state == BookingState::kNotRun) {
     return ReplyFor(BookingVerdict::kExisting, entry, log_time);
   }
@@ -182,18 +188,8 @@
 }
 
 BookingReply BookingTable::MarkUnknown(const MarkBookingUnknown& command, UnixMs log_time) {
-  const auto found = m_entries.find(command.key);
-  if (found == m_entries.end()) {
-    if (auto refusal = CheckKeyTime(command.key, log_time)) return *refusal;
-    BookingReply reply;
-    reply.verdict = BookingVerdict::kNotClaimer;
-    reply.log_time = log_time;
-    return reply;
-  }
-  Entry& entry = found->second;
-  if (entry.attempt != command.attempt) {
-    return ReplyFor(BookingVerdict::kNotClaimer, entry, log_time);
-  }
+  if (auto refusal = CheckClaimer(command.key, command.attempt, log_time)) return *refusal;
+  Entry& entry = m_entries.find(command.key)->second;
   if (entry.state != BookingState::kInProgress) {
     return ReplyFor(BookingVerdict::kExisting, entry, log_time);
   }
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -1,5 +1,8 @@
 #include "corneltray/settings.h"
 
+#include <arpa/inet.h>
+
+#include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -11,6 +14,40 @@
 constexpr double kMaxText = 256;
 constexpr double kHourMs = 3'600'000;
 
+// Returns whether a text is IP:PORT with a port from 0 to 65535; an IPv6 address is in brackets.
+bool IsAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::string ip = text.substr(0, colon);
+  const bool is_v6 = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  if (is_v6) ip = ip.substr(1, ip.size() - 2);
+  in6_addr parsed{};
+  if (inet_pton(is_v6 ? AF_INET6 : AF_INET, ip.c_str(), &parsed) != 1) return false;
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  std::uint16_t port = 0;
+  const auto [rest, error] = std::from_chars(begin, end, port);
+  return begin != end && rest == end && error == std::errc();
+}
+
+// Adds an issue for each address that cannot be used. `optional` ones may be empty.
+void CheckAddresses(const HostSettings& settings, const ParsedDocument& document,
+                    std::vector<DocumentIssue>* issues) {
+  const auto check = [&](const std::string& key, const std::string& value, bool optional) {
+    if ((optional && value.empty()) || IsAddress(value)) return;
+    // The origin is "file:line"; a default is always valid.
+    const std::string origin = document.origins.at(key);
+    const std::size_t colon = origin.rfind(':');
+    const auto line = static_cast<std::uint32_t>(std::stoul(origin.substr(colon + 1)));
+    issues->push_back({origin.substr(0, colon), line, key, "must be IP:PORT, got " + value});
+  };
+  check("http.address", settings.http_address, false);
+  check("peer.address", settings.peer_address, false);
+  check("peer.advertise", settings.peer_advertise, true);
+  check("placement.weight_store", settings.weight_store, true);
+  for (const std::string& seed : settings.seeds) check("peer.seeds", seed, false);
+}
+
 }  // namespace
 
 const std::vector<KeySpec>& HostSettingsSchema() {
@@ -73,6 +110,7 @@
   settings.weight_store = v["placement"]["weight_store"];
   settings.drain_grace_ms = v["drain"]["grace_ms"];
   settings.drain_deadline_ms = v["drain"]["deadline_ms"];
+  CheckAddresses(settings, document, issues);
   const auto level = ParseEnum<LogLevel>(v["log"]["level"].get<std::string>());
   if (!level) {
     issues->push_back({source.file, 0, "log.level", "must be debug, info, warning or error"});
--- a/src/libcorneltray/settings_test.cc
+++ b/src/libcorneltray/settings_test.cc
@@ -42,6 +42,21 @@
     CHECK(issues[0].ToString() == "entry.toml:11: http.thread: unknown key");
   }
 
+  // Guards against a port that is taken modulo 65536, and a name where only IP addresses work.
+  SUBCASE("and an address that cannot be used is reported with its line") {
+    for (const char* bad : {"10.0.1.11:99999", "10.0.1.11:", "10.0.1.11", "10.0.1:80", "host:80",
+                            "10.0.1.11:8o", "10.0.1.11:-1", "[::1:80"}) {
+      CAPTURE(bad);
+      issues.clear();
+      std::string text = good;
+      text.replace(text.find("10.0.1.11:8080"), 14, bad);
+      ParseHostSettings({"entry.toml", text}, &issues);
+      REQUIRE(issues.size() == 1);
+      CHECK(issues[0].key == "http.address");
+      CHECK(issues[0].line == 10);
+    }
+  }
+
   SUBCASE("and a missing key is reported") {
     std::string text = good;
     text.erase(text.find("availability_zone"),
