--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -179,7 +179,8 @@
   constexpr int kIdleSteps = 200;  // of 50 ms
   for (int i = 0; i < kIdleSteps; ++i) group.Advance();
   report->Add({"log, bytes a second between three idle replicas", "1-3",
-               (group.SentBytes() - idle_before) / (kIdleSteps * 0.05), "B/s", "", Goal::kNone, 0.0});
+               (group.SentBytes() - idle_before) / (kIdleSteps * 0.05), "B/s", "", Goal::kNone,
+               0.0});
 }
 
 void BenchDisk(Report* report) {
