Rename the router's Replica to ServiceReplica

Cause: two types corneltray::Replica existed, the log's class and the router's struct. No unit included both, so nothing failed to compile, but the linker may merge their templates (std::vector<Replica>). Change: the router's type is ServiceReplica. Conclusion: found while writing a test that includes both headers.

--- a/src/include/corneltray/router.h
+++ b/src/include/corneltray/router.h
@@ -72,14 +72,14 @@
   RouteExplanation explanation;
 };
 
-struct Replica {
+struct ServiceReplica {
   std::string name;
   std::string address;
   std::uint64_t incarnation = 0;
 };
 
 struct ReplicaRoute {
-  Replica replica;
+  ServiceReplica replica;
   RouteExplanation explanation;
 };
 
--- a/src/libcorneltray/booking_runner.cc
+++ b/src/libcorneltray/booking_runner.cc
@@ -140,7 +140,7 @@
     if (!route || UnixNow() >= step.send_before || Clock::now() >= m_deadline) {
       return m_flow.HandleSend(NotSent{false}, UnixNow());
     }
-    const Replica& replica = route.value().replica;
+    const ServiceReplica& replica = route.value().replica;
     LogReplica(m_log_context, route.value(), ++m_sends);
     m_tried.insert(replica.name);
     const WorkTicket work(m_entry.routing, {replica.name});
@@ -180,7 +180,7 @@
     if (at == std::string::npos) return LookupFailed{};
     call.target.replace(at, 5, m_call.idempotency_key);
     call.headers = {{"X-Request-Id", m_request_id}};
-    const Replica& replica = route.value().replica;
+    const ServiceReplica& replica = route.value().replica;
     const WorkTicket work(m_entry.routing, {replica.name});
     const ServiceResponse answer =
         m_entry.services->Call(replica.address, call, Clock::now() + kLookupTimeout, nullptr);
