--- a/src/libcorneltray/consensus_codec.cc
+++ b/src/libcorneltray/consensus_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "cbor.h"
 #include "corneltray/consensus.h"
 
 namespace corneltray {
@@ -286,9 +287,9 @@
 }
 
 Result<ReplicaMessage> DecodeReplicaMessage(const std::string& bytes) {
-  const Json value = Json::from_cbor(bytes, true, false);
-  if (value.is_discarded()) return Malformed("not CBOR");
-  return ReplicaMessageFromJson(value);
+  const std::optional<Json> value = ParseCbor(bytes);
+  if (!value) return Malformed("not CBOR");
+  return ReplicaMessageFromJson(*value);
 }
 
 std::string EncodeMemberSet(const MemberSet& members) {
@@ -298,10 +299,10 @@
 }
 
 Result<MemberSet> DecodeMemberSet(const std::string& bytes) {
-  const Json value = Json::from_cbor(bytes, true, false);
-  if (!value.is_array()) return Malformed("member set is not a CBOR array");
+  const std::optional<Json> value = ParseCbor(bytes);
+  if (!value || !value->is_array()) return Malformed("member set is not a CBOR array");
   try {
-    return MembersFrom(value);
+    return MembersFrom(*value);
   } catch (const Json::exception& error) {
     return Malformed(error.what());
   }
--- a/src/libcorneltray/peer_frame.cc
+++ b/src/libcorneltray/peer_frame.cc
@@ -8,6 +8,8 @@
 #include <array>
 #include <stdexcept>
 
+#include "cbor.h"
+
 namespace corneltray {
 namespace {
 
@@ -41,8 +43,9 @@
 }
 
 std::optional<PeerMessage> DecodePeerMessage(std::string_view payload) {
-  json decoded = json::from_cbor(payload.begin(), payload.end(), true, false);
-  if (!decoded.is_object()) return std::nullopt;
+  std::optional<json> parsed = ParseCbor(payload);
+  if (!parsed || !parsed->is_object()) return std::nullopt;
+  json& decoded = *parsed;
   const auto type = decoded.find("type");
   if (type == decoded.end() || !type->is_string()) return std::nullopt;
   const auto known = ParseEnum<MessageType>(type->get_ref<const std::string&>());
