Answer a process without a configuration through the leader

Cause: two windows in which an older revision was shown, both seen in testsuite/configuration-changes. (1) An entry host that started right after a change reached only a follower and served 308 in place of 309; the longer heartbeat made followers learn of a commit later. (2) A control host answered revision 0 between the moment its recovery was noted and the moment its configuration was published, and the admin handler read the document before it asked whether recovery was over. Ruled out: the change of the heartbeat alone, since the window existed at 100 ms as well. Change: a fetch from a process without a configuration goes to the leader and through a read barrier; the recovery is noted after the publication, and asked for before the document is read, with a test.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -96,6 +96,7 @@
   }
   CheckCaughtUp();
   PublishConfiguration();
+  m_recovery_published = m_caught_up;
   CompactIfDue();
   PlanTick();
 }
@@ -217,7 +218,7 @@
   const auto read = m_reads.extract(id);
   if (read.empty()) return;
   const WaitingRead& waiting = read.mapped();
-  waiting.respond(confirmed ? ReplyBody(m_state.ReadBooking(waiting.key))
+  waiting.respond(confirmed ? waiting.answer()
                             : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
 }
 
@@ -332,10 +333,15 @@
 
 void ControlNode::ReadBooking(const json& body, const Responder& respond) {
   if (Forward(MessageType::kReadBooking, body, respond)) return;
-  const json& key = body.at("key");
+  const json& parts = body.at("key");
+  const BookingKey key{parts.at(0), parts.at(1), parts.at(2)};
+  StartRead([this, key] { return ReplyBody(m_state.ReadBooking(key)); }, respond, DeadlineOf(body));
+}
+
+void ControlNode::StartRead(std::function<json()> answer, const Responder& respond,
+                            TimePoint deadline) {
   const std::uint64_t id = ++m_last_read;
-  const TimePoint deadline = DeadlineOf(body);
-  m_reads[id] = {{key.at(0), key.at(1), key.at(2)}, Once(respond)};
+  m_reads[id] = {std::move(answer), Once(respond)};
   const corneltray::Status started = m_replica.ReadBarrier(Clock::now(), id);
   if (!started) {
     m_reads.erase(id);
@@ -355,25 +361,36 @@
     respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is still recovering"));
     return;
   }
+  // A process without a configuration may have had the latest one before its restart, so it is
+  // answered through the leader and never with what this replica has not applied yet. Without a
+  // leader in reach, as in a partition, the local state is the best there is.
+  const bool first = body.value("have", std::uint64_t{1}) == 0;
+  if (first && m_replica.GetStatus().leader) {
+    if (Forward(MessageType::kConfigurationFetch, body, respond)) return;
+    StartRead([this, body] { return ConfigurationSince(body); }, respond, DeadlineOf(body));
+    return;
+  }
+  respond(ConfigurationSince(body));
+}
+
+json ControlNode::ConfigurationSince(const json& body) const {
   const ConfigurationStore& store = m_state.GetConfiguration();
   if (body.contains("history")) {
     const std::size_t limit =
         std::min<std::size_t>(body.at("history").get<std::size_t>(), kMaxHistoryRows);
     std::vector<ConfigurationHistoryRow> rows(store.History().rbegin(), store.History().rend());
     if (rows.size() > limit) rows.resize(limit);
-    respond(json{{"history", HistoryToJson(rows)}});
-    return;
+    return {{"history", HistoryToJson(rows)}};
   }
   const std::uint64_t have = body.at("have");
   if (have >= store.Revision()) {
-    respond(json{{"revision", store.Revision()}, {"unchanged", true}});
-    return;
+    return {{"revision", store.Revision()}, {"unchanged", true}};
   }
   std::optional<RevisedDocument> from;
   if (have > 0) {
     if (const auto document = store.DocumentAt(have)) from = RevisedDocument{have, *document};
   }
-  respond(MakeConfigurationUpdate(from, {store.Revision(), store.Document()}));
+  return MakeConfigurationUpdate(from, {store.Revision(), store.Document()});
 }
 
 json ControlNode::StatusNow() const {
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -61,18 +61,25 @@
   bool StorageFailed() const { return m_storage_failed; }
   // False from the start until every entry that was committed before it is applied. Until then the
   // configuration here may be older than one that this host has shown before.
-  bool CaughtUp() const { return m_caught_up; }
+  bool CaughtUp() const { return m_recovery_published; }
 
  private:
   struct WaitingProposal {
     std::uint64_t term = 0;
     Responder respond;
   };
+  // A read that waits for its barrier.
   struct WaitingRead {
-    BookingKey key;
+    std::function<nlohmann::json()> answer;
     Responder respond;
   };
 
+  // Answers once everything committed before the call is applied, or with an error at the deadline.
+  void StartRead(std::function<nlohmann::json()> answer, const Responder& respond,
+                 TimePoint deadline);
+  // The reply to a fetch from the state that this replica has applied.
+  nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
+
   // Executes the actions of the replica until there are none, and plans the next tick.
   void Drain();
   void Execute(ActionBatch batch);
@@ -110,7 +117,9 @@
   bool m_leader_reported = false;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
-  std::atomic<bool> m_caught_up{false};
+  bool m_caught_up = false;
+  // Set after the recovered configuration is in the feed, for readers on other threads.
+  std::atomic<bool> m_recovery_published{false};
   StorageThread m_storage;  // last: its thread uses the members above until it is joined
 };
 
--- a/src/libcorneltray/admin_api.cc
+++ b/src/libcorneltray/admin_api.cc
@@ -108,9 +108,11 @@
   }
 
   void GetConfiguration(const httplib::Request&, httplib::Response* response) {
+    // Asked before the document is read: what was recovered in between must not be missed.
+    const bool recovered = m_options.recovered && m_options.recovered();
     const RevisedDocument document = m_options.feed->Document();
     // Revision 0 of a process that does not know better would invite a change over it.
-    if (document.revision == 0 && !(m_options.recovered && m_options.recovered())) {
+    if (document.revision == 0 && !recovered) {
       Refuse(response, {503, "configuration_unknown",
                         "no configuration is in force at this process yet; ask another one", "",
                         "not_run", std::nullopt});
--- a/src/libcorneltray/admin_api_test.cc
+++ b/src/libcorneltray/admin_api_test.cc
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
   ConfigurationFeed feed{nullptr, "dkr"};
   int drains = 0;
   std::atomic<bool> recovered{false};
+  std::function<void()> on_recovered_asked;
   httplib::Server server;
   int port = 0;
   std::thread thread;
@@ -58,7 +60,10 @@
     options.control = &control;
     options.feed = &feed;
     options.status = [] { return json{{"host", "control-1"}}; };
-    options.recovered = [this] { return recovered.load(); };
+    options.recovered = [this] {
+      if (on_recovered_asked) on_recovered_asked();
+      return recovered.load();
+    };
     options.drain = [this] { ++drains; };
     RegisterAdminApi(&server, std::move(options));
     port = server.bind_to_any_port("127.0.0.1");
@@ -116,6 +121,11 @@
     bench.recovered = true;
     CHECK(json::parse(bench.Get("configuration")->body)["revision"] == 0);
   }
+  SUBCASE("and do not read revision 0 while the process finishes its recovery") {
+    bench.recovered = true;
+    bench.on_recovered_asked = [&] { bench.feed.Offer({1, bench.control.store.Document()}); };
+    CHECK(json::parse(bench.Get("configuration")->body)["revision"] == 1);
+  }
   SUBCASE("and read it as it is in force") {
     REQUIRE(bench.feed.Offer({1, bench.control.store.Document()}));
     const json body = json::parse(bench.Get("configuration")->body);
--- a/src/libcorneltray/configuration_feed.cc
+++ b/src/libcorneltray/configuration_feed.cc
@@ -111,6 +111,11 @@
     return hosts;
   }
 
+  static json FetchBody(std::uint64_t have) {
+    const std::chrono::milliseconds timeout = kFetchTimeout;
+    return {{"have", have}, {"timeout_ms", timeout.count()}};
+  }
+
   // Runs on the I/O thread. A process that is behind asks every control process, because some may
   // be behind themselves; one that is up to date asks one of them.
   void Poll() {
@@ -136,7 +141,7 @@
     const std::vector<std::string> hosts = ControlHosts();
     m_first_open = hosts.size();
     for (const std::string& host : hosts) {
-      m_node->Request(host, MessageType::kConfigurationFetch, {{"have", 0}},
+      m_node->Request(host, MessageType::kConfigurationFetch, FetchBody(0),
                       Clock::now() + kFetchTimeout,
                       [weak = weak_from_this()](const Result<json>& reply) {
                         if (const auto self = weak.lock()) self->TakeFirst(reply);
@@ -159,7 +164,7 @@
   }
 
   void Fetch(const std::string& host, bool whole) {
-    const json body = {{"have", whole ? 0 : Document().revision}};
+    const json body = FetchBody(whole ? 0 : Document().revision);
     m_node->Request(host, MessageType::kConfigurationFetch, body, Clock::now() + kFetchTimeout,
                     [weak = weak_from_this(), host, whole](const Result<json>& reply) {
                       const auto self = weak.lock();
