Refuse inputs that the sanitizers showed to be undefined

Change: a gossip time above ten years is malformed; failed assertions of toml++ become a refused document in every build; non-ASCII bytes outside strings and comments are refused with their line before parsing.

--- a/src/libcorneltray/membership_gossip.cc
+++ b/src/libcorneltray/membership_gossip.cc
@@ -9,6 +9,9 @@
 namespace corneltray {
 namespace {
 
+// Ten years; a greater time since the start of a sender is malformed.
+constexpr std::int64_t kMaxUptimeMs = std::int64_t{10} * 365 * 24 * 3600 * 1000;
+
 using nlohmann::json;
 using Urgency = BroadcastQueue::Urgency;
 
@@ -93,12 +96,17 @@
   return out;
 }
 
-// Returns false for a message that was taken in before. Sets `delay` to the time that this message
-// was on its way beyond the fastest message of the sender.
+// Returns false for a message that was taken in before, or whose time is malformed. Sets `delay` to
+// the time that this message was on its way beyond the fastest message of the sender.
 bool MembershipTable::Impl::CountMessage(TimePoint now, HostEntry* sender, const json& body,
                                          Duration* delay) {
   const auto counter = body.at("n").get<std::uint64_t>();
-  const std::int64_t offset = Millis(now - m_started_at) - body.at("t").get<std::int64_t>();
+  const json& uptime = body.at("t");
+  if (!uptime.is_number_integer() || uptime < 0 || uptime > kMaxUptimeMs) {
+    ++m_malformed;
+    return false;
+  }
+  const std::int64_t offset = Millis(now - m_started_at) - uptime.get<std::int64_t>();
   if (counter == sender->last_counter) return false;
   sender->last_counter = std::max(counter, sender->last_counter);
   if (!sender->has_offset || offset < sender->least_offset_ms) {
--- a/src/libcorneltray/schema.cc
+++ b/src/libcorneltray/schema.cc
@@ -2,6 +2,16 @@
 
 #include <algorithm>
 #include <set>
+#include <stdexcept>
+
+// Some malformed texts break assertions of toml++, which are assumptions of the optimiser when
+// NDEBUG is defined. They are turned into exceptions in every build, so that such a text is
+// refused.
+#undef NDEBUG
+[[noreturn]] inline void ThrowTomlAssertion(const char* expression) {
+  throw std::logic_error(expression);
+}
+#define TOML_ASSERT(expr) (static_cast<bool>(expr) ? void() : ThrowTomlAssertion(#expr))
 #define TOML_EXCEPTIONS 1
 #include <toml++/toml.h>
 
@@ -26,6 +36,40 @@
   return prefix.empty() ? std::string(key) : prefix + "." + std::string(key);
 }
 
+// Returns the line of the first non-ASCII byte outside strings and comments, or 0. TOML allows none
+// there, and the whitespace table of toml++ is undefined for many of them.
+std::uint32_t FindStrayNonAscii(std::string_view text) {
+  constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+  if (text.substr(0, kByteOrderMark.size()) == kByteOrderMark) {
+    text.remove_prefix(kByteOrderMark.size());
+  }
+  std::uint32_t line = 1;
+  std::string_view closing;  // what ends the string or comment that is open; empty: none is
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (c == '\n') {
+      ++line;
+      if (closing.size() < 3) closing = {};  // only multi-line strings go on
+    } else if (!closing.empty()) {
+      if (c == '\\' && closing[0] == '"') {
+        i += i + 1 < text.size() && text[i + 1] != '\n' ? 1 : 0;
+      } else if (text.substr(i, closing.size()) == closing) {
+        i += closing.size() - 1;
+        closing = {};
+      }
+    } else if (c == '#') {
+      closing = "\n";
+    } else if (c == '"' || c == '\'') {
+      const std::string_view triple = c == '"' ? "\"\"\"" : "\'\'\'";
+      closing = text.substr(i, 3) == triple ? triple : triple.substr(0, 1);
+      i += closing.size() - 1;
+    } else if (static_cast<unsigned char>(c) >= 0x80) {
+      return line;
+    }
+  }
+  return 0;
+}
+
 // Merges the layers of one document. Lives for one call of ParseDocument.
 class DocumentParser {
  public:
@@ -33,11 +77,17 @@
 
   void AddLayer(const SourceText& layer) {
     m_file = layer.file;
+    if (const std::uint32_t line = FindStrayNonAscii(layer.text); line > 0) {
+      AddIssue(line, "", "only strings and comments may hold non-ASCII characters");
+      return;
+    }
     try {
       const toml::table root = toml::parse(layer.text, layer.file);
       WalkTable(root, "", &m_document.values);
     } catch (const toml::parse_error& error) {
       AddIssue(error.source().begin.line, "", std::string(error.description()));
+    } catch (const std::logic_error&) {
+      AddIssue(0, "", "is not TOML");
     }
   }
 
