--- a/src/fake-common/stand_in.cc
+++ b/src/fake-common/stand_in.cc
@@ -318,4 +318,22 @@
   std::_Exit(0);
 }
 
+int ServeUntilStopped(StandInServer* server, const ServeOptions& options,
+                      const std::function<json(const std::string& address)>& announcement,
+                      const std::function<void(Announcer*)>& set_announcer,
+                      const std::function<json()>& counts) {
+  std::string address;
+  Announcer announcer(options.targets, [&] { return announcement(address); });
+  set_announcer(&announcer);
+  const auto bound = server->Start(options.listen);
+  if (!bound) {
+    PrintEvent({{"event", "listen_failed"}, {"address", options.listen}});
+    return 1;
+  }
+  address = options.advertise.empty() ? *bound : options.advertise;
+  announcer.Start();
+  PrintEvent({{"event", "listening"}, {"http_address", *bound}});
+  WaitForStopSignal(counts);
+}
+
 }  // namespace corneltray::fake
--- a/src/fake-common/stand_in.h
+++ b/src/fake-common/stand_in.h
@@ -149,6 +149,21 @@
 // Waits for SIGTERM or SIGINT, prints {"event":"stopped","counts":...} and ends the process with 0.
 [[noreturn]] void WaitForStopSignal(const std::function<nlohmann::json()>& counts);
 
+// Where a stand-in listens and to whom it announces itself.
+struct ServeOptions {
+  std::string listen = "127.0.0.1:0";  // IP:PORT, port 0 picks a free one
+  std::string advertise;               // IP:PORT to announce; empty: the bound address
+  std::vector<std::string> targets;    // IP:PORT of processes that take announcements
+};
+
+// Starts the server and the announcements, and serves until a stop signal. `announcement` gets the
+// address to announce; `set_announcer` is called once, before the server starts. Returns 1 if the
+// address cannot be bound, and otherwise does not return.
+int ServeUntilStopped(StandInServer* server, const ServeOptions& options,
+                      const std::function<nlohmann::json(const std::string& address)>& announcement,
+                      const std::function<void(Announcer*)>& set_announcer,
+                      const std::function<nlohmann::json()>& counts);
+
 }  // namespace corneltray::fake
 
 #endif  // CORNELTRAY_FAKE_COMMON_STAND_IN_H_
--- a/src/fake-engine/main.cc
+++ b/src/fake-engine/main.cc
@@ -26,17 +26,17 @@
 
 int Run(int argc, char** argv) {
   EngineOptions options;
-  std::string listen = "127.0.0.1:0";
-  std::string advertise;
-  std::vector<std::string> targets;
+  ServeOptions serve;
   std::vector<std::string> holds;
   std::vector<std::string> model_layers;
   CLI::App app{"Stand-in for an engine"};
   app.add_option("--name", options.name, "engine name");
   app.add_option("--availability-zone", options.availability_zone, "zone of this engine");
-  app.add_option("--listen", listen, "IP:PORT, port 0 picks a free one");
-  app.add_option("--advertise", advertise, "IP:PORT to announce instead of the bound address");
-  app.add_option("--announce", targets, "IP:PORT of an entry or placement process; repeatable");
+  app.add_option("--listen", serve.listen, "IP:PORT, port 0 picks a free one");
+  app.add_option("--advertise", serve.advertise,
+                 "IP:PORT to announce instead of the bound address");
+  app.add_option("--announce", serve.targets,
+                 "IP:PORT of an entry or placement process; repeatable");
   app.add_option("--memory-bytes", options.memory_bytes, "memory for weights");
   app.add_option("--layer-bytes", options.layer_bytes, "weights of one layer");
   app.add_option("--layers-per-s", options.layers_per_s, "layer executions a second; 0: not paced");
@@ -71,18 +71,10 @@
   server.Route("POST", "/fake/fault", [&](const Request& r) { return engine.SetFault(r); });
   server.Route("GET", "/fake/counts",
                [&](const Request&) { return JsonReply(200, engine.Counts()); });
-  std::string address;
-  Announcer announcer(targets, [&] { return engine.Announcement(address); });
-  engine.SetAnnouncer(&announcer);
-  const auto bound = server.Start(listen);
-  if (!bound) {
-    PrintEvent({{"event", "listen_failed"}, {"address", listen}});
-    return 1;
-  }
-  address = advertise.empty() ? *bound : advertise;
-  announcer.Start();
-  PrintEvent({{"event", "listening"}, {"http_address", *bound}});
-  WaitForStopSignal([&] { return engine.Counts(); });
+  return ServeUntilStopped(
+      &server, serve, [&](const std::string& address) { return engine.Announcement(address); },
+      [&](Announcer* announcer) { engine.SetAnnouncer(announcer); },
+      [&] { return engine.Counts(); });
 }
 
 }  // namespace
--- a/src/fake-service/main.cc
+++ b/src/fake-service/main.cc
@@ -216,17 +216,16 @@
 
 int Run(int argc, char** argv) {
   ServiceOptions options;
-  std::string listen = "127.0.0.1:0";
-  std::string advertise;
-  std::vector<std::string> targets;
+  ServeOptions serve;
   bool no_lookup = false;
   CLI::App app{"Stand-in for a plain service"};
   app.add_option("--service", options.service, "service name");
   app.add_option("--name", options.name, "replica name");
   app.add_option("--availability-zone", options.availability_zone, "zone of this replica");
-  app.add_option("--listen", listen, "IP:PORT, port 0 picks a free one");
-  app.add_option("--advertise", advertise, "IP:PORT to announce instead of the bound address");
-  app.add_option("--announce", targets, "IP:PORT of an entry process; repeatable");
+  app.add_option("--listen", serve.listen, "IP:PORT, port 0 picks a free one");
+  app.add_option("--advertise", serve.advertise,
+                 "IP:PORT to announce instead of the bound address");
+  app.add_option("--announce", serve.targets, "IP:PORT of an entry process; repeatable");
   app.add_option("--store", options.store, "file of bookings that replicas share");
   app.add_flag("--no-lookup", no_lookup, "leave out the lookup of bookings");
   CLI11_PARSE(app, argc, argv);
@@ -241,18 +240,10 @@
   server.Route("POST", "/fake/fault", [&](const Request& r) { return service.SetFault(r); });
   server.Route("GET", "/fake/counts",
                [&](const Request&) { return JsonReply(200, service.Counts()); });
-  std::string address;
-  Announcer announcer(targets, [&] { return service.Announcement(address); });
-  service.SetAnnouncer(&announcer);
-  const auto bound = server.Start(listen);
-  if (!bound) {
-    PrintEvent({{"event", "listen_failed"}, {"address", listen}});
-    return 1;
-  }
-  address = advertise.empty() ? *bound : advertise;
-  announcer.Start();
-  PrintEvent({{"event", "listening"}, {"http_address", *bound}});
-  WaitForStopSignal([&] { return service.Counts(); });
+  return ServeUntilStopped(
+      &server, serve, [&](const std::string& address) { return service.Announcement(address); },
+      [&](Announcer* announcer) { service.SetAnnouncer(announcer); },
+      [&] { return service.Counts(); });
 }
 
 }  // namespace
