--- a/src/build-scripts/install-packages.sh
+++ b/src/build-scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build ccache make python3 clang-format clang-tidy
   libasio-dev libwebsocketpp-dev nlohmann-json3-dev libtomlplusplus-dev libcpp-httplib-dev
-  libcli11-dev libboost-dev libboost-log-dev libssl-dev libxxhash-dev
+  libcli11-dev libhttp-parser-dev zlib1g-dev libboost-dev libboost-log-dev libssl-dev libxxhash-dev
   doctest-dev librapidcheck-dev spin coinor-libclp-dev coinor-libcoinutils-dev
 )
 
--- a/src/corneltray-control/control_http.cc
+++ b/src/corneltray-control/control_http.cc
@@ -32,7 +32,9 @@
   status["availability_zone"] = options.settings->availability_zone;
   status["draining"] = options.draining->load();
   json hosts = json::array();
-  for (const HostView& view : options.membership->Hosts()) {
+  const auto views =
+      options.membership == nullptr ? std::vector<HostView>() : options.membership->Hosts();
+  for (const HostView& view : views) {
     hosts.push_back({{"name", view.info.name},
                      {"program", view.info.program},
                      {"availability_zone", view.info.availability_zone},
--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -17,6 +17,8 @@
 // A snapshot is taken after this many entries, or a quarter of the bookings held if that is more,
 // so that the cost of a snapshot stays in proportion to the entries it replaces.
 constexpr std::uint64_t kMinEntriesPerSnapshot = 4096;
+// Bounds the log on a small disk when the commands are large.
+constexpr std::uint64_t kMaxBytesPerSnapshot = std::uint64_t{8} * 1024 * 1024;
 constexpr std::chrono::seconds kMaxRequestTimeout{30};
 constexpr std::chrono::milliseconds kStatusTimeout{1000};
 constexpr std::chrono::milliseconds kHandOverPoll{10};
@@ -78,6 +80,9 @@
       [this](const PeerIdentity&, const json& body, const Responder& respond) {
         FetchConfiguration(body, respond);
       });
+  m_node->SetRequestHandler(MessageType::kRouteTableFetch,
+                            [this](const PeerIdentity&, const json& body,
+                                   const Responder& respond) { FetchRouteTable(body, respond); });
 }
 
 void ControlNode::Begin() {
@@ -96,6 +101,7 @@
   }
   CheckCaughtUp();
   PublishConfiguration();
+  PublishRouteTable();
   m_recovery_published = m_caught_up;
   CompactIfDue();
   PlanTick();
@@ -163,6 +169,7 @@
     m_applied = entry.index;
     m_applied_term = entry.term;
     json reply;
+    m_applied_bytes += entry.payload.size();
     if (entry.kind == EntryKind::kCommand) {
       const auto command = DecodeCommand(entry.payload);
       if (command) {
@@ -253,11 +260,25 @@
   }
 }
 
+void ControlNode::PublishRouteTable() {
+  if (!m_caught_up) return;
+  const std::uint64_t version = m_state.GetRouteTable().Version();
+  if (version == m_published_route_table) return;
+  m_published_route_table = version;
+  if (m_options.on_route_table) m_options.on_route_table(version);
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (!peer.connected || peer.identity.program == kControlProgram) continue;
+    m_node->Send(peer.identity.host, MessageType::kRouteTableChanged, {{"version", version}});
+  }
+}
+
 void ControlNode::CompactIfDue() {
   const std::uint64_t due =
       std::max<std::uint64_t>(kMinEntriesPerSnapshot, m_state.GetBookings().Size() / 4);
-  if (m_applied < m_compacted + due || m_storage_failed) return;
+  const bool is_due = m_applied >= m_compacted + due || m_applied_bytes >= kMaxBytesPerSnapshot;
+  if (!is_due || m_storage_failed) return;
   m_compacted = m_applied;
+  m_applied_bytes = 0;
   std::string data = m_state.Snapshot();
   LogEvent(LogLevel::kInfo, "snapshot_taken", {{"index", m_applied}, {"bytes", data.size()}});
   m_replica.Compact(m_applied, std::move(data));
@@ -373,6 +394,45 @@
   respond(ConfigurationSince(body));
 }
 
+void ControlNode::FetchRouteTable(const json& body, const Responder& respond) {
+  const std::uint64_t have = body.at("have");
+  if (!body.value("confirmed", false)) {
+    if (m_caught_up) {
+      respond(RouteTableSince(have));
+    } else {
+      respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is still recovering"));
+    }
+    return;
+  }
+  if (Forward(MessageType::kRouteTableFetch, body, respond)) return;
+  StartRead([this, have] { return RouteTableSince(have); }, respond, DeadlineOf(body));
+}
+
+json ControlNode::RouteTableSince(std::uint64_t have) const {
+  const RouteTableStore& store = m_state.GetRouteTable();
+  json members = json::array();
+  for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
+  std::size_t entry_hosts = 0;
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (peer.connected && peer.identity.program != kControlProgram) ++entry_hosts;
+  }
+  json reply = {{"version", store.Version()},
+                {"members", std::move(members)},
+                {"entry_hosts", entry_hosts}};
+  if (store.Version() > have) {
+    const std::string& text = store.CompressedText();
+    reply["text"] = json::binary({text.begin(), text.end()});
+  }
+  return reply;
+}
+
+corneltray::Status ControlNode::ChangeMembers(const MemberChange& change) {
+  const auto position = m_replica.ProposeMembers(Clock::now(), change);
+  Drain();
+  if (!position) return position.error();
+  return {};
+}
+
 json ControlNode::ConfigurationSince(const json& body) const {
   const ConfigurationStore& store = m_state.GetConfiguration();
   if (body.contains("history")) {
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -28,6 +28,8 @@
   ConfigurationFeed* feed = nullptr;  // gets every committed document
   // Called on the I/O thread.
   std::function<void(std::uint64_t revision)> on_revision;
+  // A route table of this version is applied.
+  std::function<void(std::uint64_t version)> on_route_table;
   std::function<void()> on_leader_known;                 // once
   std::function<void(const std::string& why)> on_fatal;  // the process cannot go on
 };
@@ -51,6 +53,16 @@
   void ReadBooking(const nlohmann::json& body, const Responder& respond);
   void FetchConfiguration(const nlohmann::json& body, const Responder& respond);
 
+  // Answers with the route table if it is newer than `have`. With `confirmed` the answer is through
+  // the leader and certain to be the newest; without, it is what this replica has applied.
+  void FetchRouteTable(const nlohmann::json& body, const Responder& respond);
+
+  // On the I/O thread.
+  ReplicaStatus GetReplicaStatus() const { return m_replica.GetStatus(); }
+  const RouteTableStore& GetRouteTable() const { return m_state.GetRouteTable(); }
+  // Proposes one change of the members, if this replica leads.
+  corneltray::Status ChangeMembers(const MemberChange& change);
+
   // From any thread but the I/O thread. Status gives null when the I/O thread does not answer.
   nlohmann::json Status();
   // Hands leadership to another replica, if this one leads, and waits for it until the deadline.
@@ -91,6 +103,8 @@
   void FinishRead(std::uint64_t id, bool confirmed);
   void CheckCaughtUp();
   void PublishConfiguration();
+  void PublishRouteTable();
+  nlohmann::json RouteTableSince(std::uint64_t have) const;
   void CompactIfDue();
   void PlanTick();
   // Passes a request on to the leader. Returns false when this process leads.
@@ -114,6 +128,8 @@
   std::uint64_t m_recovered_index = 0;  // last entry on the disk at the start
   std::uint64_t m_compacted = 0;
   std::uint64_t m_published = 0;
+  std::uint64_t m_published_route_table = 0;
+  std::uint64_t m_applied_bytes = 0;  // of commands since the last snapshot
   bool m_leader_reported = false;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
--- /dev/null
+++ b/src/corneltray-control/fleet_service.cc
@@ -0,0 +1,430 @@
+#include "fleet_service.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "corneltray/compression.h"
+#include "corneltray/control_protocol.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kTickInterval{250};
+// Changes that come close together are passed on in one message.
+constexpr std::chrono::milliseconds kFlushDelay{20};
+constexpr std::chrono::milliseconds kRefreshInterval{1000};
+// Upstreams wait one second for an answer.
+constexpr std::chrono::milliseconds kDepartureTimeout{600};
+constexpr std::chrono::milliseconds kPutTimeout{900};
+constexpr std::chrono::milliseconds kGetTimeout{900};
+constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
+constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
+
+void Answer(HttpCall call, int status, const std::string& body = "{}") {
+  HttpHead head = MakeResponse(status);
+  head.Add("Content-Type", "application/json");
+  call.Respond(std::move(head), body);
+}
+
+json TextBody(const std::string& text) { return {{"error", text}}; }
+
+json LogFields(const Announcement& said) {
+  json fields = {{"upstream", said.name},
+                 {"incarnation", said.incarnation},
+                 {"sequence", said.sequence},
+                 {"address", said.address},
+                 {"service", said.service},
+                 {"upstream_zone", said.availability_zone},
+                 {"state", NameOf(said.state)}};
+  if (!said.holdings.empty()) {
+    fields["first_layer"] = said.holdings.front().first_layer;
+    fields["last_layer"] = said.holdings.front().last_layer;
+  }
+  return fields;
+}
+
+}  // namespace
+
+FleetService::FleetService(asio::io_context* io, FleetServiceOptions options)
+    : m_io(io),
+      m_options(std::move(options)),
+      m_listener(io, [this](HttpCall call) { OnCall(std::move(call)); }),
+      m_pool(io),
+      m_tick_timer(*io),
+      m_flush_timer(*io),
+      m_keeper(m_options.target_voters) {}
+
+void FleetService::Register() {
+  m_options.node->SetPushHandler(
+      MessageType::kUpstreamUpdates, [this](const PeerIdentity&, const json& body) {
+        auto updates = DecodeUpstreamUpdates(body);
+        if (!updates) return;
+        asio::post(*m_io, [this, updates = std::move(updates).value()] {
+          ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
+        });
+      });
+  m_options.node->SetRequestHandler(
+      MessageType::kUpstreamFetch,
+      [this](const PeerIdentity&, const json&, const PeerNode::Responder& respond) {
+        asio::post(*m_io,
+                   [this, respond] { respond(EncodeUpstreamUpdates(AllUpstreams(m_table))); });
+      });
+  m_options.node->SetPushHandler(
+      MessageType::kJoinRequest, [this](const PeerIdentity& from, const json& body) {
+        if (from.program != kControlProgram) return;
+        m_keeper.Offer(Clock::now(), {from.host, body.value("disk_identity", "")});
+      });
+}
+
+Status FleetService::Start() {
+  if (const corneltray::Status listening = m_listener.Listen(m_options.address); !listening) {
+    return listening;
+  }
+  HttpListenerLimits limits;
+  limits.max_body_bytes = kMaxRouteTableBytes;
+  limits.head_timeout = std::chrono::seconds(10);
+  limits.idle_timeout = std::chrono::seconds(30);
+  m_listener.SetLimits(limits);
+  PlanTick();
+  return {};
+}
+
+void FleetService::Stop() {
+  m_stopped = true;
+  m_tick_timer.cancel();
+  m_flush_timer.cancel();
+  m_listener.CloseAll();
+  m_pool.CloseAll();
+}
+
+void FleetService::OnCall(HttpCall call) {
+  struct Visitor {
+    FleetService& service;
+    const HttpCall& call;
+    void operator()(const AnnounceCall& announce) const { service.OnAnnounce(call, announce); }
+    void operator()(const LeaveCall& leave) const { service.OnLeave(call, leave); }
+    void operator()(const PutRouteTableCall& put) const { service.OnPut(call, put); }
+    void operator()(const GetRouteTableCall&) const { service.OnGet(call); }
+    void operator()(const RefusedCall& refused) const {
+      LogEvent(LogLevel::kWarning, "control_call_refused",
+               {{"method", call.Head().method},
+                {"target", call.Head().target},
+                {"status", refused.status},
+                {"reason", refused.reason}});
+      Answer(call, refused.status, TextBody(refused.reason).dump());
+    }
+  };
+  const ControlCall decoded = m_options.dialect->ReadControlCall(call.Head(), call.Body());
+  std::visit(Visitor{*this, call}, decoded);
+}
+
+void FleetService::OnAnnounce(const HttpCall& call, const AnnounceCall& announce) {
+  const UpstreamUpdate update{announce.announcement, false};
+  const UpdateVerdict verdict = m_table.Apply(Clock::now(), update);
+  const Announcement& said = announce.announcement;
+  if (verdict == UpdateVerdict::kRefreshed || verdict == UpdateVerdict::kStale) {
+    if (verdict == UpdateVerdict::kRefreshed) {
+      m_refreshes.refreshes.push_back({said.name, said.incarnation, said.sequence});
+    }
+    return Answer(call, 200);
+  }
+  json fields = LogFields(said);
+  fields["verdict"] = NameOf(verdict);
+  LogEvent(LogLevel::kInfo, "upstream_announced", fields);
+  if (said.state == UpstreamState::kLeaving) return AcknowledgeDeparture(call, update);
+  m_changes.updates.push_back(update);
+  if (!std::exchange(m_flush_planned, true)) {
+    m_flush_timer.expires_after(kFlushDelay);
+    m_flush_timer.async_wait([this](const asio::error_code& cancelled) {
+      m_flush_planned = false;
+      if (!cancelled) FlushChanges();
+    });
+  }
+  Answer(call, 200);
+}
+
+void FleetService::OnLeave(const HttpCall& call, const LeaveCall& leave) {
+  const auto update = m_table.Leave(Clock::now(), leave.upstream, leave.incarnation);
+  LogEvent(LogLevel::kInfo, "upstream_left",
+           {{"upstream", leave.upstream},
+            {"incarnation", leave.incarnation},
+            {"known", update.has_value()}});
+  if (!update) return Answer(call, 200);
+  AcknowledgeDeparture(call, *update);
+}
+
+void FleetService::AcknowledgeDeparture(const HttpCall& call, const UpstreamUpdate& update) {
+  // Shared by the replies and the deadline; the call is answered by the last reply or the deadline.
+  struct Waiting {
+    std::size_t replies = 0;
+    bool answered = false;
+  };
+  const auto waiting = std::make_shared<Waiting>();
+  const TimePoint deadline = Clock::now() + kDepartureTimeout;
+  const auto finish = [waiting, call] {
+    if (!std::exchange(waiting->answered, true)) Answer(call, 200);
+  };
+  UpstreamUpdates updates;
+  updates.updates.push_back(update);
+  const json body = EncodeUpstreamUpdates(updates);
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (!peer.connected) continue;
+    if (peer.identity.program == kControlProgram) {
+      m_options.node->Send(peer.identity.host, MessageType::kUpstreamUpdates, body);
+      continue;
+    }
+    ++waiting->replies;
+    m_options.node->Request(peer.identity.host, MessageType::kUpstreamUpdates, body, deadline,
+                            [this, waiting, finish](const Result<json>&) {
+                              // A peer that does not answer has no link or is slow; the update
+                              // waits for it on the link.
+                              asio::post(*m_io, [waiting, finish] {
+                                if (--waiting->replies == 0) finish();
+                              });
+                            });
+  }
+  if (waiting->replies == 0) finish();
+}
+
+void FleetService::OnPut(const HttpCall& call, const PutRouteTableCall& put) {
+  const auto refuse = [&](const Error& error) {
+    LogEvent(LogLevel::kWarning, "route_table_refused", {{"error", error.ToString()}});
+    Answer(call, 400, TextBody(error.ToString()).dump());
+  };
+  const auto table = m_options.dialect->ReadRouteTable(put.text);
+  if (!table) return refuse(table.error());
+  if (const Status valid = ValidateRouteTable(table.value()); !valid) return refuse(valid.error());
+  const std::uint64_t version = table.value().version;
+  ReplaceRouteTable command{version, Compress(put.text)};
+  const json body = ProposeBody(command, kPutTimeout.count());
+  const auto respond = [this, call, version](const Result<json>& result) {
+    const auto reply = result ? ParseReplyBody(result.value()) : Result<CommandReply>(result.error());
+    asio::post(*m_io, [call, version, reply] {
+      if (!reply) {
+        LogEvent(LogLevel::kWarning, "route_table_not_acknowledged",
+                 {{"version", version}, {"error", reply.error().ToString()}});
+        return Answer(call, 503, TextBody(reply.error().ToString()).dump());
+      }
+      const auto* outcome = std::get_if<RouteTableReply>(&reply.value());
+      const bool conflict =
+          outcome == nullptr || outcome->verdict == RouteTableVerdict::kConflict;
+      LogEvent(LogLevel::kInfo, "route_table_decided",
+               {{"version", version},
+                {"verdict", outcome == nullptr ? "unknown" : NameOf(outcome->verdict)},
+                {"version_in_force", outcome == nullptr ? 0 : outcome->version}});
+      if (conflict) {
+        return Answer(call, 409, TextBody("another table is held under this version").dump());
+      }
+      Answer(call, 200);
+    });
+  };
+  m_options.node->Post([this, body, respond] { m_options.control->Propose(body, respond); });
+}
+
+void FleetService::OnGet(const HttpCall& call) {
+  const json body = {{"have", 0}, {"confirmed", true}, {"timeout_ms", kGetTimeout.count()}};
+  const auto respond = [this, call](const Result<json>& result) {
+    const bool found = result && result.value().contains("text");
+    const std::string why = !result ? result.error().ToString() : result.value().value("detail", "");
+    std::string compressed;
+    if (found) {
+      const auto& bytes = result.value().at("text").get_binary();
+      compressed.assign(bytes.begin(), bytes.end());
+    }
+    asio::post(*m_io, [call, found, why, compressed] {
+      const auto text = Decompress(compressed, kMaxRouteTableBytes);
+      if (!found || !text) return Answer(call, 503, TextBody(why).dump());
+      Answer(call, 200, text.value());
+    });
+  };
+  m_options.node->Post([this, body, respond] { m_options.control->FetchRouteTable(body, respond); });
+}
+
+void FleetService::Broadcast(MessageType type, const json& body) {
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (peer.connected) m_options.node->Send(peer.identity.host, type, body);
+  }
+}
+
+void FleetService::FlushChanges() {
+  if (m_changes.updates.empty()) return;
+  Broadcast(MessageType::kUpstreamUpdates, EncodeUpstreamUpdates(m_changes));
+  m_changes = {};
+}
+
+void FleetService::FlushRefreshes(TimePoint now) {
+  if (now < m_refresh_at || m_refreshes.refreshes.empty()) return;
+  m_refresh_at = now + kRefreshInterval;
+  Broadcast(MessageType::kUpstreamUpdates, EncodeUpstreamUpdates(m_refreshes));
+  m_refreshes = {};
+}
+
+// A control process that was away asks the others for what upstreams told them meanwhile.
+void FleetService::FetchFromNewPeers() {
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    const std::string& host = peer.identity.host;
+    if (peer.identity.program != kControlProgram) continue;
+    if (!peer.connected) {
+      m_fetched_from.erase(host);
+      continue;
+    }
+    const auto [fetched, is_new] = m_fetched_from.emplace(host, peer.identity.incarnation);
+    if (!is_new && fetched->second == peer.identity.incarnation) continue;
+    fetched->second = peer.identity.incarnation;
+    m_options.node->Request(host, MessageType::kUpstreamFetch, json::object(),
+                            Clock::now() + std::chrono::seconds(2),
+                            [this, host](const Result<json>& reply) {
+                              auto updates = reply ? DecodeUpstreamUpdates(reply.value())
+                                                   : Result<UpstreamUpdates>(reply.error());
+                              asio::post(*m_io, [this, host, updates] {
+                                if (!updates) {
+                                  m_fetched_from.erase(host);  // asked again at the next tick
+                                  return;
+                                }
+                                ApplyUpstreamUpdates(Clock::now(), updates.value(), &m_table);
+                              });
+                            });
+  }
+}
+
+void FleetService::PlanTick() {
+  m_tick_timer.expires_after(kTickInterval);
+  m_tick_timer.async_wait([this](const asio::error_code& cancelled) {
+    if (cancelled || m_stopped) return;
+    Tick();
+    PlanTick();
+  });
+}
+
+void FleetService::Tick() {
+  const TimePoint now = Clock::now();
+  m_table.Expire(now);
+  FlushRefreshes(now);
+  FetchFromNewPeers();
+  PlaceLayers(now);
+  m_options.node->Post([this] {
+    ReadReplica();
+    KeepMembers();
+  });
+}
+
+void FleetService::ReadReplica() {
+  const ReplicaStatus status = m_options.control->GetReplicaStatus();
+  ReplicaView view;
+  if (status.role == ReplicaRole::kLeader && m_options.control->CaughtUp()) {
+    view.leading_term = status.term;
+  }
+  const RouteTableStore& store = m_options.control->GetRouteTable();
+  view.route_version = store.Version();
+  if (view.route_version != m_viewed_route_version) {
+    m_viewed_route_version = view.route_version;
+    view.compressed_routes = store.CompressedText();
+  }
+  asio::post(*m_io, [this, view = std::move(view)] { OnReplicaView(view); });
+}
+
+void FleetService::OnReplicaView(const ReplicaView& view) {
+  if (view.leading_term != m_leading_term) {
+    LogEvent(LogLevel::kInfo, view.leading_term ? "placement_begins" : "placement_ends",
+             {{"term", view.leading_term.value_or(m_leading_term.value_or(0))}});
+  }
+  m_leading_term = view.leading_term;
+  if (view.compressed_routes.empty()) return;
+  const auto text = Decompress(view.compressed_routes, kMaxRouteTableBytes);
+  if (!text) {
+    LogEvent(LogLevel::kError, "route_table_unreadable", {{"error", text.error().ToString()}});
+    return;
+  }
+  auto table = m_options.dialect->ReadRouteTable(text.value());
+  if (!table) {
+    LogEvent(LogLevel::kError, "route_table_unreadable", {{"error", table.error().ToString()}});
+    return;
+  }
+  m_route_version = view.route_version;
+  m_routes = std::move(table).value();
+}
+
+void FleetService::KeepMembers() {
+  const ReplicaStatus status = m_options.control->GetReplicaStatus();
+  if (status.members.members.count(status.self) == 0) return AskToJoin(status);
+  if (status.role != ReplicaRole::kLeader) return;
+  std::set<std::string> reachable{m_options.host};
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (peer.connected && peer.identity.program == kControlProgram) {
+      reachable.insert(peer.identity.host);
+    }
+  }
+  const auto change = m_keeper.Next(Clock::now(), status.members, reachable);
+  if (!change) return;
+  const Status proposed = m_options.control->ChangeMembers(*change);
+  LogEvent(LogLevel::kInfo, "member_change",
+           {{"change", NameOf(change->kind)},
+            {"replica", change->replica.host},
+            {"disk_identity", change->replica.disk_identity},
+            {"voters", status.members.VoterCount()},
+            {"outcome", proposed ? "proposed" : proposed.error().ToString()}});
+}
+
+void FleetService::AskToJoin(const ReplicaStatus& status) {
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (!peer.connected || peer.identity.program != kControlProgram) continue;
+    m_options.node->Send(peer.identity.host, MessageType::kJoinRequest,
+                         {{"disk_identity", status.self.disk_identity}});
+  }
+}
+
+void FleetService::PlaceLayers(TimePoint now) {
+  for (const PlaceDecision& decision : m_layers.Tick(now, m_leading_term, m_routes, m_table)) {
+    LogEvent(LogLevel::kInfo, "layers_ordered",
+             {{"service", decision.service},
+              {"upstream", decision.upstream},
+              {"address", decision.address},
+              {"first_layer", decision.range.first},
+              {"end_layer", decision.range.end},
+              {"fence", decision.fence},
+              {"reason", NameOf(decision.reason)},
+              {"route_version", m_route_version}});
+    SendOrder(decision);
+  }
+}
+
+void FleetService::SendOrder(const PlaceDecision& decision) {
+  PlaceOrder order;
+  order.upstream = decision.upstream;
+  order.first = decision.range.first;
+  order.end = decision.range.end;
+  order.fence = decision.fence;
+  EngineRequest text = m_options.dialect->WritePlaceOrder(order);
+  text.head.Set("Host", decision.address);
+  text.head.Set("Content-Length", std::to_string(text.body.size()));
+  UpstreamRequest request;
+  request.address = decision.address;
+  request.bytes = FormatRequestHead(text.head) + text.body;
+  request.fresh_connection = true;
+  request.connect_deadline = Clock::now() + kOrderConnectTimeout;
+  const auto log = [decision](const std::string& outcome) {
+    LogEvent(LogLevel::kInfo, "layers_order_answered",
+             {{"upstream", decision.upstream}, {"fence", decision.fence}, {"outcome", outcome}});
+  };
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [this, decision, log](const HttpHead& head) {
+    constexpr int kFirstFailure = 300;
+    log(std::to_string(head.status));
+    if (head.status >= kFirstFailure) m_layers.OrderFailed(decision.upstream, decision.fence);
+  };
+  callbacks.on_failure = [this, decision, log](UpstreamFailure failure) {
+    log(std::string(NameOf(failure)));
+    if (failure == UpstreamFailure::kNotConnected) {
+      m_layers.OrderFailed(decision.upstream, decision.fence);
+    }
+  };
+  m_pool.Send(std::move(request), std::move(callbacks));
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/corneltray-control/fleet_service.h
@@ -0,0 +1,103 @@
+#ifndef CORNELTRAY_FLEET_SERVICE_H_
+#define CORNELTRAY_FLEET_SERVICE_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control_node.h"
+#include "corneltray/dialect.h"
+#include "corneltray/fleet_messages.h"
+#include "corneltray/http_listener.h"
+#include "corneltray/layer_placement.h"
+#include "corneltray/member_keeper.h"
+#include "corneltray/peer.h"
+#include "corneltray/upstream_pool.h"
+#include "corneltray/upstream_table.h"
+
+namespace corneltray {
+
+struct FleetServiceOptions {
+  std::string address;  // IP:PORT for upstreams and operators
+  std::shared_ptr<const Dialect> dialect;
+  PeerNode* node = nullptr;        // outlives the service
+  ControlNode* control = nullptr;  // outlives the service
+  std::string host;                // name of this replica
+  std::size_t target_voters = 3;
+};
+
+// The calls of upstreams and operators at a control process: takes announcements and passes them on
+// to every entry process and control process, takes and gives route tables through the replicated
+// log, and at the leader places layers and keeps the members. Lives on one io_context; handlers of
+// PeerNode and calls to ControlNode change threads.
+class FleetService {
+ public:
+  FleetService(asio::io_context* io, FleetServiceOptions options);
+
+  // Registers handlers of peer messages. Call before PeerNode::Start.
+  void Register();
+  // Fails when the address cannot be bound.
+  Status Start();
+  void Stop();
+
+ private:
+  // What the leader's thread tells this one.
+  struct ReplicaView {
+    std::optional<std::uint64_t> leading_term;
+    std::uint64_t route_version = 0;
+    std::string compressed_routes;  // empty: as before
+  };
+
+  void OnCall(HttpCall call);
+  void OnAnnounce(const HttpCall& call, const AnnounceCall& announce);
+  void OnLeave(const HttpCall& call, const LeaveCall& leave);
+  void OnPut(const HttpCall& call, const PutRouteTableCall& put);
+  void OnGet(const HttpCall& call);
+
+  // Tells every entry process and answers the upstream once they know, or at a deadline.
+  void AcknowledgeDeparture(const HttpCall& call, const UpstreamUpdate& update);
+  void Broadcast(MessageType type, const nlohmann::json& body);
+  void FlushChanges();
+  void FlushRefreshes(TimePoint now);
+  void FetchFromNewPeers();
+  void PlanTick();
+  void Tick();
+  void KeepMembers();  // on the I/O thread of PeerNode
+  void AskToJoin(const ReplicaStatus& status);
+  void ReadReplica();
+  void OnReplicaView(const ReplicaView& view);
+  void PlaceLayers(TimePoint now);
+  void SendOrder(const PlaceDecision& decision);
+
+  asio::io_context* m_io;
+  FleetServiceOptions m_options;
+  HttpListener m_listener;
+  UpstreamPool m_pool;
+  UpstreamTable m_table;
+  LayerController m_layers;
+  asio::steady_timer m_tick_timer;
+  asio::steady_timer m_flush_timer;
+  bool m_flush_planned = false;
+  bool m_stopped = false;
+  UpstreamUpdates m_changes;    // not yet passed on
+  UpstreamUpdates m_refreshes;  // not yet passed on
+  TimePoint m_refresh_at{};
+  std::map<std::string, std::uint64_t> m_fetched_from;  // host and incarnation
+  std::optional<std::uint64_t> m_leading_term;
+  std::uint64_t m_route_version = 0;
+  RouteTable m_routes;
+
+  // On the I/O thread of PeerNode.
+  MemberKeeper m_keeper;
+  std::uint64_t m_viewed_route_version = 0;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_FLEET_SERVICE_H_
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -1,19 +1,25 @@
 // corneltray-control: one replica of the replicated log of a region.
 #include <signal.h>  // NOLINT(modernize-deprecated-headers): sigtimedwait is POSIX
 
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <atomic>
 #include <chrono>
 #include <iostream>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <variant>
 
 #include "control_http.h"
 #include "control_node.h"
+#include "fleet_service.h"
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/program.h"
+#include "platform_dialect.h"
 
 namespace corneltray {
 namespace {
@@ -68,19 +74,39 @@
 
     StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
                  m_settings.log_level);
-    auto storage = LogStorage::Open(m_settings.data_folder, m_settings.name);
+    FormatAtFirstStart();
+    auto storage = LogStorage::Open(m_settings.data_folder, m_settings.peer_name);
     if (!storage) return Fail(kExitDataFolder, storage.error().ToString());
     Report(storage.value()->Report());
     if (const int code = Start(std::move(storage).value()); code != kExitOk) return code;
+    std::thread fleet;
+    if (m_fleet) fleet = std::thread([this] { m_io.run(); });
     while (!m_stop) {
       const timespec poll{0, std::chrono::nanoseconds(kSignalPoll).count()};
       if (sigtimedwait(&signals, nullptr, &poll) > 0) break;
     }
+    if (fleet.joinable()) {
+      asio::post(m_io, [this] { m_fleet->Stop(); });
+      m_io.stop();
+      fleet.join();
+    }
     Stop();
     return m_exit_code;
   }
 
  private:
+  // Makes this process a voter when the region starts for the first time and this host is among the
+  // first replicas. A folder that holds files is left as it is.
+  void FormatAtFirstStart() const {
+    const auto& hosts = m_settings.control_hosts;
+    const bool founds = std::find(hosts.begin(), hosts.end(), m_settings.peer_name) != hosts.end();
+    if (!m_settings.control_first_start || !founds) return;
+    const auto identity = LogStorage::Format(m_settings.data_folder, m_settings.peer_name, hosts);
+    if (!identity && identity.error().code != StorageErrc::kAlreadyFormatted) {
+      LogEvent(LogLevel::kError, "format_failed", {{"error", identity.error().ToString()}});
+    }
+  }
+
   static void Report(const StorageReport& report) {
     if (report.created) LogEvent(LogLevel::kWarning, "data_folder_created", {{"role", "learner"}});
     if (report.truncated_bytes == 0) return;
@@ -93,25 +119,30 @@
   int Start(std::unique_ptr<LogStorage> storage) {
     const auto incarnation = static_cast<std::uint64_t>(UnixNow());
     PeerOptions peer;
-    peer.identity = {m_settings.name, kControlProgram, m_settings.region,
+    peer.identity = {m_settings.peer_name, kControlProgram, m_settings.region,
                      m_settings.availability_zone, incarnation};
     peer.listen_address = m_settings.peer_address;
     peer.advertise_address = m_settings.peer_advertise;
     peer.shared_key = m_settings.shared_key;
     m_node = std::make_unique<PeerNode>(std::move(peer));
     m_feed = std::make_unique<ConfigurationFeed>(nullptr, m_settings.site);
-    m_membership = std::make_unique<MembershipService>(m_node.get());
-    m_membership->SetChangeCallback([this](const std::vector<MembershipEvent>&) {
-      m_feed->NoteRevision(m_membership->GreatestRevision());
-    });
-    m_membership->Register();
+    if (!ServesFleet()) {
+      m_membership = std::make_unique<MembershipService>(m_node.get());
+      m_membership->SetChangeCallback([this](const std::vector<MembershipEvent>&) {
+        m_feed->NoteRevision(m_membership->GreatestRevision());
+      });
+      m_membership->Register();
+    }
 
     ControlNodeOptions options;
-    options.host = m_settings.name;
+    options.host = m_settings.peer_name;
     options.node = m_node.get();
     options.feed = m_feed.get();
     options.on_revision = [this](std::uint64_t revision) {
-      m_membership->SetConfigurationRevision(revision);
+      if (m_membership) m_membership->SetConfigurationRevision(revision);
+    };
+    options.on_route_table = [](std::uint64_t version) {
+      LogEvent(LogLevel::kInfo, "route_table_applied", {{"version", version}});
     };
     options.on_leader_known = [] { LogEvent(LogLevel::kInfo, "ready", json::object()); };
     options.on_fatal = [this](const std::string& why) {
@@ -122,10 +153,17 @@
     m_control = std::make_unique<ControlNode>(std::move(options), std::move(storage));
     m_control->Register();
     m_client = std::make_unique<LocalControlClient>(m_node.get(), m_control.get());
+    if (ServesFleet()) MakeFleetService();
 
     if (const corneltray::Status started = m_node->Start(); !started) {
       return Fail(kExitAddress, started.error().ToString());
     }
+    if (m_fleet) {
+      if (const corneltray::Status started = m_fleet->Start(); !started) {
+        m_node->Stop();
+        return Fail(kExitAddress, started.error().ToString());
+      }
+    }
     ControlHttpOptions http;
     http.settings = &m_settings;
     http.node = m_node.get();
@@ -152,16 +190,30 @@
     self.peer_address = advertised;
     self.http_address = m_http->Address();
     self.incarnation = incarnation;
-    m_membership->Start(std::move(self), m_settings.seeds);
+    if (m_membership) m_membership->Start(std::move(self), m_settings.seeds);
     for (const std::string& seed : m_settings.seeds) m_node->Connect(seed);
     m_control->Begin();
     return kExitOk;
   }
 
+  bool ServesFleet() const { return !m_settings.fleet_address.empty(); }
+
+  void MakeFleetService() {
+    FleetServiceOptions options;
+    options.address = m_settings.fleet_address;
+    options.dialect = platform::MakePlatformDialect();
+    options.node = m_node.get();
+    options.control = m_control.get();
+    options.host = m_settings.peer_name;
+    options.target_voters = m_settings.control_voters;
+    m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
+    m_fleet->Register();
+  }
+
   void Stop() {
     m_draining = true;
     LogEvent(LogLevel::kInfo, "draining", json::object());
-    m_membership->SetLeaving();
+    if (m_membership) m_membership->SetLeaving();
     m_control->HandOver(Clock::now() + kHandOverTimeout);
     m_http->BeginDrain(kIdleGrace);
     m_http->Stop(Clock::now() + std::chrono::milliseconds(m_settings.drain_deadline_ms));
@@ -175,11 +227,13 @@
   std::atomic<bool> m_stop{false};
   std::atomic<bool> m_draining{false};
   std::atomic<int> m_exit_code{kExitOk};
+  asio::io_context m_io{1};
   std::unique_ptr<PeerNode> m_node;
   std::unique_ptr<ConfigurationFeed> m_feed;
   std::unique_ptr<MembershipService> m_membership;
   std::unique_ptr<ControlNode> m_control;
   std::unique_ptr<LocalControlClient> m_client;
+  std::unique_ptr<FleetService> m_fleet;
   std::unique_ptr<HttpServer> m_http;
 };
 
--- /dev/null
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -0,0 +1,219 @@
+#include "fleet_feed.h"
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "corneltray/compression.h"
+#include "corneltray/control_client.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kTickInterval{100};
+// A confirmation is asked for this often, so that the lease on keys outlives some lost answers.
+constexpr std::chrono::milliseconds kFetchInterval{600};
+constexpr std::chrono::milliseconds kFetchRetryDelay{150};
+constexpr std::chrono::milliseconds kFetchTimeout{800};
+// A process without any table takes an unconfirmed one after this time, as in a partition.
+constexpr std::chrono::seconds kUnconfirmedAfter{4};
+constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
+
+}  // namespace
+
+FleetFeed::FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway,
+                     std::vector<std::string> seeds)
+    : m_io(io),
+      m_node(node),
+      m_gateway(gateway),
+      m_timer(*io),
+      m_seeds(seeds.begin(), seeds.end()) {
+  if (!seeds.empty()) m_peer_port = seeds.front().substr(seeds.front().rfind(':') + 1);
+}
+
+void FleetFeed::Register() {
+  const auto take_updates = [this](const json& body) {
+    auto updates = DecodeUpstreamUpdates(body);
+    if (!updates) return;
+    asio::post(*m_io, [this, updates = std::move(updates).value()] {
+      m_gateway->UpdateUpstreams(updates);
+    });
+  };
+  m_node->SetPushHandler(
+      MessageType::kUpstreamUpdates,
+      [take_updates](const PeerIdentity&, const json& body) { take_updates(body); });
+  m_node->SetRequestHandler(MessageType::kUpstreamUpdates,
+                            [this, take_updates](const PeerIdentity&, const json& body,
+                                                 const PeerNode::Responder& respond) {
+                              take_updates(body);
+                              // Answered after the update is in force: posts run in order.
+                              asio::post(*m_io, [respond] { respond(json::object()); });
+                            });
+  m_node->SetPushHandler(MessageType::kRouteTableChanged,
+                         [this](const PeerIdentity& from, const json& body) {
+                           const std::uint64_t version = body.value("version", std::uint64_t{0});
+                           asio::post(*m_io, [this, host = from.host, version] {
+                             if (version > m_gateway->RouteVersion()) FetchRouteTable(host, true);
+                           });
+                         });
+}
+
+void FleetFeed::Start() {
+  m_started_at = Clock::now();
+  for (const std::string& seed : m_seeds) {
+    m_node->Connect(seed);
+    m_targets.insert(seed);
+  }
+  PlanTick();
+}
+
+void FleetFeed::Stop() {
+  m_stopped = true;
+  m_timer.cancel();
+}
+
+void FleetFeed::SetSeeds(const std::vector<std::string>& seeds) {
+  m_seeds = {seeds.begin(), seeds.end()};
+  for (const std::string& seed : m_seeds) {
+    if (m_targets.insert(seed).second) m_node->Connect(seed);
+  }
+}
+
+void FleetFeed::PlanTick() {
+  m_timer.expires_after(kTickInterval);
+  m_timer.async_wait([this](const asio::error_code& cancelled) {
+    if (cancelled || m_stopped) return;
+    Tick();
+    PlanTick();
+  });
+}
+
+void FleetFeed::Tick() {
+  const TimePoint now = Clock::now();
+  NoteLinks();
+  if (now < m_next_fetch || m_asking > 0) return;
+  const std::string host = NextHost();
+  if (host.empty()) return;
+  m_next_fetch = now + kFetchInterval;
+  const bool nothing_yet = m_gateway->RouteVersion() == 0;
+  FetchRouteTable(host, !(nothing_yet && now - m_started_at > kUnconfirmedAfter));
+}
+
+void FleetFeed::NoteLinks() {
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (peer.identity.program != kControlProgram) continue;
+    const std::string& host = peer.identity.host;
+    const auto known = m_linked.find(host);
+    if (!peer.connected) {
+      if (known == m_linked.end()) continue;
+      m_linked.erase(known);
+      LogEvent(LogLevel::kWarning, "control_link_lost", {{"control_host", host}});
+      continue;
+    }
+    if (known != m_linked.end() && known->second == peer.identity.incarnation) continue;
+    m_linked[host] = peer.identity.incarnation;
+    LogEvent(LogLevel::kInfo, "control_link_up",
+             {{"control_host", host}, {"incarnation", peer.identity.incarnation}});
+    FetchUpstreams(host);
+  }
+}
+
+std::string FleetFeed::NextHost() {
+  if (m_linked.count(m_preferred) > 0) return m_preferred;
+  if (m_linked.empty()) return "";
+  // The one after the host that failed last.
+  auto next = m_linked.upper_bound(m_preferred);
+  if (next == m_linked.end()) next = m_linked.begin();
+  m_preferred = next->first;
+  return m_preferred;
+}
+
+void FleetFeed::FetchUpstreams(const std::string& host) {
+  m_node->Request(host, MessageType::kUpstreamFetch, json::object(),
+                  Clock::now() + kFetchTimeout * 2, [this, host](const Result<json>& reply) {
+                    auto updates = reply ? DecodeUpstreamUpdates(reply.value())
+                                         : Result<UpstreamUpdates>(reply.error());
+                    asio::post(*m_io, [this, host, updates] {
+                      if (updates) return m_gateway->UpdateUpstreams(updates.value());
+                      m_linked.erase(host);  // asked again at the next tick
+                    });
+                  });
+}
+
+void FleetFeed::FetchRouteTable(const std::string& host, bool confirmed) {
+  ++m_asking;
+  const TimePoint asked_at = BootTimeNow();
+  const json body = {{"have", m_gateway->RouteVersion()},
+                     {"confirmed", confirmed},
+                     {"timeout_ms", kFetchTimeout.count()}};
+  m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
+                  [this, host, confirmed, asked_at](const Result<json>& reply) {
+                    asio::post(*m_io, [this, host, confirmed, asked_at, reply] {
+                      OnRouteTable(host, confirmed, asked_at, reply);
+                    });
+                  });
+}
+
+void FleetFeed::OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
+                             const Result<json>& reply) {
+  --m_asking;
+  const bool answered = reply && reply.value().contains("version");
+  if (!answered) {
+    const std::string why =
+        reply ? reply.value().value("detail", "") : reply.error().ToString();
+    LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
+             {{"control_host", host}, {"reason", why}});
+    if (m_preferred == host) {
+      // Another control host is asked next.
+      auto next = m_linked.upper_bound(host);
+      if (next == m_linked.end()) next = m_linked.begin();
+      m_preferred = next == m_linked.end() ? "" : next->first;
+    }
+    m_next_fetch = Clock::now() + kFetchRetryDelay;
+    return;
+  }
+  TakeRouteTable(reply.value());
+  TakeMembers(reply.value().at("members"));
+  m_gateway->SetEntryHosts(reply.value().value("entry_hosts", std::size_t{1}));
+  if (confirmed && m_gateway->RouteVersion() >= reply.value().at("version").get<std::uint64_t>()) {
+    m_gateway->ConfirmRouteTable(asked_at);
+  }
+}
+
+void FleetFeed::TakeRouteTable(const json& reply) {
+  if (!reply.contains("text")) return;
+  const auto& bytes = reply.at("text").get_binary();
+  const auto text = Decompress({bytes.begin(), bytes.end()}, kMaxRouteTableBytes);
+  const auto table = text ? m_gateway->GetDialect().ReadRouteTable(text.value())
+                          : Result<RouteTable>(text.error());
+  if (!table) {
+    LogEvent(LogLevel::kError, "route_table_unreadable",
+             {{"version", reply.at("version").get<std::uint64_t>()},
+              {"error", table.error().ToString()}});
+    return;
+  }
+  m_gateway->SetRouteTable(table.value());
+}
+
+void FleetFeed::TakeMembers(const json& members) {
+  std::set<std::string> wanted = m_seeds;
+  for (const json& host : members) {
+    wanted.insert(host.get<std::string>() + ":" + m_peer_port);
+  }
+  for (const std::string& address : wanted) {
+    if (m_targets.insert(address).second) m_node->Connect(address);
+  }
+  for (auto target = m_targets.begin(); target != m_targets.end();) {
+    if (wanted.count(*target) > 0) {
+      ++target;
+      continue;
+    }
+    m_node->Forget(*target);
+    target = m_targets.erase(target);
+  }
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -0,0 +1,63 @@
+#ifndef CORNELTRAY_FLEET_FEED_H_
+#define CORNELTRAY_FLEET_FEED_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "corneltray/gateway.h"
+#include "corneltray/peer.h"
+
+namespace corneltray {
+
+// Keeps a gateway up to date from the control processes: the route table with its confirmation by
+// the replicated log, and what upstreams say. Finds further control processes through those it has
+// a link to. Lives on the gateway's io_context; handlers of PeerNode change threads.
+class FleetFeed {
+ public:
+  // `seeds` are peer addresses of control processes. All pointers outlive the feed.
+  FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway, std::vector<std::string> seeds);
+
+  // Registers handlers. Call before PeerNode::Start.
+  void Register();
+  void Start();
+  void Stop();
+  // The settings name other seeds.
+  void SetSeeds(const std::vector<std::string>& seeds);
+
+ private:
+  void PlanTick();
+  void Tick();
+  void NoteLinks();
+  void FetchUpstreams(const std::string& host);
+  void FetchRouteTable(const std::string& host, bool confirmed);
+  void OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
+                    const Result<nlohmann::json>& reply);
+  void TakeRouteTable(const nlohmann::json& reply);
+  void TakeMembers(const nlohmann::json& members);
+  std::string NextHost();
+
+  asio::io_context* m_io;
+  PeerNode* m_node;
+  Gateway* m_gateway;
+  asio::steady_timer m_timer;
+  bool m_stopped = false;
+  std::set<std::string> m_seeds;
+  std::set<std::string> m_targets;                // addresses that the node keeps links to
+  std::map<std::string, std::uint64_t> m_linked;  // control hosts with a link, and incarnations
+  std::string m_preferred;                        // control host that confirmed last
+  std::string m_peer_port;
+  std::uint32_t m_asking = 0;                     // fetches in progress
+  TimePoint m_next_fetch{};
+  TimePoint m_started_at{};
+  TimePoint m_confirmed_at{};
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_FLEET_FEED_H_
--- /dev/null
+++ b/src/corneltray-gateway/main.cc
@@ -0,0 +1,179 @@
+// corneltray-gateway: the event-driven entry host, for installations with a dialect of their own.
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "corneltray/gateway.h"
+#include "corneltray/log.h"
+#include "corneltray/peer.h"
+#include "corneltray/program.h"
+#include "fleet_feed.h"
+#include "corneltray/metrics_server.h"
+#include "platform_dialect.h"
+#include "corneltray/settings_watcher.h"
+
+namespace corneltray {
+namespace {
+
+constexpr char kProgram[] = "corneltray-gateway";
+constexpr std::chrono::milliseconds kDrainTick{100};
+// The balancer sees within this time that the host is not ready.
+constexpr std::chrono::milliseconds kBalancerNotice{2500};
+// No new connection comes from the balancer after this time.
+constexpr std::chrono::milliseconds kListenAfterStop{3500};
+// Before the platform kills the process.
+constexpr std::chrono::milliseconds kStopMargin{400};
+
+int Fail(int code, const std::string& message) {
+  std::cerr << kProgram << ": " << message << "\n";
+  return code;
+}
+
+// Everything that a running gateway process holds, in the order in which it is taken down.
+class Program {
+ public:
+  Program(HostSettings settings, std::string settings_path)
+      : m_settings(std::move(settings)),
+        m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+        m_drain_timer(m_io),
+        m_watcher(&m_io, std::move(settings_path),
+                  [this](HostSettings changed) { Reload(std::move(changed)); }) {}
+
+  int Run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    StartLogging({kProgram, m_settings.name, m_settings.availability_zone}, m_settings.log_level);
+    if (const int code = Start(); code != kExitOk) return code;
+    WaitForSignal();
+    m_io.run();
+    m_feed->Stop();
+    m_gateway->CloseAll();
+    m_node->Stop();
+    LogEvent(LogLevel::kInfo, "stopped", nlohmann::json::object());
+    return kExitOk;
+  }
+
+ private:
+  int Start() {
+    GatewayOptions options;
+    options.availability_zone = m_settings.availability_zone;
+    options.dialect = platform::MakePlatformDialect();
+    options.key_lease = std::chrono::milliseconds(m_settings.key_lease_ms);
+    options.retry_ratio = m_settings.retry_ratio;
+    options.retry_allowance = m_settings.retry_allowance;
+    options.retry_window = std::chrono::milliseconds(m_settings.retry_window_ms);
+    m_gateway = std::make_unique<Gateway>(&m_io, std::move(options));
+    PeerOptions peer;
+    peer.identity = {m_settings.peer_name, kProgram, m_settings.region,
+                     m_settings.availability_zone, static_cast<std::uint64_t>(UnixNow())};
+    peer.listen_address = m_settings.peer_address;
+    peer.advertise_address = m_settings.peer_advertise;
+    peer.shared_key = m_settings.shared_key;
+    m_node = std::make_unique<PeerNode>(std::move(peer));
+    m_feed = std::make_unique<FleetFeed>(&m_io, m_node.get(), m_gateway.get(), m_settings.seeds);
+    m_feed->Register();
+    if (const Status started = m_node->Start(); !started) {
+      return Fail(kExitAddress, started.error().ToString());
+    }
+    Status listening = m_gateway->Listen(m_settings.http_address);
+    if (listening && !m_settings.ready_address.empty()) {
+      listening = m_gateway->ListenReady(m_settings.ready_address);
+    }
+    if (!listening) {
+      m_node->Stop();
+      return Fail(kExitAddress, listening.error().ToString());
+    }
+    if (!m_settings.metrics_address.empty()) {
+      m_metrics = std::make_unique<MetricsServer>(
+          &m_io, m_settings.metrics_address,
+          [this] { return m_gateway->MetricsText() + PeerMetricsText(m_node->Counters()); });
+    }
+    LogEvent(LogLevel::kInfo, "listening",
+             {{"http_address", m_gateway->Address()},
+              {"ready_address", m_settings.ready_address},
+              {"peer_address", m_node->ListenAddress()}});
+    m_feed->Start();
+    m_watcher.Start();
+    return kExitOk;
+  }
+
+  void WaitForSignal() {
+    m_signals.async_wait([this](const asio::error_code& cancelled, int signal) {
+      if (cancelled) return;
+      if (signal == SIGHUP) {
+        m_watcher.Check(true);
+      } else if (!m_stop_at) {
+        BeginStop();
+      }
+      WaitForSignal();
+    });
+  }
+
+  void Reload(HostSettings changed) {
+    LogEvent(LogLevel::kInfo, "settings_reloaded", {{"seeds", changed.seeds}});
+    m_feed->SetSeeds(changed.seeds);
+    m_settings = std::move(changed);
+  }
+
+  void BeginStop() {
+    m_stop_at = Clock::now();
+    LogEvent(LogLevel::kInfo, "draining", {{"requests", m_gateway->InFlight()}});
+    m_gateway->BeginDrain();
+    PlanDrainTick();
+  }
+
+  void PlanDrainTick() {
+    m_drain_timer.expires_after(kDrainTick);
+    m_drain_timer.async_wait([this](const asio::error_code& cancelled) {
+      if (!cancelled) DrainTick();
+    });
+  }
+
+  // Ends the process once nothing is in progress, at the latest shortly before it would be killed.
+  void DrainTick() {
+    const Duration since = Clock::now() - *m_stop_at;
+    const std::chrono::milliseconds grace(m_settings.drain_deadline_ms);
+    if (since >= kBalancerNotice) m_gateway->CloseIdle();
+    if (since >= kListenAfterStop) m_gateway->CloseListener();
+    const bool idle = since >= kListenAfterStop && m_gateway->InFlight() == 0;
+    if (idle || since >= grace - kStopMargin) {
+      LogEvent(LogLevel::kInfo, "drained", {{"cut_off", m_gateway->InFlight()}});
+      m_io.stop();
+      return;
+    }
+    PlanDrainTick();
+  }
+
+  HostSettings m_settings;
+  asio::io_context m_io{1};
+  asio::signal_set m_signals;
+  asio::steady_timer m_drain_timer;
+  std::optional<TimePoint> m_stop_at;
+  SettingsWatcher m_watcher;
+  std::unique_ptr<Gateway> m_gateway;
+  std::unique_ptr<PeerNode> m_node;
+  std::unique_ptr<FleetFeed> m_feed;
+  std::unique_ptr<MetricsServer> m_metrics;
+};
+
+int Main(int argc, char** argv) {
+  const ProgramSpec spec{kProgram,
+                         "Entry host: takes requests of callers and sends them to upstreams.",
+                         {},
+                         nullptr};
+  std::string path;
+  auto parsed = ParseProgramArguments(spec, argc, argv, &path);
+  if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
+  return Program(std::get<HostSettings>(std::move(parsed)), std::move(path)).Run();
+}
+
+}  // namespace
+}  // namespace corneltray
+
+int main(int argc, char** argv) { return corneltray::Main(argc, argv); }
--- a/src/include/corneltray/booking.h
+++ b/src/include/corneltray/booking.h
@@ -92,9 +92,16 @@
   std::int64_t retention_ms = 0;
 };
 
+// A complete route table. It is in force if its version is higher than the one held. The leader
+// has validated it; replicas keep the text as it was sent.
+struct ReplaceRouteTable {
+  std::uint64_t version = 0;
+  std::string compressed_text;
+};
+
 // A command of the replicated log that changes ControlState.
 using Command = std::variant<ClaimBooking, FinishBooking, MarkBookingUnknown, RefuseBooking,
-                             ApplyConfiguration>;
+                             ApplyConfiguration, ReplaceRouteTable>;
 
 enum class BookingVerdict {
   kGranted,      // the attempt holds the claim and may send
@@ -147,7 +154,29 @@
   std::string detail;
 };
 
-using CommandReply = std::variant<BookingReply, ConfigurationReply>;
+enum class RouteTableVerdict {
+  kApplied,
+  kHeld,      // the same table is held already
+  kOutdated,  // a higher version is held; nothing was changed
+  kConflict,  // another table is held under this version; nothing was changed
+};
+
+template <>
+struct EnumNames<RouteTableVerdict> {
+  static constexpr EnumName<RouteTableVerdict> kTable[] = {
+      {RouteTableVerdict::kApplied, "applied"},
+      {RouteTableVerdict::kHeld, "held"},
+      {RouteTableVerdict::kOutdated, "outdated"},
+      {RouteTableVerdict::kConflict, "conflict"},
+  };
+};
+
+struct RouteTableReply {
+  RouteTableVerdict verdict = RouteTableVerdict::kApplied;
+  std::uint64_t version = 0;  // in force
+};
+
+using CommandReply = std::variant<BookingReply, ConfigurationReply, RouteTableReply>;
 
 // Encodes for the log and for the wire (CBOR). Decoding fails on a malformed or unknown command.
 std::string EncodeCommand(const Command& command);
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -128,6 +128,24 @@
   std::int64_t m_retention_ms;
 };
 
+// The text of the route table with the highest version. Deterministic. Not thread-safe.
+class RouteTableStore {
+ public:
+  RouteTableReply Apply(const ReplaceRouteTable& command);
+
+  // 0 before the first table.
+  std::uint64_t Version() const { return m_version; }
+  const std::string& CompressedText() const { return m_compressed_text; }
+
+  nlohmann::json Snapshot() const;
+  // Replaces the content. Throws nlohmann::json::exception on a malformed snapshot.
+  void Restore(const nlohmann::json& snapshot);
+
+ private:
+  std::uint64_t m_version = 0;
+  std::string m_compressed_text;
+};
+
 // The state machine of the replicated log. Applying the same records in the same order gives the
 // same state and replies on every replica. Not thread-safe.
 class ControlState {
@@ -138,6 +156,7 @@
   BookingReply ReadBooking(const BookingKey& key) const;
   const ConfigurationStore& GetConfiguration() const { return m_configuration; }
   const BookingTable& GetBookings() const { return m_bookings; }
+  const RouteTableStore& GetRouteTable() const { return m_route_table; }
   // Greatest committed leader timestamp.
   UnixMs LogTime() const { return m_log_time; }
 
@@ -149,6 +168,7 @@
  private:
   BookingTable m_bookings;
   ConfigurationStore m_configuration;
+  RouteTableStore m_route_table;
   UnixMs m_log_time = 0;
 };
 
--- /dev/null
+++ b/src/include/corneltray/fleet_messages.h
@@ -0,0 +1,41 @@
+#ifndef CORNELTRAY_FLEET_MESSAGES_H_
+#define CORNELTRAY_FLEET_MESSAGES_H_
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "corneltray/result.h"
+#include "corneltray/upstream_table.h"
+
+namespace corneltray {
+
+// An upstream that repeated what it said before.
+struct UpstreamRefresh {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+};
+
+// What upstreams have said to the sender: body of upstream_updates, and of the reply to
+// upstream_fetch.
+struct UpstreamUpdates {
+  std::vector<UpstreamUpdate> updates;
+  std::vector<UpstreamRefresh> refreshes;
+};
+
+nlohmann::json EncodeUpstreamUpdates(const UpstreamUpdates& updates);
+// Fails on a malformed body; nothing of it is used.
+Result<UpstreamUpdates> DecodeUpstreamUpdates(const nlohmann::json& body);
+
+// Takes all of it into a table. Returns how many entries were new or changed.
+std::size_t ApplyUpstreamUpdates(TimePoint now, const UpstreamUpdates& updates,
+                                 UpstreamTable* table);
+
+// Everything that a table holds.
+UpstreamUpdates AllUpstreams(const UpstreamTable& table);
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_FLEET_MESSAGES_H_
--- /dev/null
+++ b/src/include/corneltray/gateway.h
@@ -0,0 +1,131 @@
+#ifndef CORNELTRAY_GATEWAY_H_
+#define CORNELTRAY_GATEWAY_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "corneltray/dialect.h"
+#include "corneltray/engine_router.h"
+#include "corneltray/fleet_messages.h"
+#include "corneltray/gateway_request.h"
+#include "corneltray/http_listener.h"
+#include "corneltray/key_lease.h"
+#include "corneltray/metrics.h"
+#include "corneltray/retry.h"
+#include "corneltray/route_table.h"
+#include "corneltray/service_picker.h"
+#include "corneltray/upstream_pool.h"
+#include "corneltray/upstream_table.h"
+
+namespace corneltray {
+
+class Exchange;
+
+struct GatewayOptions {
+  std::string availability_zone;
+  std::shared_ptr<const Dialect> dialect;
+  std::chrono::milliseconds key_lease{5000};
+  double retry_ratio = 0.2;
+  double retry_allowance = 100.0;  // second attempts in a window, over all entry hosts
+  std::chrono::milliseconds retry_window{10'000};
+};
+
+// The data path of one entry host: takes requests of callers, sends them to upstreams and passes
+// the answers on. Owns what this host knows of routes, upstreams and their load. Lives on one
+// io_context and has no thread of its own.
+class Gateway {
+ public:
+  Gateway(asio::io_context* io, GatewayOptions options);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Start to serve callers, and the readiness check at an address of its own.
+  Status Listen(const std::string& address);
+  Status ListenReady(const std::string& address);
+
+  // A route table from the log. Ignored unless its version is higher than the one in force.
+  void SetRouteTable(RouteTable table);
+  std::uint64_t RouteVersion() const;
+  // The log confirmed that no table is newer than the one held, when asked at this time.
+  void ConfirmRouteTable(TimePoint asked_at);
+  void UpdateUpstreams(const UpstreamUpdates& updates);
+  // Entry hosts among which the budget of second attempts is divided.
+  void SetEntryHosts(std::size_t hosts);
+
+  // Whether the balancer should send callers here.
+  bool IsReady() const;
+  // From now on not ready; answers end their connections.
+  void BeginDrain();
+  void CloseIdle();
+  void CloseListener() { m_listener.CloseListener(); }
+  void CloseAll();
+  std::size_t InFlight() const { return m_exchanges.size(); }
+  std::string MetricsText() const;
+  HttpListenerCounters ListenerCounters() const { return m_listener.Counters(); }
+  // Bound addresses IP:PORT, for tests.
+  std::string Address() const { return m_listener.Address(); }
+  std::string ReadyAddress() const { return m_ready_listener.Address(); }
+
+  // --- For Exchange ---
+  const Dialect& GetDialect() const { return *m_options.dialect; }
+  UpstreamPool& Pool() { return m_pool; }
+  const UpstreamTable& Upstreams() const { return m_upstreams; }
+  // Null if the service has no engines.
+  EngineRouter* RouterOf(const RouteService& service);
+  ServicePicker& PickerOf(const std::string& service);
+  RetryBudget& BudgetOf(const std::string& service);
+  Metrics& GetMetrics() { return m_metrics; }
+  // Asks the first stage of a chain which stages its requests wait for. Requests that ask at the
+  // same time share one question; `done` gets nothing if there is no answer.
+  using StalledCallback = std::function<void(const EngineReport* report)>;
+  void AskReport(const std::string& address, StalledCallback done);
+  void Suspect(const std::string& address, const std::string& why);
+  void Finished(const std::shared_ptr<Exchange>& exchange);
+
+ private:
+  struct ReportQuestion {
+    std::vector<StalledCallback> waiting;
+    UpstreamCall call;
+    std::string body;
+    int status = 0;
+    TimePoint deadline{};
+  };
+
+  void OnCall(HttpCall call);
+  void OnReadyCall(HttpCall call);
+  void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
+  void RefreshUpstreams();
+  void PlanTick();
+  void Tick();
+  void FinishReport(const std::string& address, bool answered);
+
+  asio::io_context* m_io;
+  GatewayOptions m_options;
+  HttpListener m_listener;
+  HttpListener m_ready_listener;
+  UpstreamPool m_pool;
+  UpstreamTable m_upstreams;
+  std::uint64_t m_used_generation = 0;  // of m_upstreams in the routers
+  std::shared_ptr<const RouteIndex> m_routes;
+  KeyLease m_key_lease;
+  std::map<std::string, EngineRouter> m_routers;    // by service
+  std::map<std::string, ServicePicker> m_pickers;   // by service
+  std::map<std::string, RetryBudget> m_budgets;     // by service
+  std::map<std::string, ReportQuestion> m_reports;  // by address
+  std::set<std::shared_ptr<Exchange>> m_exchanges;
+  std::size_t m_entry_hosts = 1;
+  asio::steady_timer m_tick_timer;
+  bool m_tick_planned = false;
+  bool m_draining = false;
+  Metrics m_metrics;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_GATEWAY_H_
--- /dev/null
+++ b/src/include/corneltray/layer_placement.h
@@ -0,0 +1,123 @@
+#ifndef CORNELTRAY_LAYER_PLACEMENT_H_
+#define CORNELTRAY_LAYER_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "corneltray/enum_names.h"
+#include "corneltray/route_table.h"
+#include "corneltray/time.h"
+#include "corneltray/upstream_table.h"
+
+namespace corneltray {
+
+// Layers from `first` up to `end`; empty if they are equal.
+struct LayerRange {
+  std::uint32_t first = 0;
+  std::uint32_t end = 0;
+
+  std::uint32_t Size() const { return end - first; }
+  bool operator==(const LayerRange& o) const { return first == o.first && end == o.end; }
+  bool operator!=(const LayerRange& o) const { return !(*this == o); }
+};
+
+// One engine of an availability zone, as placement sees it.
+struct PlacedEngine {
+  std::string name;
+  AcceleratorKind kind;
+  LayerRange range;       // held, or ordered and not yet held
+  bool is_usable = true;  // ready and heard from lately
+};
+
+// Layers that an engine can hold beside the prompts of `kv_tokens` tokens.
+std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
+                            double kv_tokens);
+
+// Plans a zone whose engines hold nothing: one whole copy of the model on the fastest engines, each
+// with room for the prompts of as many tokens as the memory of the zone allows, up to the capacity
+// of the profile; the other engines hold a second copy of a part. Returns the range of each engine.
+std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
+                                           const EngineProfile& profile);
+
+// Returns new ranges for some engines of a zone that is in use: layers that no usable engine holds
+// go to an empty engine, else to one whose layers others hold too, else to a neighbour with room;
+// empty engines that are left take the layers that are held least often. Engines that are not
+// named keep their range.
+std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
+                                             const EngineProfile& profile);
+
+enum class PlaceReason {
+  kFirstPlan,
+  kRepair,
+  kRepeat,  // the engine does not announce what it was ordered
+};
+
+template <>
+struct EnumNames<PlaceReason> {
+  static constexpr EnumName<PlaceReason> kTable[] = {
+      {PlaceReason::kFirstPlan, "first_plan"},
+      {PlaceReason::kRepair, "repair"},
+      {PlaceReason::kRepeat, "repeat"},
+  };
+};
+
+struct PlaceDecision {
+  std::string service;
+  std::string upstream;
+  std::string address;
+  LayerRange range;
+  std::uint64_t fence = 0;
+  PlaceReason reason = PlaceReason::kRepair;
+};
+
+// Decides which layers the engines of all availability zones hold, at the leader of the replicated
+// log. Compares what engines announce with what they were ordered. Answers the loss, the arrival
+// and the replacement of engines, and orders that were lost or came late: each order has a higher
+// fencing number than all before it, so an engine refuses an older one. Not thread safe.
+class LayerController {
+ public:
+  // `term` is that of the leader; empty: not the leader, and everything is forgotten. Called
+  // several times a second.
+  std::vector<PlaceDecision> Tick(TimePoint now, std::optional<std::uint64_t> term,
+                                  const RouteTable& routes, const UpstreamTable& upstreams);
+
+  // An engine refused the order with this fencing number, or did not take it.
+  void OrderFailed(const std::string& upstream, std::uint64_t fence);
+
+ private:
+  struct Ordered {
+    std::uint64_t incarnation = 0;
+    LayerRange range;
+    std::uint64_t fence = 0;
+    TimePoint repeat_at{};
+  };
+  struct Zone {
+    TimePoint settled_at{};  // no plan before; moves on while engines arrive
+    std::size_t engines = 0;
+  };
+
+  bool HasSettled(TimePoint now, const std::string& zone, std::size_t engines);
+  std::vector<PlacedEngine> ReadZone(TimePoint now, const std::string& zone,
+                                     const std::string& service, const EngineProfile& profile,
+                                     const UpstreamTable& upstreams);
+  void PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
+                 const UpstreamTable& upstreams, std::vector<PlaceDecision>* decisions);
+  void Order(TimePoint now, const UpstreamRecord& record, LayerRange range, PlaceReason reason,
+             const RouteService& service, std::vector<PlaceDecision>* decisions);
+  void RepeatOrders(TimePoint now, const RouteService& service, const UpstreamTable& upstreams,
+                    std::vector<PlaceDecision>* decisions);
+
+  std::optional<std::uint64_t> m_term;
+  std::uint64_t m_orders = 0;  // in this term
+  TimePoint m_last_tick{};
+  TimePoint m_ready_at{};  // no order before
+  std::map<std::string, Zone> m_zones;
+  std::map<std::string, Ordered> m_ordered;  // by engine
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_LAYER_PLACEMENT_H_
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -15,6 +15,11 @@
   kReadBooking,           // request: state of one key, read through the leader
   kConfigurationFetch,    // request: the document, or a difference from a revision
   kConfigurationChanged,  // push: a new revision is committed
+  kRouteTableFetch,       // request: the route table, if it is newer than a version
+  kRouteTableChanged,     // push: a route table of this version is committed
+  kUpstreamUpdates,       // push: what upstreams have said to the sender
+  kUpstreamFetch,         // request: everything the receiver knows of upstreams
+  kJoinRequest,           // push: a control process that is no member wants to become one
   kLeaseRequest,          // request: grant or renew the placement lease
   kLeaseRelease,          // push: the holder gives the lease up
   kReply,                 // answers a request that succeeded
@@ -32,6 +37,11 @@
       {MessageType::kReadBooking, "read_booking"},
       {MessageType::kConfigurationFetch, "configuration_fetch"},
       {MessageType::kConfigurationChanged, "configuration_changed"},
+      {MessageType::kRouteTableFetch, "route_table_fetch"},
+      {MessageType::kRouteTableChanged, "route_table_changed"},
+      {MessageType::kUpstreamUpdates, "upstream_updates"},
+      {MessageType::kUpstreamFetch, "upstream_fetch"},
+      {MessageType::kJoinRequest, "join_request"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
       {MessageType::kReply, "reply"},
--- /dev/null
+++ b/src/include/corneltray/metrics_server.h
@@ -0,0 +1,29 @@
+#ifndef CORNELTRAY_METRICS_SERVER_H_
+#define CORNELTRAY_METRICS_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "corneltray/http_listener.h"
+
+namespace corneltray {
+
+// Serves the metrics of one process as text at GET /metrics. Lives on one io_context.
+class MetricsServer {
+ public:
+  // `text` is called for each request. An address that cannot be bound is logged; the process
+  // serves on without metrics.
+  MetricsServer(asio::io_context* io, const std::string& address,
+                std::function<std::string()> text);
+
+  std::string Address() const { return m_listener.Address(); }
+
+ private:
+  std::function<std::string()> m_text;
+  HttpListener m_listener;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_METRICS_SERVER_H_
--- a/src/include/corneltray/program.h
+++ b/src/include/corneltray/program.h
@@ -38,8 +38,9 @@
 // Parses the command line and the settings file, and reports their mistakes on standard error.
 // Returns the settings to run with, or the exit code when the program is done: after --help,
 // --version, --check or a mistake.
-std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc,
-                                                      char** argv);
+// `settings_path`, if given, gets the path of the settings file.
+std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc, char** argv,
+                                                      std::string* settings_path = nullptr);
 
 }  // namespace corneltray
 
--- a/src/include/corneltray/upstream.h
+++ b/src/include/corneltray/upstream.h
@@ -72,7 +72,7 @@
 // restarted upstream is newer than anything said about its former life.
 struct Announcement {
   UpstreamKind kind = UpstreamKind::kEngine;
-  std::string service;  // name of the service; empty for an engine
+  std::string service;  // name of the service; empty for an engine that serves by its model alone
   std::string name;
   std::uint64_t incarnation = 0;
   std::string availability_zone;
@@ -85,6 +85,7 @@
   double layers_per_s = 0.0;  // layer executions a second for one token
   double link_mbps = 0.0;
   std::vector<Holding> holdings;
+  std::uint32_t slots = 0;  // requests that it runs at once; 0: not told
   LoadReport load;
   std::uint64_t sequence = 0;  // grows with each announcement of one incarnation
 };
--- a/src/libcorneltray/booking.cc
+++ b/src/libcorneltray/booking.cc
@@ -48,6 +48,12 @@
           {"retention_ms", c.retention_ms}};
 }
 
+json Encode(const ReplaceRouteTable& c) {
+  return {{"command", "replace_route_table"},
+          {"version", c.version},
+          {"text", ToBinary(c.compressed_text)}};
+}
+
 Command DecodeClaim(const json& v) {
   return ClaimBooking{BookingKeyFromJson(v.at("key")), v.at("attempt"), v.at("entry_host"),
                       v.at("request_hash"), v.at("resolve_at")};
@@ -77,6 +83,10 @@
                             v.at("problem"),   v.at("retention_ms")};
 }
 
+Command DecodeReplaceRouteTable(const json& v) {
+  return ReplaceRouteTable{v.at("version"), FromBinary(v.at("text"))};
+}
+
 struct CommandDecoder {
   std::string_view name;
   Command (*decode)(const json&);
@@ -87,6 +97,7 @@
     {"mark_booking_unknown", DecodeMarkUnknown},
     {"refuse_booking", DecodeRefuse},
     {"apply_configuration", DecodeApply},
+    {"replace_route_table", DecodeReplaceRouteTable},
 };
 
 json EncodeReply(const BookingReply& r) {
@@ -105,6 +116,10 @@
           {"detail", r.detail}};
 }
 
+json EncodeReply(const RouteTableReply& r) {
+  return {{"reply", "route_table"}, {"verdict", NameOf(r.verdict)}, {"version", r.version}};
+}
+
 BookingReply DecodeBookingReply(const json& v) {
   BookingReply reply;
   reply.verdict = EnumFromJson<BookingVerdict>(v.at("verdict"));
@@ -121,6 +136,10 @@
   return {EnumFromJson<ConfigurationVerdict>(v.at("verdict")), v.at("revision"), v.at("detail")};
 }
 
+RouteTableReply DecodeRouteTableReply(const json& v) {
+  return {EnumFromJson<RouteTableVerdict>(v.at("verdict")), v.at("version")};
+}
+
 Error Malformed(const std::string& detail) { return {ControlStateErrc::kMalformedCommand, detail}; }
 
 }  // namespace
@@ -200,6 +219,7 @@
     const std::string& kind = value.at("reply").get_ref<const std::string&>();
     if (kind == "booking") return CommandReply(DecodeBookingReply(value));
     if (kind == "configuration") return CommandReply(DecodeConfigurationReply(value));
+    if (kind == "route_table") return CommandReply(DecodeRouteTableReply(value));
     return Malformed("unknown reply " + kind);
   } catch (const json::exception& failure) {
     return Malformed(failure.what());
--- a/src/libcorneltray/control_state.cc
+++ b/src/libcorneltray/control_state.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "booking_json.h"
+
 namespace corneltray {
 namespace {
 
@@ -34,6 +36,26 @@
   return {static_cast<int>(errc), category};
 }
 
+RouteTableReply RouteTableStore::Apply(const ReplaceRouteTable& command) {
+  if (command.version < m_version) return {RouteTableVerdict::kOutdated, m_version};
+  if (command.version == m_version) {
+    const bool same = command.compressed_text == m_compressed_text;
+    return {same ? RouteTableVerdict::kHeld : RouteTableVerdict::kConflict, m_version};
+  }
+  m_version = command.version;
+  m_compressed_text = command.compressed_text;
+  return {RouteTableVerdict::kApplied, m_version};
+}
+
+json RouteTableStore::Snapshot() const {
+  return {{"version", m_version}, {"text", ToBinary(m_compressed_text)}};
+}
+
+void RouteTableStore::Restore(const json& snapshot) {
+  m_version = snapshot.at("version");
+  m_compressed_text = FromBinary(snapshot.at("text"));
+}
+
 CommandReply ControlState::Apply(const Command& command, UnixMs leader_time) {
   m_log_time = std::max(m_log_time, leader_time);
   m_bookings.Expire(m_log_time, m_configuration.RetentionMs());
@@ -54,6 +76,9 @@
     CommandReply operator()(const ApplyConfiguration& c) const {
       return state.m_configuration.Apply(c, state.m_log_time);
     }
+    CommandReply operator()(const ReplaceRouteTable& c) const {
+      return state.m_route_table.Apply(c);
+    }
   };
   return std::visit(Visitor{*this}, command);
 }
@@ -65,7 +90,8 @@
 std::string ControlState::Snapshot() const {
   const json head = {{"version", kSnapshotVersion},
                      {"log_time", m_log_time},
-                     {"configuration", m_configuration.Snapshot()}};
+                     {"configuration", m_configuration.Snapshot()},
+                     {"route_table", m_route_table.Snapshot()}};
   // The head is self-delimiting only for a decoder, so its size comes first.
   std::string head_bytes;
   json::to_cbor(head, head_bytes);
@@ -94,6 +120,8 @@
     ControlState restored;
     restored.m_log_time = head.at("log_time");
     restored.m_configuration.Restore(head.at("configuration"));
+    // Absent in a snapshot of a program version that had no route table.
+    if (head.contains("route_table")) restored.m_route_table.Restore(head.at("route_table"));
     const std::string_view all = bytes;
     if (!restored.m_bookings.Restore(all.substr(head_at + head_size))) {
       return malformed("bookings");
--- a/src/libcorneltray/program.cc
+++ b/src/libcorneltray/program.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc,
-                                                      char** argv) {
+std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc, char** argv,
+                                                      std::string* settings_path) {
   std::string path;
   bool check = false;
   CLI::App app(spec.description, spec.name);
@@ -29,6 +29,7 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? kExitOk : kExitUsage;
   }
+  if (settings_path != nullptr) *settings_path = path;
   std::vector<DocumentIssue> issues;
   HostSettings settings = LoadHostSettings(path, &issues);
   if (issues.empty() && spec.check) spec.check(settings, path, &issues);
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -44,6 +44,9 @@
   check("http.address", settings.http_address, false);
   check("peer.address", settings.peer_address, false);
   check("peer.advertise", settings.peer_advertise, true);
+  check("http.ready_address", settings.ready_address, true);
+  check("http.metrics_address", settings.metrics_address, true);
+  check("fleet.address", settings.fleet_address, true);
   check("placement.weight_store", settings.weight_store, true);
   for (const std::string& seed : settings.seeds) check("peer.seeds", seed, false);
 }
@@ -65,6 +68,14 @@
        "connections served at once, each on its own thread"},
       {"peer.address", T::kString, false, "\"127.0.0.1:0\"", 3, kMaxText, "",
        "IP:PORT for other corneltray processes"},
+      {"http.ready_address", T::kString, false, "\"\"", 0, kMaxText, "",
+       "IP:PORT of the readiness check of corneltray-gateway; empty: at http.address"},
+      {"http.metrics_address", T::kString, false, "\"\"", 0, kMaxText, "",
+       "IP:PORT of the metrics of corneltray-gateway, at /metrics; empty: not served"},
+      {"peer.name", T::kString, false, "\"\"", 0, kMaxName, "",
+       "name on links and in the replicated log; empty: host.name"},
+      {"peer.seed_port", T::kInteger, false, "0", 0, 65535, "",
+       "peer port of every seed, when seeds are given with another port; 0: as given"},
       {"peer.advertise", T::kString, false, "\"\"", 0, kMaxText, "",
        "IP:PORT that peers are told, when it differs from the bound one; empty: the bound one"},
       {"peer.seeds", T::kStringList, false, "[]", 0, 64, "", "peer addresses to join through"},
@@ -72,6 +83,22 @@
       {"operator.key", T::kString, true, "", 16, kMaxText, "", "bearer key of operators"},
       {"control.hosts", T::kStringList, false, "[]", 0, 7, "",
        "names of the control replicas at the first start of the region"},
+      {"control.found_from_seeds", T::kBoolean, false, "false", 0, 0, "",
+       "the seeds are the replicas of the first start; their names are their IP addresses"},
+      {"control.first_start", T::kBoolean, false, "false", 0, 0, "",
+       "the region starts for the first time, with empty data folders"},
+      {"control.voters", T::kInteger, false, "3", 1, 7, "replicas",
+       "replicas that vote, when members come and go by themselves"},
+      {"fleet.address", T::kString, false, "\"\"", 0, kMaxText, "",
+       "IP:PORT of a control process for upstreams and operators in the installation's dialect"},
+      {"entry.key_lease_ms", T::kInteger, false, "5000", 100, kHourMs, "ms",
+       "customer keys are honoured this long after the log confirmed the route table"},
+      {"entry.retry_ratio", T::kNumber, false, "0.2", 0, 1, "",
+       "second attempts allowed for each request of a service, over all entry hosts"},
+      {"entry.retry_allowance", T::kNumber, false, "100", 0, 1000000, "attempts",
+       "second attempts in a window that are allowed beside the ratio, over all entry hosts"},
+      {"entry.retry_window_ms", T::kInteger, false, "10000", 1000, kHourMs, "ms",
+       "window in which second attempts are counted"},
       {"placement.lease_voters", T::kStringList, false, "[]", 0, 7, "",
        "names of the placement processes of this zone"},
       {"placement.weight_store", T::kString, false, "\"\"", 0, kMaxText, "",
@@ -101,11 +128,33 @@
   settings.http_address = v["http"]["address"];
   settings.http_threads = v["http"]["threads"];
   settings.peer_address = v["peer"]["address"];
+  settings.ready_address = v["http"]["ready_address"];
+  settings.metrics_address = v["http"]["metrics_address"];
+  settings.peer_name = v["peer"]["name"];
+  if (settings.peer_name.empty()) settings.peer_name = settings.name;
   settings.peer_advertise = v["peer"]["advertise"];
   settings.seeds = v["peer"]["seeds"].get<std::vector<std::string>>();
+  if (const int port = v["peer"]["seed_port"]; port != 0) {
+    for (std::string& seed : settings.seeds) {
+      seed = seed.substr(0, seed.rfind(':')) + ":" + std::to_string(port);
+    }
+  }
   settings.shared_key = v["peer"]["shared_key"];
   settings.operator_key = v["operator"]["key"];
   settings.control_hosts = v["control"]["hosts"].get<std::vector<std::string>>();
+  if (v["control"]["found_from_seeds"].get<bool>()) {
+    settings.control_hosts.clear();
+    for (const std::string& seed : settings.seeds) {
+      settings.control_hosts.push_back(seed.substr(0, seed.rfind(':')));
+    }
+  }
+  settings.control_first_start = v["control"]["first_start"];
+  settings.control_voters = v["control"]["voters"];
+  settings.fleet_address = v["fleet"]["address"];
+  settings.key_lease_ms = v["entry"]["key_lease_ms"];
+  settings.retry_ratio = v["entry"]["retry_ratio"];
+  settings.retry_allowance = v["entry"]["retry_allowance"];
+  settings.retry_window_ms = v["entry"]["retry_window_ms"];
   settings.lease_voters = v["placement"]["lease_voters"].get<std::vector<std::string>>();
   settings.weight_store = v["placement"]["weight_store"];
   settings.drain_grace_ms = v["drain"]["grace_ms"];
--- a/src/libcorneltray/upstream.cc
+++ b/src/libcorneltray/upstream.cc
@@ -182,12 +182,13 @@
                {"layers_per_s", announcement.layers_per_s},
                {"link_mbps", announcement.link_mbps},
                {"holdings", std::move(holdings)},
+               {"slots", announcement.slots},
                {"load",
                 {{"running", announcement.load.running},
                  {"waiting", announcement.load.waiting},
                  {"kv_used", announcement.load.kv_used}}},
                {"sequence", announcement.sequence}};
-  if (announcement.kind == UpstreamKind::kService) body["service"] = announcement.service;
+  if (!announcement.service.empty()) body["service"] = announcement.service;
   return body;
 }
 
@@ -200,7 +201,6 @@
   announcement.kind = fields.Enumerator("kind", true, UpstreamKind::kEngine);
   const bool is_service = announcement.kind == UpstreamKind::kService;
   announcement.service = fields.Text("service", is_service);
-  if (!is_service) announcement.service.clear();
   announcement.name = fields.Text("name", true);
   announcement.incarnation = fields.Integer("incarnation", true, kMaxInteger);
   announcement.availability_zone = fields.Text("availability_zone", true);
@@ -215,6 +215,7 @@
   announcement.memory_bytes = fields.Integer("memory_bytes", false, kMaxInteger);
   announcement.layers_per_s = fields.Number("layers_per_s", kMaxRate);
   announcement.link_mbps = fields.Number("link_mbps", kMaxRate);
+  announcement.slots = static_cast<std::uint32_t>(fields.Integer("slots", false, kMaxQueue));
   announcement.sequence = fields.Integer("sequence", false, kMaxInteger);
   if (const json* holdings = fields.Find("holdings", false); holdings != nullptr) {
     if (!holdings->is_array()) fields.Fail("holdings", UpstreamErrc::kMalformedAnnouncement);
--- /dev/null
+++ b/src/libfleet/fleet_messages.cc
@@ -0,0 +1,59 @@
+#include "corneltray/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace corneltray {
+
+using nlohmann::json;
+
+json EncodeUpstreamUpdates(const UpstreamUpdates& updates) {
+  json changed = json::array();
+  for (const UpstreamUpdate& update : updates.updates) {
+    changed.push_back({{"announcement", EncodeAnnouncement(update.announcement)},
+                       {"has_left", update.has_left}});
+  }
+  json refreshed = json::array();
+  for (const UpstreamRefresh& refresh : updates.refreshes) {
+    refreshed.push_back({refresh.name, refresh.incarnation, refresh.sequence});
+  }
+  return {{"updates", std::move(changed)}, {"refreshes", std::move(refreshed)}};
+}
+
+Result<UpstreamUpdates> DecodeUpstreamUpdates(const json& body) {
+  try {
+    UpstreamUpdates decoded;
+    for (const json& update : body.at("updates")) {
+      auto announcement = DecodeAnnouncement(update.at("announcement"));
+      if (!announcement) return announcement.error();
+      decoded.updates.push_back(
+          {std::move(announcement).value(), update.at("has_left").get<bool>()});
+    }
+    for (const json& refresh : body.at("refreshes")) {
+      decoded.refreshes.push_back({refresh.at(0), refresh.at(1), refresh.at(2)});
+    }
+    return decoded;
+  } catch (const json::exception& wrong) {
+    return Error{UpstreamErrc::kMalformedAnnouncement, wrong.what()};
+  }
+}
+
+std::size_t ApplyUpstreamUpdates(TimePoint now, const UpstreamUpdates& updates,
+                                 UpstreamTable* table) {
+  const std::uint64_t before = table->Generation();
+  for (const UpstreamUpdate& update : updates.updates) table->Apply(now, update);
+  for (const UpstreamRefresh& refresh : updates.refreshes) {
+    table->Refresh(now, refresh.name, refresh.incarnation, refresh.sequence);
+  }
+  return table->Generation() - before;
+}
+
+UpstreamUpdates AllUpstreams(const UpstreamTable& table) {
+  UpstreamUpdates all;
+  for (const auto& [name, record] : table.Records()) {
+    all.updates.push_back({record.announcement, record.has_left});
+  }
+  return all;
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libfleet/layer_placement.cc
@@ -0,0 +1,353 @@
+#include "corneltray/layer_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace corneltray {
+namespace {
+
+constexpr double kBytesPerMegabyte = 1e6;
+// The room for prompts is lowered by this factor until a whole copy fits.
+constexpr double kRoomStep = 0.9;
+// An engine that takes over a neighbour's layers keeps room for this share of the usual prompts.
+constexpr double kMinRoomShare = 0.1;
+// Engines of a zone that arrive one after the other are planned together.
+constexpr std::chrono::milliseconds kSettleTime{1500};
+// A leader that did not run for this long has missed announcements.
+constexpr std::chrono::milliseconds kMaxTickGap{1500};
+// Beyond the time to load, an order is repeated when it does not show in the announcements.
+constexpr std::chrono::milliseconds kOrderPatience{4000};
+// Orders of one term are numbered in the low bits of the fencing number.
+constexpr unsigned kOrderBits = 24;
+
+bool IsFaster(const PlacedEngine& a, const PlacedEngine& b) {
+  if (a.kind.step_factor * a.kind.read_factor != b.kind.step_factor * b.kind.read_factor) {
+    return a.kind.step_factor * a.kind.read_factor < b.kind.step_factor * b.kind.read_factor;
+  }
+  return a.name < b.name;
+}
+
+std::uint32_t TotalThatFits(const std::vector<PlacedEngine>& engines, const EngineProfile& profile,
+                            double kv_tokens) {
+  std::uint32_t total = 0;
+  for (const PlacedEngine& engine : engines) {
+    total += LayersThatFit(engine.kind, profile, kv_tokens);
+  }
+  return total;
+}
+
+// Tokens for which a zone has room beside one whole copy of the model.
+double RoomForTokens(const std::vector<PlacedEngine>& engines, const EngineProfile& profile) {
+  double tokens = profile.kv_capacity_tokens;
+  while (tokens >= 1.0 && TotalThatFits(engines, profile, tokens) < profile.layers) {
+    tokens *= kRoomStep;
+  }
+  return tokens < 1.0 ? 0.0 : tokens;
+}
+
+// How many usable engines hold each layer.
+std::vector<std::uint32_t> Coverage(const std::vector<PlacedEngine>& engines,
+                                    std::uint32_t layers) {
+  std::vector<std::uint32_t> held(layers, 0);
+  for (const PlacedEngine& engine : engines) {
+    if (!engine.is_usable) continue;
+    for (std::uint32_t layer = engine.range.first; layer < std::min(engine.range.end, layers);
+         ++layer) {
+      ++held[layer];
+    }
+  }
+  return held;
+}
+
+// The first run of layers that nobody holds; empty if there is none.
+LayerRange FirstGap(const std::vector<std::uint32_t>& held) {
+  LayerRange gap;
+  while (gap.first < held.size() && held[gap.first] > 0) ++gap.first;
+  gap.end = gap.first;
+  while (gap.end < held.size() && held[gap.end] == 0) ++gap.end;
+  return gap;
+}
+
+// State of one repair.
+class ZoneRepair {
+ public:
+  ZoneRepair(std::vector<PlacedEngine> engines, const EngineProfile& profile)
+      : m_engines(std::move(engines)),
+        m_profile(profile),
+        m_held(Coverage(m_engines, profile.layers)) {
+    std::sort(m_engines.begin(), m_engines.end(), IsFaster);
+    m_room = RoomForTokens(m_engines, m_profile);
+  }
+
+  std::map<std::string, LayerRange> Run() {
+    for (LayerRange gap = FirstGap(m_held); gap.Size() > 0; gap = FirstGap(m_held)) {
+      if (!FillGap(gap)) break;
+    }
+    for (PlacedEngine& engine : m_engines) {
+      if (engine.is_usable && engine.range.Size() == 0) Assign(&engine, LeastHeld(engine));
+    }
+    return m_changes;
+  }
+
+ private:
+  bool FillGap(LayerRange gap) {
+    PlacedEngine* engine = FindEmpty(gap);
+    if (engine == nullptr) engine = FindRedundant();
+    if (engine != nullptr) {
+      const std::uint32_t fits = std::max(1U, LayersThatFit(engine->kind, m_profile, m_room));
+      Assign(engine, {gap.first, std::min(gap.end, gap.first + fits)});
+      return true;
+    }
+    return ExtendNeighbour(gap);
+  }
+
+  // The empty engine that holds the gap with the least left over, or the largest.
+  PlacedEngine* FindEmpty(LayerRange gap) {
+    PlacedEngine* best = nullptr;
+    for (PlacedEngine& engine : m_engines) {
+      if (!engine.is_usable || engine.range.Size() > 0) continue;
+      const auto covered = [&](const PlacedEngine& e) {
+        return std::min(gap.Size(), LayersThatFit(e.kind, m_profile, m_room));
+      };
+      if (best == nullptr || covered(engine) > covered(*best)) best = &engine;
+    }
+    return best;
+  }
+
+  // An engine all of whose layers are held by others too; the smallest, since it loads anew.
+  PlacedEngine* FindRedundant() {
+    PlacedEngine* best = nullptr;
+    for (PlacedEngine& engine : m_engines) {
+      if (!engine.is_usable || engine.range.Size() == 0 || m_changes.count(engine.name) > 0) {
+        continue;
+      }
+      const bool redundant = std::all_of(m_held.begin() + engine.range.first,
+                                         m_held.begin() + engine.range.end,
+                                         [](std::uint32_t count) { return count > 1; });
+      if (redundant && (best == nullptr || engine.range.Size() < best->range.Size())) {
+        best = &engine;
+      }
+    }
+    return best;
+  }
+
+  bool ExtendNeighbour(LayerRange gap) {
+    const double room = m_profile.kv_capacity_tokens * kMinRoomShare;
+    for (PlacedEngine& engine : m_engines) {
+      if (!engine.is_usable || engine.range.Size() == 0) continue;
+      const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, room);
+      if (fits <= engine.range.Size()) continue;
+      const std::uint32_t more = std::min(gap.Size(), fits - engine.range.Size());
+      if (engine.range.end == gap.first) {
+        Assign(&engine, {engine.range.first, engine.range.end + more});
+        return true;
+      }
+      if (engine.range.first == gap.end) {
+        Assign(&engine, {engine.range.first - more, engine.range.end});
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // The range of this engine's size that is held least often; of equals the first.
+  LayerRange LeastHeld(const PlacedEngine& engine) const {
+    const std::uint32_t size =
+        std::min(m_profile.layers, LayersThatFit(engine.kind, m_profile, m_room));
+    LayerRange best{0, size};
+    std::uint64_t best_sum = UINT64_MAX;
+    for (std::uint32_t first = 0; first + size <= m_profile.layers; ++first) {
+      std::uint64_t sum = 0;
+      for (std::uint32_t layer = first; layer < first + size; ++layer) sum += m_held[layer];
+      if (sum < best_sum) {
+        best_sum = sum;
+        best = {first, first + size};
+      }
+    }
+    return best;
+  }
+
+  void Assign(PlacedEngine* engine, LayerRange range) {
+    for (std::uint32_t l = engine->range.first; l < engine->range.end; ++l) --m_held[l];
+    engine->range = range;
+    for (std::uint32_t l = range.first; l < range.end; ++l) ++m_held[l];
+    if (range.Size() > 0) m_changes[engine->name] = range;
+  }
+
+  std::vector<PlacedEngine> m_engines;
+  const EngineProfile& m_profile;
+  std::vector<std::uint32_t> m_held;
+  double m_room = 0.0;
+  std::map<std::string, LayerRange> m_changes;
+};
+
+}  // namespace
+
+std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
+                            double kv_tokens) {
+  if (profile.layers == 0 || profile.layer_mb <= 0.0) return 0;
+  const double prompt_mb = kv_tokens * profile.kv_token_bytes / profile.layers / kBytesPerMegabyte;
+  const double fits = std::floor(kind.memory_mb / (profile.layer_mb + prompt_mb));
+  return std::min(profile.layers, static_cast<std::uint32_t>(std::max(0.0, fits)));
+}
+
+std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
+                                           const EngineProfile& profile) {
+  std::vector<PlacedEngine> order;
+  std::copy_if(engines.begin(), engines.end(), std::back_inserter(order),
+               [](const PlacedEngine& engine) { return engine.is_usable; });
+  std::sort(order.begin(), order.end(), IsFaster);
+  const double room = RoomForTokens(order, profile);
+  std::map<std::string, LayerRange> ranges;
+  std::uint32_t next = 0;
+  for (const PlacedEngine& engine : order) {
+    if (next == profile.layers) next = 0;  // the second copy begins
+    const std::uint32_t fits = LayersThatFit(engine.kind, profile, room);
+    const LayerRange range{next, std::min(profile.layers, next + fits)};
+    if (range.Size() == 0) continue;
+    ranges[engine.name] = range;
+    next = range.end;
+  }
+  return ranges;
+}
+
+std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
+                                             const EngineProfile& profile) {
+  return ZoneRepair(engines, profile).Run();
+}
+
+std::vector<PlaceDecision> LayerController::Tick(TimePoint now, std::optional<std::uint64_t> term,
+                                                 const RouteTable& routes,
+                                                 const UpstreamTable& upstreams) {
+  std::vector<PlaceDecision> decisions;
+  if (term != m_term) {
+    m_term = term;
+    m_orders = 0;
+    m_ordered.clear();
+    m_zones.clear();
+    m_ready_at = now + kSettleTime;
+  }
+  if (now - m_last_tick > kMaxTickGap) m_ready_at = now + kSettleTime;
+  m_last_tick = now;
+  if (!m_term || now < m_ready_at) return decisions;
+  for (const auto& [name, service] : routes.services) {
+    if (!service.engine) continue;
+    std::set<std::string> zones;
+    for (const auto& [id, record] : upstreams.Records()) {
+      if (record.announcement.service == name) zones.insert(record.announcement.availability_zone);
+    }
+    RepeatOrders(now, service, upstreams, &decisions);
+    for (const std::string& zone : zones) PlaceZone(now, zone, service, upstreams, &decisions);
+  }
+  return decisions;
+}
+
+std::vector<PlacedEngine> LayerController::ReadZone(TimePoint now, const std::string& zone,
+                                                    const std::string& service,
+                                                    const EngineProfile& profile,
+                                                    const UpstreamTable& upstreams) {
+  std::vector<PlacedEngine> engines;
+  for (const auto& [name, record] : upstreams.Records()) {
+    const Announcement& said = record.announcement;
+    if (said.service != service || said.availability_zone != zone || record.has_left) continue;
+    const auto kind = profile.accelerators.find(said.accelerator);
+    if (kind == profile.accelerators.end()) continue;
+    PlacedEngine engine;
+    engine.name = name;
+    engine.kind = kind->second;
+    engine.is_usable = record.IsReady() && now - record.heard_at < kSilentAfter;
+    if (!said.holdings.empty()) {
+      engine.range = {said.holdings.front().first_layer, said.holdings.front().last_layer + 1};
+    }
+    const auto ordered = m_ordered.find(name);
+    if (ordered != m_ordered.end() && ordered->second.incarnation == said.incarnation) {
+      engine.range = ordered->second.range;
+    }
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+bool LayerController::HasSettled(TimePoint now, const std::string& zone, std::size_t engines) {
+  Zone& state = m_zones[zone];
+  if (state.engines != engines) {
+    // Only arrivals are waited for: a loss is repaired at once.
+    if (engines > state.engines) state.settled_at = now + kSettleTime;
+    state.engines = engines;
+  }
+  return now >= state.settled_at;
+}
+
+void LayerController::PlaceZone(TimePoint now, const std::string& zone,
+                                const RouteService& service, const UpstreamTable& upstreams,
+                                std::vector<PlaceDecision>* decisions) {
+  const std::vector<PlacedEngine> engines =
+      ReadZone(now, zone, service.name, *service.engine, upstreams);
+  const auto usable = static_cast<std::size_t>(
+      std::count_if(engines.begin(), engines.end(),
+                    [](const PlacedEngine& engine) { return engine.is_usable; }));
+  // A zone of which nothing is heard is cut off rather than lost.
+  if (usable == 0) return;
+  const bool in_use = std::any_of(engines.begin(), engines.end(), [](const PlacedEngine& engine) {
+    return engine.range.Size() > 0;
+  });
+  if (!in_use && !HasSettled(now, zone + "/" + service.name, usable)) return;
+  const auto ranges = in_use ? RepairZone(engines, *service.engine)
+                             : PlanZone(engines, *service.engine);
+  const PlaceReason reason = in_use ? PlaceReason::kRepair : PlaceReason::kFirstPlan;
+  for (const auto& [name, range] : ranges) {
+    const UpstreamRecord* record = upstreams.Find(name);
+    if (record != nullptr) Order(now, *record, range, reason, service, decisions);
+  }
+}
+
+void LayerController::Order(TimePoint now, const UpstreamRecord& record, LayerRange range,
+                            PlaceReason reason, const RouteService& service,
+                            std::vector<PlaceDecision>* decisions) {
+  const std::uint64_t fence = (*m_term << kOrderBits) + ++m_orders;
+  const Announcement& said = record.announcement;
+  const auto load_time = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      service.engine->load_s * range.Size() / service.engine->layers));
+  m_ordered[said.name] = {said.incarnation, range, fence, now + kOrderPatience + load_time};
+  decisions->push_back({service.name, said.name, said.address, range, fence, reason});
+}
+
+void LayerController::RepeatOrders(TimePoint now, const RouteService& service,
+                                   const UpstreamTable& upstreams,
+                                   std::vector<PlaceDecision>* decisions) {
+  std::vector<std::pair<const UpstreamRecord*, LayerRange>> due;
+  for (auto ordered = m_ordered.begin(); ordered != m_ordered.end();) {
+    const UpstreamRecord* record = upstreams.Find(ordered->first);
+    const bool gone = record == nullptr || !record->IsReady() ||
+                      record->announcement.incarnation != ordered->second.incarnation;
+    if (gone) {
+      ordered = m_ordered.erase(ordered);
+      continue;
+    }
+    const auto& holdings = record->announcement.holdings;
+    const bool holds = !holdings.empty() &&
+                       holdings.front().first_layer == ordered->second.range.first &&
+                       holdings.front().last_layer + 1 == ordered->second.range.end;
+    const bool heard = now - record->heard_at < kSilentAfter;
+    if (!holds && heard && now >= ordered->second.repeat_at &&
+        record->announcement.service == service.name) {
+      due.emplace_back(record, ordered->second.range);
+    }
+    ++ordered;
+  }
+  for (const auto& [record, range] : due) {
+    Order(now, *record, range, PlaceReason::kRepeat, service, decisions);
+  }
+}
+
+void LayerController::OrderFailed(const std::string& upstream, std::uint64_t fence) {
+  const auto ordered = m_ordered.find(upstream);
+  if (ordered == m_ordered.end() || ordered->second.fence != fence) return;
+  // Repeated at the next tick, at the earliest after one announcement.
+  constexpr std::chrono::milliseconds kRetryDelay{1000};
+  ordered->second.repeat_at = std::min(ordered->second.repeat_at, m_last_tick + kRetryDelay);
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/attempt_rules.cc
@@ -0,0 +1,55 @@
+#include "corneltray/attempt_rules.h"
+
+#include <algorithm>
+
+namespace corneltray {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kUpstreamStatus = 0;  // the upstream's own answer is passed on
+
+struct Row {
+  AttemptEvidence evidence;
+  HasRun has_run;
+  int status;
+};
+
+// 503 promises that the request has not run and will not, so it stands only beside kNo.
+constexpr Row kRows[] = {
+    {AttemptEvidence::kNotConnected, HasRun::kNo, kUnavailable},
+    {AttemptEvidence::kRefused, HasRun::kNo, kUnavailable},
+    {AttemptEvidence::kUpstreamError, HasRun::kYes, kUpstreamStatus},
+    {AttemptEvidence::kNoAnswer, HasRun::kMaybe, kBadGateway},
+    {AttemptEvidence::kTruncated, HasRun::kYes, kBadGateway},
+    {AttemptEvidence::kMalformed, HasRun::kMaybe, kBadGateway},
+    {AttemptEvidence::kTimedOut, HasRun::kMaybe, kGatewayTimeout},
+    {AttemptEvidence::kStageLost, HasRun::kMaybe, kGatewayTimeout},
+};
+
+}  // namespace
+
+AttemptOutcome JudgeAttempt(AttemptEvidence evidence, bool may_repeat) {
+  for (const Row& row : kRows) {
+    if (row.evidence != evidence) continue;
+    return {row.has_run, may_repeat || row.has_run == HasRun::kNo, row.status};
+  }
+  return {};
+}
+
+bool MayRepeat(const Route& route) {
+  switch (route.kind) {
+    case CallKind::kIdempotent:
+      return true;
+    case CallKind::kNonIdempotent:
+      return false;
+    case CallKind::kStream:
+      return route.is_resumable;
+  }
+  return false;
+}
+
+HasRun Combine(HasRun a, HasRun b) { return std::max(a, b); }
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/event_stream.cc
@@ -0,0 +1,84 @@
+#include "corneltray/event_stream.h"
+
+#include <charconv>
+
+namespace corneltray {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+std::optional<std::uint64_t> ParseId(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || rest != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+std::string_view TrimLine(std::string_view line) {
+  while (!line.empty() && (line.front() == ' ')) line.remove_prefix(1);
+  while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.remove_suffix(1);
+  return line;
+}
+
+// Returns the value of the id field of an event, or nothing.
+std::string_view FindId(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    if (line.substr(0, kIdField.size()) == kIdField) return TrimLine(line.substr(kIdField.size()));
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+// Returns the end of the first event, past its empty line, or npos.
+std::size_t FindEventEnd(std::string_view bytes) {
+  std::size_t at = 0;
+  while ((at = bytes.find('\n', at)) != std::string_view::npos) {
+    const std::string_view rest = bytes.substr(at + 1);
+    if (!rest.empty() && rest[0] == '\n') return at + 2;
+    if (rest.size() > 1 && rest[0] == '\r' && rest[1] == '\n') return at + 3;
+    ++at;
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+EventStream::EventStream(const std::string& last_id)
+    : m_last_id(last_id), m_last_number(ParseId(last_id)) {}
+
+std::string EventStream::Take(std::string_view bytes) {
+  std::string out;
+  if (!m_partial.empty()) {
+    m_partial.append(bytes);
+    bytes = m_partial;
+  }
+  while (true) {
+    const std::size_t end = FindEventEnd(bytes);
+    if (end == std::string_view::npos) break;
+    TakeEvent(bytes.substr(0, end), &out);
+    bytes.remove_prefix(end);
+  }
+  std::string left(bytes);
+  m_partial = std::move(left);
+  return out;
+}
+
+void EventStream::TakeEvent(std::string_view event, std::string* out) {
+  const std::string_view id = FindId(event);
+  if (const auto number = ParseId(id); !id.empty() && number) {
+    // An upstream that resumes may begin before the point it was asked for.
+    if (m_last_number && *number <= *m_last_number) return;
+    if (m_last_number && *number != *m_last_number + 1) m_has_gap = true;
+    m_last_number = number;
+    m_last_id = id;
+  }
+  ++m_events;
+  out->append(event);
+}
+
+void EventStream::Restart() { m_partial.clear(); }
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/exchange.cc
@@ -0,0 +1,183 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+// Bytes that may wait for a slow caller before its upstream is no longer read.
+constexpr std::size_t kMaxUnsent = std::size_t{256} * 1024;
+
+AnswerMode MakeAnswerMode(const GatewayRequest& request) {
+  if (request.route->kind == CallKind::kStream) {
+    return StreamedAnswer(request.facts.last_event_id);
+  }
+  return WholeAnswer{};
+}
+
+double MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+}  // namespace
+
+Exchange::Exchange(Gateway* gateway, HttpCall call, GatewayRequest request)
+    : m_gateway(gateway),
+      m_call(std::move(call)),
+      m_request(std::move(request)),
+      m_answer(MakeAnswerMode(m_request)) {}
+
+bool Exchange::HasBegun() const {
+  const auto* streamed = std::get_if<StreamedAnswer>(&m_answer);
+  return streamed != nullptr && streamed->begun;
+}
+
+void Exchange::Start() {
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  m_call.OnCallerGone([weak] {
+    if (const auto self = weak.lock()) self->OnCallerGone();
+  });
+  m_call.OnDrained([weak] {
+    const auto self = weak.lock();
+    if (self && self->m_attempt) self->m_attempt->call.ResumeReading();
+  });
+  m_gateway->BudgetOf(m_request.service->name).RecordRequest(Clock::now());
+  SendAttempt();
+}
+
+void Exchange::Tick(TimePoint now) {
+  if (m_finished) return;
+  if (now >= m_request.deadline) return OnDeadline();
+  if (!m_attempt) return;
+  if (IsStream()) return CheckSilentStream(now);
+  if (now >= m_attempt->deadline) EndAttempt(AttemptEvidence::kTimedOut);
+}
+
+void Exchange::PassOnEvents(std::string_view bytes) {
+  auto& streamed = std::get<StreamedAnswer>(m_answer);
+  const std::uint64_t before = streamed.events.Events();
+  const std::string events = streamed.events.Take(bytes);
+  if (streamed.events.HasGap()) return EndAttempt(AttemptEvidence::kMalformed);
+  if (events.empty()) return;
+  m_attempt->events += streamed.events.Events() - before;
+  if (!std::exchange(streamed.begun, true)) {
+    m_first_event_at = Clock::now();
+    m_gateway->GetMetrics().RecordFirstToken(*m_first_event_at - m_request.read_at);
+    HttpHead head = m_attempt->head;
+    head.Remove("Content-Length");  // the answer may go on at another upstream
+    RemoveConnectionFields(&head);
+    m_call.Begin(std::move(head));
+  }
+  m_bytes += events.size();
+  m_call.Write(events);
+  if (m_attempt && m_call.Unsent() > kMaxUnsent) m_attempt->call.PauseReading();
+}
+
+void Exchange::FinishStream() {
+  auto& streamed = std::get<StreamedAnswer>(m_answer);
+  if (streamed.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
+  const int status = m_attempt->head.status;
+  if (!streamed.begun) {
+    HttpHead head = m_attempt->head;
+    RemoveConnectionFields(&head);
+    CloseAttempt();
+    m_call.Respond(std::move(head), "");
+    return Finish(status, "answered");
+  }
+  CloseAttempt();
+  m_call.End();
+  Finish(status, "answered");
+}
+
+void Exchange::FinishWhole() {
+  HttpHead head = m_attempt->head;
+  RemoveConnectionFields(&head);
+  const std::string body = std::move(std::get<WholeAnswer>(m_answer).body);
+  m_bytes = body.size();
+  const int status = head.status;
+  CloseAttempt();
+  m_call.Respond(std::move(head), body);
+  Finish(status, "answered");
+}
+
+void Exchange::OnCallerGone() {
+  if (m_finished) return;
+  if (m_attempt) m_attempt->call.Cancel();
+  CloseAttempt();
+  Finish(0, "caller_left");
+}
+
+void Exchange::Abandon() {
+  if (m_finished) return;
+  if (m_attempt) m_attempt->call.Cancel();
+  CloseAttempt();
+  m_call.Abort();
+  Finish(0, "process_stopped");
+}
+
+void Exchange::OnDeadline() {
+  if (m_attempt) {
+    m_attempt->call.Cancel();
+    m_has_run = Combine(m_has_run, HasRun::kMaybe);
+    CloseAttempt();
+  }
+  Fail(kGatewayTimeout);
+}
+
+void Exchange::Fail(int status) {
+  if (HasBegun()) {
+    m_call.Abort();
+    return Finish(status, "cut_off");
+  }
+  if (m_has_run == HasRun::kNo) return Refuse(GatewayRefusal::kUpstreamsRefused);
+  // 503 would promise that the request has not run.
+  if (status == 0 || status == kUnavailable) status = kBadGateway;
+  m_call.Respond(MakeResponse(status), "");
+  Finish(status, "failed");
+}
+
+void Exchange::Refuse(GatewayRefusal refusal) {
+  HttpHead head = MakeResponse(StatusOf(refusal));
+  if (const auto after = RetryAfter(refusal)) {
+    head.Add("Retry-After", FormatRetryAfter(*after));
+  }
+  m_call.Respond(std::move(head), "");
+  Finish(StatusOf(refusal), NameOf(refusal).data());
+}
+
+void Exchange::Finish(int status, const char* outcome) {
+  if (std::exchange(m_finished, true)) return;
+  const TimePoint now = Clock::now();
+  const Duration whole = now - m_request.read_at;
+  m_gateway->GetMetrics().RecordResponse(NameOf(m_request.route->kind), status, whole);
+  json fields = {{"request_id", m_request.facts.request_id},
+                 {"route", m_request.route->name},
+                 {"kind", NameOf(m_request.route->kind)},
+                 {"service", m_request.service->name},
+                 {"customer", m_request.customer == nullptr ? "" : m_request.customer->name},
+                 {"route_version", m_request.routes->Table().version},
+                 {"outcome", outcome},
+                 {"status", status},
+                 {"attempts", m_attempts},
+                 {"has_run", NameOf(m_has_run)},
+                 {"scope", NameOf(m_scope)},
+                 {"body_bytes", m_bytes},
+                 {"took_ms", MillisecondsBetween(m_request.read_at, now)}};
+  if (m_first_event_at) {
+    fields["first_event_ms"] = MillisecondsBetween(m_request.read_at, *m_first_event_at);
+  }
+  LogEvent(LogLevel::kInfo, "request_finished", fields);
+  m_gateway->Finished(shared_from_this());
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/exchange.h
@@ -0,0 +1,109 @@
+#ifndef CORNELTRAY_EXCHANGE_H_
+#define CORNELTRAY_EXCHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "corneltray/attempt_rules.h"
+#include "corneltray/event_stream.h"
+#include "corneltray/gateway.h"
+
+namespace corneltray {
+
+// An answer that is passed on when it is complete.
+struct WholeAnswer {
+  std::string body;
+};
+
+// An answer that is passed on event by event, and may go on at another upstream.
+struct StreamedAnswer {
+  explicit StreamedAnswer(const std::string& last_id) : events(last_id) {}
+
+  EventStream events;
+  bool begun = false;  // the caller has the head
+};
+
+using AnswerMode = std::variant<WholeAnswer, StreamedAnswer>;
+
+// One admitted request from its first attempt to its answer. Kept alive by the gateway until it is
+// finished.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Gateway* gateway, HttpCall call, GatewayRequest request);
+
+  void Start();
+  // Runs what is due: timeouts, and checks of silent streams.
+  void Tick(TimePoint now);
+  // Ends the request without an answer, as when the process stops.
+  void Abandon();
+
+ private:
+  // One request to one upstream.
+  struct Attempt {
+    std::uint32_t number = 0;
+    std::string upstream;
+    std::string address;
+    std::vector<ChainStage> chain;
+    TimePoint started_at{};
+    TimePoint deadline{};  // of this attempt alone
+    TimePoint check_at{};  // of a stream that stays silent
+    bool is_asking = false;  // for a report of the first stage
+    std::uint64_t events = 0;
+    HttpHead head;  // of its answer
+    UpstreamCall call;
+  };
+
+  bool IsStream() const { return m_request.route->kind == CallKind::kStream; }
+  bool HasBegun() const;
+
+  // exchange_attempt.cc
+  void SendAttempt();
+  bool ChooseUpstream(TimePoint now, Attempt* attempt);
+  std::string AttemptBytes(TimePoint now) const;
+  UpstreamCallbacks Callbacks();
+  void OnHead(HttpHead head);
+  void OnBody(std::string_view bytes);
+  void OnEnd();
+  void OnFailure(UpstreamFailure failure);
+  void NoteLoad(const AnswerFacts& facts);
+  void OnRefused(const AnswerFacts& facts);
+  void EndAttempt(AttemptEvidence evidence);
+  void CloseAttempt();
+  bool MayTryAgain(const AttemptOutcome& outcome);
+  void CheckSilentStream(TimePoint now);
+  void OnReport(std::uint32_t attempt, const EngineReport* report);
+
+  // exchange.cc
+  void PassOnEvents(std::string_view bytes);
+  void FinishStream();
+  void FinishWhole();
+  void OnCallerGone();
+  void OnDeadline();
+  void Fail(int status);
+  void Refuse(GatewayRefusal refusal);
+  void Finish(int status, const char* outcome);
+
+  Gateway* m_gateway;
+  HttpCall m_call;
+  GatewayRequest m_request;
+  AnswerMode m_answer;
+  std::optional<Attempt> m_attempt;
+  std::uint32_t m_attempts = 0;
+  std::uint32_t m_runs = 0;  // attempts that may have run at an upstream that still works
+  HasRun m_has_run = HasRun::kNo;
+  AttemptEvidence m_last_evidence = AttemptEvidence::kNotConnected;
+  std::set<std::string> m_excluded;  // addresses that failed this request
+  ChainScope m_scope = ChainScope::kNone;
+  std::optional<TimePoint> m_first_event_at;
+  std::uint64_t m_bytes = 0;  // of the answer's body
+  bool m_finished = false;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_EXCHANGE_H_
--- /dev/null
+++ b/src/libserving/exchange_attempt.cc
@@ -0,0 +1,314 @@
+// Attempts of an Exchange at upstreams.
+#include <algorithm>
+#include <utility>
+
+#include "corneltray/log.h"
+#include "exchange.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kFirstFailure = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kLastUrgency = 9;
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+// A call that may be repeated goes to another replica after this many times its objective.
+constexpr int kObjectivesForAttempt = 2;
+constexpr std::chrono::milliseconds kMinAttemptTime{250};
+// A stream without an event for this long asks its first stage what it waits for.
+constexpr std::chrono::milliseconds kSilenceBeforeCheck{600};
+constexpr std::chrono::milliseconds kCheckInterval{500};
+// Attempts beyond those that the route allows, for ones that were refused without running.
+constexpr std::uint32_t kExtraAttempts = 2;
+constexpr std::size_t kMaxWholeAnswer = std::size_t{16} * 1024 * 1024;
+
+AttemptEvidence EvidenceOf(UpstreamFailure failure) {
+  switch (failure) {
+    case UpstreamFailure::kNotConnected:
+      return AttemptEvidence::kNotConnected;
+    case UpstreamFailure::kNoAnswer:
+      return AttemptEvidence::kNoAnswer;
+    case UpstreamFailure::kTruncated:
+      return AttemptEvidence::kTruncated;
+    case UpstreamFailure::kMalformed:
+      return AttemptEvidence::kMalformed;
+  }
+  return AttemptEvidence::kMalformed;
+}
+
+// Whether the upstream that gave this evidence is likely to fail the next request as well.
+bool IsFaultOfUpstream(AttemptEvidence evidence) {
+  return evidence != AttemptEvidence::kRefused && evidence != AttemptEvidence::kMalformed;
+}
+
+}  // namespace
+
+void Exchange::SendAttempt() {
+  const TimePoint now = Clock::now();
+  Attempt attempt;
+  if (!ChooseUpstream(now, &attempt)) {
+    if (m_attempts == 0) return Refuse(GatewayRefusal::kNoUpstream);
+    return Fail(JudgeAttempt(m_last_evidence, MayRepeat(*m_request.route)).status);
+  }
+  attempt.number = ++m_attempts;
+  attempt.started_at = now;
+  const bool bounded = MayRepeat(*m_request.route) && m_attempts < m_request.route->max_upstreams;
+  attempt.deadline = m_request.deadline;
+  if (bounded) {
+    const Duration time = std::max<Duration>(
+        kMinAttemptTime, m_request.route->objective * kObjectivesForAttempt);
+    attempt.deadline = std::min(m_request.deadline, now + time);
+  }
+  attempt.check_at = now + kSilenceBeforeCheck;
+  m_attempt = std::move(attempt);
+  if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
+    router->Begin(m_attempt->chain);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).Begin(m_attempt->address);
+  }
+  UpstreamRequest request;
+  request.address = m_attempt->address;
+  request.bytes = AttemptBytes(now);
+  request.without_body = m_request.head.method == "HEAD";
+  // What is sent on a connection that the upstream closes at that moment may have run or not.
+  request.fresh_connection = m_request.route->kind == CallKind::kNonIdempotent;
+  request.connect_deadline = std::min(m_request.deadline, now + kConnectTimeout);
+  const Dialect* dialect = &m_gateway->GetDialect();
+  request.is_answer = [dialect, id = m_request.facts.request_id](const HttpHead& head) {
+    const std::string given = dialect->ReadAnswer(head).request_id;
+    return given == id || (given.empty() && head.status >= kFirstFailure);
+  };
+  m_attempt->call = m_gateway->Pool().Send(std::move(request), Callbacks());
+}
+
+bool Exchange::ChooseUpstream(TimePoint now, Attempt* attempt) {
+  const UpstreamTable& upstreams = m_gateway->Upstreams();
+  if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
+    ChainChoice choice = router->Choose(now, upstreams, m_excluded);
+    m_scope = choice.scope;
+    if (choice.stages.empty()) return false;
+    attempt->upstream = choice.stages.front().upstream;
+    attempt->address = choice.stages.front().address;
+    attempt->chain = std::move(choice.stages);
+    return true;
+  }
+  const auto choice =
+      m_gateway->PickerOf(m_request.service->name).Choose(now, upstreams, m_excluded);
+  if (!choice) return false;
+  m_scope = choice->is_own_zone ? ChainScope::kOwnZone : ChainScope::kOtherZone;
+  attempt->upstream = choice->upstream;
+  attempt->address = choice->address;
+  return true;
+}
+
+std::string Exchange::AttemptBytes(TimePoint now) const {
+  HttpHead head = m_request.head;
+  const bool has_body = !m_call.Body().empty() || head.Find("Content-Length") != nullptr ||
+                        head.Find("Transfer-Encoding") != nullptr;
+  RemoveConnectionFields(&head);
+  head.Remove("Content-Length");
+  if (has_body) head.Add("Content-Length", std::to_string(m_call.Body().size()));
+  AttemptFacts facts;
+  facts.upstream = m_attempt->upstream;
+  const auto left = std::chrono::duration_cast<milliseconds>(m_request.deadline - now);
+  facts.time_left = std::max(left, milliseconds(1));
+  if (m_request.customer != nullptr) facts.customer = m_request.customer->name;
+  facts.chain = m_attempt->chain;
+  if (IsStream()) {
+    facts.urgency = std::min<std::uint32_t>(m_request.priority, kLastUrgency);
+    facts.last_event_id = std::get<StreamedAnswer>(m_answer).events.LastId();
+  }
+  m_gateway->GetDialect().WriteAttempt(facts, &head);
+  return FormatRequestHead(head) + m_call.Body();
+}
+
+UpstreamCallbacks Exchange::Callbacks() {
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  const std::uint32_t number = m_attempt->number;
+  // Returns the exchange while this attempt is the present one.
+  const auto current = [weak, number]() -> std::shared_ptr<Exchange> {
+    auto self = weak.lock();
+    const bool is_current = self && self->m_attempt && self->m_attempt->number == number;
+    return is_current ? self : nullptr;
+  };
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [current](HttpHead head) {
+    if (const auto self = current()) self->OnHead(std::move(head));
+  };
+  callbacks.on_body = [current](std::string_view bytes) {
+    if (const auto self = current()) self->OnBody(bytes);
+  };
+  callbacks.on_end = [current] {
+    if (const auto self = current()) self->OnEnd();
+  };
+  callbacks.on_failure = [current](UpstreamFailure failure) {
+    if (const auto self = current()) self->OnFailure(failure);
+  };
+  return callbacks;
+}
+
+void Exchange::OnHead(HttpHead head) {
+  const AnswerFacts facts = m_gateway->GetDialect().ReadAnswer(head);
+  NoteLoad(facts);
+  m_attempt->head = std::move(head);
+  const int status = m_attempt->head.status;
+  if (facts.is_not_run) return OnRefused(facts);
+  if (status < kFirstFailure && (!facts.is_authentic || facts.is_encoded)) {
+    m_attempt->call.Cancel();
+    return EndAttempt(AttemptEvidence::kMalformed);
+  }
+  if (status < kFirstServerError) return;
+  const AttemptOutcome outcome =
+      JudgeAttempt(AttemptEvidence::kUpstreamError, MayRepeat(*m_request.route));
+  // The upstream's own failure is its answer, unless another one may do better.
+  if (HasBegun() || MayTryAgain(outcome)) {
+    m_attempt->call.Cancel();
+    EndAttempt(AttemptEvidence::kUpstreamError);
+  }
+}
+
+void Exchange::NoteLoad(const AnswerFacts& facts) {
+  if (!facts.load) return;
+  const TimePoint now = Clock::now();
+  if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
+    router->Report(now, m_attempt->address, *facts.load);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).Report(now, m_attempt->address, *facts.load);
+  }
+}
+
+void Exchange::OnRefused(const AnswerFacts& facts) {
+  m_attempt->call.Cancel();
+  // In a chain the refusal may come from a stage behind the first one.
+  const std::string faulty =
+      facts.faulty_address.empty() ? m_attempt->address : facts.faulty_address;
+  m_excluded.insert(faulty);
+  if (m_gateway->RouterOf(*m_request.service) != nullptr && !facts.faulty_address.empty()) {
+    m_gateway->Suspect(faulty, "refused_its_part");
+  }
+  EndAttempt(AttemptEvidence::kRefused);
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  m_attempt->check_at = Clock::now() + kSilenceBeforeCheck;
+  if (IsStream() && m_attempt->head.status < kFirstFailure) return PassOnEvents(bytes);
+  auto* whole = std::get_if<WholeAnswer>(&m_answer);
+  if (whole == nullptr) {
+    m_answer = WholeAnswer{};  // a failure of the upstream, which is no stream
+    whole = &std::get<WholeAnswer>(m_answer);
+  }
+  whole->body.append(bytes);
+  if (whole->body.size() > kMaxWholeAnswer) {
+    m_attempt->call.Cancel();
+    EndAttempt(AttemptEvidence::kMalformed);
+  }
+}
+
+void Exchange::OnEnd() {
+  if (std::holds_alternative<StreamedAnswer>(m_answer)) return FinishStream();
+  const Duration latency = Clock::now() - m_attempt->started_at;
+  if (m_gateway->RouterOf(*m_request.service) == nullptr &&
+      m_attempt->head.status < kFirstServerError) {
+    m_gateway->PickerOf(m_request.service->name)
+        .Succeeded(Clock::now(), m_attempt->address, latency);
+  }
+  FinishWhole();
+}
+
+void Exchange::OnFailure(UpstreamFailure failure) { EndAttempt(EvidenceOf(failure)); }
+
+void Exchange::EndAttempt(AttemptEvidence evidence) {
+  const TimePoint now = Clock::now();
+  m_attempt->call.Cancel();
+  m_last_evidence = evidence;
+  const AttemptOutcome outcome = JudgeAttempt(evidence, MayRepeat(*m_request.route));
+  m_has_run = Combine(m_has_run, outcome.has_run);
+  if (outcome.has_run != HasRun::kNo && evidence != AttemptEvidence::kNoAnswer &&
+      evidence != AttemptEvidence::kStageLost) {
+    ++m_runs;
+  }
+  const std::string address = m_attempt->address;
+  LogEvent(LogLevel::kWarning, "attempt_failed",
+           {{"request_id", m_request.facts.request_id},
+            {"attempt", m_attempt->number},
+            {"upstream", m_attempt->upstream},
+            {"address", address},
+            {"stages", m_attempt->chain.size()},
+            {"evidence", NameOf(evidence)},
+            {"has_run", NameOf(outcome.has_run)},
+            {"status", m_attempt->head.status},
+            {"events", m_attempt->events},
+            {"after_ms", std::chrono::duration<double, std::milli>(now - m_attempt->started_at)
+                             .count()}});
+  m_gateway->GetMetrics().Count("attempts_failed", NameOf(evidence));
+  if (evidence != AttemptEvidence::kRefused && evidence != AttemptEvidence::kStageLost) {
+    m_excluded.insert(address);
+  }
+  if (m_gateway->RouterOf(*m_request.service) == nullptr) {
+    if (IsFaultOfUpstream(evidence)) {
+      m_gateway->PickerOf(m_request.service->name).Failed(now, address);
+    }
+  } else if (evidence == AttemptEvidence::kNotConnected || evidence == AttemptEvidence::kNoAnswer) {
+    m_gateway->Suspect(address, "no_answer");
+  }
+  CloseAttempt();
+  if (auto* streamed = std::get_if<StreamedAnswer>(&m_answer)) streamed->events.Restart();
+  if (std::holds_alternative<WholeAnswer>(m_answer)) std::get<WholeAnswer>(m_answer).body.clear();
+  if (now < m_request.deadline && MayTryAgain(outcome)) {
+    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now)) return SendAttempt();
+    m_gateway->GetMetrics().Count("retries_refused", "budget");
+  }
+  Fail(outcome.status);
+}
+
+// Forgets the present attempt.
+void Exchange::CloseAttempt() {
+  if (!m_attempt) return;
+  if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
+    router->End(m_attempt->chain);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).End(m_attempt->address);
+  }
+  m_attempt.reset();
+}
+
+bool Exchange::MayTryAgain(const AttemptOutcome& outcome) {
+  if (!outcome.may_try_another) return false;
+  const std::uint32_t allowed = m_request.route->max_upstreams;
+  return m_runs < allowed && m_attempts < allowed + kExtraAttempts;
+}
+
+void Exchange::CheckSilentStream(TimePoint now) {
+  if (now < m_attempt->check_at || m_attempt->is_asking) return;
+  m_attempt->is_asking = true;
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  const std::uint32_t number = m_attempt->number;
+  m_gateway->AskReport(m_attempt->address, [weak, number](const EngineReport* report) {
+    if (const auto self = weak.lock()) self->OnReport(number, report);
+  });
+}
+
+void Exchange::OnReport(std::uint32_t attempt, const EngineReport* report) {
+  if (m_finished || !m_attempt || m_attempt->number != attempt) return;
+  const TimePoint now = Clock::now();
+  m_attempt->is_asking = false;
+  if (now < m_attempt->check_at) return;  // an event came meanwhile
+  m_attempt->check_at = now + kCheckInterval;
+  if (report == nullptr) {
+    m_excluded.insert(m_attempt->address);
+    m_gateway->Suspect(m_attempt->address, "no_report");
+    return EndAttempt(AttemptEvidence::kStageLost);
+  }
+  for (const ChainStage& stage : m_attempt->chain) {
+    const auto& stalled = report->stalled_addresses;
+    if (std::find(stalled.begin(), stalled.end(), stage.address) == stalled.end()) continue;
+    m_excluded.insert(stage.address);
+    m_gateway->Suspect(stage.address, "stalls_its_chain");
+    return EndAttempt(AttemptEvidence::kStageLost);
+  }
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/gateway.cc
@@ -0,0 +1,280 @@
+#include "corneltray/gateway.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "corneltray/log.h"
+#include "exchange.h"
+
+namespace corneltray {
+namespace {
+
+// Timeouts are checked this often while requests are in progress; it bounds how late they act.
+constexpr std::chrono::milliseconds kTickInterval{50};
+constexpr std::chrono::milliseconds kReportTimeout{400};
+// The lease on keys ends this long before the last moment at which a key may be honoured, for
+// requests that are on their way to an upstream.
+constexpr std::chrono::milliseconds kKeyLeaseMargin{300};
+// Some of the budget of second attempts is left for what other hosts count later.
+constexpr double kBudgetShare = 0.8;
+
+}  // namespace
+
+Gateway::Gateway(asio::io_context* io, GatewayOptions options)
+    : m_io(io),
+      m_options(std::move(options)),
+      m_listener(io, [this](HttpCall call) { OnCall(std::move(call)); }),
+      m_ready_listener(io, [this](HttpCall call) { OnReadyCall(std::move(call)); }),
+      m_pool(io),
+      m_key_lease(m_options.key_lease, kKeyLeaseMargin),
+      m_tick_timer(*io) {}
+
+Gateway::~Gateway() { CloseAll(); }
+
+Status Gateway::Listen(const std::string& address) { return m_listener.Listen(address); }
+Status Gateway::ListenReady(const std::string& address) {
+  return m_ready_listener.Listen(address);
+}
+
+std::uint64_t Gateway::RouteVersion() const {
+  return m_routes == nullptr ? 0 : m_routes->Table().version;
+}
+
+void Gateway::SetRouteTable(RouteTable table) {
+  if (table.version <= RouteVersion()) return;
+  HttpListenerLimits limits;
+  limits.max_head_bytes = table.limits.max_head_bytes;
+  limits.max_body_bytes = table.limits.max_body_bytes;
+  // Callers reuse connections up to the idle timeout, so it ends a little later here.
+  constexpr std::chrono::milliseconds kIdleMargin{1000};
+  limits.head_timeout = table.limits.head_timeout;
+  limits.idle_timeout = table.limits.idle_timeout + kIdleMargin;
+  m_listener.SetLimits(limits);
+  LogEvent(LogLevel::kInfo, "route_table_in_force",
+           {{"version", table.version},
+            {"previous_version", RouteVersion()},
+            {"routes", table.routes.size()},
+            {"customers", table.customers.size()}});
+  for (const auto& [name, service] : table.services) {
+    if (service.engine && m_routers.count(name) == 0) {
+      m_routers.emplace(name, EngineRouter(m_options.availability_zone, *service.engine));
+    }
+  }
+  m_routes = std::make_shared<const RouteIndex>(std::move(table));
+  m_used_generation = 0;
+  RefreshUpstreams();
+}
+
+void Gateway::ConfirmRouteTable(TimePoint asked_at) { m_key_lease.Extend(asked_at); }
+
+void Gateway::UpdateUpstreams(const UpstreamUpdates& updates) {
+  ApplyUpstreamUpdates(Clock::now(), updates, &m_upstreams);
+  m_upstreams.Expire(Clock::now());
+  RefreshUpstreams();
+}
+
+void Gateway::RefreshUpstreams() {
+  if (m_used_generation == m_upstreams.Generation() + 1) return;
+  m_used_generation = m_upstreams.Generation() + 1;
+  for (auto& [service, router] : m_routers) router.SetEngines(service, m_upstreams);
+  for (auto& [service, picker] : m_pickers) picker.SetReplicas(m_upstreams);
+  for (const auto& [name, record] : m_upstreams.Records()) {
+    if (!record.IsReady()) m_pool.Forget(record.announcement.address);
+  }
+}
+
+void Gateway::SetEntryHosts(std::size_t hosts) {
+  m_entry_hosts = std::max<std::size_t>(1, hosts);
+  const double window_s = std::chrono::duration<double>(m_options.retry_window).count();
+  const double per_s = kBudgetShare * m_options.retry_allowance / window_s /
+                       static_cast<double>(m_entry_hosts);
+  for (auto& [service, budget] : m_budgets) {
+    budget.Configure(kBudgetShare * m_options.retry_ratio, per_s);
+  }
+}
+
+bool Gateway::IsReady() const {
+  if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
+  return !m_routes->HasCustomers() || !m_key_lease.IsAging(BootTimeNow());
+}
+
+void Gateway::BeginDrain() {
+  m_draining = true;
+  m_listener.BeginDrain();
+}
+
+void Gateway::CloseIdle() { m_listener.CloseIdle(); }
+
+void Gateway::CloseAll() {
+  m_tick_timer.cancel();
+  const auto exchanges = m_exchanges;
+  for (const auto& exchange : exchanges) exchange->Abandon();
+  m_listener.CloseAll();
+  m_ready_listener.CloseAll();
+  m_pool.CloseAll();
+}
+
+EngineRouter* Gateway::RouterOf(const RouteService& service) {
+  const auto router = m_routers.find(service.name);
+  return router == m_routers.end() ? nullptr : &router->second;
+}
+
+ServicePicker& Gateway::PickerOf(const std::string& service) {
+  const auto known = m_pickers.find(service);
+  if (known != m_pickers.end()) return known->second;
+  auto& picker =
+      m_pickers.emplace(service, ServicePicker(m_options.availability_zone, service)).first->second;
+  picker.SetReplicas(m_upstreams);
+  return picker;
+}
+
+RetryBudget& Gateway::BudgetOf(const std::string& service) {
+  const auto known = m_budgets.find(service);
+  if (known != m_budgets.end()) return known->second;
+  RetryBudget& budget = m_budgets.emplace(service, RetryBudget(0.0, 0.0)).first->second;
+  SetEntryHosts(m_entry_hosts);
+  return budget;
+}
+
+void Gateway::OnCall(HttpCall call) {
+  if (call.Head().Path() == m_options.dialect->ReadinessPath() &&
+      m_ready_listener.Address().empty()) {
+    return OnReadyCall(std::move(call));
+  }
+  GatewayRequest request;
+  request.head = call.Head();
+  request.read_at = call.ReadAt();
+  request.routes = m_routes;
+  GatewayView view;
+  view.dialect = m_options.dialect.get();
+  view.key_lease = &m_key_lease;
+  view.now = Clock::now();
+  view.boot_now = BootTimeNow();
+  if (const auto refusal = FilterRequest(view, &request)) return Refuse(call, request, *refusal);
+  const auto exchange = std::make_shared<Exchange>(this, std::move(call), std::move(request));
+  m_exchanges.insert(exchange);
+  PlanTick();
+  exchange->Start();
+}
+
+void Gateway::OnReadyCall(HttpCall call) {
+  constexpr int kOk = 200;
+  constexpr int kUnavailable = 503;
+  call.Respond(MakeResponse(IsReady() ? kOk : kUnavailable), "");
+}
+
+void Gateway::Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal) {
+  HttpHead head = MakeResponse(StatusOf(refusal));
+  if (const auto after = RetryAfter(refusal)) head.Add("Retry-After", FormatRetryAfter(*after));
+  HttpCall answer = call;
+  answer.Respond(std::move(head), "");
+  m_metrics.Count("refusals", NameOf(refusal));
+  LogEvent(LogLevel::kInfo, "request_refused",
+           {{"request_id", request.facts.request_id},
+            {"reason", NameOf(refusal)},
+            {"status", StatusOf(refusal)},
+            {"route", request.route == nullptr ? "" : request.route->name},
+            {"route_version", RouteVersion()}});
+}
+
+void Gateway::Finished(const std::shared_ptr<Exchange>& exchange) { m_exchanges.erase(exchange); }
+
+void Gateway::PlanTick() {
+  if (std::exchange(m_tick_planned, true)) return;
+  m_tick_timer.expires_after(kTickInterval);
+  m_tick_timer.async_wait([this](const asio::error_code& cancelled) {
+    m_tick_planned = false;
+    if (!cancelled) Tick();
+  });
+}
+
+void Gateway::Tick() {
+  const TimePoint now = Clock::now();
+  const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
+  for (const auto& exchange : exchanges) exchange->Tick(now);
+  std::vector<std::string> late;
+  for (const auto& [address, question] : m_reports) {
+    if (now >= question.deadline) late.push_back(address);
+  }
+  for (const std::string& address : late) {
+    m_reports[address].call.Cancel();
+    FinishReport(address, false);
+  }
+  if (!m_exchanges.empty() || !m_reports.empty()) PlanTick();
+}
+
+void Gateway::AskReport(const std::string& address, StalledCallback done) {
+  const auto [known, is_new] = m_reports.emplace(address, ReportQuestion{});
+  known->second.waiting.push_back(std::move(done));
+  if (!is_new) return;
+  const TimePoint deadline = Clock::now() + kReportTimeout;
+  known->second.deadline = deadline;
+  EngineRequest question = m_options.dialect->WriteReportRequest();
+  question.head.Set("Host", address);
+  UpstreamRequest request;
+  request.address = address;
+  request.bytes = FormatRequestHead(question.head) + question.body;
+  request.fresh_connection = true;  // an open one may have gone silent
+  request.connect_deadline = deadline;
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [this, address](const HttpHead& head) {
+    m_reports[address].status = head.status;
+  };
+  callbacks.on_body = [this, address](std::string_view bytes) {
+    m_reports[address].body.append(bytes);
+  };
+  callbacks.on_end = [this, address] { FinishReport(address, true); };
+  callbacks.on_failure = [this, address](UpstreamFailure) { FinishReport(address, false); };
+  known->second.call = m_pool.Send(std::move(request), std::move(callbacks));
+  m_metrics.Count("probes", "report");
+}
+
+void Gateway::FinishReport(const std::string& address, bool answered) {
+  constexpr int kOk = 200;
+  const auto found = m_reports.find(address);
+  if (found == m_reports.end()) return;
+  const ReportQuestion question = std::move(found->second);
+  m_reports.erase(found);
+  std::optional<EngineReport> report;
+  if (answered && question.status == kOk) {
+    auto decoded = m_options.dialect->ReadReport(question.body);
+    if (decoded) report = std::move(decoded).value();
+  }
+  LogEvent(LogLevel::kInfo, "engine_report",
+           {{"address", address},
+            {"answered", report.has_value()},
+            {"status", question.status},
+            {"running", report ? report->running : 0},
+            {"waiting", report ? report->waiting : 0},
+            {"stalled", report ? report->stalled_addresses : std::vector<std::string>()}});
+  for (const StalledCallback& done : question.waiting) done(report ? &*report : nullptr);
+}
+
+void Gateway::Suspect(const std::string& address, const std::string& why) {
+  const UpstreamRecord* record = m_upstreams.FindAddress(address);
+  const std::uint64_t sequence = record == nullptr ? 0 : record->announcement.sequence;
+  const TimePoint now = Clock::now();
+  for (auto& [service, router] : m_routers) router.Suspect(now, address, sequence);
+  LogEvent(LogLevel::kWarning, "engine_suspected",
+           {{"address", address},
+            {"upstream", record == nullptr ? "" : record->announcement.name},
+            {"sequence", sequence},
+            {"reason", why}});
+}
+
+std::string Gateway::MetricsText() const {
+  const HttpListenerCounters callers = m_listener.Counters();
+  const UpstreamPoolCounters pool = m_pool.Counters();
+  return m_metrics.Text({
+      {"requests_in_progress", static_cast<double>(m_exchanges.size())},
+      {"caller_connections", static_cast<double>(callers.open)},
+      {"upstream_connections", static_cast<double>(pool.open)},
+      {"upstream_connects", static_cast<double>(pool.connects)},
+      {"upstream_connect_failures", static_cast<double>(pool.connect_failures)},
+      {"route_table_version", static_cast<double>(RouteVersion())},
+      {"ready", IsReady() ? 1.0 : 0.0},
+  });
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/gateway_request.cc
@@ -0,0 +1,107 @@
+#include "corneltray/gateway_request.h"
+
+#include <algorithm>
+
+namespace corneltray {
+namespace {
+
+using Filter = std::optional<GatewayRefusal> (*)(const GatewayView&, GatewayRequest*);
+
+std::optional<GatewayRefusal> CheckRouteTable(const GatewayView&, GatewayRequest* request) {
+  if (request->routes == nullptr) return GatewayRefusal::kNoRouteTable;
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> ReadFacts(const GatewayView& view, GatewayRequest* request) {
+  request->facts = view.dialect->ReadRequest(request->head);
+  if (request->facts.request_id.empty()) return GatewayRefusal::kNoRequestId;
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> FindRoute(const GatewayView&, GatewayRequest* request) {
+  const HttpHead& head = request->head;
+  request->route = request->routes->FindRoute(head.Value("Host"), head.Path());
+  if (request->route == nullptr) return GatewayRefusal::kNoRoute;
+  request->priority = request->route->priority;
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> IdentifyCustomer(const GatewayView& view, GatewayRequest* request) {
+  if (request->route->is_public || !request->routes->HasCustomers()) return std::nullopt;
+  // Whether a key is held can only be said while the table is known to be the newest one.
+  if (!view.key_lease->IsValid(view.boot_now)) return GatewayRefusal::kKeyLeaseLapsed;
+  request->customer = request->routes->FindCustomer(request->facts.customer_key);
+  if (request->customer == nullptr) return GatewayRefusal::kUnknownKey;
+  request->priority = request->customer->priority.value_or(request->priority);
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> SetDeadline(const GatewayView& view, GatewayRequest* request) {
+  const std::chrono::milliseconds timeout = request->route->timeout;
+  request->deadline =
+      request->read_at + std::min(timeout, request->facts.time_left.value_or(timeout));
+  if (request->deadline <= view.now) return GatewayRefusal::kNoTime;
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> FindService(const GatewayView&, GatewayRequest* request) {
+  const std::string& name = ChooseTarget(*request->route, request->facts.request_id);
+  request->service = request->routes->FindService(name);
+  if (request->service == nullptr) return GatewayRefusal::kNoUpstream;
+  return std::nullopt;
+}
+
+constexpr Filter kFilters[] = {CheckRouteTable,  ReadFacts,   FindRoute,
+                               IdentifyCustomer, SetDeadline, FindService};
+
+}  // namespace
+
+int StatusOf(GatewayRefusal refusal) {
+  switch (refusal) {
+    case GatewayRefusal::kNoRequestId:
+      return 400;
+    case GatewayRefusal::kUnknownKey:
+      return 401;
+    case GatewayRefusal::kNoRoute:
+      return 404;
+    case GatewayRefusal::kNoRouteTable:
+    case GatewayRefusal::kKeyLeaseLapsed:
+    case GatewayRefusal::kNoTime:
+    case GatewayRefusal::kNoUpstream:
+    case GatewayRefusal::kOverloaded:
+    case GatewayRefusal::kRetryBudget:
+    case GatewayRefusal::kUpstreamsRefused:
+      return 503;
+  }
+  return 503;
+}
+
+std::optional<std::chrono::milliseconds> RetryAfter(GatewayRefusal refusal) {
+  using std::chrono::milliseconds;
+  switch (refusal) {
+    case GatewayRefusal::kNoRequestId:
+    case GatewayRefusal::kUnknownKey:
+    case GatewayRefusal::kNoRoute:
+    case GatewayRefusal::kNoTime:
+      return std::nullopt;
+    case GatewayRefusal::kNoRouteTable:
+    case GatewayRefusal::kKeyLeaseLapsed:
+      return milliseconds(500);  // another host may be able to tell
+    case GatewayRefusal::kUpstreamsRefused:
+    case GatewayRefusal::kOverloaded:
+    case GatewayRefusal::kRetryBudget:
+      return milliseconds(1000);
+    case GatewayRefusal::kNoUpstream:
+      return milliseconds(1500);  // layers are loaded again within seconds
+  }
+  return std::nullopt;
+}
+
+std::optional<GatewayRefusal> FilterRequest(const GatewayView& view, GatewayRequest* request) {
+  for (const Filter filter : kFilters) {
+    if (const auto refusal = filter(view, request)) return refusal;
+  }
+  return std::nullopt;
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/service_picker.cc
@@ -0,0 +1,108 @@
+#include "corneltray/service_picker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneltray {
+namespace {
+
+constexpr double kMaxEjectedRatio = 0.67;
+// What a replica of another zone must be less loaded by, in shares of its slots.
+constexpr double kOtherZoneLoad = 0.5;
+// Adds the load of a whole replica for each of these seconds of its usual latency.
+constexpr double kLatencyPerLoad = 0.1;
+constexpr double kSilentLoad = 10.0;
+constexpr double kAverageWeight = 0.2;
+constexpr std::chrono::milliseconds kLoadLifetime{1000};
+
+}  // namespace
+
+ServicePicker::ServicePicker(std::string own_zone, std::string service)
+    : m_own_zone(std::move(own_zone)),
+      m_service(std::move(service)),
+      m_outliers(kMaxEjectedRatio) {}
+
+void ServicePicker::SetReplicas(const UpstreamTable& upstreams) {
+  std::map<std::string, Replica> replicas;
+  for (const auto& [name, record] : upstreams.Records()) {
+    const Announcement& said = record.announcement;
+    if (said.service != m_service || !record.IsReady()) continue;
+    const auto known = m_replicas.find(said.address);
+    Replica replica;
+    if (known != m_replicas.end() && known->second.name == name) replica = known->second;
+    replica.name = name;
+    replica.zone = said.availability_zone;
+    replica.slots = std::max(1U, said.slots);
+    replicas[said.address] = replica;
+  }
+  for (const auto& [address, replica] : m_replicas) {
+    const auto kept = replicas.find(address);
+    if (kept == replicas.end() || kept->second.name != replica.name) m_outliers.Forget(address);
+  }
+  m_replicas = std::move(replicas);
+  m_outliers.SetGroupSize(m_service, m_replicas.size());
+}
+
+std::optional<ServiceChoice> ServicePicker::Choose(TimePoint now, const UpstreamTable& upstreams,
+                                                   const std::set<std::string>& excluded) {
+  std::optional<ServiceChoice> best;
+  double best_score = 0.0;
+  for (const auto& [address, replica] : m_replicas) {
+    if (excluded.count(address) > 0) continue;
+    const UpstreamRecord* record = upstreams.Find(replica.name);
+    if (record == nullptr || !record->IsReady()) continue;
+    double score = Score(now, replica);
+    if (now - record->heard_at > kSilentAfter) score += kSilentLoad;
+    // An ejected replica is still better than none.
+    if (m_outliers.IsEjected(now, address)) score += kSilentLoad;
+    if (best && score >= best_score) continue;
+    best = ServiceChoice{replica.name, address, replica.zone == m_own_zone, score};
+    best_score = score;
+  }
+  return best;
+}
+
+double ServicePicker::Score(TimePoint now, const Replica& replica) const {
+  const double queue = now < replica.report_expires_at
+                           ? replica.report.running + replica.report.waiting + replica.begun_since
+                           : replica.in_flight;
+  const double zone = replica.zone == m_own_zone ? 0.0 : kOtherZoneLoad;
+  return queue / replica.slots + zone + replica.latency_s / kLatencyPerLoad;
+}
+
+void ServicePicker::Begin(const std::string& address) {
+  const auto replica = m_replicas.find(address);
+  if (replica == m_replicas.end()) return;
+  ++replica->second.in_flight;
+  ++replica->second.begun_since;
+}
+
+void ServicePicker::End(const std::string& address) {
+  const auto replica = m_replicas.find(address);
+  if (replica != m_replicas.end() && replica->second.in_flight > 0) --replica->second.in_flight;
+}
+
+void ServicePicker::Report(TimePoint now, const std::string& address, const LoadReport& load) {
+  const auto replica = m_replicas.find(address);
+  if (replica == m_replicas.end()) return;
+  replica->second.report = load;
+  replica->second.report_expires_at = now + kLoadLifetime;
+  replica->second.begun_since = 0;
+}
+
+std::vector<Ejection> ServicePicker::Succeeded(TimePoint now, const std::string& address,
+                                               Duration latency) {
+  const auto replica = m_replicas.find(address);
+  if (replica == m_replicas.end()) return {};
+  const double seconds = std::chrono::duration<double>(latency).count();
+  double& average = replica->second.latency_s;
+  average = average == 0.0 ? seconds : average + kAverageWeight * (seconds - average);
+  return m_outliers.Success(now, m_service, address, latency);
+}
+
+std::vector<Ejection> ServicePicker::Failed(TimePoint now, const std::string& address) {
+  if (m_replicas.count(address) == 0) return {};
+  return m_outliers.Failure(now, m_service, address);
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/settings_watcher.cc
@@ -0,0 +1,56 @@
+#include "corneltray/settings_watcher.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{1000};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+SettingsWatcher::SettingsWatcher(asio::io_context* io, std::string path, Handler handler)
+    : m_path(std::move(path)), m_handler(std::move(handler)), m_timer(*io) {}
+
+void SettingsWatcher::Start() {
+  m_text = ReadFile(m_path);
+  Plan();
+}
+
+void SettingsWatcher::Stop() { m_timer.cancel(); }
+
+void SettingsWatcher::Plan() {
+  m_timer.expires_after(kInterval);
+  m_timer.async_wait([this](const asio::error_code& cancelled) {
+    if (cancelled) return;
+    Check(false);
+    Plan();
+  });
+}
+
+void SettingsWatcher::Check(bool always) {
+  std::string text = ReadFile(m_path);
+  if (!always && text == m_text) return;
+  m_text = text;
+  std::vector<DocumentIssue> issues;
+  HostSettings settings = ParseHostSettings({m_path, std::move(text)}, &issues);
+  if (issues.empty()) return m_handler(std::move(settings));
+  nlohmann::json mistakes = nlohmann::json::array();
+  for (const DocumentIssue& issue : issues) mistakes.push_back(issue.ToString());
+  LogEvent(LogLevel::kError, "settings_refused", {{"issues", std::move(mistakes)}});
+}
+
+}  // namespace corneltray
--- /dev/null
+++ b/src/libserving/upstream_table.cc
@@ -0,0 +1,109 @@
+#include "corneltray/upstream_table.h"
+
+#include <tuple>
+
+namespace corneltray {
+namespace {
+
+bool IsSameHolding(const Holding& a, const Holding& b) {
+  return a.key == b.key && a.first_layer == b.first_layer && a.last_layer == b.last_layer &&
+         a.state == b.state;
+}
+
+// Whether routing and placement may treat the two alike.
+bool IsEquivalent(const Announcement& a, const Announcement& b) {
+  if (a.holdings.size() != b.holdings.size()) return false;
+  for (std::size_t i = 0; i < a.holdings.size(); ++i) {
+    if (!IsSameHolding(a.holdings[i], b.holdings[i])) return false;
+  }
+  return a.state == b.state && a.address == b.address && a.service == b.service &&
+         a.accelerator == b.accelerator && a.availability_zone == b.availability_zone &&
+         a.slots == b.slots;
+}
+
+}  // namespace
+
+const UpstreamRecord* UpstreamTable::Find(const std::string& name) const {
+  const auto found = m_records.find(name);
+  return found == m_records.end() ? nullptr : &found->second;
+}
+
+const UpstreamRecord* UpstreamTable::FindAddress(const std::string& address) const {
+  const auto found = m_by_address.find(address);
+  return found == m_by_address.end() ? nullptr : Find(found->second);
+}
+
+UpdateVerdict UpstreamTable::Apply(TimePoint now, const UpstreamUpdate& update) {
+  const Announcement& fresh = update.announcement;
+  const auto known = m_records.find(fresh.name);
+  const bool is_known = known != m_records.end();
+  if (is_known) {
+    const UpstreamRecord& record = known->second;
+    const Announcement& old = record.announcement;
+    const auto age = std::tie(fresh.incarnation, fresh.sequence);
+    const auto old_age = std::tie(old.incarnation, old.sequence);
+    const bool same_life = fresh.incarnation == old.incarnation;
+    const bool departs = update.has_left && !record.has_left && same_life;
+    if (age < old_age && !departs) return UpdateVerdict::kStale;
+    if (age == old_age && !departs) return UpdateVerdict::kStale;
+    if (same_life && record.has_left) return UpdateVerdict::kStale;
+  }
+  const UpstreamRecord* holder = FindAddress(fresh.address);
+  if (holder != nullptr && holder->announcement.name != fresh.name) {
+    if (holder->announcement.incarnation > fresh.incarnation) return UpdateVerdict::kReplaced;
+    const auto replaced = m_records.find(holder->announcement.name);
+    replaced->second.has_left = true;
+  }
+  UpdateVerdict verdict = UpdateVerdict::kNew;
+  if (is_known && known->second.announcement.incarnation == fresh.incarnation) {
+    const bool same = IsEquivalent(known->second.announcement, fresh) &&
+                      known->second.has_left == update.has_left;
+    verdict = same ? UpdateVerdict::kRefreshed : UpdateVerdict::kChanged;
+  }
+  if (is_known && known->second.announcement.address != fresh.address) {
+    const auto at = m_by_address.find(known->second.announcement.address);
+    if (at != m_by_address.end() && at->second == fresh.name) m_by_address.erase(at);
+  }
+  m_records[fresh.name] = {fresh, update.has_left, now};
+  m_by_address[fresh.address] = fresh.name;
+  if (verdict != UpdateVerdict::kRefreshed) ++m_generation;
+  return verdict;
+}
+
+std::optional<UpstreamUpdate> UpstreamTable::Leave(TimePoint now, const std::string& name,
+                                                   std::uint64_t incarnation) {
+  const auto known = m_records.find(name);
+  if (known == m_records.end()) return std::nullopt;
+  UpstreamRecord& record = known->second;
+  if (incarnation != 0 && incarnation != record.announcement.incarnation) return std::nullopt;
+  if (!record.has_left) ++m_generation;
+  record.has_left = true;
+  record.heard_at = now;
+  return UpstreamUpdate{record.announcement, true};
+}
+
+void UpstreamTable::Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
+                            std::uint64_t sequence) {
+  const auto known = m_records.find(name);
+  if (known == m_records.end()) return;
+  UpstreamRecord& record = known->second;
+  if (record.announcement.incarnation != incarnation) return;
+  if (sequence <= record.announcement.sequence) return;
+  record.announcement.sequence = sequence;
+  record.heard_at = now;
+}
+
+void UpstreamTable::Expire(TimePoint now) {
+  for (auto record = m_records.begin(); record != m_records.end();) {
+    if (now - record->second.heard_at < kForgetAfter) {
+      ++record;
+      continue;
+    }
+    const auto at = m_by_address.find(record->second.announcement.address);
+    if (at != m_by_address.end() && at->second == record->first) m_by_address.erase(at);
+    record = m_records.erase(record);
+    ++m_generation;
+  }
+}
+
+}  // namespace corneltray
