--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -18,13 +18,6 @@
 // Bytes that may wait for a slow caller before its upstream is no longer read.
 constexpr std::size_t kMaxUnsent = std::size_t{256} * 1024;
 
-AnswerMode MakeAnswerMode(const GatewayRequest& request) {
-  if (request.route->kind == CallKind::kStream) {
-    return StreamedAnswer(request.facts.last_event_id);
-  }
-  return WholeAnswer{};
-}
-
 double MillisecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
 }
@@ -35,12 +28,7 @@
     : m_gateway(gateway),
       m_call(std::move(call)),
       m_request(std::move(request)),
-      m_answer(MakeAnswerMode(m_request)) {}
-
-bool Exchange::HasBegun() const {
-  const auto* streamed = std::get_if<StreamedAnswer>(&m_answer);
-  return streamed != nullptr && streamed->begun;
-}
+      m_stream(m_request.facts.last_event_id) {}
 
 void Exchange::Start() {
   const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -64,7 +52,7 @@
 }
 
 void Exchange::PassOnEvents(std::string_view bytes) {
-  auto& streamed = std::get<StreamedAnswer>(m_answer);
+  StreamedAnswer& streamed = m_stream;
   const std::uint64_t before = streamed.events.Events();
   const std::string events = streamed.events.Take(bytes);
   if (streamed.events.HasGap()) return EndAttempt(AttemptEvidence::kMalformed);
@@ -84,7 +72,7 @@
 }
 
 void Exchange::FinishStream() {
-  auto& streamed = std::get<StreamedAnswer>(m_answer);
+  StreamedAnswer& streamed = m_stream;
   if (streamed.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
   const int status = m_attempt->head.status;
   if (!streamed.begun) {
@@ -102,7 +90,7 @@
 void Exchange::FinishWhole() {
   HttpHead head = m_attempt->head;
   RemoveConnectionFields(&head);
-  const std::string body = std::move(std::get<WholeAnswer>(m_answer).body);
+  const std::string body = std::move(m_attempt->body);
   m_bytes = body.size();
   const int status = head.status;
   CloseAttempt();
@@ -139,6 +127,12 @@
     m_call.Abort();
     return Finish(status, "cut_off");
   }
+  if (m_spare_answer) {
+    HttpHead head = std::move(m_spare_answer->head);
+    RemoveConnectionFields(&head);
+    m_call.Respond(std::move(head), m_spare_answer->body);
+    return Finish(status, "upstream_failure");
+  }
   if (m_has_run == HasRun::kNo) return Refuse(GatewayRefusal::kUpstreamsRefused);
   // 503 would promise that the request has not run.
   if (status == 0 || status == kUnavailable) status = kBadGateway;
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "corneltray/attempt_rules.h"
@@ -15,8 +14,9 @@
 
 namespace corneltray {
 
-// An answer that is passed on when it is complete.
-struct WholeAnswer {
+// A failure that an upstream answered with; passed on if no other upstream does better.
+struct SpareAnswer {
+  HttpHead head;
   std::string body;
 };
 
@@ -28,8 +28,6 @@
   bool begun = false;  // the caller has the head
 };
 
-using AnswerMode = std::variant<WholeAnswer, StreamedAnswer>;
-
 // One admitted request from its first attempt to its answer. Kept alive by the gateway until it is
 // finished.
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -54,12 +52,13 @@
     TimePoint check_at{};  // of a stream that stays silent
     bool is_asking = false;  // for a report of the first stage
     std::uint64_t events = 0;
-    HttpHead head;  // of its answer
+    HttpHead head;     // of its answer
+    std::string body;  // of an answer that is passed on when it is complete
     UpstreamCall call;
   };
 
   bool IsStream() const { return m_request.route->kind == CallKind::kStream; }
-  bool HasBegun() const;
+  bool HasBegun() const { return m_stream.begun; }
 
   // exchange_attempt.cc
   void SendAttempt();
@@ -91,7 +90,8 @@
   Gateway* m_gateway;
   HttpCall m_call;
   GatewayRequest m_request;
-  AnswerMode m_answer;
+  StreamedAnswer m_stream;  // unused for other kinds of calls
+  std::optional<SpareAnswer> m_spare_answer;
   std::optional<Attempt> m_attempt;
   std::uint32_t m_attempts = 0;
   std::uint32_t m_runs = 0;  // attempts that may have run at an upstream that still works
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -119,7 +119,7 @@
   facts.chain = m_attempt->chain;
   if (IsStream()) {
     facts.urgency = std::min<std::uint32_t>(m_request.priority, kLastUrgency);
-    facts.last_event_id = std::get<StreamedAnswer>(m_answer).events.LastId();
+    facts.last_event_id = m_stream.events.LastId();
   }
   m_gateway->GetDialect().WriteAttempt(facts, &head);
   return FormatRequestHead(head) + m_call.Body();
@@ -160,14 +160,8 @@
     m_attempt->call.Cancel();
     return EndAttempt(AttemptEvidence::kMalformed);
   }
-  if (status < kFirstServerError) return;
-  const AttemptOutcome outcome =
-      JudgeAttempt(AttemptEvidence::kUpstreamError, MayRepeat(*m_request.route));
-  // The upstream's own failure is its answer, unless another one may do better.
-  if (HasBegun() || MayTryAgain(outcome)) {
-    m_attempt->call.Cancel();
-    EndAttempt(AttemptEvidence::kUpstreamError);
-  }
+  // A stream that has begun cannot turn into a failure.
+  if (HasBegun() && status >= kFirstFailure) EndAttempt(AttemptEvidence::kUpstreamError);
 }
 
 void Exchange::NoteLoad(const AnswerFacts& facts) {
@@ -195,23 +189,20 @@
 void Exchange::OnBody(std::string_view bytes) {
   m_attempt->check_at = Clock::now() + kSilenceBeforeCheck;
   if (IsStream() && m_attempt->head.status < kFirstFailure) return PassOnEvents(bytes);
-  auto* whole = std::get_if<WholeAnswer>(&m_answer);
-  if (whole == nullptr) {
-    m_answer = WholeAnswer{};  // a failure of the upstream, which is no stream
-    whole = &std::get<WholeAnswer>(m_answer);
-  }
-  whole->body.append(bytes);
-  if (whole->body.size() > kMaxWholeAnswer) {
-    m_attempt->call.Cancel();
-    EndAttempt(AttemptEvidence::kMalformed);
-  }
+  m_attempt->body.append(bytes);
+  if (m_attempt->body.size() > kMaxWholeAnswer) EndAttempt(AttemptEvidence::kMalformed);
 }
 
 void Exchange::OnEnd() {
-  if (std::holds_alternative<StreamedAnswer>(m_answer)) return FinishStream();
+  const int status = m_attempt->head.status;
+  if (status >= kFirstServerError) {
+    // The upstream's own failure is its answer, unless another one does better.
+    m_spare_answer = SpareAnswer{m_attempt->head, std::move(m_attempt->body)};
+    return EndAttempt(AttemptEvidence::kUpstreamError);
+  }
+  if (IsStream() && status < kFirstFailure) return FinishStream();
   const Duration latency = Clock::now() - m_attempt->started_at;
-  if (m_gateway->RouterOf(*m_request.service) == nullptr &&
-      m_attempt->head.status < kFirstServerError) {
+  if (m_gateway->RouterOf(*m_request.service) == nullptr) {
     m_gateway->PickerOf(m_request.service->name)
         .Succeeded(Clock::now(), m_attempt->address, latency);
   }
@@ -255,8 +246,7 @@
     m_gateway->Suspect(address, "no_answer");
   }
   CloseAttempt();
-  if (auto* streamed = std::get_if<StreamedAnswer>(&m_answer)) streamed->events.Restart();
-  if (std::holds_alternative<WholeAnswer>(m_answer)) std::get<WholeAnswer>(m_answer).body.clear();
+  m_stream.events.Restart();
   if (now < m_request.deadline && MayTryAgain(outcome)) {
     if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now)) return SendAttempt();
     m_gateway->GetMetrics().Count("retries_refused", "budget");
