Choose chains over all zones by estimated time, and find lost stages sooner

Refusals that come at once now only mark a stage as full, hosts tell the control processes of engines that do not answer, and a request that waits for a lost stage moves on when any request finds it.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -69,6 +69,18 @@
           ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
         });
       });
+  m_options.node->SetPushHandler(
+      MessageType::kUpstreamSuspected, [this](const PeerIdentity& from, const json& body) {
+        auto suspected = DecodeUpstreamUpdates(body);
+        if (!suspected) return;
+        asio::post(*m_io, [this, host = from.host, suspected = std::move(suspected).value()] {
+          for (const UpstreamRefresh& engine : suspected.refreshes) {
+            m_table.Suspect(Clock::now(), engine.name, engine.incarnation, engine.sequence);
+            LogEvent(LogLevel::kInfo, "upstream_suspected",
+                     {{"upstream", engine.name}, {"sequence", engine.sequence}, {"by", host}});
+          }
+        });
+      });
   m_options.node->SetRequestHandler(
       MessageType::kUpstreamFetch,
       [this](const PeerIdentity&, const json&, const PeerNode::Responder& respond) {
@@ -352,6 +364,7 @@
 
 void FleetService::KeepMembers() {
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
+  LinkMembers(status.members);
   if (status.members.members.count(status.self) == 0) return AskToJoin(status);
   if (status.role != ReplicaRole::kLeader) return;
   std::set<std::string> reachable{m_options.host};
@@ -371,6 +384,22 @@
             {"outcome", proposed ? "proposed" : proposed.error().ToString()}});
 }
 
+// Keeps a link to each member, whose name is its IP address. A member that was removed is left.
+void FleetService::LinkMembers(const MemberSet& members) {
+  if (members.members.empty()) return;
+  std::set<std::string> wanted;
+  for (const auto& [id, role] : members.members) {
+    if (id.host != m_options.host) wanted.insert(id.host + ":" + m_options.peer_port);
+  }
+  for (const std::string& address : wanted) {
+    if (m_linked_members.count(address) == 0) m_options.node->Connect(address);
+  }
+  for (const std::string& address : m_linked_members) {
+    if (wanted.count(address) == 0) m_options.node->Forget(address);
+  }
+  m_linked_members = std::move(wanted);
+}
+
 void FleetService::AskToJoin(const ReplicaStatus& status) {
   for (const PeerStatus& peer : m_options.node->Peers()) {
     if (!peer.connected || peer.identity.program != kControlProgram) continue;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   ControlNode* control = nullptr;  // outlives the service
   std::string host;                // name of this replica
   std::size_t target_voters = 3;
+  std::string peer_port;  // at which every control process listens for peers
 };
 
 // The calls of upstreams and operators at a control process: takes announcements and passes them on
@@ -70,6 +72,7 @@
   void Tick();
   void KeepMembers();  // on the I/O thread of PeerNode
   void AskToJoin(const ReplicaStatus& status);
+  void LinkMembers(const MemberSet& members);
   void ReadReplica();
   void OnReplicaView(const ReplicaView& view);
   void PlaceLayers(TimePoint now);
@@ -96,6 +99,7 @@
   // On the I/O thread of PeerNode.
   MemberKeeper m_keeper;
   std::uint64_t m_viewed_route_version = 0;
+  std::set<std::string> m_linked_members;  // addresses that the node keeps links to
 };
 
 }  // namespace corneltray
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -19,6 +19,7 @@
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/program.h"
+#include "corneltray/settings_watcher.h"
 #include "platform_dialect.h"
 
 namespace corneltray {
@@ -61,7 +62,10 @@
 // Everything that a running control process holds, in the order in which it is taken down.
 class Program {
  public:
-  explicit Program(HostSettings settings) : m_settings(std::move(settings)) {}
+  Program(HostSettings settings, std::string settings_path)
+      : m_settings(std::move(settings)),
+        m_watcher(&m_io, std::move(settings_path),
+                  [this](const HostSettings& changed) { Reload(changed); }) {}
 
   int Run() {
     // Blocked before any thread starts, so that only the wait below takes them.
@@ -69,6 +73,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
 
@@ -81,9 +86,12 @@
     if (const int code = Start(std::move(storage).value()); code != kExitOk) return code;
     std::thread fleet;
     if (m_fleet) fleet = std::thread([this] { m_io.run(); });
+    m_watcher.Start();
     while (!m_stop) {
       const timespec poll{0, std::chrono::nanoseconds(kSignalPoll).count()};
-      if (sigtimedwait(&signals, nullptr, &poll) > 0) break;
+      const int signal = sigtimedwait(&signals, nullptr, &poll);
+      if (signal == SIGTERM || signal == SIGINT) break;
+      if (signal == SIGHUP) asio::post(m_io, [this] { m_watcher.Check(true); });
     }
     if (fleet.joinable()) {
       asio::post(m_io, [this] { m_fleet->Stop(); });
@@ -196,6 +204,12 @@
     return kExitOk;
   }
 
+  // Only other seeds take effect in a running process.
+  void Reload(const HostSettings& changed) {
+    LogEvent(LogLevel::kInfo, "settings_reloaded", {{"seeds", changed.seeds}});
+    for (const std::string& seed : changed.seeds) m_node->Connect(seed);
+  }
+
   bool ServesFleet() const { return !m_settings.fleet_address.empty(); }
 
   void MakeFleetService() {
@@ -206,6 +220,7 @@
     options.control = m_control.get();
     options.host = m_settings.peer_name;
     options.target_voters = m_settings.control_voters;
+    options.peer_port = m_settings.peer_address.substr(m_settings.peer_address.rfind(':') + 1);
     m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
     m_fleet->Register();
   }
@@ -228,6 +243,7 @@
   std::atomic<bool> m_draining{false};
   std::atomic<int> m_exit_code{kExitOk};
   asio::io_context m_io{1};
+  SettingsWatcher m_watcher;  // on m_io, which runs when the process serves a fleet
   std::unique_ptr<PeerNode> m_node;
   std::unique_ptr<ConfigurationFeed> m_feed;
   std::unique_ptr<MembershipService> m_membership;
@@ -244,11 +260,12 @@
       "One replica of the replicated log of a region: bookings and configuration.",
       {{"--format", "create the data folder of a founding replica, once, and exit", &format}},
       CheckSettings};
-  auto parsed = ParseProgramArguments(spec, argc, argv);
+  std::string path;
+  auto parsed = ParseProgramArguments(spec, argc, argv, &path);
   if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
   HostSettings settings = std::get<HostSettings>(std::move(parsed));
   if (format) return Format(settings);
-  return Program(std::move(settings)).Run();
+  return Program(std::move(settings), std::move(path)).Run();
 }
 
 }  // namespace
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -62,6 +62,13 @@
 }
 
 void FleetFeed::Start() {
+  m_gateway->OnSuspect([this](const UpstreamRefresh& engine) {
+    UpstreamUpdates suspected;
+    suspected.refreshes.push_back(engine);
+    for (const auto& [host, incarnation] : m_linked) {
+      m_node->Send(host, MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
+    }
+  });
   m_started_at = Clock::now();
   for (const std::string& seed : m_seeds) {
     m_node->Connect(seed);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -58,6 +59,10 @@
   // Entry hosts among which the budget of second attempts is divided.
   void SetEntryHosts(std::size_t hosts);
 
+  // Called for each engine that does not answer, with its last announcement.
+  using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
+  void OnSuspect(SuspectHandler handler) { m_on_suspect = std::move(handler); }
+
   // Whether the balancer should send callers here.
   bool IsReady() const;
   // From now on not ready; answers end their connections.
@@ -86,6 +91,8 @@
   using StalledCallback = std::function<void(const EngineReport* report)>;
   void AskReport(const std::string& address, StalledCallback done);
   void Suspect(const std::string& address, const std::string& why);
+  // Asks an engine how slow it is, unless it was asked lately.
+  void AskPace(const std::string& address);
   void Finished(const std::shared_ptr<Exchange>& exchange);
 
  private:
@@ -118,6 +125,8 @@
   std::map<std::string, ServicePicker> m_pickers;   // by service
   std::map<std::string, RetryBudget> m_budgets;     // by service
   std::map<std::string, ReportQuestion> m_reports;  // by address
+  std::map<std::string, TimePoint> m_next_pace;     // by address
+  SuspectHandler m_on_suspect;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   std::size_t m_entry_hosts = 1;
   asio::steady_timer m_tick_timer;
--- a/src/include/corneltray/layer_placement.h
+++ b/src/include/corneltray/layer_placement.h
@@ -36,22 +36,31 @@
 std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
                             double kv_tokens);
 
-// Plans a zone whose engines hold nothing: one whole copy of the model on the fastest engines, each
-// with room for the prompts of as many tokens as the memory of the zone allows, up to the capacity
-// of the profile; the other engines hold a second copy of a part. Returns the range of each engine.
+// Plans a zone from nothing: one whole copy of the model on the fastest engines, each with room for
+// the prompts of as many tokens as the memory of the zone allows, up to a share of the capacity of
+// the profile; the engines that are left hold further copies, the last one a part. Returns the
+// range of each engine.
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile);
 
-// Returns new ranges for some engines of a zone that is in use: layers that no usable engine holds
-// go to an empty engine, else to one whose layers others hold too, else to a neighbour with room;
-// empty engines that are left take the layers that are held least often. Engines that are not
+// Returns ranges for engines of a zone that is in use, without moving layers that others need:
+// layers that no usable engine holds go to an empty engine, else to one whose layers others hold
+// too, else to neighbours while they keep room for prompts; empty engines that are left take the layers that are held least often. Engines that are not
 // named keep their range.
 std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile);
 
+// Whether every layer is held by a usable engine.
+bool IsWhole(const std::vector<PlacedEngine>& engines, const EngineProfile& profile);
+
+// Layers that stay without an engine this long are divided anew among the engines that are left.
+// This takes seconds, since layers are given up only when the requests in progress are done.
+constexpr std::chrono::milliseconds kReplanAfter{6000};
+
 enum class PlaceReason {
   kFirstPlan,
   kRepair,
+  kReplan,  // engines are lost for good, the others share their layers
   kRepeat,  // the engine does not announce what it was ordered
 };
 
@@ -60,6 +69,7 @@
   static constexpr EnumName<PlaceReason> kTable[] = {
       {PlaceReason::kFirstPlan, "first_plan"},
       {PlaceReason::kRepair, "repair"},
+      {PlaceReason::kReplan, "replan"},
       {PlaceReason::kRepeat, "repeat"},
   };
 };
@@ -97,8 +107,11 @@
   struct Zone {
     TimePoint settled_at{};  // no plan before; moves on while engines arrive
     std::size_t engines = 0;
+    std::optional<TimePoint> replan_at;  // layers are missing
   };
 
+  PlaceReason ChooseReason(TimePoint now, const std::vector<PlacedEngine>& engines,
+                           const EngineProfile& profile, Zone* zone) const;
   bool HasSettled(TimePoint now, const std::string& zone, std::size_t engines);
   std::vector<PlacedEngine> ReadZone(TimePoint now, const std::string& zone,
                                      const std::string& service, const EngineProfile& profile,
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -19,6 +19,7 @@
   kRouteTableChanged,     // push: a route table of this version is committed
   kUpstreamUpdates,       // push: what upstreams have said to the sender
   kUpstreamFetch,         // request: everything the receiver knows of upstreams
+  kUpstreamSuspected,     // push: an upstream does not answer the sender
   kJoinRequest,           // push: a control process that is no member wants to become one
   kLeaseRequest,          // request: grant or renew the placement lease
   kLeaseRelease,          // push: the holder gives the lease up
@@ -41,6 +42,7 @@
       {MessageType::kRouteTableChanged, "route_table_changed"},
       {MessageType::kUpstreamUpdates, "upstream_updates"},
       {MessageType::kUpstreamFetch, "upstream_fetch"},
+      {MessageType::kUpstreamSuspected, "upstream_suspected"},
       {MessageType::kJoinRequest, "join_request"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
--- a/src/include/corneltray/route_table.h
+++ b/src/include/corneltray/route_table.h
@@ -71,9 +71,12 @@
   double step_ms = 0.0;
   double step_ms_per_request = 0.0;
   double read_tokens_per_s = 0.0;
+  double tokens_per_event = 1.0;    // of a stream
   double usual_prompt_tokens = 0.0;
   double usual_answer_tokens = 0.0;
   double load_s = 0.0;  // of the whole model
+  double activation_bytes = 0.0;  // of one token between two stages
+  double pipe_mbps = 0.0;         // that transfers between two zones share
   std::uint32_t loads_at_once = 0;
   std::string model;
   std::map<std::string, AcceleratorKind> accelerators;  // by name
--- a/src/include/corneltray/upstream_table.h
+++ b/src/include/corneltray/upstream_table.h
@@ -37,21 +37,28 @@
   };
 };
 
+// A silent upstream is avoided while others can do its work, because its announcements come every
+// second or so.
+constexpr std::chrono::milliseconds kSilentAfter{4000};
+// A suspected upstream that has missed an announcement is taken for lost.
+constexpr std::chrono::milliseconds kSuspectSilentAfter{1500};
+// Records are kept this long after the last announcement, so that an announcement which was delayed
+// on its way is seen to be old.
+constexpr std::chrono::seconds kForgetAfter{120};
+
 struct UpstreamRecord {
   Announcement announcement;
   bool has_left = false;
   TimePoint heard_at{};  // when the newest announcement arrived here
+  bool is_suspected = false;  // a host got no answer, and no announcement has come since
 
   bool IsReady() const { return !has_left && announcement.state == UpstreamState::kReady; }
+  // Whether it is ready and not taken for lost.
+  bool IsAlive(TimePoint now) const {
+    return IsReady() && now - heard_at < (is_suspected ? kSuspectSilentAfter : kSilentAfter);
+  }
 };
 
-// A silent upstream is avoided while others can do its work, because its announcements come every
-// second or so.
-constexpr std::chrono::milliseconds kSilentAfter{4000};
-// Records are kept this long after the last announcement, so that an announcement which was delayed
-// on its way is seen to be old.
-constexpr std::chrono::seconds kForgetAfter{120};
-
 // What upstreams have said about themselves. Updates may arrive in any order, late and more than
 // once: for one name the higher incarnation and then the higher sequence wins, a departure is
 // final for its incarnation, and of two upstreams at one address the one that started later wins.
@@ -69,6 +76,10 @@
   void Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
                std::uint64_t sequence);
 
+  // A host got no answer from an upstream whose last announcement there was `sequence`.
+  void Suspect(TimePoint now, const std::string& name, std::uint64_t incarnation,
+               std::uint64_t sequence);
+
   // Drops what was not heard for kForgetAfter.
   void Expire(TimePoint now);
 
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -87,8 +87,8 @@
        "the seeds are the replicas of the first start; their names are their IP addresses"},
       {"control.first_start", T::kBoolean, false, "false", 0, 0, "",
        "the region starts for the first time, with empty data folders"},
-      {"control.voters", T::kInteger, false, "3", 1, 7, "replicas",
-       "replicas that vote, when members come and go by themselves"},
+      {"control.tolerated_losses", T::kInteger, false, "1", 0, 3, "hosts",
+       "control hosts that may be lost at once; twice as many and one more replicas vote"},
       {"fleet.address", T::kString, false, "\"\"", 0, kMaxText, "",
        "IP:PORT of a control process for upstreams and operators in the installation's dialect"},
       {"entry.key_lease_ms", T::kInteger, false, "5000", 100, kHourMs, "ms",
@@ -149,7 +149,7 @@
     }
   }
   settings.control_first_start = v["control"]["first_start"];
-  settings.control_voters = v["control"]["voters"];
+  settings.control_voters = 2 * v["control"]["tolerated_losses"].get<std::uint32_t>() + 1;
   settings.fleet_address = v["fleet"]["address"];
   settings.key_lease_ms = v["entry"]["key_lease_ms"];
   settings.retry_ratio = v["entry"]["retry_ratio"];
--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -9,10 +9,12 @@
 namespace {
 
 constexpr double kBytesPerMegabyte = 1e6;
-// The room for prompts is lowered by this factor until a whole copy fits.
-constexpr double kRoomStep = 0.9;
-// An engine that takes over a neighbour's layers keeps room for this share of the usual prompts.
-constexpr double kMinRoomShare = 0.1;
+// Room for prompts that a whole copy of the model should have, as a share of the capacity that the
+// profile names. More room means more stages, and each stage adds to the time of a token and to the
+// chance that one of them fails.
+constexpr double kRoomShare = 0.6;
+// An engine that takes over a neighbour's layers keeps room for this share of the capacity.
+constexpr double kMinRoomShare = 0.25;
 // Engines of a zone that arrive one after the other are planned together.
 constexpr std::chrono::milliseconds kSettleTime{1500};
 // A leader that did not run for this long has missed announcements.
@@ -38,13 +40,24 @@
   return total;
 }
 
-// Tokens for which a zone has room beside one whole copy of the model.
+// Tokens for whose prompts an engine has room beside this many layers.
+double RoomWithLayers(const AcceleratorKind& kind, const EngineProfile& profile,
+                      std::uint32_t layers) {
+  const double left_mb = kind.memory_mb - layers * profile.layer_mb;
+  const double token_mb = profile.kv_token_bytes / profile.layers * layers / kBytesPerMegabyte;
+  return left_mb / token_mb;
+}
+
+// The most tokens for whose prompts a zone has room beside one whole copy of the model.
 double RoomForTokens(const std::vector<PlacedEngine>& engines, const EngineProfile& profile) {
-  double tokens = profile.kv_capacity_tokens;
-  while (tokens >= 1.0 && TotalThatFits(engines, profile, tokens) < profile.layers) {
-    tokens *= kRoomStep;
+  double fits = 0.0;
+  double too_many = std::max(1.0, profile.kv_capacity_tokens * kRoomShare);
+  if (TotalThatFits(engines, profile, too_many) >= profile.layers) return too_many;
+  while (too_many - fits > 1.0) {
+    const double tokens = (fits + too_many) / 2.0;
+    (TotalThatFits(engines, profile, tokens) >= profile.layers ? fits : too_many) = tokens;
   }
-  return tokens < 1.0 ? 0.0 : tokens;
+  return fits;
 }
 
 // How many usable engines hold each layer.
@@ -92,15 +105,14 @@
   }
 
  private:
+  // Returns false when no engine is left for it.
   bool FillGap(LayerRange gap) {
     PlacedEngine* engine = FindEmpty(gap);
     if (engine == nullptr) engine = FindRedundant();
-    if (engine != nullptr) {
-      const std::uint32_t fits = std::max(1U, LayersThatFit(engine->kind, m_profile, m_room));
-      Assign(engine, {gap.first, std::min(gap.end, gap.first + fits)});
-      return true;
-    }
-    return ExtendNeighbour(gap);
+    if (engine == nullptr) return ExtendNeighbour(gap);
+    const std::uint32_t fits = std::max(1U, LayersThatFit(engine->kind, m_profile, m_room));
+    Assign(engine, {gap.first, std::min(gap.end, gap.first + fits)});
+    return true;
   }
 
   // The empty engine that holds the gap with the least left over, or the largest.
@@ -133,23 +145,23 @@
     return best;
   }
 
+  // Gives layers of the gap to the engine before or after it that keeps most room.
   bool ExtendNeighbour(LayerRange gap) {
-    const double room = m_profile.kv_capacity_tokens * kMinRoomShare;
+    PlacedEngine* best = nullptr;
+    double best_room = m_profile.kv_capacity_tokens * kMinRoomShare;
     for (PlacedEngine& engine : m_engines) {
       if (!engine.is_usable || engine.range.Size() == 0) continue;
-      const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, room);
-      if (fits <= engine.range.Size()) continue;
-      const std::uint32_t more = std::min(gap.Size(), fits - engine.range.Size());
-      if (engine.range.end == gap.first) {
-        Assign(&engine, {engine.range.first, engine.range.end + more});
-        return true;
-      }
-      if (engine.range.first == gap.end) {
-        Assign(&engine, {engine.range.first - more, engine.range.end});
-        return true;
-      }
+      if (engine.range.end != gap.first && engine.range.first != gap.end) continue;
+      const double room = RoomWithLayers(engine.kind, m_profile, engine.range.Size() + 1);
+      if (room < best_room) continue;
+      best = &engine;
+      best_room = room;
     }
-    return false;
+    if (best == nullptr) return false;
+    const bool before = best->range.end == gap.first;
+    Assign(best, before ? LayerRange{best->range.first, best->range.end + 1}
+                        : LayerRange{best->range.first - 1, best->range.end});
+    return true;
   }
 
   // The range of this engine's size that is held least often; of equals the first.
@@ -169,6 +181,7 @@
     return best;
   }
 
+  // An engine may be assigned more than once; the last range is ordered.
   void Assign(PlacedEngine* engine, LayerRange range) {
     for (std::uint32_t l = engine->range.first; l < engine->range.end; ++l) --m_held[l];
     engine->range = range;
@@ -195,15 +208,15 @@
 
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile) {
-  std::vector<PlacedEngine> order;
-  std::copy_if(engines.begin(), engines.end(), std::back_inserter(order),
+  std::vector<PlacedEngine> usable;
+  std::copy_if(engines.begin(), engines.end(), std::back_inserter(usable),
                [](const PlacedEngine& engine) { return engine.is_usable; });
-  std::sort(order.begin(), order.end(), IsFaster);
-  const double room = RoomForTokens(order, profile);
+  std::sort(usable.begin(), usable.end(), IsFaster);
+  const double room = RoomForTokens(usable, profile);
   std::map<std::string, LayerRange> ranges;
   std::uint32_t next = 0;
-  for (const PlacedEngine& engine : order) {
-    if (next == profile.layers) next = 0;  // the second copy begins
+  for (const PlacedEngine& engine : usable) {
+    if (next == profile.layers) next = 0;  // another copy begins
     const std::uint32_t fits = LayersThatFit(engine.kind, profile, room);
     const LayerRange range{next, std::min(profile.layers, next + fits)};
     if (range.Size() == 0) continue;
@@ -213,6 +226,10 @@
   return ranges;
 }
 
+bool IsWhole(const std::vector<PlacedEngine>& engines, const EngineProfile& profile) {
+  return FirstGap(Coverage(engines, profile.layers)).Size() == 0;
+}
+
 std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile) {
   return ZoneRepair(engines, profile).Run();
@@ -257,7 +274,7 @@
     PlacedEngine engine;
     engine.name = name;
     engine.kind = kind->second;
-    engine.is_usable = record.IsReady() && now - record.heard_at < kSilentAfter;
+    engine.is_usable = record.IsAlive(now);
     if (!said.holdings.empty()) {
       engine.range = {said.holdings.front().first_layer, said.holdings.front().last_layer + 1};
     }
@@ -290,17 +307,33 @@
                     [](const PlacedEngine& engine) { return engine.is_usable; }));
   // A zone of which nothing is heard is cut off rather than lost.
   if (usable == 0) return;
+  const std::string key = zone + "/" + service.name;
+  const PlaceReason reason = ChooseReason(now, engines, *service.engine, &m_zones[key]);
+  if (reason == PlaceReason::kFirstPlan && !HasSettled(now, key, usable)) return;
+  const auto ranges = reason == PlaceReason::kRepair ? RepairZone(engines, *service.engine)
+                                                     : PlanZone(engines, *service.engine);
+  for (const PlacedEngine& engine : engines) {
+    const auto range = ranges.find(engine.name);
+    if (range == ranges.end() || range->second == engine.range) continue;
+    const UpstreamRecord* record = upstreams.Find(engine.name);
+    Order(now, *record, range->second, reason, service, decisions);
+  }
+}
+
+PlaceReason LayerController::ChooseReason(TimePoint now, const std::vector<PlacedEngine>& engines,
+                                          const EngineProfile& profile, Zone* zone) const {
   const bool in_use = std::any_of(engines.begin(), engines.end(), [](const PlacedEngine& engine) {
-    return engine.range.Size() > 0;
+    return engine.is_usable && engine.range.Size() > 0;
   });
-  if (!in_use && !HasSettled(now, zone + "/" + service.name, usable)) return;
-  const auto ranges = in_use ? RepairZone(engines, *service.engine)
-                             : PlanZone(engines, *service.engine);
-  const PlaceReason reason = in_use ? PlaceReason::kRepair : PlaceReason::kFirstPlan;
-  for (const auto& [name, range] : ranges) {
-    const UpstreamRecord* record = upstreams.Find(name);
-    if (record != nullptr) Order(now, *record, range, reason, service, decisions);
+  if (!in_use) return PlaceReason::kFirstPlan;
+  if (IsWhole(engines, profile)) {
+    zone->replan_at.reset();
+    return PlaceReason::kRepair;
   }
+  if (!zone->replan_at) zone->replan_at = now + kReplanAfter;
+  if (now < *zone->replan_at) return PlaceReason::kRepair;
+  zone->replan_at.reset();
+  return PlaceReason::kReplan;
 }
 
 void LayerController::Order(TimePoint now, const UpstreamRecord& record, LayerRange range,
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -46,6 +46,7 @@
 void Exchange::Tick(TimePoint now) {
   if (m_finished) return;
   if (now >= m_request.deadline) return OnDeadline();
+  if (m_wait_deadline) return WaitForChain(now);
   if (!m_attempt) return;
   if (IsStream()) return CheckSilentStream(now);
   if (now >= m_attempt->deadline) EndAttempt(AttemptEvidence::kTimedOut);
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -37,6 +37,8 @@
   void Start();
   // Runs what is due: timeouts, and checks of silent streams.
   void Tick(TimePoint now);
+  // An engine no longer answers. A request that waits for it goes elsewhere at once.
+  void OnEngineLost(TimePoint now, const std::string& address);
   // Ends the request without an answer, as when the process stops.
   void Abandon();
 
@@ -49,6 +51,9 @@
     std::vector<ChainStage> chain;
     TimePoint started_at{};
     TimePoint deadline{};  // of this attempt alone
+    double tokens = 0.0;   // that it keeps in the memory of each stage
+    double token_s = 0.0;  // expected time of one token without load
+    TimePoint last_event_at{};
     TimePoint check_at{};  // of a stream that stays silent
     bool is_asking = false;  // for a report of the first stage
     std::uint64_t events = 0;
@@ -62,6 +67,7 @@
 
   // exchange_attempt.cc
   void SendAttempt();
+  void WaitForChain(TimePoint now);
   bool ChooseUpstream(TimePoint now, Attempt* attempt);
   std::string AttemptBytes(TimePoint now) const;
   UpstreamCallbacks Callbacks();
@@ -75,6 +81,7 @@
   void CloseAttempt();
   bool MayTryAgain(const AttemptOutcome& outcome);
   void CheckSilentStream(TimePoint now);
+  void CheckSlowStream(TimePoint now);
   void OnReport(std::uint32_t attempt, const EngineReport* report);
 
   // exchange.cc
@@ -100,6 +107,7 @@
   std::set<std::string> m_excluded;  // addresses that failed this request
   ChainScope m_scope = ChainScope::kNone;
   std::optional<TimePoint> m_first_event_at;
+  std::optional<TimePoint> m_wait_deadline;  // a started request waits for a chain
   std::uint64_t m_bytes = 0;  // of the answer's body
   bool m_finished = false;
 };
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -19,8 +19,18 @@
 constexpr int kObjectivesForAttempt = 2;
 constexpr std::chrono::milliseconds kMinAttemptTime{250};
 // A stream without an event for this long asks its first stage what it waits for.
-constexpr std::chrono::milliseconds kSilenceBeforeCheck{600};
-constexpr std::chrono::milliseconds kCheckInterval{500};
+constexpr std::chrono::milliseconds kSilenceBeforeCheck{250};
+constexpr std::chrono::milliseconds kCheckInterval{400};
+// A request that waits for a lost engine and was silent for this long goes elsewhere.
+constexpr std::chrono::milliseconds kSilenceOfLostStage{120};
+// A stage that refuses this late did not answer before; one that refuses at once has no room or
+// gives up its part.
+constexpr std::chrono::milliseconds kStallBeforeRefusal{1500};
+// A request that has started to run waits this long for a chain when there is none.
+constexpr std::chrono::milliseconds kChainWait{1600};
+// A stream this many times slower than expected asks its stages for their pace.
+constexpr double kSlowStream = 3.5;
+constexpr std::uint64_t kEventsBeforePace = 8;
 // Attempts beyond those that the route allows, for ones that were refused without running.
 constexpr std::uint32_t kExtraAttempts = 2;
 constexpr std::size_t kMaxWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -50,9 +60,15 @@
   const TimePoint now = Clock::now();
   Attempt attempt;
   if (!ChooseUpstream(now, &attempt)) {
-    if (m_attempts == 0) return Refuse(GatewayRefusal::kNoUpstream);
-    return Fail(JudgeAttempt(m_last_evidence, MayRepeat(*m_request.route)).status);
+    if (m_has_run == HasRun::kNo) return Refuse(GatewayRefusal::kNoUpstream);
+    if (!IsStream()) {
+      return Fail(JudgeAttempt(m_last_evidence, MayRepeat(*m_request.route)).status);
+    }
+    // Layers are loaded again within a second or so, and the caller keeps what it has.
+    if (!m_wait_deadline) m_wait_deadline = now + kChainWait;
+    return;
   }
+  m_wait_deadline.reset();
   attempt.number = ++m_attempts;
   attempt.started_at = now;
   const bool bounded = MayRepeat(*m_request.route) && m_attempts < m_request.route->max_upstreams;
@@ -62,10 +78,13 @@
         kMinAttemptTime, m_request.route->objective * kObjectivesForAttempt);
     attempt.deadline = std::min(m_request.deadline, now + time);
   }
+  attempt.last_event_at = now;
   attempt.check_at = now + kSilenceBeforeCheck;
   m_attempt = std::move(attempt);
   if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
-    router->Begin(m_attempt->chain);
+    m_attempt->tokens =
+        m_request.facts.prompt_tokens + router->Profile().usual_answer_tokens / 2.0;
+    router->Begin(m_attempt->chain, m_attempt->tokens);
   } else {
     m_gateway->PickerOf(m_request.service->name).Begin(m_attempt->address);
   }
@@ -84,6 +103,12 @@
   m_attempt->call = m_gateway->Pool().Send(std::move(request), Callbacks());
 }
 
+void Exchange::WaitForChain(TimePoint now) {
+  if (now < *m_wait_deadline) return SendAttempt();
+  m_wait_deadline.reset();
+  Fail(JudgeAttempt(m_last_evidence, MayRepeat(*m_request.route)).status);
+}
+
 bool Exchange::ChooseUpstream(TimePoint now, Attempt* attempt) {
   const UpstreamTable& upstreams = m_gateway->Upstreams();
   if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
@@ -93,6 +118,7 @@
     attempt->upstream = choice.stages.front().upstream;
     attempt->address = choice.stages.front().address;
     attempt->chain = std::move(choice.stages);
+    attempt->token_s = choice.token_s;
     return true;
   }
   const auto choice =
@@ -180,14 +206,21 @@
   const std::string faulty =
       facts.faulty_address.empty() ? m_attempt->address : facts.faulty_address;
   m_excluded.insert(faulty);
-  if (m_gateway->RouterOf(*m_request.service) != nullptr && !facts.faulty_address.empty()) {
-    m_gateway->Suspect(faulty, "refused_its_part");
+  if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
+    const TimePoint now = Clock::now();
+    if (now - m_attempt->started_at >= kStallBeforeRefusal) {
+      m_gateway->Suspect(faulty, "refused_after_a_stall");
+    } else {
+      router->MarkFull(now, faulty);
+    }
   }
   EndAttempt(AttemptEvidence::kRefused);
 }
 
 void Exchange::OnBody(std::string_view bytes) {
-  m_attempt->check_at = Clock::now() + kSilenceBeforeCheck;
+  const TimePoint now = Clock::now();
+  m_attempt->last_event_at = now;
+  m_attempt->check_at = now + kSilenceBeforeCheck;
   if (IsStream() && m_attempt->head.status < kFirstFailure) return PassOnEvents(bytes);
   m_attempt->body.append(bytes);
   if (m_attempt->body.size() > kMaxWholeAnswer) EndAttempt(AttemptEvidence::kMalformed);
@@ -258,7 +291,7 @@
 void Exchange::CloseAttempt() {
   if (!m_attempt) return;
   if (EngineRouter* router = m_gateway->RouterOf(*m_request.service)) {
-    router->End(m_attempt->chain);
+    router->End(m_attempt->chain, m_attempt->tokens);
   } else {
     m_gateway->PickerOf(m_request.service->name).End(m_attempt->address);
   }
@@ -272,6 +305,7 @@
 }
 
 void Exchange::CheckSilentStream(TimePoint now) {
+  CheckSlowStream(now);
   if (now < m_attempt->check_at || m_attempt->is_asking) return;
   m_attempt->is_asking = true;
   const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -281,6 +315,27 @@
   });
 }
 
+// Finds the stage that makes a stream slow, so that later requests avoid it.
+void Exchange::CheckSlowStream(TimePoint now) {
+  if (m_attempt->events < kEventsBeforePace || !m_first_event_at) return;
+  const double took_s = std::chrono::duration<double>(now - m_attempt->started_at).count();
+  const double tokens = static_cast<double>(m_attempt->events) *
+                        m_gateway->RouterOf(*m_request.service)->Profile().tokens_per_event;
+  if (took_s < kSlowStream * tokens * m_attempt->token_s) return;
+  for (const ChainStage& stage : m_attempt->chain) m_gateway->AskPace(stage.address);
+}
+
+void Exchange::OnEngineLost(TimePoint now, const std::string& address) {
+  if (m_finished || !m_attempt || now - m_attempt->last_event_at < kSilenceOfLostStage) return;
+  const auto& chain = m_attempt->chain;
+  const bool waits = std::any_of(chain.begin(), chain.end(), [&](const ChainStage& stage) {
+    return stage.address == address;
+  });
+  if (!waits) return;
+  m_excluded.insert(address);
+  EndAttempt(AttemptEvidence::kStageLost);
+}
+
 void Exchange::OnReport(std::uint32_t attempt, const EngineReport* report) {
   if (m_finished || !m_attempt || m_attempt->number != attempt) return;
   const TimePoint now = Clock::now();
@@ -288,16 +343,15 @@
   if (now < m_attempt->check_at) return;  // an event came meanwhile
   m_attempt->check_at = now + kCheckInterval;
   if (report == nullptr) {
-    m_excluded.insert(m_attempt->address);
-    m_gateway->Suspect(m_attempt->address, "no_report");
-    return EndAttempt(AttemptEvidence::kStageLost);
+    // Ends this attempt as well as all others that wait for the engine.
+    m_attempt->last_event_at = {};
+    return m_gateway->Suspect(m_attempt->address, "no_report");
   }
   for (const ChainStage& stage : m_attempt->chain) {
     const auto& stalled = report->stalled_addresses;
     if (std::find(stalled.begin(), stalled.end(), stage.address) == stalled.end()) continue;
-    m_excluded.insert(stage.address);
-    m_gateway->Suspect(stage.address, "stalls_its_chain");
-    return EndAttempt(AttemptEvidence::kStageLost);
+    m_attempt->last_event_at = {};
+    return m_gateway->Suspect(stage.address, "stalls_its_chain");
   }
 }
 
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -247,6 +247,9 @@
             {"status", question.status},
             {"running", report ? report->running : 0},
             {"waiting", report ? report->waiting : 0},
+            {"slowness", report ? report->slowness : 0.0},
+            {"kv_used", report ? report->kv_used : 0.0},
+            {"kv_total", report ? report->kv_total : 0.0},
             {"stalled", report ? report->stalled_addresses : std::vector<std::string>()}});
   for (const StalledCallback& done : question.waiting) done(report ? &*report : nullptr);
 }
@@ -261,6 +264,25 @@
             {"upstream", record == nullptr ? "" : record->announcement.name},
             {"sequence", sequence},
             {"reason", why}});
+  if (record != nullptr && m_on_suspect) {
+    m_on_suspect({record->announcement.name, record->announcement.incarnation, sequence});
+  }
+  const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
+  for (const auto& exchange : exchanges) exchange->OnEngineLost(now, address);
+}
+
+void Gateway::AskPace(const std::string& address) {
+  constexpr std::chrono::milliseconds kPaceInterval{5000};
+  const TimePoint now = Clock::now();
+  TimePoint& next = m_next_pace[address];
+  if (now < next) return;
+  next = now + kPaceInterval;
+  AskReport(address, [this, address](const EngineReport* report) {
+    if (report == nullptr) return;
+    for (auto& [service, router] : m_routers) {
+      router.SetSlowness(Clock::now(), address, report->slowness);
+    }
+  });
 }
 
 std::string Gateway::MetricsText() const {
--- a/src/libserving/upstream_table.cc
+++ b/src/libserving/upstream_table.cc
@@ -64,7 +64,7 @@
     const auto at = m_by_address.find(known->second.announcement.address);
     if (at != m_by_address.end() && at->second == fresh.name) m_by_address.erase(at);
   }
-  m_records[fresh.name] = {fresh, update.has_left, now};
+  m_records[fresh.name] = {fresh, update.has_left, now, false};
   m_by_address[fresh.address] = fresh.name;
   if (verdict != UpdateVerdict::kRefreshed) ++m_generation;
   return verdict;
@@ -91,6 +91,19 @@
   if (sequence <= record.announcement.sequence) return;
   record.announcement.sequence = sequence;
   record.heard_at = now;
+  record.is_suspected = false;
+}
+
+void UpstreamTable::Suspect(TimePoint now, const std::string& name, std::uint64_t incarnation,
+                            std::uint64_t sequence) {
+  const auto known = m_records.find(name);
+  if (known == m_records.end()) return;
+  UpstreamRecord& record = known->second;
+  // An announcement that is newer, or very young, speaks against the suspicion.
+  constexpr std::chrono::milliseconds kYoung{150};
+  if (record.announcement.incarnation != incarnation) return;
+  if (record.announcement.sequence > sequence || now - record.heard_at < kYoung) return;
+  record.is_suspected = true;
 }
 
 void UpstreamTable::Expire(TimePoint now) {
