--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -12,7 +12,7 @@
 // Room for prompts that a whole copy of the model should have, as a share of the capacity that the
 // profile names. More room means more stages, and each stage adds to the time of a token and to the
 // chance that one of them fails.
-constexpr double kRoomShare = 0.6;
+constexpr double kRoomShare = 1.0;
 // An engine that takes over a neighbour's layers keeps room for this share of the capacity.
 constexpr double kMinRoomShare = 0.25;
 // Engines of a zone that arrive one after the other are planned together.
@@ -226,6 +226,38 @@
   return ranges;
 }
 
+std::map<std::string, LayerRange> ReplanZone(const std::vector<PlacedEngine>& engines,
+                                             const EngineProfile& profile) {
+  std::vector<PlacedEngine> usable;
+  std::copy_if(engines.begin(), engines.end(), std::back_inserter(usable),
+               [](const PlacedEngine& engine) { return engine.is_usable; });
+  std::sort(usable.begin(), usable.end(), IsFaster);
+  const double room = RoomForTokens(usable, profile);
+  // Layers of each engine; what is more than one copy is taken from the slowest.
+  std::uint32_t left = profile.layers;
+  std::map<std::string, std::uint32_t> sizes;
+  for (const PlacedEngine& engine : usable) {
+    const std::uint32_t size = std::min(left, LayersThatFit(engine.kind, profile, room));
+    sizes[engine.name] = size;
+    left -= size;
+  }
+  // An engine that holds nothing goes where it moves the others least: to the end.
+  std::stable_sort(usable.begin(), usable.end(), [](const PlacedEngine& a, const PlacedEngine& b) {
+    const bool a_holds = a.range.Size() > 0;
+    const bool b_holds = b.range.Size() > 0;
+    if (a_holds != b_holds) return a_holds;
+    return a_holds && a.range.first < b.range.first;
+  });
+  std::map<std::string, LayerRange> ranges;
+  std::uint32_t next = 0;
+  for (const PlacedEngine& engine : usable) {
+    const LayerRange range{next, next + sizes[engine.name]};
+    if (range.Size() > 0) ranges[engine.name] = range;
+    next = range.end;
+  }
+  return ranges;
+}
+
 bool IsWhole(const std::vector<PlacedEngine>& engines, const EngineProfile& profile) {
   return FirstGap(Coverage(engines, profile.layers)).Size() == 0;
 }
@@ -310,8 +342,9 @@
   const std::string key = zone + "/" + service.name;
   const PlaceReason reason = ChooseReason(now, engines, *service.engine, &m_zones[key]);
   if (reason == PlaceReason::kFirstPlan && !HasSettled(now, key, usable)) return;
-  const auto ranges = reason == PlaceReason::kRepair ? RepairZone(engines, *service.engine)
-                                                     : PlanZone(engines, *service.engine);
+  const auto ranges = reason == PlaceReason::kRepair   ? RepairZone(engines, *service.engine)
+                      : reason == PlaceReason::kReplan ? ReplanZone(engines, *service.engine)
+                                                       : PlanZone(engines, *service.engine);
   for (const PlacedEngine& engine : engines) {
     const auto range = ranges.find(engine.name);
     if (range == ranges.end() || range->second == engine.range) continue;
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -58,6 +58,7 @@
     bool is_asking = false;  // for a report of the first stage
     std::uint64_t events = 0;
     HttpHead head;     // of its answer
+    std::string faulty_address;  // stage at fault, if its answer names one
     std::string body;  // of an answer that is passed on when it is complete
     UpstreamCall call;
   };
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -180,6 +180,7 @@
   const AnswerFacts facts = m_gateway->GetDialect().ReadAnswer(head);
   NoteLoad(facts);
   m_attempt->head = std::move(head);
+  m_attempt->faulty_address = facts.faulty_address;
   const int status = m_attempt->head.status;
   if (facts.is_not_run) return OnRefused(facts);
   if (status < kFirstFailure && (!facts.is_authentic || facts.is_encoded)) {
@@ -264,6 +265,7 @@
             {"evidence", NameOf(evidence)},
             {"has_run", NameOf(outcome.has_run)},
             {"status", m_attempt->head.status},
+            {"faulty_address", m_attempt->faulty_address},
             {"events", m_attempt->events},
             {"after_ms", std::chrono::duration<double, std::milli>(now - m_attempt->started_at)
                              .count()}});
--- a/src/libserving/gateway_request.cc
+++ b/src/libserving/gateway_request.cc
@@ -85,6 +85,7 @@
     case GatewayRefusal::kNoTime:
       return std::nullopt;
     case GatewayRefusal::kNoRouteTable:
+      return milliseconds(3000);  // the control processes start as well, and elect a leader
     case GatewayRefusal::kKeyLeaseLapsed:
       return milliseconds(500);  // another host may be able to tell
     case GatewayRefusal::kUpstreamsRefused:
