Bound the log lines of each event and write them on a thread of their own

A flood of one event could fill standard output, and a reader that stopped reading it held up requests.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -416,9 +416,8 @@
   for (const PeerStatus& peer : m_node->Peers()) {
     if (peer.connected && peer.identity.program != kControlProgram) ++entry_hosts;
   }
-  json reply = {{"version", store.Version()},
-                {"members", std::move(members)},
-                {"entry_hosts", entry_hosts}};
+  json reply = {
+      {"version", store.Version()}, {"members", std::move(members)}, {"entry_hosts", entry_hosts}};
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -35,12 +35,9 @@
 json TextBody(const std::string& text) { return {{"error", text}}; }
 
 json LogFields(const Announcement& said) {
-  json fields = {{"upstream", said.name},
-                 {"incarnation", said.incarnation},
-                 {"sequence", said.sequence},
-                 {"address", said.address},
-                 {"service", said.service},
-                 {"upstream_zone", said.availability_zone},
+  json fields = {{"upstream", said.name},      {"incarnation", said.incarnation},
+                 {"sequence", said.sequence},  {"address", said.address},
+                 {"service", said.service},    {"upstream_zone", said.availability_zone},
                  {"state", NameOf(said.state)}};
   if (!said.holdings.empty()) {
     fields["first_layer"] = said.holdings.front().first_layer;
@@ -61,14 +58,14 @@
       m_keeper(m_options.target_voters) {}
 
 void FleetService::Register() {
-  m_options.node->SetPushHandler(
-      MessageType::kUpstreamUpdates, [this](const PeerIdentity&, const json& body) {
-        auto updates = DecodeUpstreamUpdates(body);
-        if (!updates) return;
-        asio::post(*m_io, [this, updates = std::move(updates).value()] {
-          ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
-        });
-      });
+  m_options.node->SetPushHandler(MessageType::kUpstreamUpdates,
+                                 [this](const PeerIdentity&, const json& body) {
+                                   auto updates = DecodeUpstreamUpdates(body);
+                                   if (!updates) return;
+                                   asio::post(*m_io, [this, updates = std::move(updates).value()] {
+                                     ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
+                                   });
+                                 });
   m_options.node->SetPushHandler(
       MessageType::kUpstreamSuspected, [this](const PeerIdentity& from, const json& body) {
         auto suspected = DecodeUpstreamUpdates(body);
@@ -216,7 +213,8 @@
   ReplaceRouteTable command{version, Compress(put.text)};
   const json body = ProposeBody(command, kPutTimeout.count());
   const auto respond = [this, call, version](const Result<json>& result) {
-    const auto reply = result ? ParseReplyBody(result.value()) : Result<CommandReply>(result.error());
+    const auto reply =
+        result ? ParseReplyBody(result.value()) : Result<CommandReply>(result.error());
     asio::post(*m_io, [call, version, reply] {
       if (!reply) {
         LogEvent(LogLevel::kWarning, "route_table_not_acknowledged",
@@ -224,8 +222,7 @@
         return Answer(call, 503, TextBody(reply.error().ToString()).dump());
       }
       const auto* outcome = std::get_if<RouteTableReply>(&reply.value());
-      const bool conflict =
-          outcome == nullptr || outcome->verdict == RouteTableVerdict::kConflict;
+      const bool conflict = outcome == nullptr || outcome->verdict == RouteTableVerdict::kConflict;
       LogEvent(LogLevel::kInfo, "route_table_decided",
                {{"version", version},
                 {"verdict", outcome == nullptr ? "unknown" : NameOf(outcome->verdict)},
@@ -243,7 +240,8 @@
   const json body = {{"have", 0}, {"confirmed", true}, {"timeout_ms", kGetTimeout.count()}};
   const auto respond = [this, call](const Result<json>& result) {
     const bool found = result && result.value().contains("text");
-    const std::string why = !result ? result.error().ToString() : result.value().value("detail", "");
+    const std::string why =
+        !result ? result.error().ToString() : result.value().value("detail", "");
     std::string compressed;
     if (found) {
       const auto& bytes = result.value().at("text").get_binary();
@@ -255,7 +253,8 @@
       Answer(call, 200, text.value());
     });
   };
-  m_options.node->Post([this, body, respond] { m_options.control->FetchRouteTable(body, respond); });
+  m_options.node->Post(
+      [this, body, respond] { m_options.control->FetchRouteTable(body, respond); });
 }
 
 void FleetService::Broadcast(MessageType type, const json& body) {
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -15,11 +15,11 @@
 
 #include "control_http.h"
 #include "control_node.h"
-#include "fleet_service.h"
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/program.h"
 #include "corneltray/settings_watcher.h"
+#include "fleet_service.h"
 #include "platform_dialect.h"
 
 namespace corneltray {
@@ -99,6 +99,7 @@
       fleet.join();
     }
     Stop();
+    StopLogging(m_exit_code);
     return m_exit_code;
   }
 
--- a/src/corneltray-entry/main.cc
+++ b/src/corneltray-entry/main.cc
@@ -26,9 +26,11 @@
   EntryProcess process(std::move(settings));
   if (const Status started = process.Start(); !started) {
     LogEvent(LogLevel::kError, "start_failed", {{"detail", started.error().ToString()}});
+    StopLogging(kExitAddress);
     return kExitAddress;
   }
   process.Run([] { return g_stop != 0; });
+  StopLogging(kExitOk);
   return kExitOk;
 }
 
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -169,8 +169,7 @@
   --m_asking;
   const bool answered = reply && reply.value().contains("version");
   if (!answered) {
-    const std::string why =
-        reply ? reply.value().value("detail", "") : reply.error().ToString();
+    const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
              {{"control_host", host}, {"reason", why}});
     if (m_preferred == host) {
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -52,7 +52,7 @@
   std::map<std::string, std::uint64_t> m_linked;  // control hosts with a link, and incarnations
   std::string m_preferred;                        // control host that confirmed last
   std::string m_peer_port;
-  std::uint32_t m_asking = 0;                     // fetches in progress
+  std::uint32_t m_asking = 0;  // fetches in progress
   TimePoint m_next_fetch{};
   TimePoint m_started_at{};
   TimePoint m_confirmed_at{};
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -49,13 +49,17 @@
   int Run() {
     std::signal(SIGPIPE, SIG_IGN);
     StartLogging({kProgram, m_settings.name, m_settings.availability_zone}, m_settings.log_level);
-    if (const int code = Start(); code != kExitOk) return code;
+    if (const int code = Start(); code != kExitOk) {
+      StopLogging(code);
+      return code;
+    }
     WaitForSignal();
     m_io.run();
     m_feed->Stop();
     m_gateway->CloseAll();
     m_node->Stop();
     LogEvent(LogLevel::kInfo, "stopped", nlohmann::json::object());
+    StopLogging(kExitOk);
     return kExitOk;
   }
 
--- a/src/corneltray-placement/main.cc
+++ b/src/corneltray-placement/main.cc
@@ -43,9 +43,11 @@
   if (const Status started = process.Start(); !started) {
     LogEvent(LogLevel::kError, "start_failed", {{"detail", started.error().ToString()}});
     std::cerr << "corneltray-placement: " << started.error().ToString() << "\n";
+    StopLogging(kExitAddress);
     return kExitAddress;
   }
   process.Run([] { return g_stop != 0; });
+  StopLogging(kExitOk);
   return kExitOk;
 }
 
--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -39,19 +39,19 @@
 struct AttemptFacts {
   std::string upstream;  // the only one that may run it
   std::chrono::milliseconds time_left{0};
-  std::string customer;           // empty: the route needs none
-  std::vector<ChainStage> chain;  // empty: the upstream alone
+  std::string customer;                  // empty: the route needs none
+  std::vector<ChainStage> chain;         // empty: the upstream alone
   std::optional<std::uint32_t> urgency;  // 0 goes first, 9 last
   std::string last_event_id;             // replaces the caller's; empty: leaves it
 };
 
 // What the head of an answer says beyond its status.
 struct AnswerFacts {
-  std::string request_id;  // that it answers
-  bool is_authentic = false;  // carries the upstream's own mark
-  bool is_not_run = false;    // the upstream did not run the request and will not
-  bool is_encoded = false;    // the body is not the one that the upstream made
-  std::string faulty_address;       // stage at fault in a chain; empty: none named
+  std::string request_id;      // that it answers
+  bool is_authentic = false;   // carries the upstream's own mark
+  bool is_not_run = false;     // the upstream did not run the request and will not
+  bool is_encoded = false;     // the body is not the one that the upstream made
+  std::string faulty_address;  // stage at fault in a chain; empty: none named
   std::optional<LoadReport> load;
   std::optional<std::uint32_t> slots;  // of the upstream, told together with the load
 };
@@ -77,8 +77,8 @@
   std::string reason;
 };
 
-using ControlCall = std::variant<AnnounceCall, LeaveCall, PutRouteTableCall, GetRouteTableCall,
-                                 RefusedCall>;
+using ControlCall =
+    std::variant<AnnounceCall, LeaveCall, PutRouteTableCall, GetRouteTableCall, RefusedCall>;
 
 // --- Calls to engines ---
 
@@ -96,9 +96,9 @@
   bool is_busy = false;  // an order is being carried out
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  double kv_used = 0.0;   // tokens times layers
+  double kv_used = 0.0;  // tokens times layers
   double kv_total = 0.0;
-  double slowness = 1.0;  // over 1: slower than its kind
+  double slowness = 1.0;                       // over 1: slower than its kind
   std::vector<std::string> stalled_addresses;  // stages that requests of this engine wait for
 };
 
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -42,9 +42,9 @@
 struct ChainChoice {
   std::vector<ChainStage> stages;  // empty: there is no chain
   ChainScope scope = ChainScope::kNone;
-  double cost_s = 0.0;          // estimated time of a usual request
-  double token_s = 0.0;         // estimated time of one token without load
-  double load = 0.0;            // of the fullest stage: tokens in its memory over its room
+  double cost_s = 0.0;   // estimated time of a usual request
+  double token_s = 0.0;  // estimated time of one token without load
+  double load = 0.0;     // of the fullest stage: tokens in its memory over its room
 };
 
 // Chooses the chain of engines of one service for each generation: the one with the least estimated
@@ -123,7 +123,7 @@
   EngineProfile m_profile;
   std::vector<Engine> m_engines;
   std::vector<Pool> m_pools;
-  std::map<std::string, State> m_states;        // by address
+  std::map<std::string, State> m_states;         // by address
   std::map<std::string, ZoneLoad> m_zone_loads;  // by zone
 };
 
--- a/src/include/corneltray/layer_placement.h
+++ b/src/include/corneltray/layer_placement.h
@@ -43,15 +43,15 @@
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile);
 
-// Plans one whole copy over all usable engines of a zone that lost some for good. Engines keep their
-// order, so that each keeps most of its layers and serves them meanwhile.
+// Plans one whole copy over all usable engines of a zone that lost some for good. Engines keep
+// their order, so that each keeps most of its layers and serves them meanwhile.
 std::map<std::string, LayerRange> ReplanZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile);
 
 // Returns ranges for engines of a zone that is in use, without moving layers that others need:
 // layers that no usable engine holds go to an empty engine, else to one whose layers others hold
-// too, else to neighbours while they keep room for prompts; empty engines that are left take the layers that are held least often. Engines that are not
-// named keep their range.
+// too, else to neighbours while they keep room for prompts; empty engines that are left take the
+// layers that are held least often. Engines that are not named keep their range.
 std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile);
 
--- a/src/include/corneltray/log.h
+++ b/src/include/corneltray/log.h
@@ -33,8 +33,14 @@
 // Called once, before any other thread starts.
 void StartLogging(LogIdentity identity, LogLevel level);
 
-// Writes one line with the event name and the given fields. Prompt text and keys never go into the
-// fields. May be called from any thread; does nothing before StartLogging.
+// Writes the lines that wait and ends logging. Called once, at the end of the process. If nobody
+// reads standard output the process ends here with the exit code.
+void StopLogging(int exit_code);
+
+// Writes one line with the event name and the given fields. Never waits for the reader of standard
+// output: lines of one event beyond a rate are left out, and the next one tells how many. Prompt
+// text and keys never go into the fields. May be called from any thread; does nothing before
+// StartLogging.
 void LogEvent(LogLevel level, std::string_view event, const nlohmann::json& fields);
 
 // Returns whether a line of this level would be written, to skip building expensive fields.
--- a/src/include/corneltray/program.h
+++ b/src/include/corneltray/program.h
@@ -39,7 +39,8 @@
 // Returns the settings to run with, or the exit code when the program is done: after --help,
 // --version, --check or a mistake.
 // `settings_path`, if given, gets the path of the settings file.
-std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc, char** argv,
+std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc,
+                                                      char** argv,
                                                       std::string* settings_path = nullptr);
 
 }  // namespace corneltray
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -29,17 +29,17 @@
   std::string data_folder;                 // empty on a host without a disk
   std::vector<std::string> control_hosts;  // names of the control replicas, for the first start
   bool control_first_start = false;        // the region starts for the first time
-  std::uint32_t control_voters = 0;        // replicas that vote, when members are kept by themselves
+  std::uint32_t control_voters = 0;  // replicas that vote, when members are kept by themselves
   std::string fleet_address;  // IP:PORT for upstreams and operators in the installation's dialect
-  std::vector<std::string> lease_voters;   // names of the placement processes of this zone
+  std::vector<std::string> lease_voters;  // names of the placement processes of this zone
   std::uint32_t http_threads = 0;
   std::int64_t drain_grace_ms = 0;
   std::int64_t drain_deadline_ms = 0;
   LogLevel log_level = LogLevel::kInfo;
-  std::string weight_store;  // IP:PORT, for placement
-  std::int64_t key_lease_ms = 0;      // customer keys are honoured this long without the log
-  double retry_ratio = 0.0;           // second attempts for each request, over all entry hosts
-  double retry_allowance = 0.0;       // second attempts in a window that need no requests
+  std::string weight_store;       // IP:PORT, for placement
+  std::int64_t key_lease_ms = 0;  // customer keys are honoured this long without the log
+  double retry_ratio = 0.0;       // second attempts for each request, over all entry hosts
+  double retry_allowance = 0.0;   // second attempts in a window that need no requests
   std::int64_t retry_window_ms = 0;
 };
 
--- a/src/include/corneltray/upstream_pool.h
+++ b/src/include/corneltray/upstream_pool.h
@@ -42,8 +42,8 @@
 };
 
 struct UpstreamRequest {
-  std::string address;  // IP:PORT
-  std::string bytes;    // the whole request as sent
+  std::string address;        // IP:PORT
+  std::string bytes;          // the whole request as sent
   bool without_body = false;  // the answer has no body, as to HEAD
   // Opens a connection of its own instead of reusing one that the upstream may be closing.
   bool fresh_connection = false;
--- a/src/include/corneltray/upstream_table.h
+++ b/src/include/corneltray/upstream_table.h
@@ -31,8 +31,10 @@
 template <>
 struct EnumNames<UpdateVerdict> {
   static constexpr EnumName<UpdateVerdict> kTable[] = {
-      {UpdateVerdict::kNew, "new"},           {UpdateVerdict::kChanged, "changed"},
-      {UpdateVerdict::kRefreshed, "refreshed"}, {UpdateVerdict::kStale, "stale"},
+      {UpdateVerdict::kNew, "new"},
+      {UpdateVerdict::kChanged, "changed"},
+      {UpdateVerdict::kRefreshed, "refreshed"},
+      {UpdateVerdict::kStale, "stale"},
       {UpdateVerdict::kReplaced, "replaced"},
   };
 };
@@ -49,7 +51,7 @@
 struct UpstreamRecord {
   Announcement announcement;
   bool has_left = false;
-  TimePoint heard_at{};  // when the newest announcement arrived here
+  TimePoint heard_at{};       // when the newest announcement arrived here
   bool is_suspected = false;  // a host got no answer, and no announcement has come since
 
   bool IsReady() const { return !has_left && announcement.state == UpstreamState::kReady; }
@@ -91,8 +93,8 @@
   std::uint64_t Generation() const { return m_generation; }
 
  private:
-  std::map<std::string, UpstreamRecord> m_records;    // by name
-  std::map<std::string, std::string> m_by_address;    // name of the latest upstream there
+  std::map<std::string, UpstreamRecord> m_records;  // by name
+  std::map<std::string, std::string> m_by_address;  // name of the latest upstream there
   std::uint64_t m_generation = 0;
 };
 
--- a/src/libcorneltray/program.cc
+++ b/src/libcorneltray/program.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc, char** argv,
-                                                      std::string* settings_path) {
+std::variant<HostSettings, int> ParseProgramArguments(const ProgramSpec& spec, int argc,
+                                                      char** argv, std::string* settings_path) {
   std::string path;
   bool check = false;
   CLI::App app(spec.description, spec.name);
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -10,8 +10,8 @@
 json EncodeUpstreamUpdates(const UpstreamUpdates& updates) {
   json changed = json::array();
   for (const UpstreamUpdate& update : updates.updates) {
-    changed.push_back({{"announcement", EncodeAnnouncement(update.announcement)},
-                       {"has_left", update.has_left}});
+    changed.push_back(
+        {{"announcement", EncodeAnnouncement(update.announcement)}, {"has_left", update.has_left}});
   }
   json refreshed = json::array();
   for (const UpstreamRefresh& refresh : updates.refreshes) {
--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -135,9 +135,9 @@
       if (!engine.is_usable || engine.range.Size() == 0 || m_changes.count(engine.name) > 0) {
         continue;
       }
-      const bool redundant = std::all_of(m_held.begin() + engine.range.first,
-                                         m_held.begin() + engine.range.end,
-                                         [](std::uint32_t count) { return count > 1; });
+      const bool redundant =
+          std::all_of(m_held.begin() + engine.range.first, m_held.begin() + engine.range.end,
+                      [](std::uint32_t count) { return count > 1; });
       if (redundant && (best == nullptr || engine.range.Size() < best->range.Size())) {
         best = &engine;
       }
@@ -329,14 +329,13 @@
   return now >= state.settled_at;
 }
 
-void LayerController::PlaceZone(TimePoint now, const std::string& zone,
-                                const RouteService& service, const UpstreamTable& upstreams,
+void LayerController::PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
+                                const UpstreamTable& upstreams,
                                 std::vector<PlaceDecision>* decisions) {
   const std::vector<PlacedEngine> engines =
       ReadZone(now, zone, service.name, *service.engine, upstreams);
-  const auto usable = static_cast<std::size_t>(
-      std::count_if(engines.begin(), engines.end(),
-                    [](const PlacedEngine& engine) { return engine.is_usable; }));
+  const auto usable = static_cast<std::size_t>(std::count_if(
+      engines.begin(), engines.end(), [](const PlacedEngine& engine) { return engine.is_usable; }));
   // A zone of which nothing is heard is cut off rather than lost.
   if (usable == 0) return;
   const std::string key = zone + "/" + service.name;
--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -62,17 +62,17 @@
 void HttpCallerConnection::Read() {
   if (m_read_pending || m_state == State::kClosed || m_input.size() > kMaxReadAhead) return;
   m_read_pending = true;
-  m_socket.async_read_some(asio::buffer(m_chunk), [self = shared_from_this()](
-                                                      const asio::error_code& error,
-                                                      std::size_t bytes) {
-    self->m_read_pending = false;
-    if (self->m_state == State::kClosed) return;
-    if (error) {
-      self->OnEnd();
-    } else {
-      self->OnRead(bytes);
-    }
-  });
+  m_socket.async_read_some(
+      asio::buffer(m_chunk),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t bytes) {
+        self->m_read_pending = false;
+        if (self->m_state == State::kClosed) return;
+        if (error) {
+          self->OnEnd();
+        } else {
+          self->OnRead(bytes);
+        }
+      });
 }
 
 void HttpCallerConnection::OnEnd() { Close(false); }
@@ -241,8 +241,8 @@
 void HttpCallerConnection::Flush() {
   while (!m_write_pending && Unsent() > 0 && m_state != State::kClosed) {
     asio::error_code error;
-    const std::size_t written = m_socket.write_some(
-        asio::buffer(m_output.data() + m_output_at, Unsent()), error);
+    const std::size_t written =
+        m_socket.write_some(asio::buffer(m_output.data() + m_output_at, Unsent()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return WaitWritable();
     if (error) {
       // Not from here: the handler that wrote is still on the stack.
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -106,7 +106,7 @@
   bool m_continue_sent = false;
   bool m_begun = false;
   bool m_chunked = false;
-  bool m_no_body = false;   // the request allows the answer no body
+  bool m_no_body = false;  // the request allows the answer no body
   bool m_keep_alive = true;
   std::string m_output;
   std::size_t m_output_at = 0;
--- a/src/libhttp/http_head.cc
+++ b/src/libhttp/http_head.cc
@@ -63,7 +63,8 @@
 
 std::string_view HttpHead::Value(std::string_view name) const {
   const std::string* value = Find(name);
-  return value == nullptr ? std::string_view() : std::string_view(*value);
+  if (value == nullptr) return {};
+  return *value;
 }
 
 void HttpHead::Add(std::string_view name, std::string_view value) {
@@ -81,7 +82,8 @@
 }
 
 std::string_view HttpHead::Path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  return whole.substr(0, whole.find('?'));
 }
 
 void RemoveConnectionFields(HttpHead* head) {
@@ -99,8 +101,7 @@
 
 bool ListsToken(std::string_view list, std::string_view token) {
   bool found = false;
-  ForEachElement(list,
-                 [&](std::string_view element) { found |= EqualFieldNames(element, token); });
+  ForEachElement(list, [&](std::string_view element) { found |= EqualFieldNames(element, token); });
   return found;
 }
 
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -63,26 +63,26 @@
 }
 
 void HttpListener::Impl::Accept() {
-  m_acceptor.async_accept([self = shared_from_this()](const asio::error_code& error,
-                                                      asio::ip::tcp::socket socket) {
-    if (!self->m_acceptor.is_open()) return;
-    if (error) {
-      self->m_accept_timer.expires_after(kAcceptRetryDelay);
-      self->m_accept_timer.async_wait([self](const asio::error_code& cancelled) {
-        if (!cancelled && self->m_acceptor.is_open()) self->Accept();
+  m_acceptor.async_accept(
+      [self = shared_from_this()](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (!self->m_acceptor.is_open()) return;
+        if (error) {
+          self->m_accept_timer.expires_after(kAcceptRetryDelay);
+          self->m_accept_timer.async_wait([self](const asio::error_code& cancelled) {
+            if (!cancelled && self->m_acceptor.is_open()) self->Accept();
+          });
+          return;
+        }
+        ++self->counters.accepted;
+        if (self->connections.size() < self->limits.max_connections) {
+          auto connection = std::make_shared<HttpCallerConnection>(self, std::move(socket));
+          self->connections.insert(connection);
+          connection->Start();
+        } else {
+          ++self->counters.refused;
+        }
+        self->Accept();
       });
-      return;
-    }
-    ++self->counters.accepted;
-    if (self->connections.size() < self->limits.max_connections) {
-      auto connection = std::make_shared<HttpCallerConnection>(self, std::move(socket));
-      self->connections.insert(connection);
-      connection->Start();
-    } else {
-      ++self->counters.refused;
-    }
-    self->Accept();
-  });
 }
 
 void HttpListener::Impl::PlanSweep() {
--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -103,12 +103,12 @@
       taken = head_size - before;
       m_head_bytes.resize(head_size);
       if (HasFoldedField(m_head_bytes)) return Fail(HttpReaderErrc::kMalformed, "folded field");
-      const Result<std::size_t> parsed = Parse(m_head_bytes, body);
+      Result<std::size_t> parsed = Parse(m_head_bytes, body);
       if (!parsed) return parsed;
       if (!m_head_complete) return Fail(HttpReaderErrc::kMalformed, "incomplete head");
     }
     if (m_message_complete || taken == bytes.size()) return taken;
-    const Result<std::size_t> parsed = Parse(bytes.substr(taken), body);
+    Result<std::size_t> parsed = Parse(bytes.substr(taken), body);
     if (!parsed) return parsed;
     return taken + parsed.value();
   }
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -14,8 +14,8 @@
 constexpr double kZoneHopSeconds = 0.0006;
 // Transfers between zones share a pipe; one is expected to take this many times its own time.
 constexpr double kPipeSharing = 6.0;
-// What a chain or a stage in another zone must be faster by, so that a zone with faster engines does
-// not draw the load of all others.
+// What a chain or a stage in another zone must be faster by, so that a zone with faster engines
+// does not draw the load of all others.
 constexpr double kOtherZoneSeconds = 0.6;
 // A stage counts as slower when it is fuller than this, up to kFullStageFactor times.
 constexpr double kFillingUp = 0.7;
@@ -117,7 +117,8 @@
     const State& state = m_states[engine.address];
     ChainSlot& slot = pool->slots[i];
     slot.usable = usable[pool->engines[i]];
-    const double load = std::clamp((LoadOf(now, engine) - kFillingUp) / (1.0 - kFillingUp), 0.0, 1.0);
+    const double load =
+        std::clamp((LoadOf(now, engine) - kFillingUp) / (1.0 - kFillingUp), 0.0, 1.0);
     const double slowness = now < state.slow_until ? state.slowness : 1.0;
     slot.layer_cost_s =
         engine.layer_cost_s * slowness * (1.0 + (kFullStageFactor - 1.0) * load * load);
