--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -19,6 +19,7 @@
 constexpr std::uint64_t kMinEntriesPerSnapshot = 4096;
 // Bounds the log on a small disk when the commands are large.
 constexpr std::uint64_t kMaxBytesPerSnapshot = std::uint64_t{8} * 1024 * 1024;
+constexpr std::chrono::seconds kRetryReportLifetime{4};
 constexpr std::chrono::seconds kMaxRequestTimeout{30};
 constexpr std::chrono::milliseconds kStatusTimeout{1000};
 constexpr std::chrono::milliseconds kHandOverPoll{10};
@@ -405,19 +406,30 @@
     return;
   }
   if (Forward(MessageType::kRouteTableFetch, body, respond)) return;
+  if (body.contains("retries_of")) {
+    m_retry_reports[body.at("retries_of")] = {body.at("retries"),
+                                              Clock::now() + kRetryReportLifetime};
+  }
   StartRead([this, have] { return RouteTableSince(have); }, respond, DeadlineOf(body));
 }
 
+// Retries of all entry hosts by service, from the reports that they send with each fetch.
+std::map<std::string, std::uint32_t> ControlNode::FleetRetries() const {
+  std::map<std::string, std::uint32_t> sum;
+  const TimePoint now = Clock::now();
+  for (const auto& [host, report] : m_retry_reports) {
+    if (now >= report.expires_at) continue;
+    for (const auto& [service, count] : report.by_service) sum[service] += count;
+  }
+  return sum;
+}
+
 json ControlNode::RouteTableSince(std::uint64_t have) const {
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
-  std::size_t entry_hosts = 0;
-  for (const PeerStatus& peer : m_node->Peers()) {
-    if (peer.connected && peer.identity.program != kControlProgram) ++entry_hosts;
-  }
   json reply = {
-      {"version", store.Version()}, {"members", std::move(members)}, {"entry_hosts", entry_hosts}};
+      {"version", store.Version()}, {"members", std::move(members)}, {"retries", FleetRetries()}};
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -80,6 +80,11 @@
     std::uint64_t term = 0;
     Responder respond;
   };
+  // Retries that an entry host made in its window.
+  struct RetryReport {
+    std::map<std::string, std::uint32_t> by_service;
+    TimePoint expires_at{};
+  };
   // A read that waits for its barrier.
   struct WaitingRead {
     std::function<nlohmann::json()> answer;
@@ -105,6 +110,7 @@
   void PublishConfiguration();
   void PublishRouteTable();
   nlohmann::json RouteTableSince(std::uint64_t have) const;
+  std::map<std::string, std::uint32_t> FleetRetries() const;
   void CompactIfDue();
   void PlanTick();
   // Passes a request on to the leader. Returns false when this process leads.
@@ -129,7 +135,8 @@
   std::uint64_t m_compacted = 0;
   std::uint64_t m_published = 0;
   std::uint64_t m_published_route_table = 0;
-  std::uint64_t m_applied_bytes = 0;  // of commands since the last snapshot
+  std::map<std::string, RetryReport> m_retry_reports;  // by entry host, at the leader
+  std::uint64_t m_applied_bytes = 0;                   // of commands since the last snapshot
   bool m_leader_reported = false;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -24,9 +24,10 @@
 
 }  // namespace
 
-FleetFeed::FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway,
+FleetFeed::FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway, std::string name,
                      std::vector<std::string> seeds)
     : m_io(io),
+      m_name(std::move(name)),
       m_node(node),
       m_gateway(gateway),
       m_timer(*io),
@@ -155,6 +156,8 @@
   const TimePoint asked_at = BootTimeNow();
   const json body = {{"have", m_gateway->RouteVersion()},
                      {"confirmed", confirmed},
+                     {"retries_of", m_name},
+                     {"retries", m_gateway->UsedRetries()},
                      {"timeout_ms", kFetchTimeout.count()}};
   m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
                   [this, host, confirmed, asked_at](const Result<json>& reply) {
@@ -183,7 +186,7 @@
   }
   TakeRouteTable(reply.value());
   TakeMembers(reply.value().at("members"));
-  m_gateway->SetEntryHosts(reply.value().value("entry_hosts", std::size_t{1}));
+  m_gateway->SetFleetRetries(reply.value().value("retries", RetryCounts()));
   if (confirmed && m_gateway->RouteVersion() >= reply.value().at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
   }
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -20,8 +20,10 @@
 // a link to. Lives on the gateway's io_context; handlers of PeerNode change threads.
 class FleetFeed {
  public:
-  // `seeds` are peer addresses of control processes. All pointers outlive the feed.
-  FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway, std::vector<std::string> seeds);
+  // `name` is that of this host; `seeds` are peer addresses of control processes. All pointers
+  // outlive the feed.
+  FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway, std::string name,
+            std::vector<std::string> seeds);
 
   // Registers handlers. Call before PeerNode::Start.
   void Register();
@@ -43,6 +45,7 @@
   std::string NextHost();
 
   asio::io_context* m_io;
+  std::string m_name;
   PeerNode* m_node;
   Gateway* m_gateway;
   asio::steady_timer m_timer;
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -80,7 +80,8 @@
     peer.advertise_address = m_settings.peer_advertise;
     peer.shared_key = m_settings.shared_key;
     m_node = std::make_unique<PeerNode>(std::move(peer));
-    m_feed = std::make_unique<FleetFeed>(&m_io, m_node.get(), m_gateway.get(), m_settings.seeds);
+    m_feed = std::make_unique<FleetFeed>(&m_io, m_node.get(), m_gateway.get(), m_settings.name,
+                                         m_settings.seeds);
     m_feed->Register();
     if (const Status started = m_node->Start(); !started) {
       return Fail(kExitAddress, started.error().ToString());
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -7,8 +7,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "corneltray/dialect.h"
 #include "corneltray/engine_router.h"
@@ -27,6 +29,8 @@
 
 class Exchange;
 
+using RetryCounts = std::map<std::string, std::uint32_t>;  // by service
+
 struct GatewayOptions {
   std::string availability_zone;
   std::shared_ptr<const Dialect> dialect;
@@ -56,8 +60,10 @@
   // The log confirmed that no table is newer than the one held, when asked at this time.
   void ConfirmRouteTable(TimePoint asked_at);
   void UpdateUpstreams(const UpstreamUpdates& updates);
-  // Entry hosts among which the budget of second attempts is divided.
-  void SetEntryHosts(std::size_t hosts);
+  // Second attempts of the last window, by service: of this host, and of all hosts as the control
+  // processes have added them up.
+  RetryCounts UsedRetries() const;
+  void SetFleetRetries(const RetryCounts& used);
 
   // Called for each engine that does not answer, with its last announcement.
   using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
@@ -106,6 +112,12 @@
   };
 
   void OnCall(HttpCall call);
+  void Admit(HttpCall call);
+  bool MustWait(const HttpCall& call) const;
+  void AdmitParked();
+  GatewayRequest MakeRequest(const HttpCall& call) const;
+  GatewayView View(TimePoint now) const;
+  double RetryAllowance() const;
   void OnReadyCall(HttpCall call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
   void RefreshUpstreams();
@@ -129,9 +141,12 @@
   std::map<std::string, TimePoint> m_next_pace;     // by address
   SuspectHandler m_on_suspect;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
-  std::size_t m_entry_hosts = 1;
+  RetryCounts m_fleet_retries;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
+  // Requests that arrived before this process knew routes and upstreams.
+  std::vector<HttpCall> m_parked;
+  std::optional<TimePoint> m_warm_at;  // no request waits from then on
   bool m_draining = false;
   bool m_stopping = false;
   Metrics m_metrics;
--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -19,14 +19,22 @@
 
   void Configure(double ratio, double min_per_s);
 
+  // Retries in the window that are allowed beside the ratio, in any second of it.
+  void SetWindowAllowance(double retries);
+
   // Counts a first attempt.
   void RecordRequest(TimePoint now);
 
   // Returns whether a retry or hedge may be sent now, and counts it if so.
   bool TryRetry(TimePoint now);
 
+  // Retries of the last 10 s.
+  std::uint32_t Used(TimePoint now) const;
+
+  static constexpr std::chrono::seconds kWindow{10};
+
  private:
-  static constexpr std::int64_t kWindowSeconds = 10;
+  static constexpr std::int64_t kWindowSeconds = kWindow.count();
   struct Second {
     std::int64_t second = -1;
     std::uint32_t requests = 0;
@@ -37,9 +45,15 @@
 
   double m_ratio;
   double m_min_per_s;
+  double m_window_allowance = 0.0;
   std::array<Second, kWindowSeconds> m_seconds;
 };
 
+// Retries that one host may have made in its window, of an allowance that many hosts share. A
+// failure often concerns the hosts of one zone, so a host may take a good part of what is left and
+// not only an equal share; what all hosts have used is told to each other within a second or so.
+double ShareOfAllowance(double allowance, double used_by_all, double used_here);
+
 // Says when an idempotent lookup is sent a second time: after the p95 of recent latencies. The
 // caller also asks the RetryBudget. Not thread safe.
 class HedgePolicy {
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -11,6 +11,25 @@
   m_min_per_s = min_per_s;
 }
 
+void RetryBudget::SetWindowAllowance(double retries) { m_window_allowance = retries; }
+
+std::uint32_t RetryBudget::Used(TimePoint now) const {
+  const std::int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+  std::uint32_t used = 0;
+  for (const Second& slot : m_seconds) {
+    if (slot.second >= 0 && slot.second > second - kWindowSeconds) used += slot.retries;
+  }
+  return used;
+}
+
+double ShareOfAllowance(double allowance, double used_by_all, double used_here) {
+  // Several hosts may take their part before they hear of each other.
+  constexpr double kPartOfRest = 0.2;
+  const double rest = std::max(0.0, allowance - std::max(used_by_all, used_here));
+  return used_here + kPartOfRest * rest;
+}
+
 RetryBudget::Second* RetryBudget::SecondOf(TimePoint now) {
   const std::int64_t second =
       std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
@@ -32,7 +51,8 @@
   }
   const bool within_ratio = retries + 1.0 <= m_ratio * requests;
   const bool within_minimum = current->retries + 1.0 <= m_min_per_s;
-  if (!within_ratio && !within_minimum) return false;
+  const bool within_window = retries + 1.0 <= m_ratio * requests + m_window_allowance;
+  if (!within_ratio && !within_minimum && !within_window) return false;
   ++current->retries;
   return true;
 }
--- a/src/libcorneltray/retry_test.cc
+++ b/src/libcorneltray/retry_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 namespace corneltray {
 namespace {
 
@@ -40,5 +42,45 @@
   CHECK(policy.HedgeAfter() == Duration(milliseconds(500)));
 }
 
+// Plays the loss of a stage at noon: all streams of a zone break in one second, on four of fifteen
+// hosts. Guards against streams that are cut off although the budget of all hosts is hardly used,
+// and against hosts that together exceed it.
+TEST_CASE("hosts share an allowance of retries") {
+  constexpr double kAllowance = 400.0;
+  constexpr int kHosts = 15;
+  constexpr int kInterval = 6;  // tenths of a second between reports
+  std::vector<RetryBudget> budgets(kHosts, RetryBudget(0.0, 0.0));
+  TimePoint now{std::chrono::hours(1)};
+  const auto used_by_all = [&] {
+    double used = 0.0;
+    for (const RetryBudget& budget : budgets) used += budget.Used(now);
+    return used;
+  };
+  const auto report = [&] {
+    const double used = used_by_all();
+    for (RetryBudget& budget : budgets) {
+      budget.SetWindowAllowance(ShareOfAllowance(kAllowance, used, budget.Used(now)));
+    }
+  };
+  report();
+  SUBCASE("a burst of one zone is retried whole") {
+    int retried = 0;
+    for (int host = 0; host < 4; ++host) {
+      for (int stream = 0; stream < 15; ++stream) retried += budgets[host].TryRetry(now) ? 1 : 0;
+    }
+    CHECK(retried == 60);
+  }
+  SUBCASE("a failure that lasts stays within the allowance") {
+    for (int tenth = 0; tenth < 300; ++tenth) {
+      now += std::chrono::milliseconds(100);
+      // Eight requests fail on all hosts together in each tenth of a second.
+      for (int i = 0; i < 8; ++i) budgets[(tenth * 8 + i) % kHosts].TryRetry(now);
+      if (tenth % kInterval == 0) report();
+      CHECK(used_by_all() <= kAllowance * 1.1);
+    }
+    CHECK(used_by_all() > kAllowance * 0.5);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -303,6 +303,10 @@
   if (now < m_request.deadline && MayTryAgain(outcome)) {
     if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now)) return SendAttempt();
     m_gateway->GetMetrics().Count("retries_refused", "budget");
+    LogEvent(LogLevel::kWarning, "retry_refused",
+             {{"request_id", m_request.facts.request_id},
+              {"service", m_request.service->name},
+              {"used_here", m_gateway->BudgetOf(m_request.service->name).Used(now)}});
   }
   Fail(outcome.status);
 }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -16,6 +16,11 @@
 // The lease on keys ends this long before the last moment at which a key may be honoured, for
 // requests that are on their way to an upstream.
 constexpr std::chrono::milliseconds kKeyLeaseMargin{300};
+// Requests that wait for a process to know routes and upstreams, after its start.
+constexpr std::size_t kMaxParked = 500;
+constexpr std::chrono::milliseconds kParkedFor{1600};
+// Within this time every upstream has announced itself once.
+constexpr std::chrono::milliseconds kAnnouncementInterval{1600};
 // Some of the budget of second attempts is left for what other hosts count later.
 constexpr double kBudgetShare = 0.8;
 
@@ -59,6 +64,7 @@
       m_routers.emplace(name, EngineRouter(m_options.availability_zone, *service.engine));
     }
   }
+  if (!m_warm_at) m_warm_at = Clock::now() + kAnnouncementInterval;
   m_routes = std::make_shared<const RouteIndex>(std::move(table));
   m_used_generation = 0;
   RefreshUpstreams();
@@ -82,16 +88,32 @@
   }
 }
 
-void Gateway::SetEntryHosts(std::size_t hosts) {
-  m_entry_hosts = std::max<std::size_t>(1, hosts);
-  const double window_s = std::chrono::duration<double>(m_options.retry_window).count();
-  const double per_s =
-      kBudgetShare * m_options.retry_allowance / window_s / static_cast<double>(m_entry_hosts);
+RetryCounts Gateway::UsedRetries() const {
+  RetryCounts used;
+  const TimePoint now = Clock::now();
+  for (const auto& [service, budget] : m_budgets) {
+    if (const std::uint32_t count = budget.Used(now); count > 0) used[service] = count;
+  }
+  return used;
+}
+
+void Gateway::SetFleetRetries(const RetryCounts& used) {
+  m_fleet_retries = used;
+  const TimePoint now = Clock::now();
   for (auto& [service, budget] : m_budgets) {
-    budget.Configure(kBudgetShare * m_options.retry_ratio, per_s);
+    const auto found = used.find(service);
+    const double by_all = found == used.end() ? 0.0 : found->second;
+    budget.SetWindowAllowance(ShareOfAllowance(RetryAllowance(), by_all, budget.Used(now)));
   }
 }
 
+// Retries of all hosts in a window of RetryBudget.
+double Gateway::RetryAllowance() const {
+  const std::chrono::duration<double> window = m_options.retry_window;
+  const std::chrono::duration<double> counted = RetryBudget::kWindow;
+  return kBudgetShare * m_options.retry_allowance * std::min(1.0, counted / window);
+}
+
 bool Gateway::IsReady() const {
   if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
   return !m_routes->HasCustomers() || !m_key_lease.IsAging(BootTimeNow());
@@ -111,6 +133,7 @@
 
 void Gateway::CloseAll() {
   m_tick_timer.cancel();
+  m_parked.clear();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) exchange->Abandon();
   m_listener.CloseAll();
@@ -135,8 +158,9 @@
 RetryBudget& Gateway::BudgetOf(const std::string& service) {
   const auto known = m_budgets.find(service);
   if (known != m_budgets.end()) return known->second;
-  RetryBudget& budget = m_budgets.emplace(service, RetryBudget(0.0, 0.0)).first->second;
-  SetEntryHosts(m_entry_hosts);
+  const RetryBudget fresh(kBudgetShare * m_options.retry_ratio, 0.0);
+  RetryBudget& budget = m_budgets.emplace(service, fresh).first->second;
+  SetFleetRetries(m_fleet_retries);
   return budget;
 }
 
@@ -145,17 +169,67 @@
       m_ready_listener.Address().empty()) {
     return OnReadyCall(std::move(call));
   }
+  if (m_parked.size() < kMaxParked && MustWait(call)) {
+    m_parked.push_back(std::move(call));
+    return PlanTick();
+  }
+  Admit(std::move(call));
+}
+
+// Whether a request cannot be judged yet, because this process has just started and does not know
+// the routes, whether keys hold, or the upstreams, which announce themselves every second or so.
+bool Gateway::MustWait(const HttpCall& call) const {
+  const TimePoint now = Clock::now();
+  if (m_warm_at && now >= *m_warm_at) return false;
+  GatewayRequest request = MakeRequest(call);
+  const auto refusal = FilterRequest(View(now), &request);
+  const std::chrono::milliseconds patience =
+      std::min(kParkedFor, request.facts.time_left.value_or(kParkedFor * 3) / 3);
+  if (now >= call.ReadAt() + patience) return false;
+  if (refusal) {
+    return *refusal == GatewayRefusal::kNoRouteTable || *refusal == GatewayRefusal::kKeyLeaseLapsed;
+  }
+  const auto& records = m_upstreams.Records();
+  return std::none_of(records.begin(), records.end(), [&request](const auto& record) {
+    return record.second.announcement.service == request.service->name && record.second.IsReady();
+  });
+}
+
+// A caller that is refused may have no second try, so a request waits for a short time.
+void Gateway::AdmitParked() {
+  const std::vector<HttpCall> parked = std::move(m_parked);
+  m_parked.clear();
+  for (const HttpCall& call : parked) {
+    if (MustWait(call)) {
+      m_parked.push_back(call);
+    } else {
+      Admit(call);
+    }
+  }
+}
+
+GatewayRequest Gateway::MakeRequest(const HttpCall& call) const {
   GatewayRequest request;
   request.head = call.Head();
   request.read_at = call.ReadAt();
   request.routes = m_routes;
+  return request;
+}
+
+GatewayView Gateway::View(TimePoint now) const {
   GatewayView view;
   view.dialect = m_options.dialect.get();
   view.key_lease = &m_key_lease;
   view.is_stopping = m_stopping;
-  view.now = Clock::now();
+  view.now = now;
   view.boot_now = BootTimeNow();
-  if (const auto refusal = FilterRequest(view, &request)) return Refuse(call, request, *refusal);
+  return view;
+}
+
+void Gateway::Admit(HttpCall call) {
+  GatewayRequest request = MakeRequest(call);
+  const auto refusal = FilterRequest(View(Clock::now()), &request);
+  if (refusal) return Refuse(call, request, *refusal);
   const auto exchange = std::make_shared<Exchange>(this, std::move(call), std::move(request));
   m_exchanges.insert(exchange);
   PlanTick();
@@ -195,6 +269,7 @@
 
 void Gateway::Tick() {
   const TimePoint now = Clock::now();
+  if (!m_parked.empty()) AdmitParked();
   const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
   for (const auto& exchange : exchanges) exchange->Tick(now);
   std::vector<std::string> late;
@@ -205,7 +280,7 @@
     m_reports[address].call.Cancel();
     FinishReport(address, false);
   }
-  if (!m_exchanges.empty() || !m_reports.empty()) PlanTick();
+  if (!m_exchanges.empty() || !m_reports.empty() || !m_parked.empty()) PlanTick();
 }
 
 void Gateway::AskReport(const std::string& address, StalledCallback done) {
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -468,5 +468,28 @@
   CHECK_FALSE(ready());
 }
 
+// Plays the start of a host while callers come back after a loss of power. Guards against callers
+// that are refused with their last try because the host knows no upstream for a second.
+TEST_CASE("requests wait for a host that has just started") {
+  GatewayFixture fixture;
+  std::string answer;
+  std::thread caller([&] { answer = fixture.Call("GET", "/get/"); });
+  SUBCASE("until an upstream announces itself") {
+    std::this_thread::sleep_for(milliseconds(200));
+    fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("found", call); });
+    caller.join();
+    CHECK(Contains(answer, "found"));
+  }
+  SUBCASE("but not for long") {
+    const TimePoint start = Clock::now();
+    caller.join();
+    CHECK(StatusOf(answer) == 503);
+    CHECK(Clock::now() - start < milliseconds(2500));
+    const TimePoint later = Clock::now();
+    CHECK(StatusOf(fixture.Call("GET", "/get/")) == 503);
+    CHECK(Clock::now() - later < milliseconds(500));
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
