--- a/src/include/corneltray/layer_placement.h
+++ b/src/include/corneltray/layer_placement.h
@@ -30,8 +30,14 @@
   AcceleratorKind kind;
   LayerRange range;       // held, or ordered and not yet held
   bool is_usable = true;  // ready and heard from lately
+  // Known for kSpareFor. A younger one that holds nothing is kept for the layers of an engine that
+  // leaves, as in a release, where the replacement starts first.
+  bool is_settled = true;
 };
 
+// An engine that arrives in a whole zone is kept free this long.
+constexpr std::chrono::milliseconds kSpareFor{5000};
+
 // Layers that an engine can hold beside the prompts of `kv_tokens` tokens.
 std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
                             double kv_tokens);
@@ -109,6 +115,10 @@
     std::uint64_t fence = 0;
     TimePoint repeat_at{};
   };
+  struct Arrival {
+    std::uint64_t incarnation = 0;
+    TimePoint settled_at{};
+  };
   struct Zone {
     TimePoint settled_at{};  // no plan before; moves on while engines arrive
     std::size_t engines = 0;
@@ -121,6 +131,7 @@
   std::vector<PlacedEngine> ReadZone(TimePoint now, const std::string& zone,
                                      const std::string& service, const EngineProfile& profile,
                                      const UpstreamTable& upstreams);
+  bool IsSettled(TimePoint now, const Announcement& engine);
   void PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
                  const UpstreamTable& upstreams, std::vector<PlaceDecision>* decisions);
   void Order(TimePoint now, const UpstreamRecord& record, LayerRange range, PlaceReason reason,
@@ -133,7 +144,8 @@
   TimePoint m_last_tick{};
   TimePoint m_ready_at{};  // no order before
   std::map<std::string, Zone> m_zones;
-  std::map<std::string, Ordered> m_ordered;  // by engine
+  std::map<std::string, Ordered> m_ordered;   // by engine
+  std::map<std::string, Arrival> m_arrivals;  // by engine
 };
 
 }  // namespace corneltray
--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -99,7 +99,8 @@
       if (!FillGap(gap)) break;
     }
     for (PlacedEngine& engine : m_engines) {
-      if (engine.is_usable && engine.range.Size() == 0) Assign(&engine, LeastHeld(engine));
+      const bool is_free = engine.is_usable && engine.range.Size() == 0;
+      if (is_free && engine.is_settled) Assign(&engine, LeastHeld(engine));
     }
     return m_changes;
   }
@@ -276,6 +277,7 @@
     m_orders = 0;
     m_ordered.clear();
     m_zones.clear();
+    m_arrivals.clear();
     m_ready_at = now + kSettleTime;
   }
   if (now - m_last_tick > kMaxTickGap) m_ready_at = now + kSettleTime;
@@ -307,6 +309,7 @@
     engine.name = name;
     engine.kind = kind->second;
     engine.is_usable = record.IsAlive(now);
+    engine.is_settled = IsSettled(now, said);
     if (!said.holdings.empty()) {
       engine.range = {said.holdings.front().first_layer, said.holdings.front().last_layer + 1};
     }
@@ -319,6 +322,14 @@
   return engines;
 }
 
+bool LayerController::IsSettled(TimePoint now, const Announcement& engine) {
+  Arrival& arrival = m_arrivals[engine.name];
+  if (arrival.incarnation != engine.incarnation || arrival.settled_at == TimePoint()) {
+    arrival = {engine.incarnation, now + kSpareFor};
+  }
+  return now >= arrival.settled_at;
+}
+
 bool LayerController::HasSettled(TimePoint now, const std::string& zone, std::size_t engines) {
   Zone& state = m_zones[zone];
   if (state.engines != engines) {
--- a/src/libfleet/layer_placement_test.cc
+++ b/src/libfleet/layer_placement_test.cc
@@ -219,6 +219,11 @@
     fixture.Play(milliseconds(16000));
     CHECK(fixture.ZoneIsWhole());
   }
+  SUBCASE("an engine that is added holds layers too, after a while") {
+    fixture.Play(milliseconds(8000));
+    fixture.Announce(TestEngine("fresh", "z", "fast", 0, 0));
+    CHECK(fixture.Play(milliseconds(7000)) == 1);
+  }
   SUBCASE("a zone of which nothing is heard is left alone") {
     fixture.Play(milliseconds(4000));
     for (const auto& [name, record] : fixture.table.Records()) fixture.silent.insert(name);
@@ -226,5 +231,27 @@
   }
 }
 
+// Plays a release in a zone without spare engines. Guards against a replacement that loads other
+// layers first and has to give them up again, which waits for requests in progress.
+TEST_CASE("a replacement that arrives first takes the layers of the engine that leaves") {
+  ControllerFixture fixture;
+  fixture.Announce(TestEngine("f0", "z", "fast", 0, 0));
+  for (int i = 0; i < 3; ++i) {
+    fixture.Announce(TestEngine("s" + std::to_string(i), "z", "slow", 0, 0));
+  }
+  fixture.Play(milliseconds(8000));
+  REQUIRE(fixture.ZoneIsWhole());
+  const Holding left = fixture.table.Find("f0")->announcement.holdings.front();
+  fixture.Announce(TestEngine("fresh", "z", "fast", 0, 0));
+  CHECK(fixture.Play(milliseconds(1500)) == 0);
+  fixture.table.Leave(fixture.now, "f0", 0);
+  fixture.silent.insert("f0");
+  CHECK(fixture.Play(milliseconds(1000)) == 1);
+  CHECK(fixture.ZoneIsWhole());
+  const Holding taken = fixture.table.Find("fresh")->announcement.holdings.front();
+  CHECK(taken.first_layer == left.first_layer);
+  CHECK(taken.last_layer == left.last_layer);
+}
+
 }  // namespace
 }  // namespace corneltray
