Count the retries of all hosts against one number

The allowed number is now computed from the requests and retries of all hosts, and a host may take an eighth of what is left. A request that was refused is sent once more and not twice. retry_test plays a burst of all zones at once.

Calls of plain services waited 400 ms for a connection to a zone that was cut off, again and again; a replica that cannot be reached is now avoided for 1.5 s.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "corneltray/control_protocol.h"
+#include "corneltray/fleet_messages.h"
 #include "corneltray/log.h"
 
 namespace corneltray {
@@ -407,19 +408,26 @@
   }
   if (Forward(MessageType::kRouteTableFetch, body, respond)) return;
   if (body.contains("retries_of")) {
-    m_retry_reports[body.at("retries_of")] = {body.at("retries"),
-                                              Clock::now() + kRetryReportLifetime};
+    auto counts = DecodeRetryCounts(body.at("retries"));
+    if (counts) {
+      m_retry_reports[body.at("retries_of")] = {std::move(counts).value(),
+                                                Clock::now() + kRetryReportLifetime};
+    }
   }
   StartRead([this, have] { return RouteTableSince(have); }, respond, DeadlineOf(body));
 }
 
-// Retries of all entry hosts by service, from the reports that they send with each fetch.
-std::map<std::string, std::uint32_t> ControlNode::FleetRetries() const {
-  std::map<std::string, std::uint32_t> sum;
+// Requests and retries of all entry hosts by service, from the reports that they send with each
+// fetch.
+std::map<std::string, RetryCounts> ControlNode::FleetRetryCounts() const {
+  std::map<std::string, RetryCounts> sum;
   const TimePoint now = Clock::now();
   for (const auto& [host, report] : m_retry_reports) {
     if (now >= report.expires_at) continue;
-    for (const auto& [service, count] : report.by_service) sum[service] += count;
+    for (const auto& [service, counts] : report.by_service) {
+      sum[service].requests += counts.requests;
+      sum[service].retries += counts.retries;
+    }
   }
   return sum;
 }
@@ -428,8 +436,9 @@
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
-  json reply = {
-      {"version", store.Version()}, {"members", std::move(members)}, {"retries", FleetRetries()}};
+  json reply = {{"version", store.Version()},
+                {"members", std::move(members)},
+                {"retries", EncodeRetryCounts(FleetRetryCounts())}};
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -18,6 +18,7 @@
 #include "corneltray/control_state.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/peer.h"
+#include "corneltray/retry.h"
 #include "storage_thread.h"
 
 namespace corneltray {
@@ -80,9 +81,9 @@
     std::uint64_t term = 0;
     Responder respond;
   };
-  // Retries that an entry host made in its window.
+  // What an entry host sent in its window.
   struct RetryReport {
-    std::map<std::string, std::uint32_t> by_service;
+    std::map<std::string, RetryCounts> by_service;
     TimePoint expires_at{};
   };
   // A read that waits for its barrier.
@@ -110,7 +111,7 @@
   void PublishConfiguration();
   void PublishRouteTable();
   nlohmann::json RouteTableSince(std::uint64_t have) const;
-  std::map<std::string, std::uint32_t> FleetRetries() const;
+  std::map<std::string, RetryCounts> FleetRetryCounts() const;
   void CompactIfDue();
   void PlanTick();
   // Passes a request on to the leader. Returns false when this process leads.
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -157,7 +157,7 @@
   const json body = {{"have", m_gateway->RouteVersion()},
                      {"confirmed", confirmed},
                      {"retries_of", m_name},
-                     {"retries", m_gateway->UsedRetries()},
+                     {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
                      {"timeout_ms", kFetchTimeout.count()}};
   m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
                   [this, host, confirmed, asked_at](const Result<json>& reply) {
@@ -186,7 +186,8 @@
   }
   TakeRouteTable(reply.value());
   TakeMembers(reply.value().at("members"));
-  m_gateway->SetFleetRetries(reply.value().value("retries", RetryCounts()));
+  const auto retries = DecodeRetryCounts(reply.value().at("retries"));
+  if (retries) m_gateway->SetFleetRetryCounts(retries.value());
   if (confirmed && m_gateway->RouteVersion() >= reply.value().at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
   }
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -2,11 +2,13 @@
 #define CORNELTRAY_FLEET_MESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
 #include "corneltray/result.h"
+#include "corneltray/retry.h"
 #include "corneltray/upstream_table.h"
 
 namespace corneltray {
@@ -33,6 +35,11 @@
 std::size_t ApplyUpstreamUpdates(TimePoint now, const UpstreamUpdates& updates,
                                  UpstreamTable* table);
 
+// Requests and retries by service: part of a fetch of the route table and of its reply.
+nlohmann::json EncodeRetryCounts(const std::map<std::string, RetryCounts>& counts);
+// Fails on a malformed body.
+Result<std::map<std::string, RetryCounts>> DecodeRetryCounts(const nlohmann::json& body);
+
 // Everything that a table holds.
 UpstreamUpdates AllUpstreams(const UpstreamTable& table);
 
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -29,7 +29,7 @@
 
 class Exchange;
 
-using RetryCounts = std::map<std::string, std::uint32_t>;  // by service
+using ServiceRetryCounts = std::map<std::string, RetryCounts>;
 
 struct GatewayOptions {
   std::string availability_zone;
@@ -60,10 +60,10 @@
   // The log confirmed that no table is newer than the one held, when asked at this time.
   void ConfirmRouteTable(TimePoint asked_at);
   void UpdateUpstreams(const UpstreamUpdates& updates);
-  // Second attempts of the last window, by service: of this host, and of all hosts as the control
+  // Requests and second attempts of the last window: of this host, and of all hosts as the control
   // processes have added them up.
-  RetryCounts UsedRetries() const;
-  void SetFleetRetries(const RetryCounts& used);
+  ServiceRetryCounts OwnRetryCounts() const;
+  void SetFleetRetryCounts(const ServiceRetryCounts& counts);
 
   // Called for each engine that does not answer, with its last announcement.
   using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
@@ -117,7 +117,7 @@
   void AdmitParked();
   GatewayRequest MakeRequest(const HttpCall& call) const;
   GatewayView View(TimePoint now) const;
-  double RetryAllowance() const;
+  double AllowedRetries(const RetryCounts& fleet) const;
   void OnReadyCall(HttpCall call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
   void RefreshUpstreams();
@@ -141,7 +141,7 @@
   std::map<std::string, TimePoint> m_next_pace;     // by address
   SuspectHandler m_on_suspect;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
-  RetryCounts m_fleet_retries;
+  ServiceRetryCounts m_fleet_retries;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
   // Requests that arrived before this process knew routes and upstreams.
--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -10,6 +10,12 @@
 
 namespace corneltray {
 
+// What one host, or all hosts together, sent in the window of a RetryBudget.
+struct RetryCounts {
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+};
+
 // Bounds retries and hedges to a share of the recent requests, so that a failing group of upstreams
 // is not flooded with repeats. Not thread safe.
 class RetryBudget {
@@ -28,8 +34,8 @@
   // Returns whether a retry or hedge may be sent now, and counts it if so.
   bool TryRetry(TimePoint now);
 
-  // Retries of the last 10 s.
-  std::uint32_t Used(TimePoint now) const;
+  // Requests and retries of the last 10 s.
+  RetryCounts Counts(TimePoint now) const;
 
   static constexpr std::chrono::seconds kWindow{10};
 
@@ -49,10 +55,10 @@
   std::array<Second, kWindowSeconds> m_seconds;
 };
 
-// Retries that one host may have made in its window, of an allowance that many hosts share. A
-// failure often concerns the hosts of one zone, so a host may take a good part of what is left and
-// not only an equal share; what all hosts have used is told to each other within a second or so.
-double ShareOfAllowance(double allowance, double used_by_all, double used_here);
+// Retries that one host may have made in its window, of a number that all hosts share. A failure
+// often concerns the hosts of one zone, so a host may take a good part of what is left and not only
+// an equal share; what all hosts have used is told to each other within a second or so.
+double ShareOfRetries(double allowed, double used_by_all, double used_here);
 
 // Says when an idempotent lookup is sent a second time: after the p95 of recent latencies. The
 // caller also asks the RetryBudget. Not thread safe.
--- a/src/include/corneltray/service_picker.h
+++ b/src/include/corneltray/service_picker.h
@@ -21,6 +21,9 @@
   double load = 0.0;  // requests there over its slots, as known here
 };
 
+// A replica to which no connection could be made is avoided this long.
+constexpr std::chrono::milliseconds kUnreachableFor{1500};
+
 // Chooses the replica of a plain service for one call: the least loaded, where another zone counts
 // as an extra share of a slot set. A replica that fails again and again is left out for a while.
 // Not thread safe.
@@ -41,6 +44,8 @@
   // Outcomes; return the ejections that they caused.
   std::vector<Ejection> Succeeded(TimePoint now, const std::string& address, Duration latency);
   std::vector<Ejection> Failed(TimePoint now, const std::string& address);
+  // No connection could be made: the replica, or the way to it, is gone for now.
+  void Unreachable(TimePoint now, const std::string& address);
 
  private:
   struct Replica {
@@ -52,6 +57,7 @@
     std::uint32_t begun_since = 0;  // calls of this host since the report
     std::uint32_t in_flight = 0;    // calls of this host
     double latency_s = 0.0;         // moving average of answers
+    TimePoint unreachable_until{};
   };
 
   double Score(TimePoint now, const Replica& replica) const;
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -13,20 +13,22 @@
 
 void RetryBudget::SetWindowAllowance(double retries) { m_window_allowance = retries; }
 
-std::uint32_t RetryBudget::Used(TimePoint now) const {
+RetryCounts RetryBudget::Counts(TimePoint now) const {
   const std::int64_t second =
       std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
-  std::uint32_t used = 0;
+  RetryCounts counts;
   for (const Second& slot : m_seconds) {
-    if (slot.second >= 0 && slot.second > second - kWindowSeconds) used += slot.retries;
+    if (slot.second < 0 || slot.second <= second - kWindowSeconds) continue;
+    counts.requests += slot.requests;
+    counts.retries += slot.retries;
   }
-  return used;
+  return counts;
 }
 
-double ShareOfAllowance(double allowance, double used_by_all, double used_here) {
+double ShareOfRetries(double allowed, double used_by_all, double used_here) {
   // Several hosts may take their part before they hear of each other.
-  constexpr double kPartOfRest = 0.2;
-  const double rest = std::max(0.0, allowance - std::max(used_by_all, used_here));
+  constexpr double kPartOfRest = 0.12;
+  const double rest = std::max(0.0, allowed - std::max(used_by_all, used_here));
   return used_here + kPartOfRest * rest;
 }
 
--- a/src/libcorneltray/retry_test.cc
+++ b/src/libcorneltray/retry_test.cc
@@ -53,13 +53,13 @@
   TimePoint now{std::chrono::hours(1)};
   const auto used_by_all = [&] {
     double used = 0.0;
-    for (const RetryBudget& budget : budgets) used += budget.Used(now);
+    for (const RetryBudget& budget : budgets) used += budget.Counts(now).retries;
     return used;
   };
   const auto report = [&] {
     const double used = used_by_all();
     for (RetryBudget& budget : budgets) {
-      budget.SetWindowAllowance(ShareOfAllowance(kAllowance, used, budget.Used(now)));
+      budget.SetWindowAllowance(ShareOfRetries(kAllowance, used, budget.Counts(now).retries));
     }
   };
   report();
@@ -70,6 +70,12 @@
     }
     CHECK(retried == 60);
   }
+  SUBCASE("a burst of all zones at once stays within the allowance") {
+    for (RetryBudget& budget : budgets) {
+      for (int stream = 0; stream < 25; ++stream) budget.TryRetry(now);
+    }
+    CHECK(used_by_all() <= kAllowance);
+  }
   SUBCASE("a failure that lasts stays within the allowance") {
     for (int tenth = 0; tenth < 300; ++tenth) {
       now += std::chrono::milliseconds(100);
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -48,6 +48,24 @@
   return table->Generation() - before;
 }
 
+json EncodeRetryCounts(const std::map<std::string, RetryCounts>& counts) {
+  json body = json::object();
+  for (const auto& [service, count] : counts) body[service] = {count.requests, count.retries};
+  return body;
+}
+
+Result<std::map<std::string, RetryCounts>> DecodeRetryCounts(const json& body) {
+  try {
+    std::map<std::string, RetryCounts> counts;
+    for (const auto& [service, count] : body.items()) {
+      counts[service] = {count.at(0).get<std::uint32_t>(), count.at(1).get<std::uint32_t>()};
+    }
+    return counts;
+  } catch (const json::exception& wrong) {
+    return Error{UpstreamErrc::kMalformedAnnouncement, wrong.what()};
+  }
+}
+
 UpstreamUpdates AllUpstreams(const UpstreamTable& table) {
   UpstreamUpdates all;
   for (const auto& [name, record] : table.Records()) {
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -14,7 +14,9 @@
 constexpr int kFirstFailure = 300;
 constexpr int kFirstServerError = 500;
 constexpr int kLastUrgency = 9;
-constexpr std::chrono::milliseconds kConnectTimeout{400};
+// A new connection takes a few milliseconds; a lost packet is sent again only after a second, so
+// another upstream is tried well before.
+constexpr std::chrono::milliseconds kConnectTimeout{200};
 // A call that may be repeated goes to another replica after this many times its objective.
 constexpr int kObjectivesForAttempt = 2;
 constexpr std::chrono::milliseconds kMinAttemptTime{250};
@@ -32,7 +34,7 @@
 constexpr double kSlowStream = 3.5;
 constexpr std::uint64_t kEventsBeforePace = 8;
 // Attempts beyond those that the route allows, for ones that were refused without running.
-constexpr std::uint32_t kExtraAttempts = 2;
+constexpr std::uint32_t kExtraAttempts = 1;
 constexpr std::size_t kMaxWholeAnswer = std::size_t{16} * 1024 * 1024;
 
 AttemptEvidence EvidenceOf(UpstreamFailure failure) {
@@ -306,7 +308,7 @@
     LogEvent(LogLevel::kWarning, "retry_refused",
              {{"request_id", m_request.facts.request_id},
               {"service", m_request.service->name},
-              {"used_here", m_gateway->BudgetOf(m_request.service->name).Used(now)}});
+              {"used_here", m_gateway->BudgetOf(m_request.service->name).Counts(now).retries}});
   }
   Fail(outcome.status);
 }
@@ -333,7 +335,9 @@
   if (evidence == AttemptEvidence::kRefused || evidence == AttemptEvidence::kStageLost) return;
   m_excluded.insert(address);
   if (Router() != nullptr || !IsFaultOfUpstream(evidence)) return;
-  m_gateway->PickerOf(m_request.service->name).Failed(now, address);
+  ServicePicker& picker = m_gateway->PickerOf(m_request.service->name);
+  if (evidence == AttemptEvidence::kNotConnected) picker.Unreachable(now, address);
+  picker.Failed(now, address);
 }
 
 // Forgets the present attempt.
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -22,7 +22,7 @@
 // Within this time every upstream has announced itself once.
 constexpr std::chrono::milliseconds kAnnouncementInterval{1600};
 // Some of the budget of second attempts is left for what other hosts count later.
-constexpr double kBudgetShare = 0.8;
+constexpr double kBudgetShare = 0.75;
 
 }  // namespace
 
@@ -88,30 +88,29 @@
   }
 }
 
-RetryCounts Gateway::UsedRetries() const {
-  RetryCounts used;
+ServiceRetryCounts Gateway::OwnRetryCounts() const {
+  ServiceRetryCounts counts;
   const TimePoint now = Clock::now();
-  for (const auto& [service, budget] : m_budgets) {
-    if (const std::uint32_t count = budget.Used(now); count > 0) used[service] = count;
-  }
-  return used;
+  for (const auto& [service, budget] : m_budgets) counts[service] = budget.Counts(now);
+  return counts;
 }
 
-void Gateway::SetFleetRetries(const RetryCounts& used) {
-  m_fleet_retries = used;
+void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
+  m_fleet_retries = counts;
   const TimePoint now = Clock::now();
   for (auto& [service, budget] : m_budgets) {
-    const auto found = used.find(service);
-    const double by_all = found == used.end() ? 0.0 : found->second;
-    budget.SetWindowAllowance(ShareOfAllowance(RetryAllowance(), by_all, budget.Used(now)));
+    const RetryCounts& fleet = m_fleet_retries[service];
+    const double used_here = budget.Counts(now).retries;
+    budget.SetWindowAllowance(ShareOfRetries(AllowedRetries(fleet), fleet.retries, used_here));
   }
 }
 
 // Retries of all hosts in a window of RetryBudget.
-double Gateway::RetryAllowance() const {
+double Gateway::AllowedRetries(const RetryCounts& fleet) const {
   const std::chrono::duration<double> window = m_options.retry_window;
   const std::chrono::duration<double> counted = RetryBudget::kWindow;
-  return kBudgetShare * m_options.retry_allowance * std::min(1.0, counted / window);
+  const double beside_ratio = m_options.retry_allowance * std::min(1.0, counted / window);
+  return kBudgetShare * (m_options.retry_ratio * fleet.requests + beside_ratio);
 }
 
 bool Gateway::IsReady() const {
@@ -158,9 +157,8 @@
 RetryBudget& Gateway::BudgetOf(const std::string& service) {
   const auto known = m_budgets.find(service);
   if (known != m_budgets.end()) return known->second;
-  const RetryBudget fresh(kBudgetShare * m_options.retry_ratio, 0.0);
-  RetryBudget& budget = m_budgets.emplace(service, fresh).first->second;
-  SetFleetRetries(m_fleet_retries);
+  RetryBudget& budget = m_budgets.emplace(service, RetryBudget(0.0, 0.0)).first->second;
+  SetFleetRetryCounts(m_fleet_retries);
   return budget;
 }
 
--- a/src/libserving/service_picker.cc
+++ b/src/libserving/service_picker.cc
@@ -53,6 +53,7 @@
     if (record == nullptr || !record->IsReady()) continue;
     double score = Score(now, replica);
     if (now - record->heard_at > kSilentAfter) score += kSilentLoad;
+    if (now < replica.unreachable_until) score += kSilentLoad;
     // An ejected replica is still better than none.
     if (m_outliers.IsEjected(now, address)) score += kSilentLoad;
     if (best && score >= best_score) continue;
@@ -100,6 +101,11 @@
   return m_outliers.Success(now, m_service, address, latency);
 }
 
+void ServicePicker::Unreachable(TimePoint now, const std::string& address) {
+  const auto replica = m_replicas.find(address);
+  if (replica != m_replicas.end()) replica->second.unreachable_until = now + kUnreachableFor;
+}
+
 std::vector<Ejection> ServicePicker::Failed(TimePoint now, const std::string& address) {
   if (m_replicas.count(address) == 0) return {};
   return m_outliers.Failure(now, m_service, address);
--- a/src/libserving/service_picker_test.cc
+++ b/src/libserving/service_picker_test.cc
@@ -58,6 +58,17 @@
   SUBCASE("and to none when all were tried") { CHECK(fixture.Choose({"a", "b", "c"}).empty()); }
 }
 
+// Plays a zone that is cut off: guards against calls that each wait for a connection in vain.
+TEST_CASE("a replica that cannot be reached is avoided for a moment") {
+  PickerFixture fixture;
+  fixture.picker.Unreachable(kNow, "a");
+  CHECK(fixture.Choose() != "a");
+  CHECK(fixture.picker.Choose(kNow + kUnreachableFor, fixture.table, {})->address == "a");
+  fixture.picker.Unreachable(kNow, "b");
+  fixture.picker.Unreachable(kNow, "c");
+  CHECK_FALSE(fixture.Choose().empty());  // still better than none
+}
+
 // Guards against calls that keep failing at a replica which fails part of its requests.
 TEST_CASE("a replica that fails again and again is left out while others work") {
   PickerFixture fixture;
