--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -113,7 +113,7 @@
 
   void OnCall(HttpCall call);
   void Admit(HttpCall call);
-  bool MustWait(const HttpCall& call) const;
+  bool MustWait(const HttpCall& call);
   void AdmitParked();
   GatewayRequest MakeRequest(const HttpCall& call) const;
   GatewayView View(TimePoint now) const;
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -400,6 +400,8 @@
     if (!RunsOver(m_attempt->chain, stalled)) continue;
     return EndAttemptOfLost(AttemptEvidence::kStageLost, stalled, "stalls_its_chain");
   }
+  // Every stage answers, so one of them may be slow.
+  for (const ChainStage& stage : m_attempt->chain) m_gateway->AskPace(stage.address);
 }
 
 }  // namespace corneltray
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -176,7 +176,7 @@
 
 // Whether a request cannot be judged yet, because this process has just started and does not know
 // the routes, whether keys hold, or the upstreams, which announce themselves every second or so.
-bool Gateway::MustWait(const HttpCall& call) const {
+bool Gateway::MustWait(const HttpCall& call) {
   const TimePoint now = Clock::now();
   if (m_warm_at && now >= *m_warm_at) return false;
   GatewayRequest request = MakeRequest(call);
@@ -187,6 +187,10 @@
   if (refusal) {
     return *refusal == GatewayRefusal::kNoRouteTable || *refusal == GatewayRefusal::kKeyLeaseLapsed;
   }
+  if (EngineRouter* router = RouterOf(*request.service)) {
+    // While only part of the engines is known, a chain would take the long way over other zones.
+    return router->Choose(now, m_upstreams, {}).scope != ChainScope::kOwnZone;
+  }
   const auto& records = m_upstreams.Records();
   return std::none_of(records.begin(), records.end(), [&request](const auto& record) {
     return record.second.announcement.service == request.service->name && record.second.IsReady();
