--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -31,6 +32,14 @@
   return a.name < b.name;
 }
 
+std::vector<PlacedEngine> UsableFastestFirst(const std::vector<PlacedEngine>& engines) {
+  std::vector<PlacedEngine> usable;
+  std::copy_if(engines.begin(), engines.end(), std::back_inserter(usable),
+               [](const PlacedEngine& engine) { return engine.is_usable; });
+  std::sort(usable.begin(), usable.end(), IsFaster);
+  return usable;
+}
+
 std::uint32_t TotalThatFits(const std::vector<PlacedEngine>& engines, const EngineProfile& profile,
                             double kv_tokens) {
   std::uint32_t total = 0;
@@ -209,10 +218,7 @@
 
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile) {
-  std::vector<PlacedEngine> usable;
-  std::copy_if(engines.begin(), engines.end(), std::back_inserter(usable),
-               [](const PlacedEngine& engine) { return engine.is_usable; });
-  std::sort(usable.begin(), usable.end(), IsFaster);
+  const std::vector<PlacedEngine> usable = UsableFastestFirst(engines);
   const double room = RoomForTokens(usable, profile);
   std::map<std::string, LayerRange> ranges;
   std::uint32_t next = 0;
@@ -229,10 +235,7 @@
 
 std::map<std::string, LayerRange> ReplanZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile) {
-  std::vector<PlacedEngine> usable;
-  std::copy_if(engines.begin(), engines.end(), std::back_inserter(usable),
-               [](const PlacedEngine& engine) { return engine.is_usable; });
-  std::sort(usable.begin(), usable.end(), IsFaster);
+  std::vector<PlacedEngine> usable = UsableFastestFirst(engines);
   const double room = RoomForTokens(usable, profile);
   // Layers of each engine; what is more than one copy is taken from the slowest.
   std::uint32_t left = profile.layers;
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -9,8 +9,6 @@
 namespace {
 
 using nlohmann::json;
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
