--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -26,7 +26,7 @@
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
 constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
 
-void Answer(HttpCall call, int status, const std::string& body = "{}") {
+void Answer(const HttpCall& call, int status, const std::string& body = "{}") {
   HttpHead head = MakeResponse(status);
   head.Add("Content-Type", "application/json");
   call.Respond(std::move(head), body);
@@ -51,7 +51,7 @@
 FleetService::FleetService(asio::io_context* io, FleetServiceOptions options)
     : m_io(io),
       m_options(std::move(options)),
-      m_listener(io, [this](HttpCall call) { OnCall(std::move(call)); }),
+      m_listener(io, [this](const HttpCall& call) { OnCall(call); }),
       m_pool(io),
       m_tick_timer(*io),
       m_flush_timer(*io),
@@ -92,7 +92,7 @@
 }
 
 Status FleetService::Start() {
-  if (const corneltray::Status listening = m_listener.Listen(m_options.address); !listening) {
+  if (corneltray::Status listening = m_listener.Listen(m_options.address); !listening) {
     return listening;
   }
   HttpListenerLimits limits;
@@ -112,7 +112,7 @@
   m_pool.CloseAll();
 }
 
-void FleetService::OnCall(HttpCall call) {
+void FleetService::OnCall(const HttpCall& call) {
   struct Visitor {
     FleetService& service;
     const HttpCall& call;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -56,7 +56,7 @@
     std::string compressed_routes;  // empty: as before
   };
 
-  void OnCall(HttpCall call);
+  void OnCall(const HttpCall& call);
   void OnAnnounce(const HttpCall& call, const AnnounceCall& announce);
   void OnLeave(const HttpCall& call, const LeaveCall& leave);
   void OnPut(const HttpCall& call, const PutRouteTableCall& put);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -111,14 +111,14 @@
     TimePoint deadline{};
   };
 
-  void OnCall(HttpCall call);
-  void Admit(HttpCall call);
+  void OnCall(const HttpCall& call);
+  void Admit(const HttpCall& call);
   bool MustWait(const HttpCall& call);
   void AdmitParked();
   GatewayRequest MakeRequest(const HttpCall& call) const;
   GatewayView View(TimePoint now) const;
   double AllowedRetries(const RetryCounts& fleet) const;
-  void OnReadyCall(HttpCall call);
+  void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
   void RefreshUpstreams();
   void PlanTick();
--- a/src/include/corneltray/http_listener.h
+++ b/src/include/corneltray/http_listener.h
@@ -41,20 +41,20 @@
   std::string CallerAddress() const;
 
   // Called once when the caller closes or resets the connection before the answer is complete.
-  void OnCallerGone(std::function<void()> handler);
+  void OnCallerGone(std::function<void()> handler) const;
   // Called when bytes that waited for a slow caller have been written.
-  void OnDrained(std::function<void()> handler);
+  void OnDrained(std::function<void()> handler) const;
 
   // Answers with a whole body.
-  void Respond(HttpHead head, std::string_view body);
+  void Respond(HttpHead head, std::string_view body) const;
   // Starts an answer whose body follows in parts. With a Content-Length field in the head the body
   // has that length; otherwise it is sent in chunks.
-  void Begin(HttpHead head);
-  void Write(std::string_view bytes);
+  void Begin(HttpHead head) const;
+  void Write(std::string_view bytes) const;
   // Ends the answer as complete.
-  void End();
+  void End() const;
   // Closes the connection, so that an answer that was begun is seen to be incomplete.
-  void Abort();
+  void Abort() const;
 
   bool Begun() const;
   // Bytes that wait for the caller to read.
@@ -79,7 +79,7 @@
 // one connection are answered one after the other. Not thread safe: lives on one io_context.
 class HttpListener {
  public:
-  using Handler = std::function<void(HttpCall call)>;
+  using Handler = std::function<void(const HttpCall& call)>;
 
   HttpListener(asio::io_context* io, Handler handler);
   ~HttpListener();
--- a/src/libcorneltray/docs_test.cc
+++ b/src/libcorneltray/docs_test.cc
@@ -82,7 +82,8 @@
     CAPTURE(event);
     const std::size_t at = sources.find("\"" + event + "\"");
     REQUIRE(at != std::string::npos);
-    for (const auto& [field, value] : line.items()) {
+    for (const auto& item : line.items()) {
+      const std::string& field = item.key();
       CAPTURE(field);
       CHECK(sources.find("\"" + field + "\"") != std::string::npos);
     }
--- a/src/libfleet/layer_placement_test.cc
+++ b/src/libfleet/layer_placement_test.cc
@@ -13,9 +13,15 @@
 
 using std::chrono::milliseconds;
 
+struct ZoneSize {
+  int fast = 0;  // engines
+  int slow = 0;
+};
+
 std::vector<PlacedEngine> MakeZone(int fast, int slow) {
   const EngineProfile profile = TestProfile();
   std::vector<PlacedEngine> engines;
+  engines.reserve(static_cast<std::size_t>(fast + slow));
   for (int i = 0; i < fast; ++i) {
     engines.push_back({"f" + std::to_string(i), profile.accelerators.at("fast"), {}, true});
   }
@@ -44,10 +50,10 @@
 
 TEST_CASE("a zone gets a whole copy of the model, with room for prompts") {
   const EngineProfile profile = TestProfile();
-  for (const auto& [fast, slow] : {std::pair{2, 4}, {1, 6}, {0, 6}, {5, 0}, {4, 12}}) {
-    CAPTURE(fast);
-    CAPTURE(slow);
-    std::vector<PlacedEngine> engines = MakeZone(fast, slow);
+  for (const ZoneSize& size : {ZoneSize{2, 4}, {1, 6}, {0, 6}, {5, 0}, {4, 12}}) {
+    CAPTURE(size.fast);
+    CAPTURE(size.slow);
+    std::vector<PlacedEngine> engines = MakeZone(size.fast, size.slow);
     Take(PlanZone(engines, profile), &engines);
     CHECK(IsWhole(engines, profile));
     CheckFits(engines);
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -157,25 +157,25 @@
 TimePoint HttpCall::ReadAt() const { return m_connection->ReadAt(); }
 std::string HttpCall::CallerAddress() const { return m_connection->CallerAddress(); }
 
-void HttpCall::OnCallerGone(std::function<void()> handler) {
+void HttpCall::OnCallerGone(std::function<void()> handler) const {
   if (HttpCallerConnection* c = Current()) c->SetGoneHandler(std::move(handler));
 }
-void HttpCall::OnDrained(std::function<void()> handler) {
+void HttpCall::OnDrained(std::function<void()> handler) const {
   if (HttpCallerConnection* c = Current()) c->SetDrainedHandler(std::move(handler));
 }
-void HttpCall::Respond(HttpHead head, std::string_view body) {
+void HttpCall::Respond(HttpHead head, std::string_view body) const {
   if (HttpCallerConnection* c = Current()) c->Respond(std::move(head), body);
 }
-void HttpCall::Begin(HttpHead head) {
+void HttpCall::Begin(HttpHead head) const {
   if (HttpCallerConnection* c = Current()) c->Begin(std::move(head));
 }
-void HttpCall::Write(std::string_view bytes) {
+void HttpCall::Write(std::string_view bytes) const {
   if (HttpCallerConnection* c = Current()) c->Write(bytes);
 }
-void HttpCall::End() {
+void HttpCall::End() const {
   if (HttpCallerConnection* c = Current()) c->End();
 }
-void HttpCall::Abort() {
+void HttpCall::Abort() const {
   if (HttpCallerConnection* c = Current()) {
     c->SetGoneHandler(nullptr);
     c->Close(false);
--- a/src/libhttp/http_listener_test.cc
+++ b/src/libhttp/http_listener_test.cc
@@ -43,7 +43,7 @@
 }
 
 TEST_CASE("a listener serves the requests of one connection in order") {
-  ListenerFixture fixture([](HttpCall call) {
+  ListenerFixture fixture([](const HttpCall& call) {
     HttpHead head = MakeResponse(200);
     call.Respond(std::move(head), call.Head().target + call.Body());
   });
@@ -79,7 +79,7 @@
   bool ends = true;
   SUBCASE("when it is ended") { ends = true; }
   SUBCASE("when it is aborted") { ends = false; }
-  ListenerFixture fixture([&ends](HttpCall call) {
+  ListenerFixture fixture([&ends](const HttpCall& call) {
     call.Begin(MakeResponse(200));
     call.Write("part");
     if (ends) {
@@ -100,7 +100,7 @@
 TEST_CASE("the handler learns that its caller has left") {
   std::atomic<bool> gone{false};
   std::optional<HttpCall> kept;
-  ListenerFixture fixture([&](HttpCall call) {
+  ListenerFixture fixture([&](const HttpCall& call) {
     call.OnCallerGone([&gone] { gone = true; });
     kept = call;
   });
@@ -117,7 +117,7 @@
 }
 
 TEST_CASE("a draining listener ends its connections with their answers") {
-  ListenerFixture fixture([](HttpCall call) { call.Respond(MakeResponse(200), "done"); });
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "done"); });
   TestSocket idle(fixture.Address());
   TestSocket busy(fixture.Address());
   REQUIRE(busy.Send(kGet));
@@ -133,7 +133,7 @@
 }
 
 TEST_CASE("limits of a listener hold") {
-  ListenerFixture fixture([](HttpCall call) { call.Respond(MakeResponse(200), ""); });
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), ""); });
   HttpListenerLimits limits;
   limits.max_body_bytes = 10;
   limits.idle_timeout = std::chrono::milliseconds(50);
--- a/src/libhttp/upstream_pool_test.cc
+++ b/src/libhttp/upstream_pool_test.cc
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("a pool reuses connections that the upstream keeps") {
-  PoolFixture fixture([](HttpCall call) { call.Respond(KeepAlive("timeout=10"), "ok"); });
+  PoolFixture fixture([](const HttpCall& call) { call.Respond(KeepAlive("timeout=10"), "ok"); });
   for (int i = 0; i < 3; ++i) CHECK(fixture.Send(fixture.Get()).body == "ok");
   CHECK(fixture.Counters().connects == 1);
   CHECK(fixture.Counters().reused == 2);
@@ -96,7 +96,7 @@
 // Guards against the use of an entry that was freed when its last idle connection had expired,
 // which ended the process.
 TEST_CASE("a pool drops an idle connection that has expired and opens another") {
-  PoolFixture fixture([](HttpCall call) { call.Respond(MakeResponse(200), "ok"); });
+  PoolFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "ok"); });
   CHECK(fixture.Send(fixture.Get()).body == "ok");
   // Without a Keep-Alive field a connection is reused for half a second.
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
@@ -107,16 +107,16 @@
 
 TEST_CASE("a pool tells how a request failed") {
   SUBCASE("nobody listens") {
-    PoolFixture fixture([](HttpCall) {});
+    PoolFixture fixture([](const HttpCall&) {});
     fixture.loop.Run([&] { fixture.upstream->CloseListener(); });
     CHECK(fixture.Send(fixture.Get()).failure == UpstreamFailure::kNotConnected);
   }
   SUBCASE("the connection ends without an answer") {
-    PoolFixture fixture([](HttpCall call) { call.Abort(); });
+    PoolFixture fixture([](const HttpCall& call) { call.Abort(); });
     CHECK(fixture.Send(fixture.Get()).failure == UpstreamFailure::kNoAnswer);
   }
   SUBCASE("the connection ends inside the answer") {
-    PoolFixture fixture([](HttpCall call) {
+    PoolFixture fixture([](const HttpCall& call) {
       call.Begin(MakeResponse(200));
       call.Write("part");
       call.Abort();
@@ -130,7 +130,7 @@
 // Guards against answers of one request that reach the caller of another.
 TEST_CASE("an answer to an earlier request is skipped") {
   int answers = 0;
-  PoolFixture fixture([&answers](HttpCall call) {
+  PoolFixture fixture([&answers](const HttpCall& call) {
     HttpHead head = KeepAlive("timeout=10");
     head.Add("Answer-To", ++answers == 1 ? "earlier" : "mine");
     call.Respond(std::move(head), "body " + std::to_string(answers));
@@ -147,7 +147,7 @@
 TEST_CASE("a cancelled request calls nobody and closes its connection") {
   std::optional<HttpCall> kept;
   std::atomic<bool> caller_left{false};
-  PoolFixture fixture([&](HttpCall call) {
+  PoolFixture fixture([&](const HttpCall& call) {
     call.OnCallerGone([&] { caller_left = true; });
     kept = call;
   });
--- a/src/libserving/event_stream_test.cc
+++ b/src/libserving/event_stream_test.cc
@@ -18,7 +18,7 @@
       EventStream fresh;
       std::string passed;
       for (std::size_t at = 0; at < all.size(); at += part) {
-        passed += fresh.Take(std::string_view(all).substr(at, part));
+        passed += fresh.Take(all.substr(at, part));
       }
       CHECK(passed == all);
       CHECK(fresh.Events() == 3);
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -29,8 +29,8 @@
 Gateway::Gateway(asio::io_context* io, GatewayOptions options)
     : m_io(io),
       m_options(std::move(options)),
-      m_listener(io, [this](HttpCall call) { OnCall(std::move(call)); }),
-      m_ready_listener(io, [this](HttpCall call) { OnReadyCall(std::move(call)); }),
+      m_listener(io, [this](const HttpCall& call) { OnCall(call); }),
+      m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
       m_tick_timer(*io) {}
@@ -162,16 +162,16 @@
   return budget;
 }
 
-void Gateway::OnCall(HttpCall call) {
+void Gateway::OnCall(const HttpCall& call) {
   if (call.Head().Path() == m_options.dialect->ReadinessPath() &&
       m_ready_listener.Address().empty()) {
-    return OnReadyCall(std::move(call));
+    return OnReadyCall(call);
   }
   if (m_parked.size() < kMaxParked && MustWait(call)) {
-    m_parked.push_back(std::move(call));
+    m_parked.push_back(call);
     return PlanTick();
   }
-  Admit(std::move(call));
+  Admit(call);
 }
 
 // Whether a request cannot be judged yet, because this process has just started and does not know
@@ -228,17 +228,17 @@
   return view;
 }
 
-void Gateway::Admit(HttpCall call) {
+void Gateway::Admit(const HttpCall& call) {
   GatewayRequest request = MakeRequest(call);
   const auto refusal = FilterRequest(View(Clock::now()), &request);
   if (refusal) return Refuse(call, request, *refusal);
-  const auto exchange = std::make_shared<Exchange>(this, std::move(call), std::move(request));
+  const auto exchange = std::make_shared<Exchange>(this, call, std::move(request));
   m_exchanges.insert(exchange);
   PlanTick();
   exchange->Start();
 }
 
-void Gateway::OnReadyCall(HttpCall call) {
+void Gateway::OnReadyCall(const HttpCall& call) {
   constexpr int kOk = 200;
   constexpr int kUnavailable = 503;
   call.Respond(MakeResponse(IsReady() ? kOk : kUnavailable), "");
@@ -247,8 +247,7 @@
 void Gateway::Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal) {
   HttpHead head = MakeResponse(StatusOf(refusal));
   if (const auto after = RetryAfter(refusal)) head.Add("Retry-After", FormatRetryAfter(*after));
-  HttpCall answer = call;
-  answer.Respond(std::move(head), "");
+  call.Respond(std::move(head), "");
   m_metrics.Count("refusals", NameOf(refusal));
   LogEvent(LogLevel::kInfo, "request_refused",
            {{"request_id", request.facts.request_id},
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -63,7 +63,7 @@
 
 class GatewayFixture {
  public:
-  using Script = std::function<void(ScriptedUpstream& self, HttpCall call)>;
+  using Script = std::function<void(ScriptedUpstream& self, const HttpCall& call)>;
 
   GatewayFixture() {
     loop.Run([this] {
@@ -92,13 +92,14 @@
     return loop.Run([&] {
       m_upstreams.push_back(std::make_unique<ScriptedUpstream>());
       ScriptedUpstream* self = m_upstreams.back().get();
-      self->listener = std::make_unique<HttpListener>(loop.Io(), [self, script](HttpCall call) {
-        if (call.Head().target != "/report") {
-          ++self->requests;
-          self->heads.push_back(call.Head());
-        }
-        script(*self, std::move(call));
-      });
+      self->listener =
+          std::make_unique<HttpListener>(loop.Io(), [self, script](const HttpCall& call) {
+            if (call.Head().target != "/report") {
+              ++self->requests;
+              self->heads.push_back(call.Head());
+            }
+            script(*self, call);
+          });
       REQUIRE(self->listener->Listen("127.0.0.1:0").Ok());
       UpstreamUpdate update = TestEngine(name, zone, "fast", first, end);
       update.announcement.service = first < end ? "model" : "plain";
@@ -140,9 +141,11 @@
   return head;
 }
 
-void AnswerWith(const std::string& body, HttpCall call) { call.Respond(Authentic(200), body); }
+void AnswerWith(const std::string& body, const HttpCall& call) {
+  call.Respond(Authentic(200), body);
+}
 
-void Refuse(HttpCall call, const std::string& faulty = "") {
+void Refuse(const HttpCall& call, const std::string& faulty = "") {
   HttpHead head = MakeResponse(503);
   head.Add("Not-Run", "1");
   if (!faulty.empty()) head.Add("Faulty", faulty);
@@ -159,8 +162,8 @@
 
 TEST_CASE("a call reaches an upstream as the caller sent it, and its answer comes back") {
   GatewayFixture fixture;
-  ScriptedUpstream* upstream =
-      fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("done", call); });
+  ScriptedUpstream* upstream = fixture.Add(
+      "u", "a", [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("done", call); });
   const std::string answer = fixture.Call("POST", "/get/x?y=1", "X-Own: 1\r\n", "body");
   CHECK(StatusOf(answer) == 200);
   CHECK(Contains(answer, "Mark: m"));
@@ -181,8 +184,8 @@
 
 TEST_CASE("a request that may not be served is refused here") {
   GatewayFixture fixture;
-  ScriptedUpstream* upstream =
-      fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("done", call); });
+  ScriptedUpstream* upstream = fixture.Add(
+      "u", "a", [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("done", call); });
   SUBCASE("without a route") { CHECK(StatusOf(fixture.Call("GET", "/none/")) == 404); }
   SUBCASE("with a key that nobody holds") {
     TestSocket caller(fixture.Address());
@@ -228,13 +231,15 @@
   int refusals = 0;
   GatewayFixture::Script script;
   SUBCASE("when the connection ends without an answer") {
-    script = [](ScriptedUpstream&, HttpCall call) { call.Abort(); };
+    script = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
     fixture.Add("u", "a", script);
     fixture.Add("v", "b", script);
     CHECK(StatusOf(fixture.Call("POST", "/book/")) == 502);
   }
   SUBCASE("when the upstream fails, whose answer is passed on") {
-    script = [](ScriptedUpstream&, HttpCall call) { call.Respond(Authentic(500), "broken"); };
+    script = [](ScriptedUpstream&, const HttpCall& call) {
+      call.Respond(Authentic(500), "broken");
+    };
     ScriptedUpstream* u = fixture.Add("u", "a", script);
     ScriptedUpstream* v = fixture.Add("v", "b", script);
     const std::string answer = fixture.Call("POST", "/book/");
@@ -243,7 +248,7 @@
     CHECK(u->requests + v->requests == 1);
   }
   SUBCASE("unless the upstream says that it did not run it") {
-    script = [&refusals](ScriptedUpstream&, HttpCall call) {
+    script = [&refusals](ScriptedUpstream&, const HttpCall& call) {
       if (refusals++ == 0) return Refuse(call);
       AnswerWith("booked", call);
     };
@@ -252,7 +257,7 @@
     CHECK(Contains(fixture.Call("POST", "/book/"), "booked"));
   }
   SUBCASE("when nobody ran it the caller is told so, and when to come back") {
-    script = [](ScriptedUpstream&, HttpCall call) { Refuse(call); };
+    script = [](ScriptedUpstream&, const HttpCall& call) { Refuse(call); };
     fixture.Add("u", "a", script);
     const std::string answer = fixture.Call("POST", "/book/");
     CHECK(StatusOf(answer) == 503);
@@ -265,22 +270,22 @@
   int failures = 0;
   GatewayFixture::Script first;
   SUBCASE("when the connection ends") {
-    first = [](ScriptedUpstream&, HttpCall call) { call.Abort(); };
+    first = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
   }
   SUBCASE("when the upstream fails") {
-    first = [](ScriptedUpstream&, HttpCall call) { call.Respond(Authentic(500), ""); };
+    first = [](ScriptedUpstream&, const HttpCall& call) { call.Respond(Authentic(500), ""); };
   }
   SUBCASE("when the answer is not the upstream's own") {
-    first = [](ScriptedUpstream&, HttpCall call) {
+    first = [](ScriptedUpstream&, const HttpCall& call) {
       HttpHead head = MakeResponse(200);
       head.Add("Request-Id", "r1");
       call.Respond(std::move(head), "forged");
     };
   }
   SUBCASE("when there is no answer in time") {
-    first = [](ScriptedUpstream& self, HttpCall call) { self.parked.push_back(call); };
+    first = [](ScriptedUpstream& self, const HttpCall& call) { self.parked.push_back(call); };
   }
-  const auto script = [&failures, first](ScriptedUpstream& self, HttpCall call) {
+  const auto script = [&failures, first](ScriptedUpstream& self, const HttpCall& call) {
     if (failures++ == 0) return first(self, call);
     AnswerWith("found", call);
   };
@@ -292,7 +297,7 @@
 // Guards against a failing answer that is replaced by one of ours when no attempt is left.
 TEST_CASE("when every upstream fails the caller gets the last failure") {
   GatewayFixture fixture;
-  const auto script = [](ScriptedUpstream&, HttpCall call) {
+  const auto script = [](ScriptedUpstream&, const HttpCall& call) {
     call.Respond(Authentic(500), "the upstream's words");
   };
   ScriptedUpstream* u = fixture.Add("u", "a", script);
@@ -304,7 +309,7 @@
 }
 
 // Streams each event of `from` to `to`, then ends the answer or breaks off.
-void Stream(HttpCall call, int from, int to, bool whole) {
+void Stream(const HttpCall& call, int from, int to, bool whole) {
   call.Begin(Authentic(200, "text/event-stream"));
   for (int id = from; id <= to; ++id) call.Write(Event(id));
   if (!whole) {
@@ -345,12 +350,12 @@
 TEST_CASE("a generation runs over a chain and goes on at another one") {
   GatewayFixture fixture;
   std::atomic<int> runs{0};
-  const auto script = [&runs](ScriptedUpstream&, HttpCall call) {
+  const auto script = [&runs](ScriptedUpstream&, const HttpCall& call) {
     if (runs++ == 0) return Stream(call, 1, 3, false);
     const int from = std::stoi(std::string(call.Head().Value("Last-Event"))) + 1;
     Stream(call, from, 6, true);
   };
-  const auto unused = [](ScriptedUpstream&, HttpCall call) { call.Abort(); };
+  const auto unused = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
   ScriptedUpstream* a = fixture.Add("a1", "a", script, 0, 40);
   fixture.Add("a2", "a", unused, 40, 80);
   fixture.Add("b1", "b", script, 0, 40);
@@ -368,7 +373,7 @@
 TEST_CASE("a stream that cannot go on ends as incomplete") {
   GatewayFixture fixture;
   fixture.Add(
-      "a1", "a", [](ScriptedUpstream&, HttpCall call) { Stream(call, 1, 3, false); }, 0, 80);
+      "a1", "a", [](ScriptedUpstream&, const HttpCall& call) { Stream(call, 1, 3, false); }, 0, 80);
   const std::string answer = fixture.Call("POST", "/talk/");
   CHECK(Body(answer) == Events(1, 3));
   CHECK_FALSE(EndsAsComplete(answer));
@@ -376,7 +381,7 @@
 
 TEST_CASE("an answer of a stream route that is no event stream is passed on whole") {
   GatewayFixture fixture;
-  fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("plain", call); });
+  fixture.Add("u", "a", [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("plain", call); });
   const std::string answer = fixture.Call("POST", "/talk-plain/");
   CHECK(StatusOf(answer) == 200);
   CHECK(Contains(answer, "\r\n\r\nplain"));
@@ -391,7 +396,7 @@
   bool refuses = false;
   SUBCASE("when the report of the first stage names it") {}
   SUBCASE("when the first stage refuses after it has waited") { refuses = true; }
-  const auto first_of_a = [&](ScriptedUpstream& self, HttpCall call) {
+  const auto first_of_a = [&](ScriptedUpstream& self, const HttpCall& call) {
     if (call.Head().target != "/report") return self.parked.push_back(call);
     if (refuses) {
       // No report; the engine refuses what it held once its own patience is over.
@@ -399,14 +404,15 @@
     }
     call.Respond(MakeResponse(200), "[\"" + lost + "\"]");
   };
-  const auto never = [](ScriptedUpstream&, HttpCall call) { call.Abort(); };
-  const auto serve = [](ScriptedUpstream&, HttpCall call) { Stream(call, 1, 4, true); };
+  const auto never = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
+  const auto serve = [](ScriptedUpstream&, const HttpCall& call) { Stream(call, 1, 4, true); };
   ScriptedUpstream* a1 = fixture.Add("a1", "a", first_of_a, 0, 40);
   ScriptedUpstream* a2 = fixture.Add("a2", "a", never, 40, 80);
   lost = fixture.loop.Run([&] { return a2->listener->Address(); });
   std::vector<std::thread> callers;
   std::atomic<int> whole{0};
   constexpr int kCallers = 8;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       const std::string answer = fixture.Call("POST", "/talk/");
@@ -433,7 +439,7 @@
   GatewayFixture fixture;
   std::atomic<bool> ended{false};
   ScriptedUpstream* upstream =
-      fixture.Add("u", "a", [&ended](ScriptedUpstream& self, HttpCall call) {
+      fixture.Add("u", "a", [&ended](ScriptedUpstream& self, const HttpCall& call) {
         call.OnCallerGone([&ended] { ended = true; });
         self.parked.push_back(call);
       });
@@ -448,7 +454,8 @@
 
 TEST_CASE("a request ends with its timeout") {
   GatewayFixture fixture;
-  fixture.Add("u", "a", [](ScriptedUpstream& self, HttpCall call) { self.parked.push_back(call); });
+  fixture.Add("u", "a",
+              [](ScriptedUpstream& self, const HttpCall& call) { self.parked.push_back(call); });
   const TimePoint start = Clock::now();
   CHECK(StatusOf(fixture.Call("POST", "/book/", "Time-Left: 300\r\n")) == 504);
   const auto took = Clock::now() - start;
@@ -462,7 +469,7 @@
     return fixture.loop.Run([&] { return fixture.gateway->IsReady(); });
   };
   CHECK_FALSE(ready());
-  fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("", call); });
+  fixture.Add("u", "a", [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("", call); });
   CHECK(ready());
   fixture.loop.Run([&] { fixture.gateway->BeginDrain(); });
   CHECK_FALSE(ready());
@@ -476,7 +483,8 @@
   std::thread caller([&] { answer = fixture.Call("GET", "/get/"); });
   SUBCASE("until an upstream announces itself") {
     std::this_thread::sleep_for(milliseconds(200));
-    fixture.Add("u", "a", [](ScriptedUpstream&, HttpCall call) { AnswerWith("found", call); });
+    fixture.Add("u", "a",
+                [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("found", call); });
     caller.join();
     CHECK(Contains(answer, "found"));
   }
--- a/src/libserving/metrics_server.cc
+++ b/src/libserving/metrics_server.cc
@@ -9,7 +9,7 @@
 
 MetricsServer::MetricsServer(asio::io_context* io, const std::string& address,
                              std::function<std::string()> text)
-    : m_text(std::move(text)), m_listener(io, [this](HttpCall call) {
+    : m_text(std::move(text)), m_listener(io, [this](const HttpCall& call) {
         constexpr int kOk = 200;
         constexpr int kNotFound = 404;
         const bool found = call.Head().Path() == "/metrics";
