--- a/src/libfleet/layer_placement_test.cc
+++ b/src/libfleet/layer_placement_test.cc
@@ -21,7 +21,7 @@
 std::vector<PlacedEngine> MakeZone(int fast, int slow) {
   const EngineProfile profile = TestProfile();
   std::vector<PlacedEngine> engines;
-  engines.reserve(static_cast<std::size_t>(fast + slow));
+  engines.reserve(static_cast<std::size_t>(fast) + static_cast<std::size_t>(slow));
   for (int i = 0; i < fast; ++i) {
     engines.push_back({"f" + std::to_string(i), profile.accelerators.at("fast"), {}, true});
   }
