Drop a waiting request whose caller has left, and log the longest gap of a stream

Reading the code showed that a request which waited for a host to start was sent to an upstream although its caller had gone meanwhile, and that the line of a passed-on failure named status 0. gateway_test has the first as a case.

--- a/src/include/corneltray/http_listener.h
+++ b/src/include/corneltray/http_listener.h
@@ -40,6 +40,8 @@
   // Address IP:PORT of the caller's connection.
   std::string CallerAddress() const;
 
+  // Whether the caller still waits for the answer.
+  bool IsOpen() const;
   // Called once when the caller closes or resets the connection before the answer is complete.
   void OnCallerGone(std::function<void()> handler) const;
   // Called when bytes that waited for a slow caller have been written.
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -157,6 +157,7 @@
 TimePoint HttpCall::ReadAt() const { return m_connection->ReadAt(); }
 std::string HttpCall::CallerAddress() const { return m_connection->CallerAddress(); }
 
+bool HttpCall::IsOpen() const { return Current() != nullptr; }
 void HttpCall::OnCallerGone(std::function<void()> handler) const {
   if (HttpCallerConnection* c = Current()) c->SetGoneHandler(std::move(handler));
 }
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -56,10 +56,9 @@
   const std::string events = streamed.events.Take(bytes);
   if (streamed.events.HasGap()) return EndAttempt(AttemptEvidence::kMalformed);
   if (events.empty()) return;
+  NoteEvent(Clock::now());
   m_attempt->events += streamed.events.Events() - before;
   if (!std::exchange(streamed.begun, true)) {
-    m_first_event_at = Clock::now();
-    m_gateway->GetMetrics().RecordFirstToken(*m_first_event_at - m_request.read_at);
     HttpHead head = m_attempt->head;
     head.Remove("Content-Length");  // the answer may go on at another upstream
     RemoveConnectionFields(&head);
@@ -70,6 +69,17 @@
   if (m_attempt && m_call.Unsent() > kMaxUnsent) m_attempt->call.PauseReading();
 }
 
+void Exchange::NoteEvent(TimePoint now) {
+  if (!m_first_event_at) {
+    m_first_event_at = now;
+    m_gateway->GetMetrics().RecordFirstToken(now - m_request.read_at);
+  } else {
+    m_gateway->GetMetrics().RecordTokenGap(now - m_passed_on_at);
+    m_longest_gap = std::max(m_longest_gap, now - m_passed_on_at);
+  }
+  m_passed_on_at = now;
+}
+
 void Exchange::FinishStream() {
   StreamedAnswer& streamed = m_stream;
   if (streamed.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
@@ -128,6 +138,7 @@
   }
   if (m_spare_answer) {
     HttpHead head = std::move(m_spare_answer->head);
+    status = head.status;
     RemoveConnectionFields(&head);
     m_call.Respond(std::move(head), m_spare_answer->body);
     return Finish(status, "upstream_failure");
@@ -168,6 +179,7 @@
                  {"took_ms", MillisecondsBetween(m_request.read_at, now)}};
   if (m_first_event_at) {
     fields["first_event_ms"] = MillisecondsBetween(m_request.read_at, *m_first_event_at);
+    fields["longest_gap_ms"] = std::chrono::duration<double, std::milli>(m_longest_gap).count();
   }
   LogEvent(LogLevel::kInfo, "request_finished", fields);
   m_gateway->Finished(shared_from_this());
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -96,6 +96,7 @@
 
   // exchange.cc
   void PassOnEvents(std::string_view bytes);
+  void NoteEvent(TimePoint now);
   void FinishStream();
   void FinishWhole();
   void OnCallerGone();
@@ -117,6 +118,8 @@
   std::set<std::string> m_excluded;  // addresses that failed this request
   ChainScope m_scope = ChainScope::kNone;
   std::optional<TimePoint> m_first_event_at;
+  TimePoint m_passed_on_at{};                // of the last event
+  Duration m_longest_gap{};                  // between two events
   std::optional<TimePoint> m_wait_deadline;  // a started request waits for a chain
   std::uint64_t m_bytes = 0;                 // of the answer's body
   bool m_finished = false;
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -202,6 +202,7 @@
   const std::vector<HttpCall> parked = std::move(m_parked);
   m_parked.clear();
   for (const HttpCall& call : parked) {
+    if (!call.IsOpen()) continue;
     if (MustWait(call)) {
       m_parked.push_back(call);
     } else {
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -488,6 +488,19 @@
     caller.join();
     CHECK(Contains(answer, "found"));
   }
+  SUBCASE("unless the caller leaves meanwhile") {
+    {
+      TestSocket impatient(fixture.Address());
+      REQUIRE(
+          impatient.Send("GET /get/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\nKey: key\r\n\r\n"));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    ScriptedUpstream* upstream = fixture.Add(
+        "u", "a", [](ScriptedUpstream&, const HttpCall& call) { AnswerWith("", call); });
+    caller.join();
+    CHECK(upstream->requests == 1);
+  }
   SUBCASE("but not for long") {
     const TimePoint start = Clock::now();
     caller.join();
