Count a run at a first stage that lost another stage

Every run counts now but those at upstreams that are known to be gone. gateway_test plays three zones that lose their second stages one after the other; it fails without the change.

--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -290,9 +290,7 @@
   m_attempt->call.Cancel();
   m_last_evidence = evidence;
   m_has_run = Combine(m_has_run, outcome.has_run);
-  const bool upstream_works =
-      evidence != AttemptEvidence::kNoAnswer && evidence != AttemptEvidence::kStageLost;
-  if (outcome.has_run != HasRun::kNo && upstream_works) ++m_runs;
+  if (outcome.has_run != HasRun::kNo) m_ran_at.push_back(m_attempt->upstream);
   LogAttempt(now, evidence, outcome.has_run);
   NoteFault(now, evidence, m_attempt->address);
   CloseAttempt();
@@ -302,7 +300,7 @@
     m_excluded.insert(address);
     m_gateway->Suspect(address, reason);
   }
-  if (now < m_request.deadline && MayTryAgain(outcome)) {
+  if (now < m_request.deadline && MayTryAgain(now, outcome)) {
     if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now)) return SendAttempt();
     m_gateway->GetMetrics().Count("retries_refused", "budget");
     LogEvent(LogLevel::kWarning, "retry_refused",
@@ -351,10 +349,21 @@
   m_attempt.reset();
 }
 
-bool Exchange::MayTryAgain(const AttemptOutcome& outcome) {
+// A route bounds the upstreams at which one request runs. One that is gone since does not count,
+// but the first stage of a chain that lost another stage does.
+bool Exchange::MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const {
   if (!outcome.may_try_another) return false;
   const std::uint32_t allowed = m_request.route->max_upstreams;
-  return m_runs < allowed && m_attempts < allowed + kExtraAttempts;
+  const auto runs = std::count_if(m_ran_at.begin(), m_ran_at.end(),
+                                  [&](const std::string& name) { return CountsAsRun(now, name); });
+  return static_cast<std::uint32_t>(runs) < allowed && m_attempts < allowed + kExtraAttempts;
+}
+
+bool Exchange::CountsAsRun(TimePoint now, const std::string& upstream) const {
+  const UpstreamRecord* record = m_gateway->Upstreams().Find(upstream);
+  if (record == nullptr || !record->IsAlive(now)) return false;
+  const EngineRouter* router = Router();
+  return router == nullptr || !router->IsSuspected(record->announcement.address);
 }
 
 void Exchange::CheckSilentStream(TimePoint now) {
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -370,6 +370,36 @@
   });
 }
 
+// Guards against a request that runs at more upstreams than its route allows, when the chains that
+// it is given lose stages one after the other while their first stages work on.
+TEST_CASE("a generation runs at no more first stages than its route allows") {
+  GatewayFixture fixture;
+  std::string lost;
+  const auto stalls = [&lost](ScriptedUpstream& self, const HttpCall& call) {
+    if (call.Head().target == "/report") return call.Respond(MakeResponse(200), lost);
+    call.Begin(Authentic(200, "text/event-stream"));
+    const std::string after(call.Head().Value("Last-Event"));
+    call.Write(Event(after.empty() ? 1 : std::stoi(after) + 1));
+    self.parked.push_back(call);
+  };
+  const auto unused = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
+  std::vector<ScriptedUpstream*> first;
+  std::vector<ScriptedUpstream*> second;
+  for (const char* zone : {"a", "b", "c"}) {
+    first.push_back(fixture.Add(std::string(zone) + "1", zone, stalls, 0, 40));
+    second.push_back(fixture.Add(std::string(zone) + "2", zone, unused, 40, 80));
+  }
+  lost = fixture.loop.Run([&] {
+    nlohmann::json addresses;
+    for (ScriptedUpstream* upstream : second) addresses.push_back(upstream->listener->Address());
+    return addresses.dump();
+  });
+  const std::string answer = fixture.Call("POST", "/talk/");
+  CHECK(Body(answer) == Events(1, 2));
+  CHECK_FALSE(EndsAsComplete(answer));
+  CHECK(first[0]->requests + first[1]->requests + first[2]->requests == 2);
+}
+
 TEST_CASE("a stream that cannot go on ends as incomplete") {
   GatewayFixture fixture;
   fixture.Add(
