--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -69,8 +69,6 @@
   void Report(TimePoint now, const std::string& address, const LoadReport& load);
   // A stage does not answer. `sequence` is that of its last announcement.
   void Suspect(TimePoint now, const std::string& address, std::uint64_t sequence);
-  // Whether a stage that did not answer has not announced itself since.
-  bool IsSuspected(const std::string& address) const;
   // A stage has no room for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
   // A stage works this many times slower than its kind.
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -195,11 +195,6 @@
   state.suspect_sequence = sequence;
 }
 
-bool EngineRouter::IsSuspected(const std::string& address) const {
-  const auto state = m_states.find(address);
-  return state != m_states.end() && state->second.is_suspect;
-}
-
 void EngineRouter::MarkFull(TimePoint now, const std::string& address) {
   m_states[address].full_until = now + kFullFor;
 }
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -359,11 +359,10 @@
   return static_cast<std::uint32_t>(runs) < allowed && m_attempts < allowed + kExtraAttempts;
 }
 
+// A suspicion of this host is not enough: an engine that was only slow has run the request too.
 bool Exchange::CountsAsRun(TimePoint now, const std::string& upstream) const {
   const UpstreamRecord* record = m_gateway->Upstreams().Find(upstream);
-  if (record == nullptr || !record->IsAlive(now)) return false;
-  const EngineRouter* router = Router();
-  return router == nullptr || !router->IsSuspected(record->announcement.address);
+  return record != nullptr && record->IsAlive(now);
 }
 
 void Exchange::CheckSilentStream(TimePoint now) {
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -400,6 +400,24 @@
   CHECK(first[0]->requests + first[1]->requests + first[2]->requests == 2);
 }
 
+// Guards against the same when the first stages are only suspected, because they give no report.
+TEST_CASE("a first stage that is only suspected counts as one that has run the request") {
+  GatewayFixture fixture;
+  const auto silent = [](ScriptedUpstream& self, const HttpCall& call) {
+    if (call.Head().target != "/report") {
+      call.Begin(Authentic(200, "text/event-stream"));
+      const std::string after(call.Head().Value("Last-Event"));
+      call.Write(Event(after.empty() ? 1 : std::stoi(after) + 1));
+    }
+    self.parked.push_back(call);
+  };
+  std::vector<ScriptedUpstream*> engines;
+  for (const char* zone : {"a", "b", "c"})
+    engines.push_back(fixture.Add(zone, zone, silent, 0, 80));
+  CHECK(Body(fixture.Call("POST", "/talk/")) == Events(1, 2));
+  CHECK(engines[0]->requests + engines[1]->requests + engines[2]->requests == 2);
+}
+
 TEST_CASE("a stream that cannot go on ends as incomplete") {
   GatewayFixture fixture;
   fixture.Add(
