--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -412,8 +412,9 @@
     self.parked.push_back(call);
   };
   std::vector<ScriptedUpstream*> engines;
-  for (const char* zone : {"a", "b", "c"})
+  for (const char* zone : {"a", "b", "c"}) {
     engines.push_back(fixture.Add(zone, zone, silent, 0, 80));
+  }
   CHECK(Body(fixture.Call("POST", "/talk/")) == Events(1, 2));
   CHECK(engines[0]->requests + engines[1]->requests + engines[2]->requests == 2);
 }
