Use one allocator of Asio in all units

Cause: the address sanitizer found memory allocated by operator new and given to free; Asio chooses by macros that depend on the headers included before it. Found by the sanitized tests of libhttp; not rerun after this change.

--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -13,9 +13,10 @@
 endif()
 
 add_library(corneltray_dependencies INTERFACE)
-# websocketpp works over standalone Asio when these two macros are set.
+# websocketpp works over standalone Asio when these macros are set. Without ASIO_DISABLE_STD_ALIGNED_ALLOC the allocator of
+# Asio depends on the order of headers in a unit, and units that differ free what the others allocated.
 target_compile_definitions(corneltray_dependencies INTERFACE
-  ASIO_STANDALONE _WEBSOCKETPP_CPP11_STL_ BOOST_LOG_DYN_LINK BOOST_ALL_DYN_LINK)
+  ASIO_STANDALONE ASIO_DISABLE_STD_ALIGNED_ALLOC _WEBSOCKETPP_CPP11_STL_ BOOST_LOG_DYN_LINK BOOST_ALL_DYN_LINK)
 # Debian builds cpp-httplib as a shared library with OpenSSL. The macro changes the layout of its classes, so it has to
 # match the library.
 target_compile_definitions(corneltray_dependencies INTERFACE CPPHTTPLIB_OPENSSL_SUPPORT)
