Guard the tick of the gateway against its own end

Cause: the handler of Gateway's tick timer wrote to the object before it looked at the error code. Destroying the timer queues that handler with operation_aborted, so it ran after the object was gone. The gateway program does not run its loop after the object, so only tests were affected.

Change: the handler holds a weak pointer to a token of the object and returns when it has expired. Looking at the error code alone is not enough, because a timer that has already fired reports success.

--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -144,6 +144,8 @@
   ServiceRetryCounts m_fleet_retries;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
+  // Goes with the object. A handler of the timer may run after it and looks here first.
+  std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
   // Requests that arrived before this process knew routes and upstreams.
   std::vector<HttpCall> m_parked;
   std::optional<TimePoint> m_warm_at;  // no request waits from then on
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -263,7 +263,9 @@
 void Gateway::PlanTick() {
   if (std::exchange(m_tick_planned, true)) return;
   m_tick_timer.expires_after(kTickInterval);
-  m_tick_timer.async_wait([this](const asio::error_code& cancelled) {
+  const std::weak_ptr<const bool> alive = m_alive;
+  m_tick_timer.async_wait([this, alive](const asio::error_code& cancelled) {
+    if (alive.expired()) return;
     m_tick_planned = false;
     if (!cancelled) Tick();
   });
