Remove dead code from libhttp and idle work from its listener

Cause: review of the change. Nothing called CallerAddress, HasFraming, OpenConnections or Close with a reset; HttpReader repeated a test of the parser to feed a value that http_should_keep_alive already accounts for; a connection had a Cancel that did what Close does.

Change: these pieces are gone.

--- a/src/include/corneltray/http_listener.h
+++ b/src/include/corneltray/http_listener.h
@@ -37,8 +37,6 @@
   const HttpHead& Head() const;
   const std::string& Body() const;
   TimePoint ReadAt() const;  // when its last byte was read
-  // Address IP:PORT of the caller's connection.
-  std::string CallerAddress() const;
 
   // Whether the caller still waits for the answer.
   bool IsOpen() const;
--- a/src/include/corneltray/http_reader.h
+++ b/src/include/corneltray/http_reader.h
@@ -52,8 +52,6 @@
   bool Started() const;
   // Whether the connection may carry another message after this one.
   bool KeepsConnection() const;
-  // Whether the length of the body is known before its end, by a length or by chunks.
-  bool HasFraming() const;
   const HttpHead& Head() const;
   HttpHead TakeHead();
 
--- a/src/include/corneltray/upstream_pool.h
+++ b/src/include/corneltray/upstream_pool.h
@@ -94,8 +94,6 @@
 
   UpstreamCall Send(UpstreamRequest request, UpstreamCallbacks callbacks);
 
-  // Connections to an address that are open or being opened.
-  std::size_t OpenConnections(const std::string& address) const;
   // Closes the idle connections to an address.
   void Forget(const std::string& address);
   // Closes everything.
--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -32,24 +32,16 @@
   Read();
 }
 
-std::string HttpCallerConnection::CallerAddress() const {
-  asio::error_code error;
-  const auto endpoint = m_socket.remote_endpoint(error);
-  if (error) return "unknown";
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 bool HttpCallerConnection::Expired(TimePoint now) const {
   return (m_state == State::kReading || m_state == State::kClosing) && now >= m_deadline;
 }
 
-void HttpCallerConnection::Close(bool reset) {
+void HttpCallerConnection::Close() {
   if (m_state == State::kClosed) return;
   const bool was_serving = m_state == State::kServing;
   m_state = State::kClosed;
   ReleaseBody();
   asio::error_code ignored;  // the connection is given up either way
-  if (reset) m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
   m_socket.close(ignored);
   const auto self = shared_from_this();
   m_listener->connections.erase(self);
@@ -68,15 +60,13 @@
         self->m_read_pending = false;
         if (self->m_state == State::kClosed) return;
         if (error) {
-          self->OnEnd();
+          self->Close();
         } else {
           self->OnRead(bytes);
         }
       });
 }
 
-void HttpCallerConnection::OnEnd() { Close(false); }
-
 void HttpCallerConnection::OnRead(std::size_t bytes) {
   if (m_state == State::kClosing) return Read();  // what comes after the last answer is dropped
   m_input.append(m_chunk.data(), bytes);
@@ -196,8 +186,7 @@
   m_on_gone = nullptr;
   m_on_drained = nullptr;
   ReleaseBody();
-  m_state = State::kClosing;
-  if (m_keep_alive) m_state = State::kReading;
+  m_state = m_keep_alive ? State::kReading : State::kClosing;
   m_deadline = Clock::now() + (m_keep_alive ? m_listener->limits.idle_timeout : kLingerTimeout);
   Flush();
   FinishServing();
@@ -222,7 +211,7 @@
   // sending side is closed; the other one is read until the caller closes it.
   asio::error_code error;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-  if (error) return Close(false);
+  if (error) return Close();
   Read();
 }
 
@@ -246,7 +235,7 @@
     if (error == asio::error::would_block || error == asio::error::try_again) return WaitWritable();
     if (error) {
       // Not from here: the handler that wrote is still on the stack.
-      asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->Close(false); });
+      asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->Close(); });
       m_write_pending = true;
       return;
     }
@@ -264,7 +253,7 @@
                       [self = shared_from_this()](const asio::error_code& error) {
                         self->m_write_pending = false;
                         if (self->m_state == State::kClosed) return;
-                        if (error) return self->Close(false);
+                        if (error) return self->Close();
                         self->Flush();
                         if (self->Unsent() > 0) return;
                         if (self->m_state == State::kClosing) return self->FinishServing();
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -52,7 +52,7 @@
   HttpCallerConnection(std::shared_ptr<HttpListener::Impl> listener, asio::ip::tcp::socket socket);
 
   void Start();
-  void Close(bool reset);
+  void Close();
   bool Idle() const { return m_state == State::kReading && !m_reader.Started(); }
   bool Busy() const { return m_state == State::kServing; }
   // Whether the caller has taken longer than the limits allow.
@@ -64,7 +64,6 @@
   const HttpHead& Head() const { return m_head; }
   const std::string& Body() const { return m_body; }
   TimePoint ReadAt() const { return m_read_at; }
-  std::string CallerAddress() const;
   void SetGoneHandler(std::function<void()> handler) { m_on_gone = std::move(handler); }
   void SetDrainedHandler(std::function<void()> handler) { m_on_drained = std::move(handler); }
   void Respond(HttpHead head, std::string_view body);
@@ -79,7 +78,6 @@
 
   void Read();
   void OnRead(std::size_t bytes);
-  void OnEnd();
   void ReadRequest();
   bool CheckSizes();
   void StartServing();
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -51,7 +51,6 @@
   if (!error) m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return Error{error, address};
   Accept();
-  PlanSweep();
   return {};
 }
 
@@ -78,6 +77,7 @@
           auto connection = std::make_shared<HttpCallerConnection>(self, std::move(socket));
           self->connections.insert(connection);
           connection->Start();
+          self->PlanSweep();
         } else {
           ++self->counters.refused;
         }
@@ -85,12 +85,15 @@
       });
 }
 
+// Limits of time are checked while there are connections.
 void HttpListener::Impl::PlanSweep() {
+  if (std::exchange(m_sweep_planned, true)) return;
   m_sweep_timer.expires_after(kSweepInterval);
   m_sweep_timer.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
+    self->m_sweep_planned = false;
     if (cancelled) return;
     self->Sweep();
-    self->PlanSweep();
+    if (!self->connections.empty()) self->PlanSweep();
   });
 }
 
@@ -100,7 +103,7 @@
   for (const auto& connection : connections) {
     if (connection->Expired(now)) expired.push_back(connection);
   }
-  for (const auto& connection : expired) connection->Close(false);
+  for (const auto& connection : expired) connection->Close();
 }
 
 void HttpListener::Impl::CloseIdle() {
@@ -108,7 +111,7 @@
   for (const auto& connection : connections) {
     if (connection->Idle()) idle.push_back(connection);
   }
-  for (const auto& connection : idle) connection->Close(false);
+  for (const auto& connection : idle) connection->Close();
 }
 
 void HttpListener::Impl::CloseListener() {
@@ -120,7 +123,7 @@
   CloseListener();
   m_sweep_timer.cancel();
   const auto all = connections;
-  for (const auto& connection : all) connection->Close(false);
+  for (const auto& connection : all) connection->Close();
 }
 
 HttpListenerCounters HttpListener::Impl::Counters() const {
@@ -155,7 +158,6 @@
 const HttpHead& HttpCall::Head() const { return m_connection->Head(); }
 const std::string& HttpCall::Body() const { return m_connection->Body(); }
 TimePoint HttpCall::ReadAt() const { return m_connection->ReadAt(); }
-std::string HttpCall::CallerAddress() const { return m_connection->CallerAddress(); }
 
 bool HttpCall::IsOpen() const { return Current() != nullptr; }
 void HttpCall::OnCallerGone(std::function<void()> handler) const {
@@ -179,7 +181,7 @@
 void HttpCall::Abort() const {
   if (HttpCallerConnection* c = Current()) {
     c->SetGoneHandler(nullptr);
-    c->Close(false);
+    c->Close();
   }
 }
 bool HttpCall::Begun() const {
--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -129,7 +129,6 @@
   bool MessageComplete() const { return m_message_complete; }
   bool Started() const { return !m_head_bytes.empty(); }
   bool KeepsConnection() const { return m_keeps_connection; }
-  bool HasFraming() const { return m_has_framing; }
   HttpHead& Head() { return m_head; }
 
  private:
@@ -187,24 +186,11 @@
     if (coding != nullptr && (!EqualFieldNames(*coding, "chunked") || m_parser.http_minor == 0)) {
       return kRefuse;
     }
-    m_has_framing = http_message_needs_eof(&m_parser) == 0;
-    m_keeps_connection = m_has_framing && http_should_keep_alive(&m_parser) != 0;
+    // A body that ends with the connection leaves none to keep; the parser knows of these.
+    m_keeps_connection = http_should_keep_alive(&m_parser) != 0;
     return m_expect_no_body ? kNoBody : 0;
   }
 
-  // In http_parser.c this test is not part of the interface.
-  static int http_message_needs_eof(const http_parser* parser) {  // NOLINT
-    constexpr unsigned kStatusOk = 200;
-    if (parser->type == HTTP_REQUEST) return 0;
-    const unsigned status = parser->status_code;
-    if (status < kStatusOk || status == HTTP_STATUS_NO_CONTENT ||
-        status == HTTP_STATUS_NOT_MODIFIED || (parser->flags & F_SKIPBODY) != 0) {
-      return 0;
-    }
-    if ((parser->flags & F_CHUNKED) != 0 || (parser->flags & F_CONTENTLENGTH) != 0) return 0;
-    return 1;
-  }
-
   HttpMessageKind m_kind;
   std::size_t m_max_head_bytes;
   http_parser m_parser{};
@@ -216,7 +202,6 @@
   bool m_head_complete = false;
   bool m_message_complete = false;
   bool m_expect_no_body = false;
-  bool m_has_framing = true;
   bool m_keeps_connection = true;
   bool m_failed = false;
 };
@@ -235,7 +220,6 @@
 bool HttpReader::MessageComplete() const { return m_impl->MessageComplete(); }
 bool HttpReader::Started() const { return m_impl->Started(); }
 bool HttpReader::KeepsConnection() const { return m_impl->KeepsConnection(); }
-bool HttpReader::HasFraming() const { return m_impl->HasFraming(); }
 const HttpHead& HttpReader::Head() const { return m_impl->Head(); }
 HttpHead HttpReader::TakeHead() { return std::move(m_impl->Head()); }
 
--- a/src/libhttp/upstream_pool.cc
+++ b/src/libhttp/upstream_pool.cc
@@ -49,7 +49,6 @@
   void Remove(const std::shared_ptr<UpstreamConnection>& connection);
   void Forget(const std::string& address);
   void CloseAll();
-  std::size_t OpenConnections(const std::string& address) const;
 
   UpstreamPoolCounters counters;
 
@@ -67,7 +66,6 @@
   asio::steady_timer m_sweep_timer;
   bool m_sweep_planned = false;
   std::map<std::string, std::vector<Idle>> m_idle;
-  std::map<std::string, std::size_t> m_open;
   std::vector<std::weak_ptr<UpstreamConnection>> m_all;
 };
 
@@ -95,7 +93,6 @@
     m_reader.Restart();
     if (m_request.without_body) m_reader.ExpectNoBody();
     m_paused = false;
-    m_cancelled = false;
     if (connect) {
       Connect();
     } else {
@@ -103,12 +100,6 @@
     }
   }
 
-  // Called from callbacks too, so these are only put out of use here.
-  void Cancel() {
-    m_cancelled = true;
-    Close();
-  }
-
   void PauseReading() { m_paused = true; }
 
   void ResumeReading() {
@@ -116,6 +107,7 @@
     Read();
   }
 
+  // Called from callbacks too, so these are not destroyed here; a closed connection calls none.
   void Close() {
     if (std::exchange(m_closed, true)) return;
     asio::error_code ignored;  // the connection is given up either way
@@ -232,7 +224,7 @@
     }
     const auto self = shared_from_this();
     if (!std::exchange(m_head_given, true)) {
-      ReadConnectionFields(m_reader.Head());
+      m_keep_alive = KeepAliveTime(m_reader.Head().Value("Keep-Alive"));
       if (m_callbacks.on_head) m_callbacks.on_head(m_reader.Head());
     }
     if (m_closed) return false;
@@ -242,10 +234,6 @@
     return !m_closed;
   }
 
-  void ReadConnectionFields(const HttpHead& head) {
-    m_keep_alive = KeepAliveTime(head.Value("Keep-Alive"));
-  }
-
   void Finish() {
     const bool reusable = m_reader.KeepsConnection() && !m_writing && !m_write_failed &&
                           m_keep_alive > std::chrono::milliseconds(0);
@@ -262,7 +250,7 @@
   }
 
   void Fail(UpstreamFailure failure) {
-    if (m_closed || m_cancelled) return;
+    if (m_closed) return;
     const UpstreamCallbacks callbacks = std::move(m_callbacks);
     m_callbacks = {};
     m_busy = false;
@@ -289,7 +277,6 @@
   bool m_paused = false;
   bool m_head_given = false;
   bool m_skipping = false;
-  bool m_cancelled = false;
   bool m_closed = false;
 };
 
@@ -299,7 +286,6 @@
   const bool connect = connection == nullptr;
   if (connect) {
     connection = std::make_shared<UpstreamConnection>(shared_from_this(), m_io, request.address);
-    ++m_open[request.address];
     ++counters.open;
     m_all.push_back(connection);
   } else {
@@ -332,8 +318,6 @@
 
 void UpstreamPool::Impl::Remove(const std::shared_ptr<UpstreamConnection>& connection) {
   --counters.open;
-  const auto open = m_open.find(connection->Address());
-  if (open != m_open.end() && --open->second == 0) m_open.erase(open);
   const auto found = m_idle.find(connection->Address());
   if (found == m_idle.end()) return;
   std::vector<Idle>& idle = found->second;
@@ -377,24 +361,16 @@
   m_sweep_timer.cancel();
   const auto all = m_all;
   for (const auto& weak : all) {
-    if (const auto connection = weak.lock()) connection->Cancel();
+    if (const auto connection = weak.lock()) connection->Close();
   }
 }
 
-std::size_t UpstreamPool::Impl::OpenConnections(const std::string& address) const {
-  const auto found = m_open.find(address);
-  return found == m_open.end() ? 0 : found->second;
-}
-
 UpstreamPool::UpstreamPool(asio::io_context* io) : m_impl(std::make_shared<Impl>(io)) {}
 UpstreamPool::~UpstreamPool() { m_impl->CloseAll(); }
 
 UpstreamCall UpstreamPool::Send(UpstreamRequest request, UpstreamCallbacks callbacks) {
   return m_impl->Send(std::move(request), std::move(callbacks));
 }
-std::size_t UpstreamPool::OpenConnections(const std::string& address) const {
-  return m_impl->OpenConnections(address);
-}
 void UpstreamPool::Forget(const std::string& address) { m_impl->Forget(address); }
 void UpstreamPool::CloseAll() { m_impl->CloseAll(); }
 UpstreamPoolCounters UpstreamPool::Counters() const { return m_impl->counters; }
@@ -405,7 +381,7 @@
   return current ? connection : nullptr;
 }
 void UpstreamCall::Cancel() {
-  if (const auto connection = Current()) connection->Cancel();
+  if (const auto connection = Current()) connection->Close();
 }
 void UpstreamCall::PauseReading() {
   if (const auto connection = Current()) connection->PauseReading();
