Use one copy of calls, refusals and table reading in the serving path

Cause: review of the change. The head of a refusal was built in Gateway and in Exchange, a call of our own to an engine in Gateway and in FleetService, a compressed route table was read in FleetService and in FleetFeed, and IP:PORT was taken apart in four places. RetryBudget summed its window twice, and one of its three conditions implied another. A new configuration rebuilt every router although only upstreams change them.

Change: RefusalHead, MakeEngineCall, ReadCompressedRouteTable, IpOf and PortOf serve both sides. Exchange ends an attempt by CancelAttempt. A router takes the upstreams when it is made and when they change. Unused members are gone.

Ruled out: the retry conditions differ by an allowance that is never negative, so the remaining one admits the same retries.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -8,6 +8,7 @@
 
 #include "corneltray/compression.h"
 #include "corneltray/control_protocol.h"
+#include "corneltray/engine_call.h"
 #include "corneltray/log.h"
 
 namespace corneltray {
@@ -24,7 +25,6 @@
 constexpr std::chrono::milliseconds kPutTimeout{900};
 constexpr std::chrono::milliseconds kGetTimeout{900};
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
-constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
 
 void Answer(const HttpCall& call, int status, const std::string& body = "{}") {
   HttpHead head = MakeResponse(status);
@@ -257,22 +257,24 @@
       [this, body, respond] { m_options.control->FetchRouteTable(body, respond); });
 }
 
-void FleetService::Broadcast(MessageType type, const json& body) {
+void FleetService::Broadcast(const UpstreamUpdates& updates) {
+  const json body = EncodeUpstreamUpdates(updates);
   for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (peer.connected) m_options.node->Send(peer.identity.host, type, body);
+    if (!peer.connected) continue;
+    m_options.node->Send(peer.identity.host, MessageType::kUpstreamUpdates, body);
   }
 }
 
 void FleetService::FlushChanges() {
   if (m_changes.updates.empty()) return;
-  Broadcast(MessageType::kUpstreamUpdates, EncodeUpstreamUpdates(m_changes));
+  Broadcast(m_changes);
   m_changes = {};
 }
 
 void FleetService::FlushRefreshes(TimePoint now) {
   if (now < m_refresh_at || m_refreshes.refreshes.empty()) return;
   m_refresh_at = now + kRefreshInterval;
-  Broadcast(MessageType::kUpstreamUpdates, EncodeUpstreamUpdates(m_refreshes));
+  Broadcast(m_refreshes);
   m_refreshes = {};
 }
 
@@ -347,12 +349,7 @@
   }
   m_leading_term = view.leading_term;
   if (view.compressed_routes.empty()) return;
-  const auto text = Decompress(view.compressed_routes, kMaxRouteTableBytes);
-  if (!text) {
-    LogEvent(LogLevel::kError, "route_table_unreadable", {{"error", text.error().ToString()}});
-    return;
-  }
-  auto table = m_options.dialect->ReadRouteTable(text.value());
+  auto table = ReadCompressedRouteTable(*m_options.dialect, view.compressed_routes);
   if (!table) {
     LogEvent(LogLevel::kError, "route_table_unreadable", {{"error", table.error().ToString()}});
     return;
@@ -428,13 +425,8 @@
   order.first = decision.range.first;
   order.end = decision.range.end;
   order.fence = decision.fence;
-  EngineRequest text = m_options.dialect->WritePlaceOrder(order);
-  text.head.Set("Host", decision.address);
-  text.head.Set("Content-Length", std::to_string(text.body.size()));
-  UpstreamRequest request;
-  request.address = decision.address;
-  request.bytes = FormatRequestHead(text.head) + text.body;
-  request.fresh_connection = true;
+  UpstreamRequest request =
+      MakeEngineCall(decision.address, m_options.dialect->WritePlaceOrder(order));
   request.connect_deadline = Clock::now() + kOrderConnectTimeout;
   const auto log = [decision](const std::string& outcome) {
     LogEvent(LogLevel::kInfo, "layers_order_answered",
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -64,7 +64,7 @@
 
   // Tells every entry process and answers the upstream once they know, or at a deadline.
   void AcknowledgeDeparture(const HttpCall& call, const UpstreamUpdate& update);
-  void Broadcast(MessageType type, const nlohmann::json& body);
+  void Broadcast(const UpstreamUpdates& updates);
   void FlushChanges();
   void FlushRefreshes(TimePoint now);
   void FetchFromNewPeers();
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -15,6 +15,7 @@
 
 #include "control_http.h"
 #include "control_node.h"
+#include "corneltray/address.h"
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/program.h"
@@ -221,7 +222,7 @@
     options.control = m_control.get();
     options.host = m_settings.peer_name;
     options.target_voters = m_settings.control_voters;
-    options.peer_port = m_settings.peer_address.substr(m_settings.peer_address.rfind(':') + 1);
+    options.peer_port = PortOf(m_settings.peer_address);
     m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
     m_fleet->Register();
   }
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "corneltray/compression.h"
+#include "corneltray/address.h"
 #include "corneltray/control_client.h"
 #include "corneltray/log.h"
 
@@ -20,7 +20,6 @@
 constexpr std::chrono::milliseconds kFetchTimeout{800};
 // A process without any table takes an unconfirmed one after this time, as in a partition.
 constexpr std::chrono::seconds kUnconfirmedAfter{4};
-constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
 
@@ -32,7 +31,7 @@
       m_gateway(gateway),
       m_timer(*io),
       m_seeds(seeds.begin(), seeds.end()) {
-  if (!seeds.empty()) m_peer_port = seeds.front().substr(seeds.front().rfind(':') + 1);
+  if (!seeds.empty()) m_peer_port = PortOf(seeds.front());
 }
 
 void FleetFeed::Register() {
@@ -196,9 +195,8 @@
 void FleetFeed::TakeRouteTable(const json& reply) {
   if (!reply.contains("text")) return;
   const auto& bytes = reply.at("text").get_binary();
-  const auto text = Decompress({bytes.begin(), bytes.end()}, kMaxRouteTableBytes);
-  const auto table = text ? m_gateway->GetDialect().ReadRouteTable(text.value())
-                          : Result<RouteTable>(text.error());
+  const auto table =
+      ReadCompressedRouteTable(m_gateway->GetDialect(), {bytes.begin(), bytes.end()});
   if (!table) {
     LogEvent(LogLevel::kError, "route_table_unreadable",
              {{"version", reply.at("version").get<std::uint64_t>()},
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -58,7 +58,6 @@
   std::uint32_t m_asking = 0;  // fetches in progress
   TimePoint m_next_fetch{};
   TimePoint m_started_at{};
-  TimePoint m_confirmed_at{};
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -129,6 +129,10 @@
   virtual Result<EngineReport> ReadReport(const std::string& body) const = 0;
 };
 
+// Decompresses and reads the text of a route table from the log. Fails with CompressionErrc or
+// RouteTableErrc.
+Result<RouteTable> ReadCompressedRouteTable(const Dialect& dialect, const std::string& bytes);
+
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_DIALECT_H_
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -81,7 +81,6 @@
     std::string name;
     std::string address;
     std::string zone;
-    double slots = 1.0;
     std::uint32_t first = 0;  // layers that it holds
     std::uint32_t end = 0;
     double room_tokens = 1.0;  // that its memory holds beside its layers
--- a/src/include/corneltray/gateway_request.h
+++ b/src/include/corneltray/gateway_request.h
@@ -52,6 +52,9 @@
 // When the caller may come back; nothing when coming back does not help.
 std::optional<std::chrono::milliseconds> RetryAfter(GatewayRefusal refusal);
 
+// The head of the answer to a refused request.
+HttpHead RefusalHead(GatewayRefusal refusal);
+
 // One request with what the filters found out about it.
 struct GatewayRequest {
   HttpHead head;
--- a/src/include/corneltray/route_table.h
+++ b/src/include/corneltray/route_table.h
@@ -2,6 +2,7 @@
 #define CORNELTRAY_ROUTE_TABLE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,9 @@
 
 namespace corneltray {
 
+// Text of a route table, as operators send it.
+constexpr std::size_t kMaxRouteTableBytes = std::size_t{8} * 1024 * 1024;
+
 // What may be done again with the calls of a route.
 enum class CallKind {
   kIdempotent,     // may run any number of times
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -44,17 +44,11 @@
 
 bool RetryBudget::TryRetry(TimePoint now) {
   Second* current = SecondOf(now);
-  double requests = 0.0;
-  double retries = 0.0;
-  for (const Second& slot : m_seconds) {
-    if (slot.second < 0 || slot.second <= current->second - kWindowSeconds) continue;
-    requests += slot.requests;
-    retries += slot.retries;
-  }
-  const bool within_ratio = retries + 1.0 <= m_ratio * requests;
+  const RetryCounts counts = Counts(now);
+  const double allowed = m_ratio * counts.requests + m_window_allowance;
+  const bool within_window = counts.retries + 1.0 <= allowed;
   const bool within_minimum = current->retries + 1.0 <= m_min_per_s;
-  const bool within_window = retries + 1.0 <= m_ratio * requests + m_window_allowance;
-  if (!within_ratio && !within_minimum && !within_window) return false;
+  if (!within_window && !within_minimum) return false;
   ++current->retries;
   return true;
 }
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "corneltray/address.h"
+
 namespace corneltray {
 namespace {
 
@@ -136,7 +138,7 @@
   settings.seeds = v["peer"]["seeds"].get<std::vector<std::string>>();
   if (const int port = v["peer"]["seed_port"]; port != 0) {
     for (std::string& seed : settings.seeds) {
-      seed = seed.substr(0, seed.rfind(':')) + ":" + std::to_string(port);
+      seed = IpOf(seed) + ":" + std::to_string(port);
     }
   }
   settings.shared_key = v["peer"]["shared_key"];
@@ -145,7 +147,7 @@
   if (v["control"]["found_from_seeds"].get<bool>()) {
     settings.control_hosts.clear();
     for (const std::string& seed : settings.seeds) {
-      settings.control_hosts.push_back(seed.substr(0, seed.rfind(':')));
+      settings.control_hosts.push_back(IpOf(seed));
     }
   }
   settings.control_first_start = v["control"]["first_start"];
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -48,7 +48,6 @@
     engine.name = name;
     engine.address = said.address;
     engine.zone = said.availability_zone;
-    engine.slots = std::max(1U, said.slots > 0 ? said.slots : m_profile.slots);
     engine.first = said.holdings.front().first_layer;
     engine.end = said.holdings.front().last_layer + 1;
     engine.layer_token_s = step_s * kind.step_factor / layers;
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -51,14 +51,13 @@
 }
 
 void Exchange::PassOnEvents(std::string_view bytes) {
-  StreamedAnswer& streamed = m_stream;
-  const std::uint64_t before = streamed.events.Events();
-  const std::string events = streamed.events.Take(bytes);
-  if (streamed.events.HasGap()) return EndAttempt(AttemptEvidence::kMalformed);
+  const std::uint64_t before = m_stream.events.Events();
+  const std::string events = m_stream.events.Take(bytes);
+  if (m_stream.events.HasGap()) return EndAttempt(AttemptEvidence::kMalformed);
   if (events.empty()) return;
   NoteEvent(Clock::now());
-  m_attempt->events += streamed.events.Events() - before;
-  if (!std::exchange(streamed.begun, true)) {
+  m_attempt->events += m_stream.events.Events() - before;
+  if (!std::exchange(m_stream.begun, true)) {
     HttpHead head = m_attempt->head;
     head.Remove("Content-Length");  // the answer may go on at another upstream
     RemoveConnectionFields(&head);
@@ -81,16 +80,9 @@
 }
 
 void Exchange::FinishStream() {
-  StreamedAnswer& streamed = m_stream;
-  if (streamed.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
+  if (m_stream.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
+  if (!m_stream.begun) return FinishWhole();
   const int status = m_attempt->head.status;
-  if (!streamed.begun) {
-    HttpHead head = m_attempt->head;
-    RemoveConnectionFields(&head);
-    CloseAttempt();
-    m_call.Respond(std::move(head), "");
-    return Finish(status, "answered");
-  }
   CloseAttempt();
   m_call.End();
   Finish(status, "answered");
@@ -109,25 +101,20 @@
 
 void Exchange::OnCallerGone() {
   if (m_finished) return;
-  if (m_attempt) m_attempt->call.Cancel();
-  CloseAttempt();
+  CancelAttempt();
   Finish(0, "caller_left");
 }
 
 void Exchange::Abandon() {
   if (m_finished) return;
-  if (m_attempt) m_attempt->call.Cancel();
-  CloseAttempt();
+  CancelAttempt();
   m_call.Abort();
   Finish(0, "process_stopped");
 }
 
 void Exchange::OnDeadline() {
-  if (m_attempt) {
-    m_attempt->call.Cancel();
-    m_has_run = Combine(m_has_run, HasRun::kMaybe);
-    CloseAttempt();
-  }
+  if (m_attempt) m_has_run = Combine(m_has_run, HasRun::kMaybe);
+  CancelAttempt();
   Fail(kGatewayTimeout);
 }
 
@@ -151,15 +138,11 @@
 }
 
 void Exchange::Refuse(GatewayRefusal refusal) {
-  HttpHead head = MakeResponse(StatusOf(refusal));
-  if (const auto after = RetryAfter(refusal)) {
-    head.Add("Retry-After", FormatRetryAfter(*after));
-  }
-  m_call.Respond(std::move(head), "");
-  Finish(StatusOf(refusal), NameOf(refusal).data());
+  m_call.Respond(RefusalHead(refusal), "");
+  Finish(StatusOf(refusal), NameOf(refusal));
 }
 
-void Exchange::Finish(int status, const char* outcome) {
+void Exchange::Finish(int status, std::string_view outcome) {
   if (std::exchange(m_finished, true)) return;
   const TimePoint now = Clock::now();
   const Duration whole = now - m_request.read_at;
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -89,6 +89,7 @@
   void LogAttempt(TimePoint now, AttemptEvidence evidence, HasRun has_run) const;
   void NoteFault(TimePoint now, AttemptEvidence evidence, const std::string& address);
   void CloseAttempt();
+  void CancelAttempt();
   bool MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const;
   bool CountsAsRun(TimePoint now, const std::string& upstream) const;
   void CheckSilentStream(TimePoint now);
@@ -104,7 +105,7 @@
   void OnDeadline();
   void Fail(int status);
   void Refuse(GatewayRefusal refusal);
-  void Finish(int status, const char* outcome);
+  void Finish(int status, std::string_view outcome);
 
   Gateway* m_gateway;
   HttpCall m_call;
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -215,7 +215,6 @@
   const int status = m_attempt->head.status;
   if (facts.is_not_run) return OnRefused(facts);
   if (status < kFirstFailure && (!facts.is_authentic || facts.is_encoded)) {
-    m_attempt->call.Cancel();
     return EndAttempt(AttemptEvidence::kMalformed);
   }
   // A stream that has begun cannot turn into another answer.
@@ -273,10 +272,9 @@
 void Exchange::OnFailure(UpstreamFailure failure) { EndAttempt(EvidenceOf(failure)); }
 
 void Exchange::EndAttempt(AttemptEvidence evidence) {
-  const bool is_engine = Router() != nullptr;
   const bool no_answer =
       evidence == AttemptEvidence::kNotConnected || evidence == AttemptEvidence::kNoAnswer;
-  if (is_engine && no_answer) {
+  if (Router() != nullptr && no_answer) {
     const std::string address = m_attempt->address;
     return EndAttemptOfLost(evidence, address, "no_answer");
   }
@@ -287,13 +285,12 @@
                                 const char* reason) {
   const TimePoint now = Clock::now();
   const AttemptOutcome outcome = JudgeAttempt(evidence, MayRepeat(*m_request.route));
-  m_attempt->call.Cancel();
   m_last_evidence = evidence;
   m_has_run = Combine(m_has_run, outcome.has_run);
   if (outcome.has_run != HasRun::kNo) m_ran_at.push_back(m_attempt->upstream);
   LogAttempt(now, evidence, outcome.has_run);
   NoteFault(now, evidence, m_attempt->address);
-  CloseAttempt();
+  CancelAttempt();
   m_stream.events.Restart();
   // Tells the other requests too. This one has no attempt now, so it is left alone.
   if (!address.empty()) {
@@ -349,6 +346,12 @@
   m_attempt.reset();
 }
 
+// Ends the work of the upstream too.
+void Exchange::CancelAttempt() {
+  if (m_attempt) m_attempt->call.Cancel();
+  CloseAttempt();
+}
+
 // A route bounds the upstreams at which one request runs. One that is gone since does not count,
 // but the first stage of a chain that lost another stage does.
 bool Exchange::MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const {
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "corneltray/engine_call.h"
 #include "corneltray/log.h"
 #include "exchange.h"
 
@@ -60,14 +61,13 @@
             {"routes", table.routes.size()},
             {"customers", table.customers.size()}});
   for (const auto& [name, service] : table.services) {
-    if (service.engine && m_routers.count(name) == 0) {
-      m_routers.emplace(name, EngineRouter(m_options.availability_zone, *service.engine));
-    }
+    if (!service.engine || m_routers.count(name) > 0) continue;
+    EngineRouter router(m_options.availability_zone, *service.engine);
+    router.SetEngines(name, m_upstreams);
+    m_routers.emplace(name, std::move(router));
   }
   if (!m_warm_at) m_warm_at = Clock::now() + kAnnouncementInterval;
   m_routes = std::make_shared<const RouteIndex>(std::move(table));
-  m_used_generation = 0;
-  RefreshUpstreams();
 }
 
 void Gateway::ConfirmRouteTable(TimePoint asked_at) { m_key_lease.Extend(asked_at); }
@@ -79,8 +79,8 @@
 }
 
 void Gateway::RefreshUpstreams() {
-  if (m_used_generation == m_upstreams.Generation() + 1) return;
-  m_used_generation = m_upstreams.Generation() + 1;
+  if (m_used_generation == m_upstreams.Generation()) return;
+  m_used_generation = m_upstreams.Generation();
   for (auto& [service, router] : m_routers) router.SetEngines(service, m_upstreams);
   for (auto& [service, picker] : m_pickers) picker.SetReplicas(m_upstreams);
   for (const auto& [name, record] : m_upstreams.Records()) {
@@ -246,9 +246,7 @@
 }
 
 void Gateway::Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal) {
-  HttpHead head = MakeResponse(StatusOf(refusal));
-  if (const auto after = RetryAfter(refusal)) head.Add("Retry-After", FormatRetryAfter(*after));
-  call.Respond(std::move(head), "");
+  call.Respond(RefusalHead(refusal), "");
   m_metrics.Count("refusals", NameOf(refusal));
   LogEvent(LogLevel::kInfo, "request_refused",
            {{"request_id", request.facts.request_id},
@@ -293,12 +291,7 @@
   if (!is_new) return;
   const TimePoint deadline = Clock::now() + kReportTimeout;
   known->second.deadline = deadline;
-  EngineRequest question = m_options.dialect->WriteReportRequest();
-  question.head.Set("Host", address);
-  UpstreamRequest request;
-  request.address = address;
-  request.bytes = FormatRequestHead(question.head) + question.body;
-  request.fresh_connection = true;  // an open one may have gone silent
+  UpstreamRequest request = MakeEngineCall(address, m_options.dialect->WriteReportRequest());
   request.connect_deadline = deadline;
   UpstreamCallbacks callbacks;
   callbacks.on_head = [this, address](const HttpHead& head) {
--- a/src/libserving/gateway_request.cc
+++ b/src/libserving/gateway_request.cc
@@ -106,6 +106,12 @@
   return std::nullopt;
 }
 
+HttpHead RefusalHead(GatewayRefusal refusal) {
+  HttpHead head = MakeResponse(StatusOf(refusal));
+  if (const auto after = RetryAfter(refusal)) head.Add("Retry-After", FormatRetryAfter(*after));
+  return head;
+}
+
 std::optional<GatewayRefusal> FilterRequest(const GatewayView& view, GatewayRequest* request) {
   for (const Filter filter : kFilters) {
     if (const auto refusal = filter(view, request)) return refusal;
--- a/src/libserving/upstream_table.cc
+++ b/src/libserving/upstream_table.cc
@@ -44,8 +44,7 @@
     const auto old_age = std::tie(old.incarnation, old.sequence);
     const bool same_life = fresh.incarnation == old.incarnation;
     const bool departs = update.has_left && !record.has_left && same_life;
-    if (age < old_age && !departs) return UpdateVerdict::kStale;
-    if (age == old_age && !departs) return UpdateVerdict::kStale;
+    if (age <= old_age && !departs) return UpdateVerdict::kStale;
     if (same_life && record.has_left) return UpdateVerdict::kStale;
   }
   const UpstreamRecord* holder = FindAddress(fresh.address);
