Keep links to control processes in one class

Cause: the gateway and the control process each watched their links to control processes and asked over new ones for what upstreams had told them, with code that stood twice and differed: the gateway waited 1.6 s for the reply and dropped the host for a tick after a failed one, the control process waited 2 s and logged no link at all.

Change: ControlLinks does it for both. A fetch has 2 s; a failed one is logged as upstream_fetch_failed and asked again at the next check, and the host stays linked meanwhile. The control process now logs control_link_up and control_link_lost too.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -53,6 +53,10 @@
       m_options(std::move(options)),
       m_listener(io, [this](const HttpCall& call) { OnCall(call); }),
       m_pool(io),
+      m_links(io, m_options.node,
+              [this](const UpstreamUpdates& updates) {
+                ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
+              }),
       m_tick_timer(*io),
       m_flush_timer(*io),
       m_keeper(m_options.target_voters) {}
@@ -278,34 +282,6 @@
   m_refreshes = {};
 }
 
-// A control process that was away asks the others for what upstreams told them meanwhile.
-void FleetService::FetchFromNewPeers() {
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    const std::string& host = peer.identity.host;
-    if (peer.identity.program != kControlProgram) continue;
-    if (!peer.connected) {
-      m_fetched_from.erase(host);
-      continue;
-    }
-    const auto [fetched, is_new] = m_fetched_from.emplace(host, peer.identity.incarnation);
-    if (!is_new && fetched->second == peer.identity.incarnation) continue;
-    fetched->second = peer.identity.incarnation;
-    m_options.node->Request(host, MessageType::kUpstreamFetch, json::object(),
-                            Clock::now() + std::chrono::seconds(2),
-                            [this, host](const Result<json>& reply) {
-                              auto updates = reply ? DecodeUpstreamUpdates(reply.value())
-                                                   : Result<UpstreamUpdates>(reply.error());
-                              asio::post(*m_io, [this, host, updates] {
-                                if (!updates) {
-                                  m_fetched_from.erase(host);  // asked again at the next tick
-                                  return;
-                                }
-                                ApplyUpstreamUpdates(Clock::now(), updates.value(), &m_table);
-                              });
-                            });
-  }
-}
-
 void FleetService::PlanTick() {
   m_tick_timer.expires_after(kTickInterval);
   m_tick_timer.async_wait([this](const asio::error_code& cancelled) {
@@ -319,7 +295,7 @@
   const TimePoint now = Clock::now();
   m_table.Expire(now);
   FlushRefreshes(now);
-  FetchFromNewPeers();
+  m_links.Check();
   PlaceLayers(now);
   m_options.node->Post([this] {
     ReadReplica();
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -4,7 +4,6 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "control_node.h"
+#include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/http_listener.h"
@@ -67,7 +67,6 @@
   void Broadcast(const UpstreamUpdates& updates);
   void FlushChanges();
   void FlushRefreshes(TimePoint now);
-  void FetchFromNewPeers();
   void PlanTick();
   void Tick();
   void KeepMembers();  // on the I/O thread of PeerNode
@@ -82,6 +81,7 @@
   FleetServiceOptions m_options;
   HttpListener m_listener;
   UpstreamPool m_pool;
+  ControlLinks m_links;  // to the other control processes
   UpstreamTable m_table;
   LayerController m_layers;
   asio::steady_timer m_tick_timer;
@@ -91,7 +91,6 @@
   UpstreamUpdates m_changes;    // not yet passed on
   UpstreamUpdates m_refreshes;  // not yet passed on
   TimePoint m_refresh_at{};
-  std::map<std::string, std::uint64_t> m_fetched_from;  // host and incarnation
   std::optional<std::uint64_t> m_leading_term;
   std::uint64_t m_route_version = 0;
   RouteTable m_routes;
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -29,6 +29,8 @@
       m_name(std::move(name)),
       m_node(node),
       m_gateway(gateway),
+      m_links(io, node,
+              [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
       m_timer(*io),
       m_seeds(seeds.begin(), seeds.end()) {
   if (!seeds.empty()) m_peer_port = PortOf(seeds.front());
@@ -65,9 +67,7 @@
   m_gateway->OnSuspect([this](const UpstreamRefresh& engine) {
     UpstreamUpdates suspected;
     suspected.refreshes.push_back(engine);
-    for (const auto& [host, incarnation] : m_linked) {
-      m_node->Send(host, MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
-    }
+    m_links.Send(MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
   });
   m_started_at = Clock::now();
   for (const std::string& seed : m_seeds) {
@@ -100,7 +100,7 @@
 
 void FleetFeed::Tick() {
   const TimePoint now = Clock::now();
-  NoteLinks();
+  m_links.Check();
   if (now < m_next_fetch || m_asking > 0) return;
   const std::string host = NextHost();
   if (host.empty()) return;
@@ -109,47 +109,11 @@
   FetchRouteTable(host, !(nothing_yet && now - m_started_at > kUnconfirmedAfter));
 }
 
-void FleetFeed::NoteLinks() {
-  for (const PeerStatus& peer : m_node->Peers()) {
-    if (peer.identity.program != kControlProgram) continue;
-    const std::string& host = peer.identity.host;
-    const auto known = m_linked.find(host);
-    if (!peer.connected) {
-      if (known == m_linked.end()) continue;
-      m_linked.erase(known);
-      LogEvent(LogLevel::kWarning, "control_link_lost", {{"control_host", host}});
-      continue;
-    }
-    if (known != m_linked.end() && known->second == peer.identity.incarnation) continue;
-    m_linked[host] = peer.identity.incarnation;
-    LogEvent(LogLevel::kInfo, "control_link_up",
-             {{"control_host", host}, {"incarnation", peer.identity.incarnation}});
-    FetchUpstreams(host);
-  }
-}
-
 std::string FleetFeed::NextHost() {
-  if (m_linked.count(m_preferred) > 0) return m_preferred;
-  if (m_linked.empty()) return "";
-  // The one after the host that failed last.
-  auto next = m_linked.upper_bound(m_preferred);
-  if (next == m_linked.end()) next = m_linked.begin();
-  m_preferred = next->first;
+  if (!m_links.Has(m_preferred)) m_preferred = m_links.After(m_preferred);
   return m_preferred;
 }
 
-void FleetFeed::FetchUpstreams(const std::string& host) {
-  m_node->Request(host, MessageType::kUpstreamFetch, json::object(),
-                  Clock::now() + kFetchTimeout * 2, [this, host](const Result<json>& reply) {
-                    auto updates = reply ? DecodeUpstreamUpdates(reply.value())
-                                         : Result<UpstreamUpdates>(reply.error());
-                    asio::post(*m_io, [this, host, updates] {
-                      if (updates) return m_gateway->UpdateUpstreams(updates.value());
-                      m_linked.erase(host);  // asked again at the next tick
-                    });
-                  });
-}
-
 void FleetFeed::FetchRouteTable(const std::string& host, bool confirmed) {
   ++m_asking;
   const TimePoint asked_at = BootTimeNow();
@@ -174,12 +138,7 @@
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
              {{"control_host", host}, {"reason", why}});
-    if (m_preferred == host) {
-      // Another control host is asked next.
-      auto next = m_linked.upper_bound(host);
-      if (next == m_linked.end()) next = m_linked.begin();
-      m_preferred = next == m_linked.end() ? "" : next->first;
-    }
+    if (m_preferred == host) m_preferred = m_links.After(host);
     m_next_fetch = Clock::now() + kFetchRetryDelay;
     return;
   }
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -4,12 +4,12 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
-#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "corneltray/control_links.h"
 #include "corneltray/gateway.h"
 #include "corneltray/peer.h"
 
@@ -35,8 +35,6 @@
  private:
   void PlanTick();
   void Tick();
-  void NoteLinks();
-  void FetchUpstreams(const std::string& host);
   void FetchRouteTable(const std::string& host, bool confirmed);
   void OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
                     const Result<nlohmann::json>& reply);
@@ -48,12 +46,12 @@
   std::string m_name;
   PeerNode* m_node;
   Gateway* m_gateway;
+  ControlLinks m_links;
   asio::steady_timer m_timer;
   bool m_stopped = false;
   std::set<std::string> m_seeds;
-  std::set<std::string> m_targets;                // addresses that the node keeps links to
-  std::map<std::string, std::uint64_t> m_linked;  // control hosts with a link, and incarnations
-  std::string m_preferred;                        // control host that confirmed last
+  std::set<std::string> m_targets;  // addresses that the node keeps links to
+  std::string m_preferred;          // control host that confirmed last
   std::string m_peer_port;
   std::uint32_t m_asking = 0;  // fetches in progress
   TimePoint m_next_fetch{};
--- /dev/null
+++ b/src/libfleet/control_links.cc
@@ -0,0 +1,67 @@
+#include "corneltray/control_links.h"
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "corneltray/control_client.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kFetchTimeout{2000};
+
+}  // namespace
+
+ControlLinks::ControlLinks(asio::io_context* io, PeerNode* node, TakeUpdates take)
+    : m_io(io), m_node(node), m_take(std::move(take)) {}
+
+void ControlLinks::Check() {
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (peer.identity.program != kControlProgram) continue;
+    const std::string& host = peer.identity.host;
+    if (!peer.connected) {
+      if (m_links.erase(host) == 0) continue;
+      LogEvent(LogLevel::kWarning, "control_link_lost", {{"control_host", host}});
+      continue;
+    }
+    Link& link = m_links[host];
+    if (link.incarnation != peer.identity.incarnation) {
+      link = {peer.identity.incarnation, false};
+      LogEvent(LogLevel::kInfo, "control_link_up",
+               {{"control_host", host}, {"incarnation", link.incarnation}});
+    }
+    if (!std::exchange(link.is_fetched, true)) Fetch(host);
+  }
+}
+
+std::string ControlLinks::After(const std::string& host) const {
+  if (m_links.empty()) return "";
+  const auto next = m_links.upper_bound(host);
+  return next == m_links.end() ? m_links.begin()->first : next->first;
+}
+
+void ControlLinks::Send(MessageType type, const json& body) const {
+  for (const auto& [host, link] : m_links) m_node->Send(host, type, body);
+}
+
+void ControlLinks::Fetch(const std::string& host) {
+  m_node->Request(host, MessageType::kUpstreamFetch, json::object(), Clock::now() + kFetchTimeout,
+                  [this, host](const Result<json>& reply) {
+                    auto updates = reply ? DecodeUpstreamUpdates(reply.value())
+                                         : Result<UpstreamUpdates>(reply.error());
+                    asio::post(*m_io, [this, host, updates] {
+                      if (updates) return m_take(updates.value());
+                      LogEvent(LogLevel::kWarning, "upstream_fetch_failed",
+                               {{"control_host", host}, {"reason", updates.error().ToString()}});
+                      const auto link = m_links.find(host);
+                      // Asked again at the next check.
+                      if (link != m_links.end()) link->second.is_fetched = false;
+                    });
+                  });
+}
+
+}  // namespace corneltray
