Count a silent first stage against the bound of its route

A first stage that had missed announcements for 4 s was taken for gone and did not count, but the frozen ones worked on later.

Silence cannot tell a frozen process from one that has ended.

Change: RunHistory decides it, without a network. A run stops counting when its upstream has left, has started anew, or has closed the connection and then stayed silent. An upstream counts once, however often it ran the request.

--- a/src/include/corneltray/attempt_rules.h
+++ b/src/include/corneltray/attempt_rules.h
@@ -1,8 +1,14 @@
 #ifndef CORNELTRAY_ATTEMPT_RULES_H_
 #define CORNELTRAY_ATTEMPT_RULES_H_
 
+#include <cstdint>
+#include <map>
+#include <string>
+
 #include "corneltray/enum_names.h"
 #include "corneltray/route_table.h"
+#include "corneltray/time.h"
+#include "corneltray/upstream_table.h"
 
 namespace corneltray {
 
@@ -61,6 +67,25 @@
 // Combines two attempts of one request: it has run if one of them has.
 HasRun Combine(HasRun a, HasRun b);
 
+// The upstreams at which one request has run or may have. A route bounds their number; one whose
+// process has ended since does not count. Not thread safe.
+class RunHistory {
+ public:
+  // Records a run at the present incarnation of an upstream, which ended with this evidence.
+  void Add(const UpstreamTable& upstreams, const std::string& upstream, AttemptEvidence evidence);
+
+  // Number of upstreams that count against the bound of the route.
+  std::uint32_t Count(TimePoint now, const UpstreamTable& upstreams) const;
+
+ private:
+  struct Run {
+    std::uint64_t incarnation = 0;  // 0: not known
+    bool connection_ended = false;
+  };
+
+  std::map<std::string, Run> m_runs;  // by name of the upstream
+};
+
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_ATTEMPT_RULES_H_
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -52,4 +52,28 @@
 
 HasRun Combine(HasRun a, HasRun b) { return std::max(a, b); }
 
+void RunHistory::Add(const UpstreamTable& upstreams, const std::string& upstream,
+                     AttemptEvidence evidence) {
+  const UpstreamRecord* record = upstreams.Find(upstream);
+  Run run;
+  if (record != nullptr) run.incarnation = record->announcement.incarnation;
+  run.connection_ended =
+      evidence == AttemptEvidence::kNoAnswer || evidence == AttemptEvidence::kTruncated;
+  m_runs[upstream] = run;
+}
+
+// Silence alone does not show that a process has ended: it may be frozen, or this host may be cut
+// off from it. When it also closed the connection, it has most likely ended.
+std::uint32_t RunHistory::Count(TimePoint now, const UpstreamTable& upstreams) const {
+  std::uint32_t count = 0;
+  for (const auto& [upstream, run] : m_runs) {
+    const UpstreamRecord* record = upstreams.Find(upstream);
+    const bool is_replaced = record == nullptr || record->has_left ||
+                             record->announcement.incarnation != run.incarnation;
+    const bool has_ended = is_replaced || (run.connection_ended && !record->IsAlive(now));
+    count += has_ended ? 0 : 1;
+  }
+  return count;
+}
+
 }  // namespace corneltray
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "engine_fleet_test.h"
+
 namespace corneltray {
 namespace {
 
@@ -58,5 +60,44 @@
   CHECK(Combine(HasRun::kMaybe, HasRun::kYes) == HasRun::kYes);
 }
 
+// Guards against a request that runs at more upstreams than its route allows.
+TEST_CASE("which runs count against the bound of a route") {
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  const TimePoint later = now + 2 * kSilentAfter;
+  UpstreamTable upstreams;
+  upstreams.Apply(now, TestEngine("one", "a", "fast", 0, 80));
+  upstreams.Apply(now, TestEngine("two", "a", "fast", 0, 80));
+  RunHistory runs;
+  CHECK(runs.Count(now, upstreams) == 0);
+
+  SUBCASE("each upstream counts once") {
+    runs.Add(upstreams, "one", AttemptEvidence::kStageLost);
+    runs.Add(upstreams, "one", AttemptEvidence::kTimedOut);
+    runs.Add(upstreams, "two", AttemptEvidence::kUpstreamError);
+    CHECK(runs.Count(now, upstreams) == 2);
+  }
+  SUBCASE("one that only fell silent counts, because it may be frozen") {
+    runs.Add(upstreams, "one", AttemptEvidence::kStageLost);
+    CHECK(runs.Count(later, upstreams) == 1);
+  }
+  SUBCASE("one that closed the connection counts until it is silent too") {
+    runs.Add(upstreams, "one", AttemptEvidence::kTruncated);
+    CHECK(runs.Count(now, upstreams) == 1);
+    CHECK(runs.Count(later, upstreams) == 0);
+  }
+  SUBCASE("one that has started anew since does not count") {
+    runs.Add(upstreams, "one", AttemptEvidence::kStageLost);
+    UpstreamUpdate update = TestEngine("one", "a", "fast", 0, 80);
+    update.announcement.incarnation = 2;
+    upstreams.Apply(now, update);
+    CHECK(runs.Count(now, upstreams) == 0);
+  }
+  SUBCASE("one that has left does not count") {
+    runs.Add(upstreams, "one", AttemptEvidence::kStageLost);
+    upstreams.Leave(now, "one", 1);
+    CHECK(runs.Count(now, upstreams) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -91,7 +91,6 @@
   void CloseAttempt();
   void CancelAttempt();
   bool MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const;
-  bool CountsAsRun(TimePoint now, const std::string& upstream) const;
   void CheckSilentStream(TimePoint now);
   void CheckSlowStream(TimePoint now);
   void OnReport(std::uint32_t attempt, const EngineReport* report);
@@ -114,7 +113,7 @@
   std::optional<SpareAnswer> m_spare_answer;
   std::optional<Attempt> m_attempt;
   std::uint32_t m_attempts = 0;
-  std::vector<std::string> m_ran_at;  // upstreams at which it may have run
+  RunHistory m_runs;
   HasRun m_has_run = HasRun::kNo;
   AttemptEvidence m_last_evidence = AttemptEvidence::kNotConnected;
   std::set<std::string> m_excluded;  // addresses that failed this request
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -287,7 +287,9 @@
   const AttemptOutcome outcome = JudgeAttempt(evidence, MayRepeat(*m_request.route));
   m_last_evidence = evidence;
   m_has_run = Combine(m_has_run, outcome.has_run);
-  if (outcome.has_run != HasRun::kNo) m_ran_at.push_back(m_attempt->upstream);
+  if (outcome.has_run != HasRun::kNo) {
+    m_runs.Add(m_gateway->Upstreams(), m_attempt->upstream, evidence);
+  }
   LogAttempt(now, evidence, outcome.has_run);
   NoteFault(now, evidence, m_attempt->address);
   CancelAttempt();
@@ -352,20 +354,11 @@
   CloseAttempt();
 }
 
-// A route bounds the upstreams at which one request runs. One that is gone since does not count,
-// but the first stage of a chain that lost another stage does.
 bool Exchange::MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const {
   if (!outcome.may_try_another) return false;
   const std::uint32_t allowed = m_request.route->max_upstreams;
-  const auto runs = std::count_if(m_ran_at.begin(), m_ran_at.end(),
-                                  [&](const std::string& name) { return CountsAsRun(now, name); });
-  return static_cast<std::uint32_t>(runs) < allowed && m_attempts < allowed + kExtraAttempts;
-}
-
-// A suspicion of this host is not enough: an engine that was only slow has run the request too.
-bool Exchange::CountsAsRun(TimePoint now, const std::string& upstream) const {
-  const UpstreamRecord* record = m_gateway->Upstreams().Find(upstream);
-  return record != nullptr && record->IsAlive(now);
+  return m_runs.Count(now, m_gateway->Upstreams()) < allowed &&
+         m_attempts < allowed + kExtraAttempts;
 }
 
 void Exchange::CheckSilentStream(TimePoint now) {
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -415,6 +415,10 @@
   for (const char* zone : {"a", "b", "c"}) {
     engines.push_back(fixture.Add(zone, zone, silent, 0, 80));
   }
+  SUBCASE("while it announces itself") {}
+  SUBCASE("when it has missed announcements, as one that is frozen does") {
+    std::this_thread::sleep_for(kSilentAfter + milliseconds(100));
+  }
   CHECK(Body(fixture.Call("POST", "/talk/")) == Events(1, 2));
   CHECK(engines[0]->requests + engines[1]->requests + engines[2]->requests == 2);
 }
