Keep a new upstream of another zone while its own zone learns of it

A control host of the replica's zone, which had not heard of the replica yet, had answered a comparison with the full list of its zone, and the entry host dropped what was not in it. The tombstone then kept the replica away until its next announcement had travelled.

Change: a full list drops only upstreams that were silent for about as long as the zone's own hosts need to drop one. That alone made hosts of other zones learn later, because a comparison with a host that knows less now changes nothing; so each heartbeat to another zone asks for a reply, which holds the checksums of that zone, and the zones take turns. Before, a host waited until one of the other zone chose it at random.

Ruled out: a dead replica (it served the other 19 bookings), an ejection as an outlier (none logged).

--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -124,13 +124,31 @@
   return names;
 }
 
+// The hosts of other zones in random order, but for the first one: the zones have their turn there,
+// so that each is heard from within a few heartbeats.
+std::vector<std::string> MembershipTable::Impl::PickOtherZones() {
+  std::vector<std::string> names = Names(false, HostLiveness::kSuspect);
+  std::shuffle(names.begin(), names.end(), *m_random);
+  const auto zone_of = [this](const std::string& name) {
+    return m_hosts.at(name).info.availability_zone;
+  };
+  std::set<std::string> zones;
+  for (const std::string& name : names) zones.insert(zone_of(name));
+  if (zones.size() < 2) return names;
+  const auto next = zones.upper_bound(m_last_other_zone);
+  m_last_other_zone = next == zones.end() ? *zones.begin() : *next;
+  const auto first = std::find_if(names.begin(), names.end(), [&](const std::string& name) {
+    return zone_of(name) == m_last_other_zone;
+  });
+  std::iter_swap(names.begin(), first);
+  return names;
+}
+
 // Mostly peers of the own zone, which need the marks, and one in the other zones in every second
 // heartbeat. A failed host is tried now and then, so that a healed partition is noticed.
 std::vector<std::string> MembershipTable::Impl::PickTargets() {
   std::vector<std::string> own = Names(true, HostLiveness::kSuspect);
-  std::vector<std::string> other = Names(false, HostLiveness::kSuspect);
   std::shuffle(own.begin(), own.end(), *m_random);
-  std::shuffle(other.begin(), other.end(), *m_random);
   // The next host of the zone in the order of names hears from this one in each heartbeat, so that
   // no live host goes without marks for a second, as happens with random choice alone.
   const std::vector<std::string> sorted = Names(true, HostLiveness::kAlive);
@@ -148,6 +166,8 @@
     if (!failed.empty()) targets.push_back(failed[(*m_random)() % failed.size()]);
   }
   const std::size_t want_other = own.size() < kHeartbeatPeers ? 1 : m_heartbeats % 2;
+  const std::vector<std::string> other =
+      want_other > 0 ? PickOtherZones() : std::vector<std::string>();
   for (std::size_t i = 0; i < want_other && i < other.size(); ++i) targets.push_back(other[i]);
   for (std::size_t i = 0; i < own.size() && targets.size() < kHeartbeatPeers; ++i) {
     targets.push_back(own[i]);
@@ -200,8 +220,13 @@
     m_next_message_at += kHeartbeatInterval / kHeartbeatPeers;
     const std::string target = m_targets.front();
     m_targets.erase(m_targets.begin());
-    if (m_hosts.count(target) == 0) continue;
-    out->messages.push_back(MakeHeartbeat(now, target));
+    const auto host = m_hosts.find(target);
+    if (host == m_hosts.end()) continue;
+    GossipMessage message = MakeHeartbeat(now, target);
+    // The reply holds the checksums of that zone. To wait for one of its hosts to choose this one
+    // can take very long.
+    if (!InOwnZone(host->second.info)) message.body["j"] = 1;
+    out->messages.push_back(std::move(message));
   }
 }
 
--- a/src/libcorneltray/membership_gossip.cc
+++ b/src/libcorneltray/membership_gossip.cc
@@ -239,7 +239,9 @@
   }
 }
 
-// Drops upstreams of another zone that the zone's own process no longer has.
+// Drops upstreams of another zone that the zone's own process no longer has. One that was heard
+// from lately may not have reached that process yet: it would have dropped only one that was silent
+// for kUpstreamRemoveAfter.
 void MembershipTable::Impl::ApplyFullList(TimePoint now, const json& full, MembershipOutput* out) {
   const auto zone = full.at(0).get<std::string>();
   const auto bucket = full.at(1).get<std::size_t>();
@@ -249,7 +251,8 @@
   const auto names = SplitKeys(Text(full.at(2)), kShortKeyBytes);
   std::vector<std::string> gone;
   for (const FreshnessGroup::Member& member : group.MembersOf(bucket)) {
-    if (names.count(ShortKey(member.name)) == 0) gone.push_back(member.name);
+    const bool is_recent = now - member.heard_at < kUpstreamRemoveAfter - kNewsSlack;
+    if (names.count(ShortKey(member.name)) == 0 && !is_recent) gone.push_back(member.name);
   }
   for (const std::string& name : gone) Remove(now, name, out);
 }
--- a/src/libcorneltray/membership_impl.h
+++ b/src/libcorneltray/membership_impl.h
@@ -130,6 +130,7 @@
   nlohmann::json Header(TimePoint now);
   GossipMessage MakeHeartbeat(TimePoint now, const std::string& target);
   std::vector<std::string> PickTargets();
+  std::vector<std::string> PickOtherZones();
   void SendDue(TimePoint now, MembershipOutput* out);
   Duration GossipAllowance(std::size_t processes) const;
   std::vector<std::string> Names(bool own_zone, HostLiveness up_to) const;
@@ -142,6 +143,7 @@
   TimePoint m_started_at;
   std::uint64_t m_counter = 0;  // of messages sent
   std::uint64_t m_heartbeats = 0;
+  std::string m_last_other_zone;       // that a heartbeat went to
   std::vector<std::string> m_targets;  // of this heartbeat, not yet sent to
   TimePoint m_next_message_at{};
   TimePoint m_other_zones_at{};
--- a/src/libcorneltray/membership_test.cc
+++ b/src/libcorneltray/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 
 #include "membership_simulation.h"
@@ -97,6 +98,31 @@
   }
 }
 
+// Guards against an upstream that a host forgets again, because a host of the upstream's own zone
+// that has not heard of it yet lists what the zone has.
+TEST_CASE("a new upstream stays known in the other zones while the news of it spreads") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimOptions options;
+    options.max_delay_ms = 100;
+    Sim sim(seed, options);
+    sim.Run(seconds(20));
+    sim.events.clear();
+    constexpr std::size_t kNew = 99;
+    sim.AddUpstream(0, kNew);
+    sim.Run(seconds(15));
+    std::size_t removals = 0;
+    for (const auto& [host, events] : sim.events) {
+      removals += static_cast<std::size_t>(
+          std::count_if(events.begin(), events.end(), [](const MembershipEvent& event) {
+            return event.type == MembershipEventType::kUpstreamRemoved;
+          }));
+    }
+    CAPTURE(seed);
+    CHECK(removals == 0);
+    CHECK_MESSAGE(sim.HostsThatDisagree() == 0, sim.first_wrong);
+  }
+}
+
 // Guards against new work for an upstream that is leaving (R5), and against its return.
 TEST_CASE("a leaving upstream is used by no host 3 s after its announcement") {
   for (std::uint64_t seed = 1; seed <= 8; ++seed) {
