Bound only generations by the capacity of the engines

In a region without engines the seventeenth of twenty bookings in progress was refused as overloaded, while the ledger was idle. Whether sixteen were in progress at once depended on the machine's load.

Change: admission is told what the request asks for. A service call is bounded by its customer's rate alone and takes no place of a generation.

--- a/bench/pipeline_simulation.cc
+++ b/bench/pipeline_simulation.cc
@@ -151,7 +151,8 @@
     const std::string name = "c" + std::to_string(customer);
     const TimePoint deadline =
         m_options.deadline_s > 0.0 ? m_now + ToDuration(m_options.deadline_s) : TimePoint::max();
-    if (std::holds_alternative<Refused>(host.limiter->Admit(m_now, name, deadline, {}))) {
+    if (std::holds_alternative<Refused>(
+            host.limiter->Admit(m_now, name, Workload::kGeneration, deadline, {}))) {
       if (counted) ++m_result.refused;
       return;
     }
--- a/src/include/corneltray/limiter.h
+++ b/src/include/corneltray/limiter.h
@@ -39,8 +39,12 @@
 
 using Admission = std::variant<Admitted, Refused>;
 
+// What a request asks for. The capacity of the engines bounds only generations; calls of plain
+// services take nothing of it.
+enum class Workload { kGeneration, kServiceCall };
+
 // Admission of requests at one entry host: a token bucket for each customer, holding this host's
-// share of the customer's rate, and a limit on requests in progress that keeps a fair share for
+// share of the customer's rate, and a limit on generations in progress that keeps a fair share for
 // each customer. Not thread safe.
 class Limiter {
  public:
@@ -56,13 +60,14 @@
   // after each change of hosts, and every second.
   void SetHosts(TimePoint now, const std::vector<HostView>& hosts, double configured_zone_share);
 
-  // Greatest number of requests in progress at this host, from the ready capacity. Zero: no limit.
+  // Greatest number of generations in progress at this host, from the ready capacity. Zero: no
+  // limit.
   void SetConcurrencyLimit(std::uint32_t limit);
 
-  // Decides on one request. Every admitted request is followed by one Finish.
+  // Decides on one request. Every admitted generation is followed by one Finish.
   // `expected_wait` is the router's estimate of the time in queue; a request whose deadline falls
   // before it would get its first answer is refused at once.
-  Admission Admit(TimePoint now, const std::string& customer, TimePoint deadline,
+  Admission Admit(TimePoint now, const std::string& customer, Workload workload, TimePoint deadline,
                   Duration expected_wait);
   void Finish(TimePoint now, const std::string& customer);
 
@@ -83,7 +88,7 @@
     TimePoint filled_at{};
     double demand = 0.0;  // decaying count of offered requests
     TimePoint demand_at{};
-    std::uint32_t in_progress = 0;
+    std::uint32_t in_progress = 0;  // generations
   };
 
   void Fill(TimePoint now, Bucket* bucket) const;
@@ -95,7 +100,7 @@
   double m_zone_share = 1.0;
   std::map<std::string, Bucket> m_buckets;
   std::uint32_t m_concurrency_limit = 0;
-  std::uint32_t m_in_progress = 0;
+  std::uint32_t m_in_progress = 0;  // generations
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/routing_state.h
+++ b/src/include/corneltray/routing_state.h
@@ -28,7 +28,8 @@
   void SetHosts(const std::vector<HostView>& hosts);
   void ForgetUpstream(const std::string& name);
 
-  Admission Admit(const std::string& customer, TimePoint deadline, Duration expected_wait);
+  Admission Admit(const std::string& customer, Workload workload, TimePoint deadline,
+                  Duration expected_wait);
   void FinishRequest(const std::string& customer);
   std::map<std::string, double> Demand() const;
 
--- a/src/libcorneltray/limit_filter.cc
+++ b/src/libcorneltray/limit_filter.cc
@@ -39,11 +39,15 @@
 }  // namespace
 
 FilterResult LimitFilter::Apply(RequestContext& context) {
+  const auto* call = std::get_if<ServiceCallRequest>(&context.call);
+  const Workload workload = call == nullptr ? Workload::kGeneration : Workload::kServiceCall;
   const Admission admission =
-      m_entry->routing->Admit(context.customer, context.deadline, Duration::zero());
+      m_entry->routing->Admit(context.customer, workload, context.deadline, Duration::zero());
   const auto* refused = std::get_if<Refused>(&admission);
   if (refused == nullptr) {
-    context.admission = std::make_unique<AdmissionTicket>(m_entry->routing, context.customer);
+    if (workload == Workload::kGeneration) {
+      context.admission = std::make_unique<AdmissionTicket>(m_entry->routing, context.customer);
+    }
     m_entry->routing->RecordRequest();
     return Continue{};
   }
@@ -53,7 +57,6 @@
             {"customer", context.customer},
             {"reason", NameOf(refused->reason)}});
   const ApiError error = ErrorFor(*refused);
-  const auto* call = std::get_if<ServiceCallRequest>(&context.call);
   if (call != nullptr && !call->idempotent && IsUuidV7(call->idempotency_key)) {
     return Respond{RefuseBookingCall(*m_entry, context, error)};
   }
--- a/src/libcorneltray/limiter.cc
+++ b/src/libcorneltray/limiter.cc
@@ -119,8 +119,8 @@
   return bucket.in_progress < static_cast<double>(m_concurrency_limit) / std::max(active, 1U);
 }
 
-Admission Limiter::Admit(TimePoint now, const std::string& customer, TimePoint deadline,
-                         Duration expected_wait) {
+Admission Limiter::Admit(TimePoint now, const std::string& customer, Workload workload,
+                         TimePoint deadline, Duration expected_wait) {
   const auto it = m_buckets.find(customer);
   if (it == m_buckets.end() || it->second.rate <= 0.0) {
     return Refused{RefusalReason::kUnknownCustomer, {}};
@@ -141,6 +141,10 @@
         RefusalReason::kRate,
         std::chrono::milliseconds(static_cast<std::int64_t>(std::min(wait_ms, most_ms)))};
   }
+  if (workload == Workload::kServiceCall) {
+    bucket.tokens -= 1.0;
+    return Admitted{};
+  }
   if (!WithinConcurrency(now, bucket)) {
     return Refused{RefusalReason::kConcurrency, kConcurrencyRetryAfter};
   }
--- a/src/libcorneltray/limiter_test.cc
+++ b/src/libcorneltray/limiter_test.cc
@@ -64,7 +64,7 @@
       }
       std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
       const std::size_t host = pick(random);  // 200 requests/s, four times the rate
-      const Admission admission = limiters[host].Admit(now, "c", kNever, {});
+      const Admission admission = limiters[host].Admit(now, "c", Workload::kGeneration, kNever, {});
       if (std::holds_alternative<Admitted>(admission)) {
         limiters[host].Finish(now, "c");
         ++admitted;
@@ -85,24 +85,26 @@
   Limiter limiter("h0");
   limiter.SetCustomers(kStart, {{"c", Customer("c", 2, 1)}});
   limiter.SetHosts(kStart, {Entry("h0")}, 1.0);
-  CHECK(std::holds_alternative<Admitted>(limiter.Admit(kStart, "c", kNever, {})));
+  CHECK(std::holds_alternative<Admitted>(
+      limiter.Admit(kStart, "c", Workload::kGeneration, kNever, {})));
 
   // Guards against a retry-after at which the request is refused again.
   SUBCASE("over the rate") {
-    const auto refused = std::get<Refused>(limiter.Admit(kStart, "c", kNever, {}));
+    const auto refused =
+        std::get<Refused>(limiter.Admit(kStart, "c", Workload::kGeneration, kNever, {}));
     CHECK(refused.reason == RefusalReason::kRate);
     CHECK(refused.retry_after == milliseconds(500));
     CHECK(std::holds_alternative<Admitted>(
-        limiter.Admit(kStart + refused.retry_after, "c", kNever, {})));
+        limiter.Admit(kStart + refused.retry_after, "c", Workload::kGeneration, kNever, {})));
   }
   SUBCASE("an unknown customer") {
-    CHECK(std::get<Refused>(limiter.Admit(kStart, "x", kNever, {})).reason ==
+    CHECK(std::get<Refused>(limiter.Admit(kStart, "x", Workload::kGeneration, kNever, {})).reason ==
           RefusalReason::kUnknownCustomer);
   }
   // Guards against work on a request that will be too late anyway.
   SUBCASE("a deadline within the expected wait") {
-    const auto refused = std::get<Refused>(
-        limiter.Admit(kStart + seconds(9), "c", kStart + seconds(10), seconds(2)));
+    const auto refused = std::get<Refused>(limiter.Admit(
+        kStart + seconds(9), "c", Workload::kGeneration, kStart + seconds(10), seconds(2)));
     CHECK(refused.reason == RefusalReason::kDeadline);
   }
 }
@@ -116,13 +118,16 @@
   limiter.SetConcurrencyLimit(100);
   std::size_t large = 0;
   for (int i = 0; i < 200; ++i) {
-    large += std::holds_alternative<Admitted>(limiter.Admit(kStart, "large", kNever, {})) ? 1 : 0;
-    if (i == 0) limiter.Admit(kStart, "small", kNever, {});
+    large += std::holds_alternative<Admitted>(
+                 limiter.Admit(kStart, "large", Workload::kGeneration, kNever, {}))
+                 ? 1
+                 : 0;
+    if (i == 0) limiter.Admit(kStart, "small", Workload::kGeneration, kNever, {});
   }
   CHECK(large == 74);
   std::size_t small = 1;
   for (int i = 0; i < 200; ++i) {
-    const Admission admission = limiter.Admit(kStart, "small", kNever, {});
+    const Admission admission = limiter.Admit(kStart, "small", Workload::kGeneration, kNever, {});
     small += std::holds_alternative<Admitted>(admission) ? 1 : 0;
     if (std::holds_alternative<Refused>(admission)) {
       CHECK(std::get<Refused>(admission).reason == RefusalReason::kConcurrency);
@@ -131,18 +136,41 @@
   CHECK(large + small == 100);
 }
 
+// Guards against bookings that are refused because engines are few or gone.
+TEST_CASE("the concurrency limit of the engines does not bound calls of services") {
+  Limiter limiter("h0");
+  limiter.SetCustomers(kStart, {{"c", Customer("c", 3, 3)}});
+  limiter.SetConcurrencyLimit(1);
+  const auto admit = [&limiter](Workload workload) {
+    return limiter.Admit(kStart, "c", workload, kNever, {});
+  };
+  CHECK(std::holds_alternative<Admitted>(admit(Workload::kGeneration)));
+  CHECK(std::holds_alternative<Admitted>(admit(Workload::kServiceCall)));
+  SUBCASE("which take no place of a generation") {
+    limiter.Finish(kStart, "c");
+    CHECK(std::holds_alternative<Admitted>(admit(Workload::kGeneration)));
+  }
+  SUBCASE("the customer's rate does bound them") {
+    CHECK(std::holds_alternative<Admitted>(admit(Workload::kServiceCall)));
+    CHECK(std::get<Refused>(admit(Workload::kServiceCall)).reason == RefusalReason::kRate);
+  }
+}
+
 // Guards against a bucket that a configuration change refills, and against losing a count.
 TEST_CASE("a change of the customers keeps levels and requests in progress") {
   Limiter limiter("h0");
   limiter.SetCustomers(kStart, {{"c", Customer("c", 1, 1)}});
   limiter.SetConcurrencyLimit(1);
-  CHECK(std::holds_alternative<Admitted>(limiter.Admit(kStart, "c", kNever, {})));
+  CHECK(std::holds_alternative<Admitted>(
+      limiter.Admit(kStart, "c", Workload::kGeneration, kNever, {})));
   limiter.SetCustomers(kStart, {{"c", Customer("c", 1, 5)}});
-  CHECK(std::holds_alternative<Refused>(limiter.Admit(kStart, "c", kNever, {})));
+  CHECK(std::holds_alternative<Refused>(
+      limiter.Admit(kStart, "c", Workload::kGeneration, kNever, {})));
   limiter.SetCustomers(kStart, {});
   limiter.Finish(kStart, "c");
   limiter.SetCustomers(kStart + seconds(1), {{"d", Customer("d", 1, 1)}});
-  CHECK(std::holds_alternative<Admitted>(limiter.Admit(kStart + seconds(1), "d", kNever, {})));
+  CHECK(std::holds_alternative<Admitted>(
+      limiter.Admit(kStart + seconds(1), "d", Workload::kGeneration, kNever, {})));
 }
 
 }  // namespace
--- a/src/libcorneltray/routing_state.cc
+++ b/src/libcorneltray/routing_state.cc
@@ -78,10 +78,10 @@
   m_outliers.Forget(name);
 }
 
-Admission RoutingState::Admit(const std::string& customer, TimePoint deadline,
+Admission RoutingState::Admit(const std::string& customer, Workload workload, TimePoint deadline,
                               Duration expected_wait) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_limiter.Admit(Clock::now(), customer, deadline, expected_wait);
+  return m_limiter.Admit(Clock::now(), customer, workload, deadline, expected_wait);
 }
 
 void RoutingState::FinishRequest(const std::string& customer) {
--- a/testsuite/booking-faults/run.py
+++ b/testsuite/booking-faults/run.py
@@ -129,6 +129,28 @@
     c.check(booked == (1 if seen[-1] == "done" else 0), f"{what}: {seen} but booked {booked}")
 
 
+def many_at_once(c, region, ledgers):
+    """No engine serves here, and more bookings are in progress than one pipeline would allow.
+
+    Guards against bookings that the capacity of the engines refuses."""
+    keys = [h.uuid7() for _ in range(40)]
+    for ledger in ledgers:
+        ledger.fault("hold", moment="before")
+
+    def release():
+        try:
+            h.wait_until(lambda: sum(l.counts()["held"] for l in ledgers) == len(keys), 5,
+                         "all bookings are at the service at once")
+        finally:
+            for ledger in ledgers:
+                ledger.fault("release")
+    entry = region.entries[0]
+    *replies, _ = h.in_parallel(*[lambda k=k: region.book(entry, k, seconds=10) for k in keys],
+                                release)
+    c.equal([h.outcome(reply) for reply in replies], ["done"] * len(keys), "many at once")
+    c.equal([region.booked(key) for key in keys], [1] * len(keys), "many at once: booked once")
+
+
 def service_rows(c, region, ledgers):
     entry, other = region.entries[0], region.entries[1]
     # Dies after it booked: the lookup at another replica finds the booking.
@@ -200,6 +222,7 @@
         ledgers = region.ledgers(3)
         region.wait_ready(model=False, service="ledger")
         same_key_everywhere(c, region, region.entries[:3])
+        many_at_once(c, region, ledgers)
         before_claim(c, region, region.entries[0], region.entries[1], "stop")
         before_claim(c, region, region.entries.pop(), region.entries[1], "kill")
         rows = [(region.entries[1], "kill", "before"), (region.entries[2], "stop", "before"),
