Spread the requests of a zone over its copies of the model

The load was known for a zone only, which made all its copies look equally full.

Change: EngineRouter divides the engines of a zone into chains that share no engine and draws one for each request, with a chance that grows with its free room and falls with the square of its time. What a first stage reports counts for its own chain. When the drawn chain is filling up, chains that leave the zone are compared by their estimated time, as before.

Ruled out by the test: a stronger weight of the free room (square: up to 278 requests at a copy with room for 228, since hosts herd to the copy whose report is old), and the cheapest chain of the own zone as an alternative to the drawn one (261).

Measured: the new test plays 40 hosts and three copies.

--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -68,6 +69,7 @@
     GatewayOptions options;
     options.availability_zone = m_settings.availability_zone;
     options.dialect = platform::MakePlatformDialect();
+    options.random_seed = std::hash<std::string>()(m_settings.name);
     options.key_lease = std::chrono::milliseconds(m_settings.key_lease_ms);
     options.retry_ratio = m_settings.retry_ratio;
     options.retry_allowance = m_settings.retry_allowance;
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,13 +49,16 @@
   double load = 0.0;     // of the fullest stage: tokens in its memory over its room
 };
 
-// Chooses the chain of engines of one service for each generation: the one with the least estimated
-// time, where a stage in another zone costs the transfer of the prompt's activations and a delay at
-// each token, and a fuller stage counts as a slower one. So the own zone is used while it is whole
-// and has room; layers that it lacks are run in another zone. Not thread safe.
+// Chooses the chain of engines of one service for each generation. Requests of a zone are spread
+// over its whole copies of the model: each is drawn with a chance that grows with its free room and
+// its speed, because all hosts that hear the same reports would otherwise choose the same copy.
+// When the drawn copy is filling up, or the zone has none, the chain with the least estimated time
+// is taken, where a stage in another zone costs the transfer of the prompt's activations and a
+// delay at each token, and a fuller stage counts as a slower one. Not thread safe.
 class EngineRouter {
  public:
-  EngineRouter(std::string own_zone, EngineProfile profile);
+  // `seed` is of the draws; it differs between hosts.
+  EngineRouter(std::string own_zone, EngineProfile profile, std::uint64_t seed);
 
   // Takes the engines of a service. Called when the table has changed.
   void SetEngines(const std::string& service, const UpstreamTable& upstreams);
@@ -96,34 +101,52 @@
     double slowness = 1.0;
     TimePoint slow_until{};
     double tokens = 0.0;  // of requests of this host
-    std::string zone;     // of the engine, when it was last seen
   };
-  // Requests of all hosts in the chains of a zone, as a first stage reported them last.
-  struct ZoneLoad {
+  // Requests of all hosts at a first stage, as it reported them last.
+  struct FirstStageLoad {
     std::uint32_t running = 0;
     std::uint32_t begun_since = 0;  // by this host
     TimePoint expires_at{};
   };
+  // A chain that shares no engine with the other copies of its zone.
+  struct Copy {
+    ChainChoice choice;
+    std::vector<std::uint32_t> slots;  // of the pool
+    double room_tokens = 0.0;          // of the stage with the least
+  };
   // Engines among which chains are searched.
   struct Pool {
-    std::string zone;  // empty: engines of all zones
+    std::string zone;
     std::vector<std::size_t> engines;
     std::vector<ChainSlot> slots;
     ChainSearch search;
   };
 
-  void AddPool(const std::string& zone);
-  double HopCost(const Engine& engine, const Pool& pool) const;
+  enum class PoolScope { kOneZone, kAllZones };
+
+  Pool MakePool(const std::string& zone, PoolScope scope) const;
+  double HopCost(const Engine& engine, const std::string& home) const;
   bool IsUsable(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
-  double LoadOf(TimePoint now, const Engine& engine) const;
-  ChainChoice Search(TimePoint now, const std::vector<bool>& usable, Pool* pool);
+  void UpdateZoneLoads(TimePoint now);
+  std::optional<double> TokensAt(TimePoint now, const std::string& first_stage) const;
+  double LoadOf(const Engine& engine) const;
+  double LoadOf(TimePoint now, const Copy& copy) const;
+  void SetCosts(TimePoint now, const std::vector<bool>& usable, Pool* pool);
+  // The cheapest chain of a pool with the costs that are set.
+  Copy Find(Pool* pool);
+  std::vector<Copy> FindCopies(TimePoint now, const std::vector<bool>& usable, Pool* pool);
+  ChainChoice DrawCopy(TimePoint now, const std::vector<bool>& usable, Pool* pool);
+  ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
 
   std::string m_own_zone;
   EngineProfile m_profile;
   std::vector<Engine> m_engines;
-  std::vector<Pool> m_pools;
-  std::map<std::string, State> m_states;         // by address
-  std::map<std::string, ZoneLoad> m_zone_loads;  // by zone
+  Pool m_all;                             // engines of all zones, with this one as the home
+  std::vector<Pool> m_zones;              // whose chains keep to one zone; the own one first
+  std::map<std::string, State> m_states;  // by address
+  std::map<std::string, FirstStageLoad> m_first_loads;  // by address
+  std::map<std::string, double> m_zone_loads;           // at the choice in progress
+  std::mt19937_64 m_random;
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -38,6 +38,7 @@
   double retry_ratio = 0.2;
   double retry_allowance = 100.0;  // second attempts in a window, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
+  std::uint64_t random_seed = 1;  // differs between hosts
 };
 
 // The data path of one entry host: takes requests of callers, sends them to upstreams and passes
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <deque>
+
 #include "engine_fleet_test.h"
 
 namespace corneltray {
@@ -15,7 +17,7 @@
 // Two zones with a whole copy each: two fast engines and four slow ones in each.
 class RouterFixture {
  public:
-  RouterFixture() : router("a", TestProfile()) {
+  RouterFixture() : router("a", TestProfile(), 1) {
     for (const char* zone : {"a", "b"}) {
       const std::string z = zone;
       Add(TestEngine(z + "-f1", z, "fast", 0, 20));
@@ -146,5 +148,88 @@
   CHECK(Runs(fixture.Choose({"b-s2"}), "a-s2"));
 }
 
+// A stage of either kind has room for 200,000 tokens beside its layers, and a usual request keeps
+// 875 of them.
+constexpr std::uint32_t kCopyRoom = 228;
+
+// Plays the load of many hosts in a zone with three copies of the model, each with room for
+// kCopyRoom requests. A host begins a request every second or so and learns the load of a
+// first stage only from the answers of its own requests.
+class SpreadSimulation {
+ public:
+  SpreadSimulation() {
+    for (const char* copy : {"a", "b", "c"}) {
+      const std::string c = copy;
+      m_table.Apply(kNow, TestEngine(c + "-f1", "a", "fast", 0, 20));
+      m_table.Apply(kNow, TestEngine(c + "-f2", "a", "fast", 20, 40));
+      for (std::uint32_t first = 40; first < 80; first += 10) {
+        const std::string name = c + "-s" + std::to_string(first);
+        m_table.Apply(kNow, TestEngine(name, "a", "slow", first, first + 10));
+      }
+    }
+    for (std::uint64_t host = 0; host < kHosts; ++host) {
+      m_routers.emplace_back("a", TestProfile(), host);
+      m_routers.back().SetEngines("s", m_table);
+    }
+  }
+
+  // Returns the most requests that any copy had at once.
+  std::uint32_t Play(double requests_per_s, double seconds_each, milliseconds length) {
+    const auto pause =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / requests_per_s));
+    std::uint32_t most = 0;
+    std::size_t host = 0;
+    for (TimePoint now = kNow; now < kNow + length; now += pause) {
+      Finish(now);
+      EngineRouter& router = m_routers[host++ % kHosts];
+      const ChainChoice choice = router.Choose(now, m_table, {});
+      REQUIRE_FALSE(choice.stages.empty());
+      const std::string& first = choice.stages.front().address;
+      most = std::max(most, ++m_running[first]);
+      router.Begin(choice.stages, kTokens);
+      router.Report(now, first, {m_running[first], 0, 0.0});
+      const auto took =
+          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds_each));
+      m_ends.emplace(now + took, Running{&router, choice.stages});
+    }
+    return most;
+  }
+
+ private:
+  static constexpr std::size_t kHosts = 40;
+  static constexpr double kTokens = 875.0;
+  struct Running {
+    EngineRouter* router;
+    std::vector<ChainStage> chain;
+  };
+
+  void Finish(TimePoint now) {
+    while (!m_ends.empty() && m_ends.begin()->first <= now) {
+      const Running& done = m_ends.begin()->second;
+      --m_running[done.chain.front().address];
+      done.router->End(done.chain, kTokens);
+      m_ends.erase(m_ends.begin());
+    }
+  }
+
+  UpstreamTable m_table;
+  std::deque<EngineRouter> m_routers;
+  std::map<std::string, std::uint32_t> m_running;  // by first stage
+  std::multimap<TimePoint, Running> m_ends;
+};
+
+// Guards against a copy that all hosts fill until it gives up requests, while others are idle.
+TEST_CASE("requests of many hosts are spread over the copies of a zone") {
+  SpreadSimulation simulation;
+  SUBCASE("at half of the room of the zone no copy fills up") {
+    const double per_s = 0.5 * 3 * kCopyRoom / 2.0;
+    CHECK(simulation.Play(per_s, 2.0, std::chrono::seconds(60)) < 0.8 * kCopyRoom);
+  }
+  SUBCASE("at four fifths of it every copy keeps within its room") {
+    const double per_s = 0.8 * 3 * kCopyRoom / 2.0;
+    CHECK(simulation.Play(per_s, 2.0, std::chrono::seconds(60)) <= kCopyRoom);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -62,7 +62,7 @@
             {"customers", table.customers.size()}});
   for (const auto& [name, service] : table.services) {
     if (!service.engine || m_routers.count(name) > 0) continue;
-    EngineRouter router(m_options.availability_zone, *service.engine);
+    EngineRouter router(m_options.availability_zone, *service.engine, m_options.random_seed);
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
