--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -112,11 +112,11 @@
   struct Copy {
     ChainChoice choice;
     std::vector<std::uint32_t> slots;  // of the pool
-    double room_tokens = 0.0;          // of the stage with the least
+    double room_tokens = 0.0;          // of the stage with the least room
   };
   // Engines among which chains are searched.
   struct Pool {
-    std::string zone;
+    std::string zone;  // in which its chains begin and end
     std::vector<std::size_t> engines;
     std::vector<ChainSlot> slots;
     ChainSearch search;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -126,6 +126,7 @@
   return best;
 }
 
+// Sets the costs of a usual request at each engine of the pool, without regard to load.
 void EngineRouter::SetCosts(TimePoint now, const std::vector<bool>& usable, Pool* pool) {
   for (std::size_t i = 0; i < pool->engines.size(); ++i) {
     const Engine& engine = m_engines[pool->engines[i]];
@@ -187,6 +188,7 @@
   }
 }
 
+// Draws one of the chains of a zone. Its cost then includes the load and the way into the zone.
 ChainChoice EngineRouter::DrawCopy(TimePoint now, const std::vector<bool>& usable, Pool* pool) {
   std::vector<Copy> copies = FindCopies(now, usable, pool);
   if (copies.empty()) return {};
@@ -224,15 +226,20 @@
 
 // Fills m_zone_loads: tokens over room, over the first stages of a zone that reported.
 void EngineRouter::UpdateZoneLoads(TimePoint now) {
-  std::map<std::string, std::pair<double, double>> tokens_and_room;
+  struct Sums {
+    double tokens = 0.0;
+    double room_tokens = 0.0;
+  };
+  std::map<std::string, Sums> by_zone;
   for (const Engine& engine : m_engines) {
     const std::optional<double> tokens = TokensAt(now, engine.address);
     if (engine.first != 0 || !tokens) continue;
-    tokens_and_room[engine.zone].first += *tokens;
-    tokens_and_room[engine.zone].second += engine.room_tokens;
+    Sums& sums = by_zone[engine.zone];
+    sums.tokens += *tokens;
+    sums.room_tokens += engine.room_tokens;
   }
   m_zone_loads.clear();
-  for (const auto& [zone, sums] : tokens_and_room) m_zone_loads[zone] = sums.first / sums.second;
+  for (const auto& [zone, sums] : by_zone) m_zone_loads[zone] = sums.tokens / sums.room_tokens;
 }
 
 // Tokens in the memory of a stage over its room. What other hosts have there is taken to be the
@@ -244,6 +251,8 @@
   return zone == m_zone_loads.end() ? own : std::max(own, zone->second);
 }
 
+// Tokens over room in the stage of a copy that has the least room; 1 if a stage said that it is
+// full.
 double EngineRouter::LoadOf(TimePoint now, const Copy& copy) const {
   const ChainStage& first = copy.choice.stages.front();
   const bool is_full = std::any_of(
