--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -57,8 +57,8 @@
 };
 
 // Retries that one host may have made in its window, of a number that all hosts share. A failure
-// often concerns the hosts of one zone, so a host may take more than an equal share of what is left;
-// what all hosts have used is told to each other within a second or so.
+// often concerns the hosts of one zone, so a host may take more than an equal share of what is
+// left; what all hosts have used is told to each other within a second or so.
 double ShareOfRetries(double allowed, const RetryCounts& used_by_all, double used_here);
 
 // Says when an idempotent lookup is sent a second time: after the p95 of recent latencies. The
