Say the same thing once in admission, gossip and the engine router

Cause: a second reading of the change. Admission took its token in two branches; two places of the membership set the field that asks for a heartbeat in return; the router treated the first stage of a chain apart to find the least room, and looked up reports of engines that are no first stage at each choice; the sum of retries looked its service up three times.

Change: one branch, MakeHeartbeatRequest for both places, a minimum that starts at infinity, the cheap check before the lookup.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -425,9 +425,10 @@
   for (const auto& [host, report] : m_retry_reports) {
     if (now >= report.expires_at) continue;
     for (const auto& [service, counts] : report.by_service) {
-      sum[service].requests += counts.requests;
-      sum[service].retries += counts.retries;
-      ++sum[service].hosts;
+      RetryCounts& total = sum[service];
+      total.requests += counts.requests;
+      total.retries += counts.retries;
+      ++total.hosts;
     }
   }
   return sum;
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -2,6 +2,7 @@
 #define CORNELTRAY_ENGINE_ROUTER_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -112,7 +113,8 @@
   struct Copy {
     ChainChoice choice;
     std::vector<std::uint32_t> slots;  // of the pool
-    double room_tokens = 0.0;          // of the stage with the least room
+    // Of the stage with the least room.
+    double room_tokens = std::numeric_limits<double>::infinity();
   };
   // Engines among which chains are searched.
   struct Pool {
--- a/src/libcorneltray/limiter.cc
+++ b/src/libcorneltray/limiter.cc
@@ -141,14 +141,12 @@
         RefusalReason::kRate,
         std::chrono::milliseconds(static_cast<std::int64_t>(std::min(wait_ms, most_ms)))};
   }
-  if (workload == Workload::kServiceCall) {
-    bucket.tokens -= 1.0;
-    return Admitted{};
-  }
-  if (!WithinConcurrency(now, bucket)) {
+  const bool takes_place = workload == Workload::kGeneration;
+  if (takes_place && !WithinConcurrency(now, bucket)) {
     return Refused{RefusalReason::kConcurrency, kConcurrencyRetryAfter};
   }
   bucket.tokens -= 1.0;
+  if (!takes_place) return Admitted{};
   ++bucket.in_progress;
   ++m_in_progress;
   return Admitted{};
--- a/src/libcorneltray/membership.cc
+++ b/src/libcorneltray/membership.cc
@@ -201,6 +201,13 @@
   return {target, std::move(body)};
 }
 
+GossipMessage MembershipTable::Impl::MakeHeartbeatRequest(TimePoint now,
+                                                          const std::string& target) {
+  GossipMessage message = MakeHeartbeat(now, target);
+  message.body["j"] = 1;
+  return message;
+}
+
 MembershipOutput MembershipTable::Impl::Heartbeat(TimePoint now) {
   MembershipOutput out;
   ++m_heartbeats;
@@ -222,11 +229,10 @@
     m_targets.erase(m_targets.begin());
     const auto host = m_hosts.find(target);
     if (host == m_hosts.end()) continue;
-    GossipMessage message = MakeHeartbeat(now, target);
-    // The reply holds the checksums of that zone. To wait for one of its hosts to choose this one
-    // can take very long.
-    if (!InOwnZone(host->second.info)) message.body["j"] = 1;
-    out->messages.push_back(std::move(message));
+    // The reply of a host in another zone holds the checksums of that zone. To wait for one of its
+    // hosts to choose this one can take very long.
+    out->messages.push_back(InOwnZone(host->second.info) ? MakeHeartbeat(now, target)
+                                                         : MakeHeartbeatRequest(now, target));
   }
 }
 
@@ -273,10 +279,8 @@
     m_forgotten_hosts.erase(peer.name);
     AddHost(peer, 0, now, &out);
   }
-  // Asks for a heartbeat in return, so that a new process learns the members within one round trip.
-  GossipMessage message = MakeHeartbeat(now, peer.name);
-  message.body["j"] = 1;
-  out.messages.push_back(std::move(message));
+  // A new process learns the members within one round trip.
+  out.messages.push_back(MakeHeartbeatRequest(now, peer.name));
   return out;
 }
 
--- a/src/libcorneltray/membership_impl.h
+++ b/src/libcorneltray/membership_impl.h
@@ -129,6 +129,8 @@
 
   nlohmann::json Header(TimePoint now);
   GossipMessage MakeHeartbeat(TimePoint now, const std::string& target);
+  // A heartbeat that asks for one in return.
+  GossipMessage MakeHeartbeatRequest(TimePoint now, const std::string& target);
   std::vector<std::string> PickTargets();
   std::vector<std::string> PickOtherZones();
   void SendDue(TimePoint now, MembershipOutput* out);
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -151,8 +151,7 @@
     choice.token_s += engine.layer_token_s * (part.end - part.first) + kHopSeconds;
     choice.load = std::max(choice.load, LoadOf(engine));
     copy.slots.push_back(part.slot);
-    copy.room_tokens = copy.slots.size() == 1 ? engine.room_tokens
-                                              : std::min(copy.room_tokens, engine.room_tokens);
+    copy.room_tokens = std::min(copy.room_tokens, engine.room_tokens);
     own = own && engine.zone == m_own_zone;
     one_zone = one_zone && engine.zone == pool->zone;
   }
@@ -232,8 +231,9 @@
   };
   std::map<std::string, Sums> by_zone;
   for (const Engine& engine : m_engines) {
+    if (engine.first != 0) continue;
     const std::optional<double> tokens = TokensAt(now, engine.address);
-    if (engine.first != 0 || !tokens) continue;
+    if (!tokens) continue;
     Sums& sums = by_zone[engine.zone];
     sums.tokens += *tokens;
     sums.room_tokens += engine.room_tokens;
