Avoid engines that no longer announce themselves

The router asked only whether an engine had said that it leaves, not whether it was still heard.

Change: an engine that has been silent for four seconds is used only when no chain is left without it, as on a host that has lost the control processes and hears of no engine.

Ruled out: the control processes do drop it from placement after that time; only the routers did not.

--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -128,7 +128,10 @@
 
   Pool MakePool(const std::string& zone, PoolScope scope) const;
   double HopCost(const Engine& engine, const std::string& home) const;
+  // The choice among the engines that are marked.
+  ChainChoice ChooseAmong(TimePoint now, const std::vector<bool>& usable);
   bool IsUsable(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
+  static bool IsSilent(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
   void UpdateZoneLoads(TimePoint now);
   std::optional<double> TokensAt(TimePoint now, const std::string& first_stage) const;
   double LoadOf(const Engine& engine) const;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -104,11 +104,20 @@
 ChainChoice EngineRouter::Choose(TimePoint now, const UpstreamTable& upstreams,
                                  const std::set<std::string>& excluded) {
   if (m_zones.empty()) return {};
+  UpdateZoneLoads(now);
   std::vector<bool> usable(m_engines.size());
+  std::vector<bool> alive(m_engines.size());
   for (std::size_t i = 0; i < m_engines.size(); ++i) {
     usable[i] = excluded.count(m_engines[i].address) == 0 && IsUsable(now, m_engines[i], upstreams);
+    alive[i] = usable[i] && !IsSilent(now, m_engines[i], upstreams);
   }
-  UpdateZoneLoads(now);
+  ChainChoice choice = ChooseAmong(now, alive);
+  // The way to the control processes may be lost instead of the engines.
+  if (choice.stages.empty() && alive != usable) choice = ChooseAmong(now, usable);
+  return choice;
+}
+
+ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable) {
   ChainChoice best = DrawCopy(now, usable, &m_zones.front());
   if (!best.stages.empty() && best.load < kFillingUp) return best;
   const auto take_cheaper = [&best](ChainChoice choice) {
@@ -214,6 +223,11 @@
   return true;
 }
 
+bool EngineRouter::IsSilent(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) {
+  const UpstreamRecord* record = upstreams.Find(engine.name);
+  return record == nullptr || !record->IsAlive(now);
+}
+
 // Tokens that all requests at a first stage keep in the memory of each stage of its chain; empty
 // without a report of late.
 std::optional<double> EngineRouter::TokensAt(TimePoint now, const std::string& first_stage) const {
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -94,6 +94,24 @@
   CHECK(Runs(fixture.Choose(), "a-s2"));
 }
 
+// Guards against requests that are refused for as long as an engine is gone without a word: its
+// first stages name it in their refusals at once, which looks like an engine without room.
+TEST_CASE("an engine that no longer announces itself is avoided") {
+  RouterFixture fixture;
+  fixture.now += kSilentAfter;
+  SUBCASE("while the others announce themselves") {
+    const UpstreamTable before = fixture.table;
+    for (const auto& [name, record] : before.Records()) {
+      if (name != "a-s2") fixture.table.Refresh(fixture.now, name, 1, 2);
+    }
+    CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
+    CHECK(Runs(fixture.Choose({"b-s2"}), "a-s2"));
+  }
+  SUBCASE("but not when nothing is heard of any engine, as without a control process") {
+    CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
+  }
+}
+
 // Guards against a zone that is taken for dead because one of its engines was full for a moment:
 // its requests then filled the engines of the next zone, and so on.
 TEST_CASE("a full engine is avoided for a moment and used if nothing else is left") {
