Let control processes tell all hosts which engines are lost, full or slow

After the crash of four engines each host ran into them anew, and 23,258 reports were asked for, most of them by hosts that asked every stage of a silent chain for its pace.

Change: EngineMonitor decides, without a network, which engines a control process asks: those of its zone once a second, and at once when a host suspects one or is refused by one that was not known to be full. One control process of a zone does so. The answers go to all hosts; an engine that twice did not answer is left out of chains, and requests that wait for it go elsewhere. The router uses the load and slowness of every stage instead of the first one's alone. Hosts no longer ask for the pace. A stage that is full again after its pause is avoided twice as long. When a zone fills up, the copies of all other zones are drawn by their room.

A first draw over the copies of all zones by load alone broke the test of the spread (336 requests at a copy with room for 228).

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds kPutTimeout{900};
 constexpr std::chrono::milliseconds kGetTimeout{900};
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
+// An engine answers a question for its report within some milliseconds.
+constexpr std::chrono::milliseconds kReportTimeout{300};
 
 void Answer(const HttpCall& call, int status, const std::string& body = "{}") {
   HttpHead head = MakeResponse(status);
@@ -79,7 +81,9 @@
             m_table.Suspect(Clock::now(), engine.name, engine.incarnation, engine.sequence);
             LogEvent(LogLevel::kInfo, "upstream_suspected",
                      {{"upstream", engine.name}, {"sequence", engine.sequence}, {"by", host}});
+            m_monitor.Suspect(Clock::now(), engine.name);
           }
+          AskEngines();
         });
       });
   m_options.node->SetRequestHandler(
@@ -297,6 +301,8 @@
   FlushRefreshes(now);
   m_links.Check();
   PlaceLayers(now);
+  AskEngines();
+  TellEngineHealth();
   m_options.node->Post([this] {
     ReadReplica();
     KeepMembers();
@@ -395,6 +401,85 @@
   }
 }
 
+bool FleetService::IsMonitor() const {
+  const std::vector<PeerStatus> peers = m_options.node->Peers();
+  return std::none_of(peers.begin(), peers.end(), [this](const PeerStatus& peer) {
+    return peer.connected && peer.identity.program == kControlProgram &&
+           peer.identity.availability_zone == m_options.availability_zone &&
+           peer.identity.host < m_options.host;
+  });
+}
+
+void FleetService::AskEngines() {
+  if (!IsMonitor()) return m_monitor.Clear();
+  for (const EngineQuestion& question :
+       m_monitor.Due(Clock::now(), m_options.availability_zone, m_table)) {
+    AskEngine(question);
+  }
+}
+
+void FleetService::AskEngine(const EngineQuestion& question) {
+  // Shared by the callbacks and the timer; the first of them to come finishes the question.
+  struct Asked {
+    explicit Asked(asio::io_context* io) : timer(*io) {}
+    asio::steady_timer timer;
+    UpstreamCall call;
+    std::string body;
+    int status = 0;
+    bool is_finished = false;
+  };
+  const auto asked = std::make_shared<Asked>(m_io);
+  const auto finish = [this, asked, question](bool answered) {
+    constexpr int kOk = 200;
+    if (std::exchange(asked->is_finished, true)) return;
+    asked->timer.cancel();
+    std::optional<EngineReport> report;
+    if (answered && asked->status == kOk) {
+      auto decoded = m_options.dialect->ReadReport(asked->body);
+      if (decoded) report = std::move(decoded).value();
+    }
+    FinishQuestion(question, report);
+  };
+  UpstreamRequest request =
+      MakeEngineCall(question.address, m_options.dialect->WriteReportRequest());
+  request.connect_deadline = Clock::now() + kReportTimeout;
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [asked](const HttpHead& head) { asked->status = head.status; };
+  callbacks.on_body = [asked](std::string_view bytes) { asked->body.append(bytes); };
+  callbacks.on_end = [finish] { finish(true); };
+  callbacks.on_failure = [finish](UpstreamFailure) { finish(false); };
+  asked->timer.expires_after(kReportTimeout);
+  asked->timer.async_wait([asked, finish](const asio::error_code& cancelled) {
+    if (cancelled) return;
+    asked->call.Cancel();
+    finish(false);
+  });
+  asked->call = m_pool.Send(std::move(request), std::move(callbacks));
+}
+
+void FleetService::FinishQuestion(const EngineQuestion& question,
+                                  const std::optional<EngineReport>& report) {
+  if (report) {
+    m_monitor.Answered(question, *report);
+  } else {
+    LogEvent(LogLevel::kWarning, "engine_unanswered",
+             {{"upstream", question.name}, {"address", question.address}});
+    m_monitor.Unanswered(Clock::now(), question);
+  }
+  AskEngines();
+  TellEngineHealth();
+}
+
+void FleetService::TellEngineHealth() {
+  const std::vector<EngineHealth> news = m_monitor.TakeNews(Clock::now());
+  if (news.empty()) return;
+  const json body = EncodeEngineHealth(news);
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (!peer.connected || peer.identity.program == kControlProgram) continue;
+    m_options.node->Send(peer.identity.host, MessageType::kEngineHealth, body);
+  }
+}
+
 void FleetService::SendOrder(const PlaceDecision& decision) {
   PlaceOrder order;
   order.upstream = decision.upstream;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -14,6 +14,7 @@
 #include "control_node.h"
 #include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
+#include "corneltray/engine_monitor.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/http_listener.h"
 #include "corneltray/layer_placement.h"
@@ -30,6 +31,7 @@
   PeerNode* node = nullptr;        // outlives the service
   ControlNode* control = nullptr;  // outlives the service
   std::string host;                // name of this replica
+  std::string availability_zone;
   std::size_t target_voters = 3;
   std::string peer_port;  // at which every control process listens for peers
 };
@@ -75,6 +77,12 @@
   void ReadReplica();
   void OnReplicaView(const ReplicaView& view);
   void PlaceLayers(TimePoint now);
+  // Whether this process is the one of its zone that asks the engines.
+  bool IsMonitor() const;
+  void AskEngines();
+  void AskEngine(const EngineQuestion& question);
+  void FinishQuestion(const EngineQuestion& question, const std::optional<EngineReport>& report);
+  void TellEngineHealth();
   void SendOrder(const PlaceDecision& decision);
 
   asio::io_context* m_io;
@@ -84,6 +92,7 @@
   ControlLinks m_links;  // to the other control processes
   UpstreamTable m_table;
   LayerController m_layers;
+  EngineMonitor m_monitor;
   asio::steady_timer m_tick_timer;
   asio::steady_timer m_flush_timer;
   bool m_flush_planned = false;
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -221,6 +221,7 @@
     options.node = m_node.get();
     options.control = m_control.get();
     options.host = m_settings.peer_name;
+    options.availability_zone = m_settings.availability_zone;
     options.target_voters = m_settings.control_voters;
     options.peer_port = PortOf(m_settings.peer_address);
     m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -54,6 +54,13 @@
                               // Answered after the update is in force: posts run in order.
                               asio::post(*m_io, [respond] { respond(json::object()); });
                             });
+  m_node->SetPushHandler(MessageType::kEngineHealth, [this](const PeerIdentity&, const json& body) {
+    auto engines = DecodeEngineHealth(body);
+    if (!engines) return;
+    asio::post(*m_io, [this, engines = std::move(engines).value()] {
+      m_gateway->UpdateEngineHealth(engines);
+    });
+  });
   m_node->SetPushHandler(MessageType::kRouteTableChanged,
                          [this](const PeerIdentity& from, const json& body) {
                            const std::uint64_t version = body.value("version", std::uint64_t{0});
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -13,6 +13,7 @@
 #include "corneltray/chain_search.h"
 #include "corneltray/dialect.h"
 #include "corneltray/enum_names.h"
+#include "corneltray/fleet_messages.h"
 #include "corneltray/route_table.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
@@ -22,8 +23,12 @@
 // An engine that failed as a stage is avoided for this long at least, and until it announces itself
 // again.
 constexpr std::chrono::milliseconds kSuspectFor{3000};
-// An engine without room for another prompt is avoided this long.
+// An engine without room for another prompt is avoided this long, and twice as long each time that
+// it is still full afterwards, up to kMaxFullFor.
 constexpr std::chrono::milliseconds kFullFor{250};
+constexpr std::chrono::milliseconds kMaxFullFor{2000};
+// What a control process told of an engine counts this long: some of its messages may be lost.
+constexpr std::chrono::milliseconds kHealthLifetime{3500};
 
 enum class ChainScope {
   kOwnZone,      // all stages are in the zone of this host
@@ -45,17 +50,17 @@
 struct ChainChoice {
   std::vector<ChainStage> stages;  // empty: there is no chain
   ChainScope scope = ChainScope::kNone;
-  double cost_s = 0.0;   // estimated time of a usual request
-  double token_s = 0.0;  // estimated time of one token without load
-  double load = 0.0;     // of the fullest stage: tokens in its memory over its room
+  double cost_s = 0.0;  // estimated time of a usual request
+  double load = 0.0;    // of the fullest stage: tokens in its memory over its room
 };
 
 // Chooses the chain of engines of one service for each generation. Requests of a zone are spread
 // over its whole copies of the model: each is drawn with a chance that grows with its free room and
 // its speed, because all hosts that hear the same reports would otherwise choose the same copy.
-// When the drawn copy is filling up, or the zone has none, the chain with the least estimated time
-// is taken, where a stage in another zone costs the transfer of the prompt's activations and a
-// delay at each token, and a fuller stage counts as a slower one. Not thread safe.
+// When the drawn copy is filling up, or the zone has none, one of the copies of all zones is drawn.
+// When none of them has room, the chain with the least estimated time is taken, where a stage in
+// another zone costs the transfer of the prompt's activations and a delay at each token, and a
+// fuller stage counts as a slower one. Not thread safe.
 class EngineRouter {
  public:
   // `seed` is of the draws; it differs between hosts.
@@ -77,8 +82,10 @@
   void Suspect(TimePoint now, const std::string& address, std::uint64_t sequence);
   // A stage has no room for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
-  // A stage works this many times slower than its kind.
-  void SetSlowness(TimePoint now, const std::string& address, double slowness);
+  // What a control process learned from an engine: whether it answers, how full and how slow it is.
+  void Observe(TimePoint now, const EngineHealth& health);
+  // Whether a stage is known to be so full that it may refuse a prompt.
+  bool IsFilling(TimePoint now, const std::string& address) const;
 
   const EngineProfile& Profile() const { return m_profile; }
 
@@ -91,7 +98,6 @@
     std::uint32_t end = 0;
     double room_tokens = 1.0;  // that its memory holds beside its layers
     double layer_cost_s = 0.0;
-    double layer_token_s = 0.0;  // of one token at one layer
   };
   // What is known about an address; kept while the table changes.
   struct State {
@@ -99,9 +105,12 @@
     std::uint64_t suspect_sequence = 0;  // of the last announcement before the suspicion
     bool is_suspect = false;
     TimePoint full_until{};
-    double slowness = 1.0;
-    TimePoint slow_until{};
+    std::chrono::milliseconds full_for{0};
     double tokens = 0.0;  // of requests of this host
+    // As a control process told last.
+    EngineHealth health;
+    TimePoint health_until{};
+    double tokens_since = 0.0;  // that this host sent there since
   };
   // Requests of all hosts at a first stage, as it reported them last.
   struct FirstStageLoad {
@@ -115,6 +124,7 @@
     std::vector<std::uint32_t> slots;  // of the pool
     // Of the stage with the least room.
     double room_tokens = std::numeric_limits<double>::infinity();
+    bool is_full = false;  // it refused a prompt lately, or was told to be full
   };
   // Engines among which chains are searched.
   struct Pool {
@@ -131,16 +141,20 @@
   // The choice among the engines that are marked.
   ChainChoice ChooseAmong(TimePoint now, const std::vector<bool>& usable);
   bool IsUsable(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
-  static bool IsSilent(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
+  // Whether it has fallen silent or does not answer the control processes.
+  bool IsLost(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) const;
+  // Null without a message of late about this incarnation of the engine at the address.
+  const EngineHealth* HealthOf(TimePoint now, const std::string& address) const;
+  std::optional<double> ObservedLoad(TimePoint now, const Engine& engine) const;
   void UpdateZoneLoads(TimePoint now);
   std::optional<double> TokensAt(TimePoint now, const std::string& first_stage) const;
-  double LoadOf(const Engine& engine) const;
-  double LoadOf(TimePoint now, const Copy& copy) const;
+  double LoadOf(TimePoint now, const Engine& engine) const;
+  void SetLoad(TimePoint now, Copy* copy) const;
   void SetCosts(TimePoint now, const std::vector<bool>& usable, Pool* pool);
   // The cheapest chain of a pool with the costs that are set.
-  Copy Find(Pool* pool);
+  Copy Find(TimePoint now, Pool* pool);
   std::vector<Copy> FindCopies(TimePoint now, const std::vector<bool>& usable, Pool* pool);
-  ChainChoice DrawCopy(TimePoint now, const std::vector<bool>& usable, Pool* pool);
+  ChainChoice Draw(const std::vector<Copy>& copies);
   ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
 
   std::string m_own_zone;
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -27,6 +27,20 @@
   std::vector<UpstreamRefresh> refreshes;
 };
 
+// What one engine showed when a control process of its zone asked it last.
+struct EngineHealth {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  bool answers = true;    // false: it was asked several times without an answer
+  double load = 0.0;      // share of its memory for prompts that is in use
+  double slowness = 1.0;  // over 1: this many times slower than its kind
+};
+
+// Body of engine_health.
+nlohmann::json EncodeEngineHealth(const std::vector<EngineHealth>& engines);
+// Fails on a malformed body; nothing of it is used.
+Result<std::vector<EngineHealth>> DecodeEngineHealth(const nlohmann::json& body);
+
 nlohmann::json EncodeUpstreamUpdates(const UpstreamUpdates& updates);
 // Fails on a malformed body; nothing of it is used.
 Result<UpstreamUpdates> DecodeUpstreamUpdates(const nlohmann::json& body);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -61,6 +61,8 @@
   // The log confirmed that no table is newer than the one held, when asked at this time.
   void ConfirmRouteTable(TimePoint asked_at);
   void UpdateUpstreams(const UpstreamUpdates& updates);
+  // What control processes learned from engines.
+  void UpdateEngineHealth(const std::vector<EngineHealth>& engines);
   // Requests and second attempts of the last window: of this host, and of all hosts as the control
   // processes have added them up.
   ServiceRetryCounts OwnRetryCounts() const;
@@ -99,8 +101,8 @@
   using StalledCallback = std::function<void(const EngineReport* report)>;
   void AskReport(const std::string& address, StalledCallback done);
   void Suspect(const std::string& address, const std::string& why);
-  // Asks an engine how slow it is, unless it was asked lately.
-  void AskPace(const std::string& address);
+  // Has the control processes ask an engine whose refusal its load does not explain.
+  void Doubt(const std::string& address);
   void Finished(const std::shared_ptr<Exchange>& exchange);
 
  private:
@@ -122,6 +124,7 @@
   void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
   void RefreshUpstreams();
+  void LeaveLostEngine(TimePoint now, const std::string& address);
   void PlanTick();
   void Tick();
   void FinishReport(const std::string& address, bool answered);
@@ -139,7 +142,7 @@
   std::map<std::string, ServicePicker> m_pickers;   // by service
   std::map<std::string, RetryBudget> m_budgets;     // by service
   std::map<std::string, ReportQuestion> m_reports;  // by address
-  std::map<std::string, TimePoint> m_next_pace;     // by address
+  std::map<std::string, TimePoint> m_next_doubt;    // by address
   SuspectHandler m_on_suspect;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -20,6 +20,7 @@
   kUpstreamUpdates,       // push: what upstreams have said to the sender
   kUpstreamFetch,         // request: everything the receiver knows of upstreams
   kUpstreamSuspected,     // push: an upstream does not answer the sender
+  kEngineHealth,          // push: what engines answered to the sender
   kJoinRequest,           // push: a control process that is no member wants to become one
   kLeaseRequest,          // request: grant or renew the placement lease
   kLeaseRelease,          // push: the holder gives the lease up
@@ -43,6 +44,7 @@
       {MessageType::kUpstreamUpdates, "upstream_updates"},
       {MessageType::kUpstreamFetch, "upstream_fetch"},
       {MessageType::kUpstreamSuspected, "upstream_suspected"},
+      {MessageType::kEngineHealth, "engine_health"},
       {MessageType::kJoinRequest, "join_request"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -38,6 +38,28 @@
   }
 }
 
+json EncodeEngineHealth(const std::vector<EngineHealth>& engines) {
+  json body = json::array();
+  for (const EngineHealth& engine : engines) {
+    body.push_back({engine.name, engine.incarnation, engine.answers, engine.load, engine.slowness});
+  }
+  return {{"engines", std::move(body)}};
+}
+
+Result<std::vector<EngineHealth>> DecodeEngineHealth(const json& body) {
+  try {
+    std::vector<EngineHealth> engines;
+    for (const json& engine : body.at("engines")) {
+      engines.push_back({engine.at(0).get<std::string>(), engine.at(1).get<std::uint64_t>(),
+                         engine.at(2).get<bool>(), engine.at(3).get<double>(),
+                         engine.at(4).get<double>()});
+    }
+    return engines;
+  } catch (const json::exception& wrong) {
+    return Error{UpstreamErrc::kMalformedAnnouncement, wrong.what()};
+  }
+}
+
 std::size_t ApplyUpstreamUpdates(TimePoint now, const UpstreamUpdates& updates,
                                  UpstreamTable* table) {
   const std::uint64_t before = table->Generation();
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -20,12 +20,13 @@
 // A stage counts as slower when it is fuller than this, up to kFullStageFactor times.
 constexpr double kFillingUp = 0.7;
 constexpr double kFullStageFactor = 6.0;
+// A copy that is known to be fuller than this is used only if no other has room.
+constexpr double kFull = 0.95;
 // Part of its room that a copy is taken to have at least when one is drawn.
 constexpr double kLeastFree = 0.1;
 // Adds this to the cost of a stage that said that it is full; it is used if nothing else is left.
 constexpr double kFullPenaltySeconds = 5.0;
 constexpr std::chrono::milliseconds kLoadLifetime{2000};
-constexpr std::chrono::milliseconds kSlowFor{5000};
 
 // How many times longer a stage takes at this load.
 double Slowdown(double load) {
@@ -57,8 +58,7 @@
     engine.zone = said.availability_zone;
     engine.first = said.holdings.front().first_layer;
     engine.end = said.holdings.front().last_layer + 1;
-    engine.layer_token_s = step_s * kind.step_factor / layers;
-    engine.layer_cost_s = answer * engine.layer_token_s + read_s * kind.read_factor / layers;
+    engine.layer_cost_s = (answer * step_s * kind.step_factor + read_s * kind.read_factor) / layers;
     const double held = engine.end - engine.first;
     const double room_mb = std::max(0.0, kind.memory_mb - held * m_profile.layer_mb);
     const double token_mb = m_profile.kv_token_bytes / layers * held / kBytesPerMegabyte;
@@ -109,7 +109,7 @@
   std::vector<bool> alive(m_engines.size());
   for (std::size_t i = 0; i < m_engines.size(); ++i) {
     usable[i] = excluded.count(m_engines[i].address) == 0 && IsUsable(now, m_engines[i], upstreams);
-    alive[i] = usable[i] && !IsSilent(now, m_engines[i], upstreams);
+    alive[i] = usable[i] && !IsLost(now, m_engines[i], upstreams);
   }
   ChainChoice choice = ChooseAmong(now, alive);
   // The way to the control processes may be lost instead of the engines.
@@ -118,20 +118,23 @@
 }
 
 ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable) {
-  ChainChoice best = DrawCopy(now, usable, &m_zones.front());
+  ChainChoice best = Draw(FindCopies(now, usable, &m_zones.front()));
   if (!best.stages.empty() && best.load < kFillingUp) return best;
   const auto take_cheaper = [&best](ChainChoice choice) {
     if (choice.stages.empty()) return;
     if (best.stages.empty() || choice.cost_s < best.cost_s) best = std::move(choice);
   };
+  std::vector<Copy> others;
+  for (std::size_t i = 1; i < m_zones.size(); ++i) {
+    for (Copy& copy : FindCopies(now, usable, &m_zones[i])) others.push_back(std::move(copy));
+  }
+  take_cheaper(Draw(others));
+  if (!best.stages.empty() && best.load < kFull) return best;
   ChainChoice cheapest = FindCheapest(now, usable);
   // Within the own zone the draw stands: the cheapest chain is the same one for all hosts.
   if (best.stages.empty() || cheapest.scope != ChainScope::kOwnZone) {
     take_cheaper(std::move(cheapest));
   }
-  for (std::size_t i = 1; i < m_zones.size(); ++i) {
-    take_cheaper(DrawCopy(now, usable, &m_zones[i]));
-  }
   return best;
 }
 
@@ -142,13 +145,14 @@
     const State& state = m_states[engine.address];
     ChainSlot& slot = pool->slots[i];
     slot.usable = usable[pool->engines[i]];
-    slot.layer_cost_s = engine.layer_cost_s * (now < state.slow_until ? state.slowness : 1.0);
+    const EngineHealth* health = HealthOf(now, engine.address);
+    slot.layer_cost_s = engine.layer_cost_s * (health == nullptr ? 1.0 : health->slowness);
     slot.hop_cost_s = HopCost(engine, pool->zone);
     if (now < state.full_until) slot.hop_cost_s += kFullPenaltySeconds;
   }
 }
 
-EngineRouter::Copy EngineRouter::Find(Pool* pool) {
+EngineRouter::Copy EngineRouter::Find(TimePoint now, Pool* pool) {
   Copy copy;
   ChainChoice& choice = copy.choice;
   constexpr int kAnyFirst = -1;
@@ -157,8 +161,7 @@
   for (const ChainPart& part : pool->search.Find(pool->slots, kAnyFirst)) {
     const Engine& engine = m_engines[pool->engines[part.slot]];
     choice.stages.push_back({engine.name, engine.address, part.first, part.end});
-    choice.token_s += engine.layer_token_s * (part.end - part.first) + kHopSeconds;
-    choice.load = std::max(choice.load, LoadOf(engine));
+    choice.load = std::max(choice.load, LoadOf(now, engine));
     copy.slots.push_back(part.slot);
     copy.room_tokens = std::min(copy.room_tokens, engine.room_tokens);
     own = own && engine.zone == m_own_zone;
@@ -176,9 +179,9 @@
 ChainChoice EngineRouter::FindCheapest(TimePoint now, const std::vector<bool>& usable) {
   SetCosts(now, usable, &m_all);
   for (std::size_t i = 0; i < m_all.engines.size(); ++i) {
-    m_all.slots[i].layer_cost_s *= Slowdown(LoadOf(m_engines[m_all.engines[i]]));
+    m_all.slots[i].layer_cost_s *= Slowdown(LoadOf(now, m_engines[m_all.engines[i]]));
   }
-  return Find(&m_all).choice;
+  return Find(now, &m_all).choice;
 }
 
 // Takes the cheapest chain out of the pool, then the cheapest of what is left, and so on.
@@ -188,25 +191,28 @@
   SetCosts(now, usable, pool);
   std::vector<Copy> copies;
   for (;;) {
-    Copy copy = Find(pool);
+    Copy copy = Find(now, pool);
     if (copy.choice.stages.empty()) return copies;
     for (const std::uint32_t slot : copy.slots) pool->slots[slot].usable = false;
-    copy.choice.load = LoadOf(now, copy);
+    SetLoad(now, &copy);
     copies.push_back(std::move(copy));
   }
 }
 
-// Draws one of the chains of a zone. Its cost then includes the load and the way into the zone.
-ChainChoice EngineRouter::DrawCopy(TimePoint now, const std::vector<bool>& usable, Pool* pool) {
-  std::vector<Copy> copies = FindCopies(now, usable, pool);
+// Draws one of these chains; an empty choice if there is none. Its cost then includes the load and
+// the way into the zone. A full copy is drawn only if all are full.
+ChainChoice EngineRouter::Draw(const std::vector<Copy>& copies) {
   if (copies.empty()) return {};
+  const bool all_full =
+      std::all_of(copies.begin(), copies.end(), [](const Copy& copy) { return copy.is_full; });
   std::vector<double> weights;
   for (const Copy& copy : copies) {
     const double free_tokens = copy.room_tokens * std::max(kLeastFree, 1.0 - copy.choice.load);
-    weights.push_back(free_tokens / (copy.choice.cost_s * copy.choice.cost_s));
+    const double weight = free_tokens / (copy.choice.cost_s * copy.choice.cost_s);
+    weights.push_back(copy.is_full && !all_full ? 0.0 : weight);
   }
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-  ChainChoice choice = std::move(copies[draw(m_random)].choice);
+  ChainChoice choice = copies[draw(m_random)].choice;
   choice.cost_s *= Slowdown(choice.load);
   if (choice.scope == ChainScope::kOtherZone) choice.cost_s += kOtherZoneSeconds;
   return choice;
@@ -223,9 +229,42 @@
   return true;
 }
 
-bool EngineRouter::IsSilent(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) {
+bool EngineRouter::IsLost(TimePoint now, const Engine& engine,
+                          const UpstreamTable& upstreams) const {
   const UpstreamRecord* record = upstreams.Find(engine.name);
-  return record == nullptr || !record->IsAlive(now);
+  if (record == nullptr || !record->IsAlive(now)) return true;
+  const EngineHealth* health = HealthOf(now, engine.address);
+  return health != nullptr && !health->answers &&
+         health->incarnation == record->announcement.incarnation;
+}
+
+const EngineHealth* EngineRouter::HealthOf(TimePoint now, const std::string& address) const {
+  const auto state = m_states.find(address);
+  if (state == m_states.end() || now >= state->second.health_until) return nullptr;
+  return &state->second.health;
+}
+
+// Share of the memory of an engine in use, as it told, and what this host has sent there since.
+std::optional<double> EngineRouter::ObservedLoad(TimePoint now, const Engine& engine) const {
+  const EngineHealth* health = HealthOf(now, engine.address);
+  if (health == nullptr || !health->answers) return std::nullopt;
+  return health->load + m_states.at(engine.address).tokens_since / engine.room_tokens;
+}
+
+void EngineRouter::Observe(TimePoint now, const EngineHealth& health) {
+  const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
+                                   [&](const Engine& e) { return e.name == health.name; });
+  if (engine == m_engines.end()) return;
+  State& state = m_states[engine->address];
+  state.health = health;
+  state.health.slowness = std::max(1.0, health.slowness);
+  state.health_until = now + kHealthLifetime;
+  state.tokens_since = 0.0;
+}
+
+bool EngineRouter::IsFilling(TimePoint now, const std::string& address) const {
+  const EngineHealth* health = HealthOf(now, address);
+  return health != nullptr && health->load >= kFillingUp;
 }
 
 // Tokens that all requests at a first stage keep in the memory of each stage of its chain; empty
@@ -256,31 +295,44 @@
   for (const auto& [zone, sums] : by_zone) m_zone_loads[zone] = sums.tokens / sums.room_tokens;
 }
 
-// Tokens in the memory of a stage over its room. What other hosts have there is taken to be the
-// mean of its zone; without a report only the requests of this host are known.
-double EngineRouter::LoadOf(const Engine& engine) const {
+// Tokens in the memory of a stage over its room. Unless a control process told it, what other hosts
+// have there is taken to be the mean of its zone; without any report only the requests of this host
+// are known.
+double EngineRouter::LoadOf(TimePoint now, const Engine& engine) const {
+  if (const auto observed = ObservedLoad(now, engine)) return *observed;
   const auto state = m_states.find(engine.address);
   const double own = state == m_states.end() ? 0.0 : state->second.tokens / engine.room_tokens;
   const auto zone = m_zone_loads.find(engine.zone);
   return zone == m_zone_loads.end() ? own : std::max(own, zone->second);
 }
 
-// Tokens over room in the stage of a copy that has the least room; 1 if a stage said that it is
-// full.
-double EngineRouter::LoadOf(TimePoint now, const Copy& copy) const {
-  const ChainStage& first = copy.choice.stages.front();
-  const bool is_full = std::any_of(
-      copy.choice.stages.begin(), copy.choice.stages.end(), [&](const ChainStage& stage) {
+// Sets how full a copy is: tokens over room in its fullest stage. Without word of a control process
+// only the requests at its first stage are known.
+void EngineRouter::SetLoad(TimePoint now, Copy* copy) const {
+  ChainChoice& choice = copy->choice;
+  const bool has_refused =
+      std::any_of(choice.stages.begin(), choice.stages.end(), [&](const ChainStage& stage) {
         const auto state = m_states.find(stage.address);
         return state != m_states.end() && now < state->second.full_until;
       });
-  if (is_full) return 1.0;
-  const std::optional<double> tokens = TokensAt(now, first.address);
-  return tokens ? *tokens / copy.room_tokens : copy.choice.load;
+  const bool is_observed =
+      std::all_of(choice.stages.begin(), choice.stages.end(),
+                  [&](const ChainStage& stage) { return HealthOf(now, stage.address) != nullptr; });
+  copy->is_full = has_refused || (is_observed && choice.load >= kFull);
+  if (has_refused) {
+    choice.load = 1.0;
+  } else if (!is_observed) {
+    const std::optional<double> tokens = TokensAt(now, choice.stages.front().address);
+    if (tokens) choice.load = *tokens / copy->room_tokens;
+  }
 }
 
 void EngineRouter::Begin(const std::vector<ChainStage>& chain, double tokens) {
-  for (const ChainStage& stage : chain) m_states[stage.address].tokens += tokens;
+  for (const ChainStage& stage : chain) {
+    State& state = m_states[stage.address];
+    state.tokens += tokens;
+    state.tokens_since += tokens;
+  }
   if (!chain.empty()) ++m_first_loads[chain.front().address].begun_since;
 }
 
@@ -303,13 +355,11 @@
 }
 
 void EngineRouter::MarkFull(TimePoint now, const std::string& address) {
-  m_states[address].full_until = now + kFullFor;
-}
-
-void EngineRouter::SetSlowness(TimePoint now, const std::string& address, double slowness) {
   State& state = m_states[address];
-  state.slowness = std::max(1.0, slowness);
-  state.slow_until = now + kSlowFor;
+  if (now < state.full_until) return;  // requests that were sent together
+  const bool is_still_full = now < state.full_until + state.full_for;
+  state.full_for = is_still_full ? std::min(state.full_for * 2, kMaxFullFor) : kFullFor;
+  state.full_until = now + state.full_for;
 }
 
 }  // namespace corneltray
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -35,6 +35,12 @@
     return router.Choose(now, table, excluded);
   }
 
+  // What a control process tells of an engine that answers it.
+  void Tell(const std::string& name, double load, double slowness = 1.0) {
+    router.Observe(now, {name, 1, true, load, slowness});
+  }
+  void TellLost(const std::string& name) { router.Observe(now, {name, 1, false, 0.0, 1.0}); }
+
   TimePoint now = kNow;
   UpstreamTable table;
   EngineRouter router;
@@ -160,12 +166,73 @@
   RouterFixture fixture;
   fixture.Add(TestEngine("a-spare", "a", "slow", 50, 60));
   fixture.router.SetEngines("s", fixture.table);
-  fixture.router.SetSlowness(fixture.now, "a-s2", 8.0);
+  fixture.Tell("a-s2", 0.1, 8.0);
   CHECK(Runs(fixture.Choose(), "a-spare"));
-  fixture.router.SetSlowness(fixture.now, "a-spare", 9.0);
+  fixture.Tell("a-spare", 0.1, 9.0);
   CHECK(Runs(fixture.Choose({"b-s2"}), "a-s2"));
 }
 
+// Guards against requests that fail at a lost engine at each host anew.
+TEST_CASE("an engine that a control process tells to be lost is avoided at once") {
+  RouterFixture fixture;
+  fixture.TellLost("a-s2");
+  CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
+  SUBCASE("it is used when it answers again") {
+    fixture.Tell("a-s2", 0.0);
+    CHECK(Runs(fixture.Choose(), "a-s2"));
+  }
+  SUBCASE("it is used when no chain is left without it") {
+    CHECK(Runs(fixture.Choose({"b-s2"}), "a-s2"));
+  }
+  SUBCASE("it is used after a new start under the same name") {
+    UpstreamUpdate restarted = TestEngine("a-s2", "a", "slow", 50, 60);
+    restarted.announcement.incarnation = 2;
+    fixture.Add(restarted);
+    fixture.router.SetEngines("s", fixture.table);
+    CHECK(Runs(fixture.Choose(), "a-s2"));
+  }
+  SUBCASE("the message is forgotten when none renews it") {
+    fixture.now += kHealthLifetime;
+    CHECK(Runs(fixture.Choose(), "a-s2"));
+  }
+}
+
+// Guards against prompts sent to an engine that refuses them while other copies have room. A host
+// that has sent nothing to it lately cannot know its load by itself.
+TEST_CASE("a copy whose fullest stage was told to be full is left alone") {
+  RouterFixture fixture;
+  for (const char* stage : {"a-f1", "a-f2", "a-s1", "a-s2", "a-s3", "a-s4"})
+    fixture.Tell(stage, 0.3);
+  for (const char* stage : {"b-f1", "b-f2", "b-s1", "b-s2", "b-s3", "b-s4"})
+    fixture.Tell(stage, 0.3);
+  CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
+  fixture.Tell("a-s3", 0.97);
+  CHECK(fixture.Choose().scope == ChainScope::kOtherZone);
+  SUBCASE("until all copies are full, when the own zone is as good as another") {
+    fixture.Tell("b-s3", 0.97);
+    CHECK_FALSE(fixture.Choose().stages.empty());
+  }
+  SUBCASE("also by what this host has sent since the report") {
+    fixture.Tell("a-s3", 0.6);
+    const ChainChoice choice = fixture.Choose();
+    fixture.router.Begin(choice.stages, 80'000.0);
+    CHECK(fixture.Choose().scope == ChainScope::kOtherZone);
+  }
+}
+
+// Guards against a queue of refusals at an engine that stays full.
+TEST_CASE("an engine that is full again and again is avoided for longer each time") {
+  RouterFixture fixture;
+  fixture.router.MarkFull(fixture.now, "a-s2");
+  fixture.now += kFullFor;
+  CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
+  fixture.router.MarkFull(fixture.now, "a-s2");
+  fixture.now += kFullFor;
+  CHECK(fixture.Choose().scope != ChainScope::kOwnZone);
+  fixture.now += kFullFor;
+  CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
+}
+
 // A stage of either kind has room for 200,000 tokens beside its layers, and a usual request keeps
 // 875 of them.
 constexpr std::uint32_t kCopyRoom = 228;
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -52,7 +52,6 @@
     TimePoint started_at{};
     TimePoint deadline{};  // of this attempt alone
     double tokens = 0.0;   // that it keeps in the memory of each stage
-    double token_s = 0.0;  // expected time of one token without load
     double load = 0.0;     // of the upstream or the fullest stage, when it was chosen
     TimePoint last_event_at{};
     TimePoint check_at{};    // of a stream that stays silent
@@ -92,7 +91,6 @@
   void CancelAttempt();
   bool MayTryAgain(TimePoint now, const AttemptOutcome& outcome) const;
   void CheckSilentStream(TimePoint now);
-  void CheckSlowStream(TimePoint now);
   void OnReport(std::uint32_t attempt, const EngineReport* report);
 
   // exchange.cc
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -30,9 +30,6 @@
 constexpr std::chrono::milliseconds kStallBeforeRefusal{1500};
 // A request that has started to run waits this long for a chain when there is none.
 constexpr std::chrono::milliseconds kChainWait{1600};
-// A stream this many times slower than expected asks its stages for their pace.
-constexpr double kSlowStream = 3.5;
-constexpr std::uint64_t kEventsBeforePace = 8;
 // Attempts beyond those that the route allows, for ones that were refused without running.
 constexpr std::uint32_t kExtraAttempts = 1;
 constexpr std::size_t kMaxWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -125,7 +122,6 @@
     attempt->upstream = choice.stages.front().upstream;
     attempt->address = choice.stages.front().address;
     attempt->chain = std::move(choice.stages);
-    attempt->token_s = choice.token_s;
     attempt->load = choice.load;
     return true;
   }
@@ -240,7 +236,10 @@
   if (Router() != nullptr && now - m_attempt->started_at >= kStallBeforeRefusal) {
     return EndAttemptOfLost(AttemptEvidence::kRefused, faulty, "refused_after_a_stall");
   }
-  if (EngineRouter* router = Router()) router->MarkFull(now, faulty);
+  if (EngineRouter* router = Router()) {
+    if (!router->IsFilling(now, faulty)) m_gateway->Doubt(faulty);
+    router->MarkFull(now, faulty);
+  }
   EndAttempt(AttemptEvidence::kRefused);
 }
 
@@ -363,7 +362,6 @@
 
 void Exchange::CheckSilentStream(TimePoint now) {
   if (Router() == nullptr) return;
-  CheckSlowStream(now);
   if (now < m_attempt->check_at || m_attempt->is_asking) return;
   m_attempt->is_asking = true;
   const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -373,16 +371,6 @@
   });
 }
 
-// Finds the stage that makes a stream slow, so that later requests avoid it.
-void Exchange::CheckSlowStream(TimePoint now) {
-  if (m_attempt->events < kEventsBeforePace) return;
-  const double took_s = std::chrono::duration<double>(now - m_attempt->started_at).count();
-  const double tokens =
-      static_cast<double>(m_attempt->events) * Router()->Profile().tokens_per_event;
-  if (took_s < kSlowStream * tokens * m_attempt->token_s) return;
-  for (const ChainStage& stage : m_attempt->chain) m_gateway->AskPace(stage.address);
-}
-
 void Exchange::OnEngineLost(TimePoint now, const std::string& address) {
   if (m_finished || !m_attempt || now - m_attempt->last_event_at < kSilenceOfLostStage) return;
   if (!RunsOver(m_attempt->chain, address)) return;
@@ -404,8 +392,6 @@
     if (!RunsOver(m_attempt->chain, stalled)) continue;
     return EndAttemptOfLost(AttemptEvidence::kStageLost, stalled, "stalls_its_chain");
   }
-  // Every stage answers, so one of them may be slow.
-  for (const ChainStage& stage : m_attempt->chain) m_gateway->AskPace(stage.address);
 }
 
 }  // namespace corneltray
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -78,6 +78,25 @@
   RefreshUpstreams();
 }
 
+void Gateway::UpdateEngineHealth(const std::vector<EngineHealth>& engines) {
+  const TimePoint now = Clock::now();
+  for (const EngineHealth& engine : engines) {
+    for (auto& [service, router] : m_routers) router.Observe(now, engine);
+    const UpstreamRecord* record = m_upstreams.Find(engine.name);
+    if (engine.answers || record == nullptr || !record->IsReady()) continue;
+    if (record->announcement.incarnation != engine.incarnation) continue;
+    LogEvent(LogLevel::kWarning, "engine_told_lost",
+             {{"upstream", engine.name}, {"address", record->announcement.address}});
+    LeaveLostEngine(now, record->announcement.address);
+  }
+}
+
+// Requests that wait for an engine which is gone are sent elsewhere.
+void Gateway::LeaveLostEngine(TimePoint now, const std::string& address) {
+  const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
+  for (const auto& exchange : exchanges) exchange->OnEngineLost(now, address);
+}
+
 void Gateway::RefreshUpstreams() {
   if (m_used_generation == m_upstreams.Generation()) return;
   m_used_generation = m_upstreams.Generation();
@@ -343,22 +362,18 @@
   if (record != nullptr && m_on_suspect) {
     m_on_suspect({record->announcement.name, record->announcement.incarnation, sequence});
   }
-  const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
-  for (const auto& exchange : exchanges) exchange->OnEngineLost(now, address);
+  LeaveLostEngine(now, address);
 }
 
-void Gateway::AskPace(const std::string& address) {
-  constexpr std::chrono::milliseconds kPaceInterval{5000};
+void Gateway::Doubt(const std::string& address) {
+  constexpr std::chrono::milliseconds kDoubtInterval{400};
+  const UpstreamRecord* record = m_upstreams.FindAddress(address);
   const TimePoint now = Clock::now();
-  TimePoint& next = m_next_pace[address];
-  if (now < next) return;
-  next = now + kPaceInterval;
-  AskReport(address, [this, address](const EngineReport* report) {
-    if (report == nullptr) return;
-    for (auto& [service, router] : m_routers) {
-      router.SetSlowness(Clock::now(), address, report->slowness);
-    }
-  });
+  TimePoint& next = m_next_doubt[address];
+  if (record == nullptr || !m_on_suspect || now < next) return;
+  next = now + kDoubtInterval;
+  const Announcement& said = record->announcement;
+  m_on_suspect({said.name, said.incarnation, said.sequence});
 }
 
 std::string Gateway::MetricsText() const {
