Divide a large zone into whole copies, and use all of them

The plan filled one copy with the fastest engines and gave what was left to further ones; a copy whose last engine held three of its nine layers left the next one short of a few. Besides, the search took the best engines out of several copies and left no whole chain to the others. The fleet was full at half of its memory: 15 requests in 100 were sent at a known load of 0.9 or more. An engine that crashed and came back waited five seconds for work, since its zone still held each layer once.

Change: PlanZone finds how many whole copies leave each enough room for prompts and divides the engines so that the copies are alike; one-copy zones are planned as before. ChainSearch::FindWhole finds copies by whole ranges, and the router takes these out first. Vacancies remembers the layers of engines that were lost, and an empty engine takes just these at once. A new leader does not know earlier vacancies. engine_told_lost is logged when an engine is newly lost, not at each message.

Ruled out: less memory for prompts in each copy than 0.7 of the profile's capacity, which would make further copies that serve few requests.

--- a/src/include/corneltray/chain_search.h
+++ b/src/include/corneltray/chain_search.h
@@ -34,14 +34,23 @@
   // `only_first`, if not negative, is the slot that must run layer 0.
   const std::vector<ChainPart>& Find(const std::vector<ChainSlot>& slots, int only_first);
 
-  // Cost of the chain that Find returned last.
+  // The same, over chains in which each slot runs its whole range. Where the ranges make up whole
+  // copies of the model, to take such chains out one after the other finds every copy.
+  const std::vector<ChainPart>& FindWhole(const std::vector<ChainSlot>& slots);
+
+  // Cost of the chain that was returned last.
   double Cost() const { return m_cost; }
 
  private:
+  void Begin();
+  // Reads the cheapest chain back from its end.
+  void Trace();
+
   std::uint32_t m_layers = 0;
   std::vector<std::uint32_t> m_boundaries;             // layers at which some range begins or ends
   std::vector<std::vector<std::uint32_t>> m_covering;  // slots over the segment after a boundary
   std::vector<std::uint32_t> m_first_boundary;         // of each slot
+  std::vector<std::uint32_t> m_end_boundary;           // of each slot
   std::vector<double> m_best;                          // cost up to a boundary
   std::vector<std::int32_t> m_via;                     // slot that reached a boundary
   std::vector<std::uint32_t> m_via_start;              // boundary at which that slot was entered
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -83,7 +83,8 @@
   // A stage has no room for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
   // What a control process learned from an engine: whether it answers, how full and how slow it is.
-  void Observe(TimePoint now, const EngineHealth& health);
+  // Returns whether the engine is lost and was not known to be.
+  bool Observe(TimePoint now, const EngineHealth& health);
   // Whether a stage is known to be so full that it may refuse a prompt.
   bool IsFilling(TimePoint now, const std::string& address) const;
 
@@ -135,6 +136,8 @@
   };
 
   enum class PoolScope { kOneZone, kAllZones };
+  // Whether each engine of a chain runs all layers that it holds, or any part of them.
+  enum class SearchKind { kWholeRanges, kAnyRanges };
 
   Pool MakePool(const std::string& zone, PoolScope scope) const;
   double HopCost(const Engine& engine, const std::string& home) const;
@@ -152,7 +155,7 @@
   void SetLoad(TimePoint now, Copy* copy) const;
   void SetCosts(TimePoint now, const std::vector<bool>& usable, Pool* pool);
   // The cheapest chain of a pool with the costs that are set.
-  Copy Find(TimePoint now, Pool* pool);
+  Copy Find(TimePoint now, Pool* pool, SearchKind kind);
   std::vector<Copy> FindCopies(TimePoint now, const std::vector<bool>& usable, Pool* pool);
   ChainChoice Draw(const std::vector<Copy>& copies);
   ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
--- a/src/include/corneltray/layer_placement.h
+++ b/src/include/corneltray/layer_placement.h
@@ -42,10 +42,11 @@
 std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
                             double kv_tokens);
 
-// Plans a zone from nothing: one whole copy of the model on the fastest engines, each with room for
-// the prompts of as many tokens as the memory of the zone allows, up to a share of the capacity of
-// the profile; the engines that are left hold further copies, the last one a part. Returns the
-// range of each engine.
+// Plans a zone from nothing. Where its memory allows two or more whole copies of the model, each
+// with enough room for prompts, the engines are divided into copies that are alike. Otherwise the
+// fastest engines hold one copy, each with room for the prompts of as many tokens as the memory of
+// the zone allows, up to a share of the capacity of the profile. The engines that are left hold a
+// part of a further copy. Returns the range of each engine.
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile);
 
@@ -54,12 +55,30 @@
 std::map<std::string, LayerRange> ReplanZone(const std::vector<PlacedEngine>& engines,
                                              const EngineProfile& profile);
 
-// Returns ranges for engines of a zone that is in use, without moving layers that others need:
+// Returns ranges for engines of a zone that is in use, without moving layers that others need: an
+// empty engine takes the layers of one that was lost (`vacancies`), which completes a copy again;
 // layers that no usable engine holds go to an empty engine, else to one whose layers others hold
 // too, else to neighbours while they keep room for prompts; empty engines that are left take the
 // layers that are held least often. Engines that are not named keep their range.
 std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
-                                             const EngineProfile& profile);
+                                             const EngineProfile& profile,
+                                             const std::vector<LayerRange>& vacancies = {});
+
+// The layers of engines that a zone has lost and no other engine has taken over since. Answers the
+// crash of an engine whose layers others hold as well: its copy stays incomplete until an engine
+// takes just these layers. Not thread safe.
+class Vacancies {
+ public:
+  // Takes note of which engines are usable now.
+  void Update(const std::vector<PlacedEngine>& engines);
+  // An engine takes these layers over.
+  void Take(LayerRange range);
+  std::vector<LayerRange> Open() const;
+
+ private:
+  std::map<std::string, LayerRange> m_held;  // by usable engine
+  std::map<std::string, LayerRange> m_open;  // by lost engine
+};
 
 // Whether every layer is held by a usable engine.
 bool IsWhole(const std::vector<PlacedEngine>& engines, const EngineProfile& profile);
@@ -123,6 +142,7 @@
     TimePoint settled_at{};  // no plan before; moves on while engines arrive
     std::size_t engines = 0;
     std::optional<TimePoint> replan_at;  // layers are missing
+    Vacancies vacancies;
   };
 
   PlaceReason ChooseReason(TimePoint now, const std::vector<PlacedEngine>& engines,
--- a/src/libcorneltray/chain_search.cc
+++ b/src/libcorneltray/chain_search.cc
@@ -22,10 +22,12 @@
   const std::size_t segments = m_boundaries.size() - 1;
   m_covering.assign(segments, {});
   m_first_boundary.assign(slots.size(), 0);
+  m_end_boundary.assign(slots.size(), 0);
   for (std::uint32_t i = 0; i < slots.size(); ++i) {
     for (std::uint32_t b = 0; b < segments; ++b) {
       if (slots[i].first > m_boundaries[b] || slots[i].end < m_boundaries[b + 1]) continue;
       if (m_boundaries[b] == slots[i].first) m_first_boundary[i] = b;
+      if (m_boundaries[b + 1] == std::min(slots[i].end, layers)) m_end_boundary[i] = b + 1;
       m_covering[b].push_back(i);
     }
   }
@@ -36,12 +38,47 @@
   m_run_start.resize(slots.size());
 }
 
-const std::vector<ChainPart>& ChainSearch::Find(const std::vector<ChainSlot>& slots,
-                                                int only_first) {
+void ChainSearch::Begin() {
   m_chain.clear();
   m_cost = kUnreached;
   std::fill(m_best.begin(), m_best.end(), kUnreached);
   m_best[0] = 0.0;
+}
+
+void ChainSearch::Trace() {
+  const std::size_t last = m_covering.size();
+  if (m_layers == 0 || m_best[last] == kUnreached) return;
+  m_cost = m_best[last];
+  for (std::size_t b = last; b > 0; b = m_via_start[b]) {
+    m_chain.push_back(
+        {static_cast<std::uint32_t>(m_via[b]), m_boundaries[m_via_start[b]], m_boundaries[b]});
+  }
+  std::reverse(m_chain.begin(), m_chain.end());
+}
+
+const std::vector<ChainPart>& ChainSearch::FindWhole(const std::vector<ChainSlot>& slots) {
+  Begin();
+  for (std::uint32_t b = 0; b < m_covering.size(); ++b) {
+    if (m_best[b] == kUnreached) continue;
+    for (const std::uint32_t i : m_covering[b]) {
+      const ChainSlot& slot = slots[i];
+      if (!slot.usable || slot.first != m_boundaries[b]) continue;
+      const std::uint32_t end = m_end_boundary[i];
+      const double layers = m_boundaries[end] - m_boundaries[b];
+      const double cost = m_best[b] + slot.hop_cost_s + layers * slot.layer_cost_s;
+      if (cost >= m_best[end]) continue;
+      m_best[end] = cost;
+      m_via[end] = static_cast<std::int32_t>(i);
+      m_via_start[end] = b;
+    }
+  }
+  Trace();
+  return m_chain;
+}
+
+const std::vector<ChainPart>& ChainSearch::Find(const std::vector<ChainSlot>& slots,
+                                                int only_first) {
+  Begin();
   const std::size_t segments = m_covering.size();
   for (std::size_t b = 0; b < segments; ++b) {
     const double layers = m_boundaries[b + 1] - m_boundaries[b];
@@ -66,13 +103,7 @@
       }
     }
   }
-  if (m_layers == 0 || m_best[segments] == kUnreached) return m_chain;
-  m_cost = m_best[segments];
-  for (std::size_t b = segments; b > 0; b = m_via_start[b]) {
-    m_chain.push_back(
-        {static_cast<std::uint32_t>(m_via[b]), m_boundaries[m_via_start[b]], m_boundaries[b]});
-  }
-  std::reverse(m_chain.begin(), m_chain.end());
+  Trace();
   // A slot that would be left and entered again keeps the layers in between: one range covers them,
   // and a chain names an engine once.
   for (std::size_t a = 0; a < m_chain.size(); ++a) {
--- a/src/libfleet/layer_placement.cc
+++ b/src/libfleet/layer_placement.cc
@@ -14,6 +14,9 @@
 // profile names. More room means more stages, and each stage adds to the time of a token and to the
 // chance that one of them fails.
 constexpr double kRoomShare = 1.0;
+// A zone is divided into as many whole copies as leave each of them room for this share of the
+// capacity at least. More copies serve more requests, and the loss of an engine concerns fewer.
+constexpr double kMinCopyRoomShare = 0.7;
 // An engine that takes over a neighbour's layers keeps room for this share of the capacity.
 constexpr double kMinRoomShare = 0.25;
 // Engines of a zone that arrive one after the other are planned together.
@@ -69,6 +72,55 @@
   return fits;
 }
 
+using EngineGroup = std::vector<const PlacedEngine*>;
+
+// Divides engines into this many groups of which each holds the whole model beside the prompts of
+// `kv_tokens` tokens. The largest engine left goes to the group with the fewest layers, so that the
+// groups are alike. Returns nothing if they are too few; engines that are left belong to no group.
+std::vector<EngineGroup> DivideIntoCopies(const std::vector<PlacedEngine>& engines,
+                                          const EngineProfile& profile, std::size_t copies,
+                                          double kv_tokens) {
+  const auto fits = [&](const PlacedEngine* engine) {
+    return LayersThatFit(engine->kind, profile, kv_tokens);
+  };
+  EngineGroup largest_first;
+  for (const PlacedEngine& engine : engines) largest_first.push_back(&engine);
+  std::stable_sort(largest_first.begin(), largest_first.end(),
+                   [&](const PlacedEngine* a, const PlacedEngine* b) { return fits(a) > fits(b); });
+  std::vector<EngineGroup> groups(copies);
+  std::vector<std::uint32_t> layers(copies, 0);
+  for (const PlacedEngine* engine : largest_first) {
+    const auto fewest = std::min_element(layers.begin(), layers.end());
+    if (*fewest >= profile.layers || fits(engine) == 0) break;
+    *fewest += fits(engine);
+    groups[static_cast<std::size_t>(fewest - layers.begin())].push_back(engine);
+  }
+  const bool all_whole = std::all_of(layers.begin(), layers.end(),
+                                     [&](std::uint32_t held) { return held >= profile.layers; });
+  return all_whole ? groups : std::vector<EngineGroup>{};
+}
+
+// The engines of each copy, as many copies as have enough room, with the most room for prompts that
+// so many allow. Empty if there are fewer than two.
+std::vector<EngineGroup> PlanCopies(const std::vector<PlacedEngine>& engines,
+                                    const EngineProfile& profile, double* kv_tokens) {
+  const double least = profile.kv_capacity_tokens * kMinCopyRoomShare;
+  const std::size_t most = TotalThatFits(engines, profile, least) / std::max(1U, profile.layers);
+  for (std::size_t copies = most; copies >= 2; --copies) {
+    if (DivideIntoCopies(engines, profile, copies, least).empty()) continue;
+    double fits = least;
+    double too_many = std::max(least + 1.0, profile.kv_capacity_tokens * kRoomShare);
+    while (too_many - fits > 1.0) {
+      const double tokens = (fits + too_many) / 2.0;
+      const bool is_possible = !DivideIntoCopies(engines, profile, copies, tokens).empty();
+      (is_possible ? fits : too_many) = tokens;
+    }
+    *kv_tokens = fits;
+    return DivideIntoCopies(engines, profile, copies, fits);
+  }
+  return {};
+}
+
 // How many usable engines hold each layer.
 std::vector<std::uint32_t> Coverage(const std::vector<PlacedEngine>& engines,
                                     std::uint32_t layers) {
@@ -103,7 +155,8 @@
     m_room = RoomForTokens(m_engines, m_profile);
   }
 
-  std::map<std::string, LayerRange> Run() {
+  std::map<std::string, LayerRange> Run(const std::vector<LayerRange>& vacancies) {
+    for (const LayerRange& vacancy : vacancies) FillVacancy(vacancy);
     for (LayerRange gap = FirstGap(m_held); gap.Size() > 0; gap = FirstGap(m_held)) {
       if (!FillGap(gap)) break;
     }
@@ -115,6 +168,19 @@
   }
 
  private:
+  // An empty engine takes exactly the layers of a lost one, which completes its copy again.
+  void FillVacancy(LayerRange vacancy) {
+    const double least_room = m_profile.kv_capacity_tokens * kMinRoomShare;
+    PlacedEngine* best = nullptr;
+    for (PlacedEngine& engine : m_engines) {
+      if (!engine.is_usable || engine.range.Size() > 0) continue;
+      const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, least_room);
+      if (fits < vacancy.Size()) continue;
+      if (best == nullptr || engine.kind.memory_mb < best->kind.memory_mb) best = &engine;
+    }
+    if (best != nullptr) Assign(best, vacancy);
+  }
+
   // Returns false when no engine is left for it.
   bool FillGap(LayerRange gap) {
     PlacedEngine* engine = FindEmpty(gap);
@@ -219,10 +285,22 @@
 std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
                                            const EngineProfile& profile) {
   const std::vector<PlacedEngine> usable = UsableFastestFirst(engines);
-  const double room = RoomForTokens(usable, profile);
+  double room = RoomForTokens(usable, profile);
   std::map<std::string, LayerRange> ranges;
+  for (EngineGroup& group : PlanCopies(usable, profile, &room)) {
+    std::sort(group.begin(), group.end(),
+              [](const PlacedEngine* a, const PlacedEngine* b) { return IsFaster(*a, *b); });
+    std::uint32_t first = 0;
+    for (const PlacedEngine* engine : group) {
+      const std::uint32_t fits = LayersThatFit(engine->kind, profile, room);
+      const std::uint32_t end = std::min(profile.layers, first + fits);
+      ranges[engine->name] = {first, end};
+      first = end;
+    }
+  }
   std::uint32_t next = 0;
   for (const PlacedEngine& engine : usable) {
+    if (ranges.count(engine.name) > 0) continue;
     if (next == profile.layers) next = 0;  // another copy begins
     const std::uint32_t fits = LayersThatFit(engine.kind, profile, room);
     const LayerRange range{next, std::min(profile.layers, next + fits)};
@@ -267,8 +345,9 @@
 }
 
 std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
-                                             const EngineProfile& profile) {
-  return ZoneRepair(engines, profile).Run();
+                                             const EngineProfile& profile,
+                                             const std::vector<LayerRange>& vacancies) {
+  return ZoneRepair(engines, profile).Run(vacancies);
 }
 
 std::vector<PlaceDecision> LayerController::Tick(TimePoint now, std::optional<std::uint64_t> term,
@@ -325,6 +404,30 @@
   return engines;
 }
 
+void Vacancies::Update(const std::vector<PlacedEngine>& engines) {
+  std::map<std::string, LayerRange> held;
+  for (const PlacedEngine& engine : engines) {
+    if (engine.is_usable && engine.range.Size() > 0) held[engine.name] = engine.range;
+  }
+  for (const auto& [name, range] : m_held) {
+    if (held.count(name) == 0) m_open[name] = range;
+  }
+  for (const auto& [name, range] : held) m_open.erase(name);
+  m_held = std::move(held);
+}
+
+void Vacancies::Take(LayerRange range) {
+  const auto open = std::find_if(m_open.begin(), m_open.end(),
+                                 [&](const auto& vacancy) { return vacancy.second == range; });
+  if (open != m_open.end()) m_open.erase(open);
+}
+
+std::vector<LayerRange> Vacancies::Open() const {
+  std::vector<LayerRange> ranges;
+  for (const auto& [name, range] : m_open) ranges.push_back(range);
+  return ranges;
+}
+
 bool LayerController::IsSettled(TimePoint now, const Announcement& engine) {
   Arrival& arrival = m_arrivals[engine.name];
   if (arrival.incarnation != engine.incarnation || arrival.settled_at == TimePoint()) {
@@ -355,13 +458,16 @@
   const std::string key = zone + "/" + service.name;
   const PlaceReason reason = ChooseReason(now, engines, *service.engine, &m_zones[key]);
   if (reason == PlaceReason::kFirstPlan && !HasSettled(now, key, usable)) return;
-  const auto ranges = reason == PlaceReason::kRepair   ? RepairZone(engines, *service.engine)
+  m_zones[key].vacancies.Update(engines);
+  const auto ranges = reason == PlaceReason::kRepair
+                          ? RepairZone(engines, *service.engine, m_zones[key].vacancies.Open())
                       : reason == PlaceReason::kReplan ? ReplanZone(engines, *service.engine)
                                                        : PlanZone(engines, *service.engine);
   for (const PlacedEngine& engine : engines) {
     const auto range = ranges.find(engine.name);
     if (range == ranges.end() || range->second == engine.range) continue;
     const UpstreamRecord* record = upstreams.Find(engine.name);
+    m_zones[key].vacancies.Take(range->second);
     Order(now, *record, range->second, reason, service, decisions);
   }
 }
--- a/src/libfleet/layer_placement_test.cc
+++ b/src/libfleet/layer_placement_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "../libserving/engine_fleet_test.h"
+#include "corneltray/chain_search.h"
 
 namespace corneltray {
 namespace {
@@ -73,6 +74,46 @@
   }
 }
 
+// Number of chains over whole ranges that share no engine.
+std::size_t CountCopies(const std::vector<PlacedEngine>& engines) {
+  std::vector<ChainSlot> slots;
+  for (const PlacedEngine& engine : engines) {
+    ChainSlot slot;
+    slot.first = engine.range.first;
+    slot.end = engine.range.end;
+    slot.layer_cost_s = engine.kind.step_factor;
+    slot.usable = engine.range.Size() > 0;
+    slots.push_back(slot);
+  }
+  ChainSearch search;
+  search.SetRanges(slots, TestProfile().layers);
+  std::size_t copies = 0;
+  for (;; ++copies) {
+    const std::vector<ChainPart> chain = search.FindWhole(slots);
+    if (chain.empty()) return copies;
+    for (const ChainPart& part : chain) slots[part.slot].usable = false;
+  }
+}
+
+// Guards against a large zone that serves as few requests as a small one: its engines held one copy
+// and parts of others, and requests were refused for want of memory while half of it was idle.
+TEST_CASE("a zone with enough memory holds several whole copies") {
+  const EngineProfile profile = TestProfile();
+  struct Case {
+    ZoneSize size;
+    std::size_t copies;
+  };
+  // A copy with room for the capacity takes 100,000 MB; fast engines have 40,000, slow ones 20,000.
+  for (const Case& c : {Case{{2, 4}, 1}, {{2, 8}, 2}, {{1, 8}, 2}, {{0, 10}, 2}, {{4, 12}, 4}}) {
+    CAPTURE(c.size.fast);
+    CAPTURE(c.size.slow);
+    std::vector<PlacedEngine> engines = MakeZone(c.size.fast, c.size.slow);
+    Take(PlanZone(engines, profile), &engines);
+    CHECK(CountCopies(engines) == c.copies);
+    CheckFits(engines);
+  }
+}
+
 TEST_CASE("a zone is repaired without moving layers that are in use") {
   const EngineProfile profile = TestProfile();
   std::vector<PlacedEngine> engines = MakeZone(2, 6);
@@ -159,6 +200,7 @@
         const auto& kind = update.announcement.accelerator;
         update = TestEngine(decision.upstream, "z", kind, decision.range.first, decision.range.end);
         update.announcement.sequence = table.Find(decision.upstream)->announcement.sequence + 1;
+        update.announcement.incarnation = table.Find(decision.upstream)->announcement.incarnation;
         table.Apply(now, update);
       }
     }
@@ -259,5 +301,26 @@
   CHECK(taken.last_layer == left.last_layer);
 }
 
+// Plays the crash of an engine of a zone with two copies, which starts again empty. Guards against
+// a copy that stays incomplete for seconds because the other one still holds each layer.
+TEST_CASE("an engine that starts again takes the layers that its copy lacks at once") {
+  ControllerFixture fixture;
+  for (int i = 0; i < 10; ++i) {
+    fixture.Announce(TestEngine("s" + std::to_string(i), "z", "slow", 0, 0));
+  }
+  fixture.Play(milliseconds(8000));
+  const Holding lost = fixture.table.Find("s3")->announcement.holdings.front();
+  fixture.silent.insert("s3");
+  CHECK(fixture.Play(milliseconds(5000)) == 0);
+  UpstreamUpdate restarted = TestEngine("again", "z", "slow", 0, 0);
+  restarted.announcement.address = "s3";
+  restarted.announcement.incarnation = 2;
+  fixture.Announce(restarted);
+  CHECK(fixture.Play(milliseconds(500)) == 1);
+  const Holding taken = fixture.table.Find("again")->announcement.holdings.front();
+  CHECK(taken.first_layer == lost.first_layer);
+  CHECK(taken.last_layer == lost.last_layer);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -152,13 +152,16 @@
   }
 }
 
-EngineRouter::Copy EngineRouter::Find(TimePoint now, Pool* pool) {
+EngineRouter::Copy EngineRouter::Find(TimePoint now, Pool* pool, SearchKind kind) {
   Copy copy;
   ChainChoice& choice = copy.choice;
   constexpr int kAnyFirst = -1;
   bool own = true;
   bool one_zone = true;
-  for (const ChainPart& part : pool->search.Find(pool->slots, kAnyFirst)) {
+  const std::vector<ChainPart>& parts = kind == SearchKind::kWholeRanges
+                                            ? pool->search.FindWhole(pool->slots)
+                                            : pool->search.Find(pool->slots, kAnyFirst);
+  for (const ChainPart& part : parts) {
     const Engine& engine = m_engines[pool->engines[part.slot]];
     choice.stages.push_back({engine.name, engine.address, part.first, part.end});
     choice.load = std::max(choice.load, LoadOf(now, engine));
@@ -181,18 +184,24 @@
   for (std::size_t i = 0; i < m_all.engines.size(); ++i) {
     m_all.slots[i].layer_cost_s *= Slowdown(LoadOf(now, m_engines[m_all.engines[i]]));
   }
-  return Find(now, &m_all).choice;
+  return Find(now, &m_all, SearchKind::kAnyRanges).choice;
 }
 
-// Takes the cheapest chain out of the pool, then the cheapest of what is left, and so on.
+// Takes the cheapest chain out of the pool, then the cheapest of what is left, and so on: first the
+// copies as they were placed, then what the other engines make up together.
 std::vector<EngineRouter::Copy> EngineRouter::FindCopies(TimePoint now,
                                                          const std::vector<bool>& usable,
                                                          Pool* pool) {
   SetCosts(now, usable, pool);
   std::vector<Copy> copies;
+  SearchKind kind = SearchKind::kWholeRanges;
   for (;;) {
-    Copy copy = Find(now, pool);
-    if (copy.choice.stages.empty()) return copies;
+    Copy copy = Find(now, pool, kind);
+    if (copy.choice.stages.empty()) {
+      if (kind == SearchKind::kAnyRanges) return copies;
+      kind = SearchKind::kAnyRanges;
+      continue;
+    }
     for (const std::uint32_t slot : copy.slots) pool->slots[slot].usable = false;
     SetLoad(now, &copy);
     copies.push_back(std::move(copy));
@@ -251,15 +260,18 @@
   return health->load + m_states.at(engine.address).tokens_since / engine.room_tokens;
 }
 
-void EngineRouter::Observe(TimePoint now, const EngineHealth& health) {
+bool EngineRouter::Observe(TimePoint now, const EngineHealth& health) {
   const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
                                    [&](const Engine& e) { return e.name == health.name; });
-  if (engine == m_engines.end()) return;
+  if (engine == m_engines.end()) return false;
+  const EngineHealth* known = HealthOf(now, engine->address);
+  const bool was_lost = known != nullptr && !known->answers && known->name == health.name;
   State& state = m_states[engine->address];
   state.health = health;
   state.health.slowness = std::max(1.0, health.slowness);
   state.health_until = now + kHealthLifetime;
   state.tokens_since = 0.0;
+  return !health.answers && !was_lost;
 }
 
 bool EngineRouter::IsFilling(TimePoint now, const std::string& address) const {
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -233,6 +233,31 @@
   CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
 }
 
+// Guards against a search that takes the best engines out of several copies at once and leaves no
+// whole chain to the others, so that half of a zone is idle.
+TEST_CASE("all copies of a zone are used, also where their boundaries differ") {
+  UpstreamTable table;
+  table.Apply(kNow, TestEngine("c-f1", "a", "fast", 0, 32));
+  for (std::uint32_t first = 32; first < 80; first += 16) {
+    table.Apply(kNow, TestEngine("c-" + std::to_string(first), "a", "slow", first, first + 16));
+  }
+  table.Apply(kNow, TestEngine("d-0", "a", "slow", 0, 10));
+  table.Apply(kNow, TestEngine("d-f1", "a", "fast", 10, 42));
+  table.Apply(kNow, TestEngine("d-42", "a", "slow", 42, 58));
+  table.Apply(kNow, TestEngine("d-58", "a", "slow", 58, 74));
+  table.Apply(kNow, TestEngine("d-74", "a", "slow", 74, 80));
+  EngineRouter router("a", TestProfile(), 1);
+  router.SetEngines("s", table);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 200; ++i) {
+    const ChainChoice choice = router.Choose(kNow, table, {});
+    CheckEveryLayerOnce(choice);
+    ++chosen[choice.stages.front().address];
+  }
+  CHECK(chosen["c-f1"] > 50);
+  CHECK(chosen["d-0"] > 50);
+}
+
 // A stage of either kind has room for 200,000 tokens beside its layers, and a usual request keeps
 // 875 of them.
 constexpr std::uint32_t kCopyRoom = 228;
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -81,12 +81,17 @@
 void Gateway::UpdateEngineHealth(const std::vector<EngineHealth>& engines) {
   const TimePoint now = Clock::now();
   for (const EngineHealth& engine : engines) {
-    for (auto& [service, router] : m_routers) router.Observe(now, engine);
+    bool is_newly_lost = false;
+    for (auto& [service, router] : m_routers) {
+      is_newly_lost = router.Observe(now, engine) || is_newly_lost;
+    }
     const UpstreamRecord* record = m_upstreams.Find(engine.name);
     if (engine.answers || record == nullptr || !record->IsReady()) continue;
     if (record->announcement.incarnation != engine.incarnation) continue;
-    LogEvent(LogLevel::kWarning, "engine_told_lost",
-             {{"upstream", engine.name}, {"address", record->announcement.address}});
+    if (is_newly_lost) {
+      LogEvent(LogLevel::kWarning, "engine_told_lost",
+               {{"upstream", engine.name}, {"address", record->announcement.address}});
+    }
     LeaveLostEngine(now, record->announcement.address);
   }
 }
