Keep retries for answers in progress before refused requests

Change: RetryPurpose tells the budget what a retry is for. A request that no upstream has run may use two fifths of the allowance of all hosts; its caller can be told to come back. The rest is kept for requests that may have run and answers that the caller has in part.

--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -17,6 +17,17 @@
   std::uint32_t hosts = 0;  // that were counted together; 0: not told
 };
 
+// What a retry is for.
+enum class RetryPurpose {
+  kFinish,   // a request that may have run, or an answer that the caller has in part
+  kRefused,  // a request that no upstream has run; its caller can be told to come back
+};
+
+// Part of the retries that may be used for kRefused. The rest is kept for answers in progress: on a
+// fleet that is full, second attempts of refused requests would otherwise use up what the answers
+// of a crashed upstream need to go on.
+constexpr double kRefusedShare = 0.4;
+
 // Bounds retries and hedges to a share of the recent requests, so that a failing group of upstreams
 // is not flooded with repeats. Not thread safe.
 class RetryBudget {
@@ -26,14 +37,16 @@
 
   void Configure(double ratio, double min_per_s);
 
-  // Retries in the window that are allowed beside the ratio, in any second of it.
-  void SetWindowAllowance(double retries);
+  // Retries in the window that are allowed beside the ratio, in any second of it; `refused` bounds
+  // those for kRefused, which are counted after all others.
+  void SetWindowAllowance(double retries, double refused);
+  void SetWindowAllowance(double retries) { SetWindowAllowance(retries, retries); }
 
   // Counts a first attempt.
   void RecordRequest(TimePoint now);
 
   // Returns whether a retry or hedge may be sent now, and counts it if so.
-  bool TryRetry(TimePoint now);
+  bool TryRetry(TimePoint now, RetryPurpose purpose = RetryPurpose::kFinish);
 
   // Requests and retries of the last 10 s.
   RetryCounts Counts(TimePoint now) const;
@@ -53,6 +66,7 @@
   double m_ratio;
   double m_min_per_s;
   double m_window_allowance = 0.0;
+  double m_refused_allowance = 0.0;
   std::array<Second, kWindowSeconds> m_seconds;
 };
 
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -11,7 +11,10 @@
   m_min_per_s = min_per_s;
 }
 
-void RetryBudget::SetWindowAllowance(double retries) { m_window_allowance = retries; }
+void RetryBudget::SetWindowAllowance(double retries, double refused) {
+  m_window_allowance = retries;
+  m_refused_allowance = refused;
+}
 
 RetryCounts RetryBudget::Counts(TimePoint now) const {
   const std::int64_t second =
@@ -44,10 +47,12 @@
 
 void RetryBudget::RecordRequest(TimePoint now) { ++SecondOf(now)->requests; }
 
-bool RetryBudget::TryRetry(TimePoint now) {
+bool RetryBudget::TryRetry(TimePoint now, RetryPurpose purpose) {
   Second* current = SecondOf(now);
   const RetryCounts counts = Counts(now);
-  const double allowed = m_ratio * counts.requests + m_window_allowance;
+  const double allowance =
+      purpose == RetryPurpose::kRefused ? m_refused_allowance : m_window_allowance;
+  const double allowed = m_ratio * counts.requests + allowance;
   const bool within_window = counts.retries + 1.0 <= allowed;
   const bool within_minimum = current->retries + 1.0 <= m_min_per_s;
   if (!within_window && !within_minimum) return false;
--- a/src/libcorneltray/retry_test.cc
+++ b/src/libcorneltray/retry_test.cc
@@ -119,5 +119,38 @@
   CHECK(used_by_all() > kAllowance * 0.5);
 }
 
+// Plays a full fleet in which upstreams refuse all the time, and the crash of one that holds many
+// answers in progress. Guards against answers that are cut off because refused requests, whose
+// callers can come back, have used up the retries.
+TEST_CASE("answers in progress find retries left on a fleet that refuses many requests") {
+  constexpr std::uint32_t kHosts = 120;
+  constexpr double kAllowance = 700.0;
+  constexpr int kReportInterval = 10;  // tenths of a second
+  constexpr int kRefusedInTenth = 20;
+  constexpr std::uint32_t kAnswersInProgress = 240;
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<RetryBudget> budgets(kHosts, RetryBudget(0.0, 0.0));
+  for (std::uint32_t tenth = 0; tenth < 100; ++tenth) {
+    now += std::chrono::milliseconds(100);
+    if (tenth % kReportInterval == 0) {
+      RetryCounts fleet{0, 0, kHosts};
+      for (const RetryBudget& budget : budgets) fleet.retries += budget.Counts(now).retries;
+      for (RetryBudget& budget : budgets) {
+        const double used_here = budget.Counts(now).retries;
+        budget.SetWindowAllowance(ShareOfRetries(kAllowance, fleet, used_here),
+                                  ShareOfRetries(kRefusedShare * kAllowance, fleet, used_here));
+      }
+    }
+    for (std::uint32_t i = 0; i < kRefusedInTenth; ++i) {
+      budgets[(tenth * kRefusedInTenth + i) % kHosts].TryRetry(now, RetryPurpose::kRefused);
+    }
+  }
+  std::uint32_t finished = 0;
+  for (std::uint32_t i = 0; i < kAnswersInProgress; ++i) {
+    finished += budgets[i % kHosts].TryRetry(now, RetryPurpose::kFinish) ? 1 : 0;
+  }
+  CHECK(finished == kAnswersInProgress);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -299,7 +299,9 @@
     m_gateway->Suspect(address, reason);
   }
   if (now < m_request.deadline && MayTryAgain(now, outcome)) {
-    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now)) return SendAttempt();
+    const bool is_untouched = m_has_run == HasRun::kNo && !HasBegun();
+    const RetryPurpose purpose = is_untouched ? RetryPurpose::kRefused : RetryPurpose::kFinish;
+    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) return SendAttempt();
     m_gateway->GetMetrics().Count("retries_refused", "budget");
     LogEvent(LogLevel::kWarning, "retry_refused",
              {{"request_id", m_request.facts.request_id},
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -125,7 +125,9 @@
   for (auto& [service, budget] : m_budgets) {
     const RetryCounts& fleet = m_fleet_retries[service];
     const double used_here = budget.Counts(now).retries;
-    budget.SetWindowAllowance(ShareOfRetries(AllowedRetries(fleet), fleet, used_here));
+    const double allowed = AllowedRetries(fleet);
+    budget.SetWindowAllowance(ShareOfRetries(allowed, fleet, used_here),
+                              ShareOfRetries(kRefusedShare * allowed, fleet, used_here));
   }
 }
 
