Avoid a full engine for 250 ms again, and ask busy engines twice as often

Change: the growing pause is gone with its test; the load that control processes tell replaces it. Engines with more than 0.6 of their memory in use are asked and told every 500 ms. A stream without its first event asks what it waits for after 600 ms, since waiting for other prompts is no fault.

--- a/src/include/corneltray/engine_monitor.h
+++ b/src/include/corneltray/engine_monitor.h
@@ -16,6 +16,10 @@
 
 // Every engine of the zone is asked this often, which also bounds the age of what hosts know.
 constexpr std::chrono::milliseconds kEngineAskInterval{1000};
+// An engine that is fuller than kBusyLoad is asked this often: the hosts together can fill the rest
+// of its memory within a second.
+constexpr std::chrono::milliseconds kBusyAskInterval{500};
+constexpr double kBusyLoad = 0.6;
 // An engine that a host suspects, or that did not answer, is asked again after this time.
 constexpr std::chrono::milliseconds kSuspectAskInterval{200};
 // An engine that does not answer this often in a row is taken for lost. One lost packet is not
@@ -46,8 +50,8 @@
   void Answered(const EngineQuestion& question, const EngineReport& report);
   void Unanswered(TimePoint now, const EngineQuestion& question);
 
-  // What is to be told to all hosts now: everything once in kEngineAskInterval, and at once what
-  // was lost or came back. While most engines do not answer, this process is taken to be cut off
+  // What is to be told to all hosts now: everything once in kEngineAskInterval, and before that what
+  // was lost, came back or is busy. While most engines do not answer, this process is taken to be cut off
   // and nothing is said of those that do not.
   std::vector<EngineHealth> TakeNews(TimePoint now);
 
@@ -62,7 +66,7 @@
     std::uint32_t unanswered = 0;  // in a row
     bool is_asking = false;
     bool is_known = false;  // an answer, or kUnansweredBeforeLost questions without one
-    bool is_news = false;   // lost or back, and not yet told
+    bool is_news = false;   // lost, back or busy, and not yet told
   };
 
   Watched* Find(const EngineQuestion& question);
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -23,10 +23,8 @@
 // An engine that failed as a stage is avoided for this long at least, and until it announces itself
 // again.
 constexpr std::chrono::milliseconds kSuspectFor{3000};
-// An engine without room for another prompt is avoided this long, and twice as long each time that
-// it is still full afterwards, up to kMaxFullFor.
+// An engine without room for another prompt is avoided this long.
 constexpr std::chrono::milliseconds kFullFor{250};
-constexpr std::chrono::milliseconds kMaxFullFor{2000};
 // What a control process told of an engine counts this long: some of its messages may be lost.
 constexpr std::chrono::milliseconds kHealthLifetime{3500};
 
@@ -106,7 +104,6 @@
     std::uint64_t suspect_sequence = 0;  // of the last announcement before the suspicion
     bool is_suspect = false;
     TimePoint full_until{};
-    std::chrono::milliseconds full_for{0};
     double tokens = 0.0;  // of requests of this host
     // As a control process told last.
     EngineHealth health;
--- a/src/libfleet/engine_monitor.cc
+++ b/src/libfleet/engine_monitor.cc
@@ -21,7 +21,8 @@
     if (engine.is_asking || now < engine.ask_at) continue;
     engine.is_asking = true;
     engine.asked_at = now;
-    engine.ask_at = now + kEngineAskInterval;
+    const bool is_busy = engine.health.answers && engine.health.load >= kBusyLoad;
+    engine.ask_at = now + (is_busy ? kBusyAskInterval : kEngineAskInterval);
     due.push_back({name, said.incarnation, said.address});
   }
   m_watched = std::move(watched);
@@ -47,11 +48,12 @@
   if (engine == nullptr) return;
   engine->is_asking = false;
   engine->unanswered = 0;
-  engine->is_news = engine->is_news || (engine->is_known && !engine->health.answers);
+  const bool is_back = engine->is_known && !engine->health.answers;
   engine->is_known = true;
   engine->health.answers = true;
   engine->health.load = report.kv_total > 0.0 ? report.kv_used / report.kv_total : 0.0;
   engine->health.slowness = report.slowness;
+  engine->is_news = engine->is_news || is_back || engine->health.load >= kBusyLoad;
 }
 
 void EngineMonitor::Unanswered(TimePoint now, const EngineQuestion& question) {
--- a/src/libfleet/engine_monitor_test.cc
+++ b/src/libfleet/engine_monitor_test.cc
@@ -78,6 +78,28 @@
   }
 }
 
+// Guards against a copy that all hosts fill within a second, because they know it to have room.
+TEST_CASE("an engine that is filling up is asked and told twice as often") {
+  MonitorFixture fixture;
+  for (const EngineQuestion& question : fixture.Due()) {
+    fixture.monitor.Answered(question, ReportWithLoad(question.name == "a3" ? 0.9 : 0.1));
+  }
+  fixture.monitor.TakeNews(fixture.now);
+  fixture.now += kEngineAskInterval;
+  for (const EngineQuestion& question : fixture.Due()) {
+    fixture.monitor.Answered(question, ReportWithLoad(question.name == "a3" ? 0.9 : 0.1));
+  }
+  fixture.monitor.TakeNews(fixture.now);
+  fixture.now += kBusyAskInterval;
+  const auto due = fixture.Due();
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().name == "a3");
+  fixture.monitor.Answered(due.front(), ReportWithLoad(0.95));
+  const auto news = fixture.monitor.TakeNews(fixture.now);
+  REQUIRE(news.size() == 1);
+  CHECK(news.front().load == doctest::Approx(0.95));
+}
+
 // Guards against hosts that send requests to an engine that is gone until each has seen it fail.
 TEST_CASE("an engine that a host suspects is asked at once and told to all as lost") {
   MonitorFixture fixture;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -367,11 +367,7 @@
 }
 
 void EngineRouter::MarkFull(TimePoint now, const std::string& address) {
-  State& state = m_states[address];
-  if (now < state.full_until) return;  // requests that were sent together
-  const bool is_still_full = now < state.full_until + state.full_for;
-  state.full_for = is_still_full ? std::min(state.full_for * 2, kMaxFullFor) : kFullFor;
-  state.full_until = now + state.full_for;
+  m_states[address].full_until = now + kFullFor;
 }
 
 }  // namespace corneltray
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds kMinAttemptTime{250};
 // A stream without an event for this long asks its first stage what it waits for.
 constexpr std::chrono::milliseconds kSilenceBeforeCheck{250};
+// Before its first event a stream also waits for other prompts, which is no fault.
+constexpr std::chrono::milliseconds kSilenceBeforeFirstCheck{600};
 constexpr std::chrono::milliseconds kCheckInterval{400};
 // A request that waits for a lost engine and was silent for this long goes elsewhere.
 constexpr std::chrono::milliseconds kSilenceOfLostStage{120};
@@ -83,7 +85,7 @@
     attempt.deadline = std::min(m_request.deadline, now + time);
   }
   attempt.last_event_at = now;
-  attempt.check_at = now + kSilenceBeforeCheck;
+  attempt.check_at = now + kSilenceBeforeFirstCheck;
   m_attempt = std::move(attempt);
   if (EngineRouter* router = Router()) {
     m_attempt->tokens = m_request.facts.prompt_tokens + router->Profile().usual_answer_tokens / 2.0;
