Ask idle engines less often, and tell answers twice a second

Each answer of a busy engine was told to every host in a message of its own.

Change: an engine with less than 0.3 of its memory in use is asked every 2.5 s. Answers are told together twice a second; an engine that is lost or back is told at once. What was told counts for 6 s.

--- a/src/include/corneltray/engine_monitor.h
+++ b/src/include/corneltray/engine_monitor.h
@@ -20,6 +20,12 @@
 // of its memory within a second.
 constexpr std::chrono::milliseconds kBusyAskInterval{500};
 constexpr double kBusyLoad = 0.6;
+// An engine that is emptier than kIdleLoad is asked this often, because each question has its
+// price.
+constexpr std::chrono::milliseconds kIdleAskInterval{2500};
+constexpr double kIdleLoad = 0.3;
+// Answers are gathered this long before all hosts are told of them in one message.
+constexpr std::chrono::milliseconds kTellInterval{500};
 // An engine that a host suspects, or that did not answer, is asked again after this time.
 constexpr std::chrono::milliseconds kSuspectAskInterval{200};
 // An engine that does not answer this often in a row is taken for lost. One lost packet is not
@@ -50,9 +56,9 @@
   void Answered(const EngineQuestion& question, const EngineReport& report);
   void Unanswered(TimePoint now, const EngineQuestion& question);
 
-  // What is to be told to all hosts now: everything once in kEngineAskInterval, and before that what
-  // was lost, came back or is busy. While most engines do not answer, this process is taken to be cut off
-  // and nothing is said of those that do not.
+  // What is to be told to all hosts now: the answers since the last time once in kTellInterval, and
+  // at once what was lost or came back. While most engines do not answer, this process is taken to
+  // be cut off and nothing is said of those that do not.
   std::vector<EngineHealth> TakeNews(TimePoint now);
 
   // Forgets all answers, when another process asks the engines from now on.
@@ -65,10 +71,12 @@
     TimePoint ask_at{};
     std::uint32_t unanswered = 0;  // in a row
     bool is_asking = false;
-    bool is_known = false;  // an answer, or kUnansweredBeforeLost questions without one
-    bool is_news = false;   // lost, back or busy, and not yet told
+    bool is_known = false;   // an answer, or kUnansweredBeforeLost questions without one
+    bool is_untold = false;  // of the last question
+    bool is_urgent = false;  // lost or back, and not yet told
   };
 
+  static std::chrono::milliseconds AskInterval(const Watched& engine);
   Watched* Find(const EngineQuestion& question);
   bool IsCutOff() const;
 
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -25,8 +25,9 @@
 constexpr std::chrono::milliseconds kSuspectFor{3000};
 // An engine without room for another prompt is avoided this long.
 constexpr std::chrono::milliseconds kFullFor{250};
-// What a control process told of an engine counts this long: some of its messages may be lost.
-constexpr std::chrono::milliseconds kHealthLifetime{3500};
+// What a control process told of an engine counts this long. Idle engines are asked every 2.5 s,
+// and one message may be lost.
+constexpr std::chrono::milliseconds kHealthLifetime{6000};
 
 enum class ChainScope {
   kOwnZone,      // all stages are in the zone of this host
--- a/src/libfleet/engine_monitor.cc
+++ b/src/libfleet/engine_monitor.cc
@@ -21,14 +21,19 @@
     if (engine.is_asking || now < engine.ask_at) continue;
     engine.is_asking = true;
     engine.asked_at = now;
-    const bool is_busy = engine.health.answers && engine.health.load >= kBusyLoad;
-    engine.ask_at = now + (is_busy ? kBusyAskInterval : kEngineAskInterval);
+    engine.ask_at = now + AskInterval(engine);
     due.push_back({name, said.incarnation, said.address});
   }
   m_watched = std::move(watched);
   return due;
 }
 
+std::chrono::milliseconds EngineMonitor::AskInterval(const Watched& engine) {
+  if (!engine.is_known || !engine.health.answers) return kEngineAskInterval;
+  if (engine.health.load >= kBusyLoad) return kBusyAskInterval;
+  return engine.health.load < kIdleLoad ? kIdleAskInterval : kEngineAskInterval;
+}
+
 void EngineMonitor::Suspect(TimePoint now, const std::string& name) {
   const auto engine = m_watched.find(name);
   if (engine == m_watched.end()) return;
@@ -53,7 +58,8 @@
   engine->health.answers = true;
   engine->health.load = report.kv_total > 0.0 ? report.kv_used / report.kv_total : 0.0;
   engine->health.slowness = report.slowness;
-  engine->is_news = engine->is_news || is_back || engine->health.load >= kBusyLoad;
+  engine->is_untold = true;
+  engine->is_urgent = engine->is_urgent || is_back;
 }
 
 void EngineMonitor::Unanswered(TimePoint now, const EngineQuestion& question) {
@@ -64,7 +70,8 @@
     engine->ask_at = std::min(engine->ask_at, now + kSuspectAskInterval);
     return;
   }
-  engine->is_news = engine->is_news || !engine->is_known || engine->health.answers;
+  engine->is_untold = true;
+  engine->is_urgent = engine->is_urgent || !engine->is_known || engine->health.answers;
   engine->is_known = true;
   engine->health.answers = false;
 }
@@ -79,13 +86,14 @@
 std::vector<EngineHealth> EngineMonitor::TakeNews(TimePoint now) {
   std::vector<EngineHealth> news;
   const bool tell_all = now >= m_tell_at;
-  if (tell_all) m_tell_at = now + kEngineAskInterval;
+  if (tell_all) m_tell_at = now + kTellInterval;
   const bool is_cut_off = IsCutOff();
   for (auto& [name, engine] : m_watched) {
-    if (!engine.is_known || !(tell_all || engine.is_news)) continue;
-    // It stays news until the way to the engines is back.
+    if (!engine.is_urgent && !(tell_all && engine.is_untold)) continue;
+    // It stays untold until the way to the engines is back.
     if (is_cut_off && !engine.health.answers) continue;
-    engine.is_news = false;
+    engine.is_untold = false;
+    engine.is_urgent = false;
     news.push_back(engine.health);
   }
   return news;
