Tell the load of all engines of a router test in one loop

The linter asks for braces around the bodies of two loops over lists of names. One loop over the records of the table says the same.

--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -201,10 +201,8 @@
 // that has sent nothing to it lately cannot know its load by itself.
 TEST_CASE("a copy whose fullest stage was told to be full is left alone") {
   RouterFixture fixture;
-  for (const char* stage : {"a-f1", "a-f2", "a-s1", "a-s2", "a-s3", "a-s4"})
-    fixture.Tell(stage, 0.3);
-  for (const char* stage : {"b-f1", "b-f2", "b-s1", "b-s2", "b-s3", "b-s4"})
-    fixture.Tell(stage, 0.3);
+  const UpstreamTable known = fixture.table;
+  for (const auto& [name, record] : known.Records()) fixture.Tell(name, 0.3);
   CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
   fixture.Tell("a-s3", 0.97);
   CHECK(fixture.Choose().scope == ChainScope::kOtherZone);
