Fuzz the messages of control processes, and test that told losses move requests

Cause: the decoders of fleet_messages.h had no case in the fuzz test, and nothing tested in the gateway what EngineMonitor tells. Requests that wait for a lost stage now have a third way of hearing of it in the test.

--- a/src/libcorneltray/decoder_fuzz_test.cc
+++ b/src/libcorneltray/decoder_fuzz_test.cc
@@ -12,6 +12,7 @@
 #include "corneltray/configuration_feed.h"
 #include "corneltray/consensus.h"
 #include "corneltray/control_state.h"
+#include "corneltray/fleet_messages.h"
 #include "corneltray/lease.h"
 #include "corneltray/membership.h"
 #include "corneltray/settings.h"
@@ -191,6 +192,24 @@
       LeaseReleaseFromJson(input);
     });
   }
+  SUBCASE("of control processes, about upstreams") {
+    UpstreamUpdates updates;
+    updates.updates.push_back({ValidAnnouncement(), false});
+    updates.refreshes.push_back({"engine-1", 1, 7});
+    Fuzz<json>({EncodeUpstreamUpdates(updates)}, tree, [](const json& input) {
+      const auto decoded = DecodeUpstreamUpdates(input);
+      if (decoded) EncodeUpstreamUpdates(decoded.value());
+    });
+    Fuzz<json>({EncodeEngineHealth({{"engine-1", 1, true, 0.5, 1.0}})}, tree,
+               [](const json& input) {
+                 const auto decoded = DecodeEngineHealth(input);
+                 if (decoded) EncodeEngineHealth(decoded.value());
+               });
+    Fuzz<json>({EncodeRetryCounts({{"assistant", {100, 5, 3}}})}, tree, [](const json& input) {
+      const auto decoded = DecodeRetryCounts(input);
+      if (decoded) EncodeRetryCounts(decoded.value());
+    });
+  }
   SUBCASE("of gossip") {
     std::mt19937_64 random(kSeed);
     TimePoint now{std::chrono::hours(1000)};
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -447,15 +447,17 @@
   GatewayFixture fixture;
   std::string lost;
   bool refuses = false;
+  bool is_told = false;
   SUBCASE("when the report of the first stage names it") {}
   SUBCASE("when the first stage refuses after it has waited") { refuses = true; }
+  SUBCASE("when a control process tells that it does not answer") { is_told = true; }
   const auto first_of_a = [&](ScriptedUpstream& self, const HttpCall& call) {
     if (call.Head().target != "/report") return self.parked.push_back(call);
     if (refuses) {
       // No report; the engine refuses what it held once its own patience is over.
       return;
     }
-    call.Respond(MakeResponse(200), "[\"" + lost + "\"]");
+    call.Respond(MakeResponse(200), is_told ? "[]" : "[\"" + lost + "\"]");
   };
   const auto never = [](ScriptedUpstream&, const HttpCall& call) { call.Abort(); };
   const auto serve = [](ScriptedUpstream&, const HttpCall& call) { Stream(call, 1, 4, true); };
@@ -483,6 +485,11 @@
       for (const HttpCall& call : a1->parked) Refuse(call, lost);
     });
   }
+  if (is_told) {
+    // Longer than a stage may be silent between two events.
+    std::this_thread::sleep_for(milliseconds(200));
+    fixture.loop.Run([&] { fixture.gateway->UpdateEngineHealth({{"a2", 1, false, 0.0, 1.0}}); });
+  }
   for (std::thread& caller : callers) caller.join();
   CHECK(whole == kCallers);
 }
