Ask two control processes at a time for a new route table

A host that holds an old table answers 404 on new routes.

Change: FetchGate bounds the fetches of a host to two at a time, so that one control process that does not answer costs no time. A version that was told meanwhile is asked for when they have ended.

Ruled out: one fetch at a time, since a control process that stops between its message and its reply would cost 0.8 s of the 2 s that a change has on the small sites.

--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -65,7 +65,9 @@
                          [this](const PeerIdentity& from, const json& body) {
                            const std::uint64_t version = body.value("version", std::uint64_t{0});
                            asio::post(*m_io, [this, host = from.host, version] {
-                             if (version > m_gateway->RouteVersion()) FetchRouteTable(host, true);
+                             if (m_fetches.OnChanged(version, m_gateway->RouteVersion())) {
+                               FetchRouteTable(host, true);
+                             }
                            });
                          });
 }
@@ -108,7 +110,7 @@
 void FleetFeed::Tick() {
   const TimePoint now = Clock::now();
   m_links.Check();
-  if (now < m_next_fetch || m_asking > 0) return;
+  if (now < m_next_fetch || !m_fetches.IsIdle()) return;
   const std::string host = NextHost();
   if (host.empty()) return;
   m_next_fetch = now + kFetchInterval;
@@ -122,7 +124,7 @@
 }
 
 void FleetFeed::FetchRouteTable(const std::string& host, bool confirmed) {
-  ++m_asking;
+  m_fetches.Begin();
   const TimePoint asked_at = BootTimeNow();
   const json body = {{"have", m_gateway->RouteVersion()},
                      {"confirmed", confirmed},
@@ -139,7 +141,7 @@
 
 void FleetFeed::OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
                              const Result<json>& reply) {
-  --m_asking;
+  m_fetches.End();
   const bool answered = reply && reply.value().contains("version");
   if (!answered) {
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
@@ -150,6 +152,7 @@
     return;
   }
   TakeRouteTable(reply.value());
+  if (m_fetches.MustAsk(m_gateway->RouteVersion())) m_next_fetch = Clock::now();
   TakeMembers(reply.value().at("members"));
   const auto retries = DecodeRetryCounts(reply.value().at("retries"));
   if (retries) m_gateway->SetFleetRetryCounts(retries.value());
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "corneltray/control_links.h"
+#include "corneltray/fetch_gate.h"
 #include "corneltray/gateway.h"
 #include "corneltray/peer.h"
 
@@ -53,7 +54,7 @@
   std::set<std::string> m_targets;  // addresses that the node keeps links to
   std::string m_preferred;          // control host that confirmed last
   std::string m_peer_port;
-  std::uint32_t m_asking = 0;  // fetches in progress
+  FetchGate m_fetches;
   TimePoint m_next_fetch{};
   TimePoint m_started_at{};
 };
