Log and count when calls to the control interface arrive and end

Change: ControlEndpoint takes the calls of upstreams and operators in place of FleetService, decodes them once, and writes control_call_received, control_call_answered and control_caller_left; responses and their times are counted by kind. Announcements that change nothing stay out of the log. No decision changes.

--- a/src/corneltray-control/control_http.h
+++ b/src/corneltray-control/control_http.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "control_node.h"
 #include "corneltray/configuration_feed.h"
@@ -24,6 +25,7 @@
   ControlClient* client = nullptr;
   const std::atomic<bool>* draining = nullptr;
   std::function<void()> drain;
+  std::function<std::string()> fleet_metrics;  // empty: the process serves no fleet
 };
 
 // Returns a server for operators, health checks and metrics that is not started yet.
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -28,13 +28,10 @@
 // An engine answers a question for its report within some milliseconds.
 constexpr std::chrono::milliseconds kReportTimeout{300};
 
-void Answer(const HttpCall& call, int status, const std::string& body = "{}") {
-  HttpHead head = MakeResponse(status);
-  head.Add("Content-Type", "application/json");
-  call.Respond(std::move(head), body);
-}
-
-json TextBody(const std::string& text) { return {{"error", text}}; }
+constexpr int kOk = 200;
+constexpr int kInvalid = 400;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
 
 json LogFields(const Announcement& said) {
   json fields = {{"upstream", said.name},      {"incarnation", said.incarnation},
@@ -53,7 +50,9 @@
 FleetService::FleetService(asio::io_context* io, FleetServiceOptions options)
     : m_io(io),
       m_options(std::move(options)),
-      m_listener(io, [this](const HttpCall& call) { OnCall(call); }),
+      m_endpoint(io, m_options.dialect, &m_metrics,
+                 [this](const ControlCall& call, const ControlRequest&,
+                        const ControlResponder& respond) { OnCall(call, respond); }),
       m_pool(io),
       m_links(io, m_options.node,
               [this](const UpstreamUpdates& updates) {
@@ -100,14 +99,9 @@
 }
 
 Status FleetService::Start() {
-  if (corneltray::Status listening = m_listener.Listen(m_options.address); !listening) {
+  if (corneltray::Status listening = m_endpoint.Listen(m_options.address); !listening) {
     return listening;
   }
-  HttpListenerLimits limits;
-  limits.max_body_bytes = kMaxRouteTableBytes;
-  limits.head_timeout = std::chrono::seconds(10);
-  limits.idle_timeout = std::chrono::seconds(30);
-  m_listener.SetLimits(limits);
   PlanTick();
   return {};
 }
@@ -116,32 +110,26 @@
   m_stopped = true;
   m_tick_timer.cancel();
   m_flush_timer.cancel();
-  m_listener.CloseAll();
+  m_endpoint.Close();
   m_pool.CloseAll();
 }
 
-void FleetService::OnCall(const HttpCall& call) {
+void FleetService::OnCall(const ControlCall& call, const ControlResponder& respond) {
   struct Visitor {
     FleetService& service;
-    const HttpCall& call;
-    void operator()(const AnnounceCall& announce) const { service.OnAnnounce(call, announce); }
-    void operator()(const LeaveCall& leave) const { service.OnLeave(call, leave); }
-    void operator()(const PutRouteTableCall& put) const { service.OnPut(call, put); }
-    void operator()(const GetRouteTableCall&) const { service.OnGet(call); }
+    const ControlResponder& respond;
+    void operator()(const AnnounceCall& announce) const { service.OnAnnounce(announce, respond); }
+    void operator()(const LeaveCall& leave) const { service.OnLeave(leave, respond); }
+    void operator()(const PutRouteTableCall& put) const { service.OnPut(put, respond); }
+    void operator()(const GetRouteTableCall&) const { service.OnGet(respond); }
     void operator()(const RefusedCall& refused) const {
-      LogEvent(LogLevel::kWarning, "control_call_refused",
-               {{"method", call.Head().method},
-                {"target", call.Head().target},
-                {"status", refused.status},
-                {"reason", refused.reason}});
-      Answer(call, refused.status, TextBody(refused.reason).dump());
+      respond(MakeControlError(refused.status, refused.reason));
     }
   };
-  const ControlCall decoded = m_options.dialect->ReadControlCall(call.Head(), call.Body());
-  std::visit(Visitor{*this, call}, decoded);
+  std::visit(Visitor{*this, respond}, call);
 }
 
-void FleetService::OnAnnounce(const HttpCall& call, const AnnounceCall& announce) {
+void FleetService::OnAnnounce(const AnnounceCall& announce, const ControlResponder& respond) {
   const UpstreamUpdate update{announce.announcement, false};
   const UpdateVerdict verdict = m_table.Apply(Clock::now(), update);
   const Announcement& said = announce.announcement;
@@ -149,12 +137,12 @@
     if (verdict == UpdateVerdict::kRefreshed) {
       m_refreshes.refreshes.push_back({said.name, said.incarnation, said.sequence});
     }
-    return Answer(call, 200);
+    return respond({kOk});
   }
   json fields = LogFields(said);
   fields["verdict"] = NameOf(verdict);
   LogEvent(LogLevel::kInfo, "upstream_announced", fields);
-  if (said.state == UpstreamState::kLeaving) return AcknowledgeDeparture(call, update);
+  if (said.state == UpstreamState::kLeaving) return AcknowledgeDeparture(update, respond);
   m_changes.updates.push_back(update);
   if (!std::exchange(m_flush_planned, true)) {
     m_flush_timer.expires_after(kFlushDelay);
@@ -163,30 +151,23 @@
       if (!cancelled) FlushChanges();
     });
   }
-  Answer(call, 200);
+  respond({kOk});
 }
 
-void FleetService::OnLeave(const HttpCall& call, const LeaveCall& leave) {
+void FleetService::OnLeave(const LeaveCall& leave, const ControlResponder& respond) {
   const auto update = m_table.Leave(Clock::now(), leave.upstream, leave.incarnation);
   LogEvent(LogLevel::kInfo, "upstream_left",
            {{"upstream", leave.upstream},
             {"incarnation", leave.incarnation},
             {"known", update.has_value()}});
-  if (!update) return Answer(call, 200);
-  AcknowledgeDeparture(call, *update);
+  if (!update) return respond({kOk});
+  AcknowledgeDeparture(*update, respond);
 }
 
-void FleetService::AcknowledgeDeparture(const HttpCall& call, const UpstreamUpdate& update) {
-  // Shared by the replies and the deadline; the call is answered by the last reply or the deadline.
-  struct Waiting {
-    std::size_t replies = 0;
-    bool answered = false;
-  };
-  const auto waiting = std::make_shared<Waiting>();
+void FleetService::AcknowledgeDeparture(const UpstreamUpdate& update,
+                                        const ControlResponder& respond) {
+  const auto missing_replies = std::make_shared<std::size_t>(0);
   const TimePoint deadline = Clock::now() + kDepartureTimeout;
-  const auto finish = [waiting, call] {
-    if (!std::exchange(waiting->answered, true)) Answer(call, 200);
-  };
   UpstreamUpdates updates;
   updates.updates.push_back(update);
   const json body = EncodeUpstreamUpdates(updates);
@@ -196,23 +177,23 @@
       m_options.node->Send(peer.identity.host, MessageType::kUpstreamUpdates, body);
       continue;
     }
-    ++waiting->replies;
+    ++*missing_replies;
     m_options.node->Request(peer.identity.host, MessageType::kUpstreamUpdates, body, deadline,
-                            [this, waiting, finish](const Result<json>&) {
+                            [this, missing_replies, respond](const Result<json>&) {
                               // A peer that does not answer has no link or is slow; the update
                               // waits for it on the link.
-                              asio::post(*m_io, [waiting, finish] {
-                                if (--waiting->replies == 0) finish();
+                              asio::post(*m_io, [missing_replies, respond] {
+                                if (--*missing_replies == 0) respond({kOk});
                               });
                             });
   }
-  if (waiting->replies == 0) finish();
+  if (*missing_replies == 0) respond({kOk});
 }
 
-void FleetService::OnPut(const HttpCall& call, const PutRouteTableCall& put) {
+void FleetService::OnPut(const PutRouteTableCall& put, const ControlResponder& respond) {
   const auto refuse = [&](const Error& error) {
     LogEvent(LogLevel::kWarning, "route_table_refused", {{"error", error.ToString()}});
-    Answer(call, 400, TextBody(error.ToString()).dump());
+    respond(MakeControlError(kInvalid, error.ToString()));
   };
   const auto table = m_options.dialect->ReadRouteTable(put.text);
   if (!table) return refuse(table.error());
@@ -220,14 +201,14 @@
   const std::uint64_t version = table.value().version;
   ReplaceRouteTable command{version, Compress(put.text)};
   const json body = ProposeBody(command, kPutTimeout.count());
-  const auto respond = [this, call, version](const Result<json>& result) {
+  const auto finish = [this, respond, version](const Result<json>& result) {
     const auto reply =
         result ? ParseReplyBody(result.value()) : Result<CommandReply>(result.error());
-    asio::post(*m_io, [call, version, reply] {
+    asio::post(*m_io, [respond, version, reply] {
       if (!reply) {
         LogEvent(LogLevel::kWarning, "route_table_not_acknowledged",
                  {{"version", version}, {"error", reply.error().ToString()}});
-        return Answer(call, 503, TextBody(reply.error().ToString()).dump());
+        return respond(MakeControlError(kUnavailable, reply.error().ToString()));
       }
       const auto* outcome = std::get_if<RouteTableReply>(&reply.value());
       const bool conflict = outcome == nullptr || outcome->verdict == RouteTableVerdict::kConflict;
@@ -236,17 +217,17 @@
                 {"verdict", outcome == nullptr ? "unknown" : NameOf(outcome->verdict)},
                 {"version_in_force", outcome == nullptr ? 0 : outcome->version}});
       if (conflict) {
-        return Answer(call, 409, TextBody("another table is held under this version").dump());
+        return respond(MakeControlError(kConflict, "another table is held under this version"));
       }
-      Answer(call, 200);
+      respond({kOk});
     });
   };
-  m_options.node->Post([this, body, respond] { m_options.control->Propose(body, respond); });
+  m_options.node->Post([this, body, finish] { m_options.control->Propose(body, finish); });
 }
 
-void FleetService::OnGet(const HttpCall& call) {
+void FleetService::OnGet(const ControlResponder& respond) {
   const json body = {{"have", 0}, {"confirmed", true}, {"timeout_ms", kGetTimeout.count()}};
-  const auto respond = [this, call](const Result<json>& result) {
+  const auto finish = [this, respond](const Result<json>& result) {
     const bool found = result && result.value().contains("text");
     const std::string why =
         !result ? result.error().ToString() : result.value().value("detail", "");
@@ -255,14 +236,13 @@
       const auto& bytes = result.value().at("text").get_binary();
       compressed.assign(bytes.begin(), bytes.end());
     }
-    asio::post(*m_io, [call, found, why, compressed] {
+    asio::post(*m_io, [respond, found, why, compressed] {
       const auto text = Decompress(compressed, kMaxRouteTableBytes);
-      if (!found || !text) return Answer(call, 503, TextBody(why).dump());
-      Answer(call, 200, text.value());
+      if (!found || !text) return respond(MakeControlError(kUnavailable, why));
+      respond({kOk, text.value()});
     });
   };
-  m_options.node->Post(
-      [this, body, respond] { m_options.control->FetchRouteTable(body, respond); });
+  m_options.node->Post([this, body, finish] { m_options.control->FetchRouteTable(body, finish); });
 }
 
 void FleetService::Broadcast(const UpstreamUpdates& updates) {
@@ -430,7 +410,6 @@
   };
   const auto asked = std::make_shared<Asked>(m_io);
   const auto finish = [this, asked, question](bool answered) {
-    constexpr int kOk = 200;
     if (std::exchange(asked->is_finished, true)) return;
     asked->timer.cancel();
     std::optional<EngineReport> report;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -12,13 +12,14 @@
 #include <vector>
 
 #include "control_node.h"
+#include "corneltray/control_endpoint.h"
 #include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
 #include "corneltray/engine_monitor.h"
 #include "corneltray/fleet_messages.h"
-#include "corneltray/http_listener.h"
 #include "corneltray/layer_placement.h"
 #include "corneltray/member_keeper.h"
+#include "corneltray/metrics.h"
 #include "corneltray/peer.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
@@ -50,6 +51,9 @@
   Status Start();
   void Stop();
 
+  // The exposition of the calls that were answered here. Thread safe.
+  std::string MetricsText() const { return m_metrics.Text({}); }
+
  private:
   // What the leader's thread tells this one.
   struct ReplicaView {
@@ -58,14 +62,14 @@
     std::string compressed_routes;  // empty: as before
   };
 
-  void OnCall(const HttpCall& call);
-  void OnAnnounce(const HttpCall& call, const AnnounceCall& announce);
-  void OnLeave(const HttpCall& call, const LeaveCall& leave);
-  void OnPut(const HttpCall& call, const PutRouteTableCall& put);
-  void OnGet(const HttpCall& call);
+  void OnCall(const ControlCall& call, const ControlResponder& respond);
+  void OnAnnounce(const AnnounceCall& announce, const ControlResponder& respond);
+  void OnLeave(const LeaveCall& leave, const ControlResponder& respond);
+  void OnPut(const PutRouteTableCall& put, const ControlResponder& respond);
+  void OnGet(const ControlResponder& respond);
 
   // Tells every entry process and answers the upstream once they know, or at a deadline.
-  void AcknowledgeDeparture(const HttpCall& call, const UpstreamUpdate& update);
+  void AcknowledgeDeparture(const UpstreamUpdate& update, const ControlResponder& respond);
   void Broadcast(const UpstreamUpdates& updates);
   void FlushChanges();
   void FlushRefreshes(TimePoint now);
@@ -87,7 +91,8 @@
 
   asio::io_context* m_io;
   FleetServiceOptions m_options;
-  HttpListener m_listener;
+  Metrics m_metrics;
+  ControlEndpoint m_endpoint;
   UpstreamPool m_pool;
   ControlLinks m_links;  // to the other control processes
   UpstreamTable m_table;
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -183,6 +183,7 @@
     http.client = m_client.get();
     http.draining = &m_draining;
     http.drain = [this] { m_stop = true; };
+    if (m_fleet) http.fleet_metrics = [this] { return m_fleet->MetricsText(); };
     m_http = MakeControlHttpServer(http);
     if (const corneltray::Status started = m_http->Start(); !started) {
       m_node->Stop();
