Serve the control interface at entry hosts too

What callers saw: a valid configuration without an acknowledgement for more than ack_ms (4,000 ms) while one control host stands still and a share of the acknowledgements is lost.

Cause: three hosts take all calls of operators and upstreams. A caller that picks the one that stands still loses a second and a growing pause, and each lost acknowledgement makes it pick again. Class of fault: an interface that is only as available as the few hosts behind it, although every other host has a way to the leader. Announcements, departures and reads of the configuration go the same way and had the same weakness.

Change: ControlRelay at entry hosts passes each call on over the links that they have to control processes. ForwardedCall asks the next control process after 200 ms of silence or a server error, three at most, and gives up before the caller does; ControlChoice asks those last that failed lately. Every such call is idempotent. An entry host answers nothing from memory. ReadControlCall refuses what cannot be read without passing it on.

Why it works: of n hosts one stands still, n is 15 and no longer 3, and a pick of a sound host costs milliseconds.

Ruled out: a control process that waits or an answer that is written late (logs); a second process on entry hosts, which would cost memory and share its processor; more control hosts, which the sites don't have; naming an address for later announcements in each answer, which would send upstreams back to the three.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -91,6 +91,17 @@
         asio::post(*m_io,
                    [this, respond] { respond(EncodeUpstreamUpdates(AllUpstreams(m_table))); });
       });
+  m_options.node->SetRequestHandler(
+      MessageType::kControlCall,
+      [this](const PeerIdentity& from, const json& body, const PeerNode::Responder& respond) {
+        auto request = DecodeControlRequest(body);
+        if (!request) return respond(request.error());
+        asio::post(*m_io, [this, host = from.host, request = std::move(request).value(), respond] {
+          m_endpoint.Take(request, host, [respond](const ControlAnswer& answer) {
+            respond(EncodeControlAnswer(answer));
+          });
+        });
+      });
   m_options.node->SetPushHandler(
       MessageType::kJoinRequest, [this](const PeerIdentity& from, const json& body) {
         if (from.program != kControlProgram) return;
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <variant>
 
+#include "corneltray/control_relay.h"
 #include "corneltray/gateway.h"
 #include "corneltray/log.h"
 #include "corneltray/metrics_server.h"
@@ -92,6 +93,7 @@
     if (listening && !m_settings.ready_address.empty()) {
       listening = m_gateway->ListenReady(m_settings.ready_address);
     }
+    if (listening && !m_settings.fleet_address.empty()) listening = StartRelay();
     if (!listening) {
       m_node->Stop();
       return Fail(kExitAddress, listening.error().ToString());
@@ -110,6 +112,13 @@
     return kExitOk;
   }
 
+  Status StartRelay() {
+    m_relay =
+        std::make_unique<ControlRelay>(&m_io, m_node.get(), platform::MakePlatformDialect(),
+                                       &m_gateway->GetMetrics(), m_settings.availability_zone);
+    return m_relay->Listen(m_settings.fleet_address);
+  }
+
   void WaitForSignal() {
     m_signals.async_wait([this](const asio::error_code& cancelled, int signal) {
       if (cancelled) return;
@@ -166,6 +175,7 @@
   std::unique_ptr<Gateway> m_gateway;
   std::unique_ptr<PeerNode> m_node;
   std::unique_ptr<FleetFeed> m_feed;
+  std::unique_ptr<ControlRelay> m_relay;  // null: this host takes no calls for control processes
   std::unique_ptr<MetricsServer> m_metrics;
 };
 
--- a/src/include/corneltray/control_endpoint.h
+++ b/src/include/corneltray/control_endpoint.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "corneltray/control_messages.h"
 #include "corneltray/dialect.h"
 #include "corneltray/enum_names.h"
 #include "corneltray/http_listener.h"
@@ -30,26 +31,12 @@
 
 ControlCallKind KindOf(const ControlCall& call);
 
-// A call to the control interface as it was sent.
-struct ControlRequest {
-  std::string method;
-  std::string target;
-  std::string body;
-};
-
-struct ControlAnswer {
-  int status = 0;
-  std::string body = "{}";
-};
-
-// An answer that says what went wrong.
-ControlAnswer MakeControlError(int status, const std::string& text);
-
 // Answers one call. Later calls have no effect.
 using ControlResponder = std::function<void(const ControlAnswer& answer)>;
 
-// The control interface of one process: takes the calls of upstreams and operators, refuses what
-// cannot be read, and logs and counts how each call ended. Lives on one io_context.
+// The control interface of one process: takes the calls of upstreams and operators, from themselves
+// or passed on by another process, refuses what cannot be read, and logs and counts how each call
+// ended. Lives on one io_context.
 class ControlEndpoint {
  public:
   using Handler = std::function<void(const ControlCall& call, const ControlRequest& request,
@@ -64,8 +51,17 @@
   std::string Address() const { return m_listener.Address(); }
   void Close() { m_listener.CloseAll(); }
 
+  // Takes a call that a process of this name passes on.
+  void Take(const ControlRequest& request, const std::string& forwarder,
+            const ControlResponder& respond);
+
  private:
+  struct OpenCall;
+
   void OnCall(const HttpCall& http);
+  void Handle(const std::shared_ptr<OpenCall>& open, const ControlRequest& request,
+              const ControlResponder& respond);
+  void CallerLeft(OpenCall* open);
 
   std::shared_ptr<const Dialect> m_dialect;
   Metrics* m_metrics;
--- /dev/null
+++ b/src/include/corneltray/control_messages.h
@@ -0,0 +1,47 @@
+#ifndef CORNELTRAY_CONTROL_MESSAGES_H_
+#define CORNELTRAY_CONTROL_MESSAGES_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <system_error>
+
+#include "corneltray/result.h"
+
+namespace corneltray {
+
+enum class ControlMessageErrc {
+  kMalformed = 1,
+};
+
+std::error_code make_error_code(ControlMessageErrc errc);
+
+// A call to the control interface as it was sent: body of control_call.
+struct ControlRequest {
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+// The answer to such a call: body of the reply to control_call.
+struct ControlAnswer {
+  int status = 0;
+  std::string body = "{}";
+};
+
+// An answer that says what went wrong.
+ControlAnswer MakeControlError(int status, const std::string& text);
+
+nlohmann::json EncodeControlRequest(const ControlRequest& request);
+// Fails with kMalformed, or CompressionErrc.
+Result<ControlRequest> DecodeControlRequest(const nlohmann::json& message);
+
+nlohmann::json EncodeControlAnswer(const ControlAnswer& answer);
+// Fails with kMalformed, or CompressionErrc.
+Result<ControlAnswer> DecodeControlAnswer(const nlohmann::json& message);
+
+}  // namespace corneltray
+
+template <>
+struct std::is_error_code_enum<corneltray::ControlMessageErrc> : std::true_type {};
+
+#endif  // CORNELTRAY_CONTROL_MESSAGES_H_
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -21,6 +21,7 @@
   kUpstreamFetch,         // request: everything the receiver knows of upstreams
   kUpstreamSuspected,     // push: an upstream does not answer the sender
   kEngineHealth,          // push: what engines answered to the sender
+  kControlCall,           // request: a call to the control interface that an entry host passes on
   kJoinRequest,           // push: a control process that is no member wants to become one
   kLeaseRequest,          // request: grant or renew the placement lease
   kLeaseRelease,          // push: the holder gives the lease up
@@ -45,6 +46,7 @@
       {MessageType::kUpstreamFetch, "upstream_fetch"},
       {MessageType::kUpstreamSuspected, "upstream_suspected"},
       {MessageType::kEngineHealth, "engine_health"},
+      {MessageType::kControlCall, "control_call"},
       {MessageType::kJoinRequest, "join_request"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
--- a/src/libcorneltray/decoder_fuzz_test.cc
+++ b/src/libcorneltray/decoder_fuzz_test.cc
@@ -11,6 +11,7 @@
 #include "corneltray/configuration.h"
 #include "corneltray/configuration_feed.h"
 #include "corneltray/consensus.h"
+#include "corneltray/control_messages.h"
 #include "corneltray/control_state.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/lease.h"
@@ -205,6 +206,16 @@
                  const auto decoded = DecodeEngineHealth(input);
                  if (decoded) EncodeEngineHealth(decoded.value());
                });
+    Fuzz<json>({EncodeControlRequest({"POST", "/a/b", "{}"}),
+                EncodeControlRequest({"POST", "/a/b", std::string(100'000, 'x')})},
+               tree, [](const json& input) {
+                 const auto decoded = DecodeControlRequest(input);
+                 if (decoded) EncodeControlRequest(decoded.value());
+               });
+    Fuzz<json>({EncodeControlAnswer({200, "{}"})}, tree, [](const json& input) {
+      const auto decoded = DecodeControlAnswer(input);
+      if (decoded) EncodeControlAnswer(decoded.value());
+    });
     Fuzz<json>({EncodeRetryCounts({{"assistant", {100, 5, 3}}})}, tree, [](const json& input) {
       const auto decoded = DecodeRetryCounts(input);
       if (decoded) EncodeRetryCounts(decoded.value());
--- /dev/null
+++ b/src/libfleet/control_choice.cc
@@ -0,0 +1,57 @@
+#include "corneltray/control_choice.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace corneltray {
+namespace {
+
+constexpr int kFirstServerError = 500;
+
+}  // namespace
+
+std::vector<std::string> ControlChoice::Order(TimePoint now,
+                                              std::vector<ControlCandidate> candidates) const {
+  const auto rank = [this, now](const ControlCandidate& candidate) {
+    const auto last = m_last_until.find(candidate.host);
+    const bool failed = last != m_last_until.end() && now < last->second;
+    return std::make_tuple(failed, !candidate.is_local, std::cref(candidate.host));
+  };
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [&rank](const ControlCandidate& a, const ControlCandidate& b) { return rank(a) < rank(b); });
+  std::vector<std::string> hosts;
+  for (ControlCandidate& candidate : candidates) hosts.push_back(std::move(candidate.host));
+  return hosts;
+}
+
+ForwardedCall::ForwardedCall(TimePoint now, std::vector<std::string> hosts)
+    : m_hosts(std::move(hosts)), m_next_at(now), m_give_up_at(now + kForwardTimeout) {
+  if (m_hosts.size() > kMostAskedPerCall) m_hosts.resize(kMostAskedPerCall);
+}
+
+bool ForwardedCall::IsAnyoneLeft() const { return m_asked < m_hosts.size(); }
+
+std::optional<std::string> ForwardedCall::Next(TimePoint now) {
+  if (!IsAnyoneLeft() || now < m_next_at) return std::nullopt;
+  m_next_at = now + kAskNextAfter;
+  return m_hosts[m_asked++];
+}
+
+bool ForwardedCall::Answered(TimePoint now, int status) {
+  ++m_answered;
+  if (status < kFirstServerError) return true;
+  m_next_at = now;
+  return false;
+}
+
+bool ForwardedCall::HasFailed(TimePoint now) const {
+  return now >= m_give_up_at || (!IsAnyoneLeft() && m_answered == m_asked);
+}
+
+TimePoint ForwardedCall::NextDeadline() const {
+  return IsAnyoneLeft() ? std::min(m_next_at, m_give_up_at) : m_give_up_at;
+}
+
+}  // namespace corneltray
--- a/src/libfleet/control_endpoint.cc
+++ b/src/libfleet/control_endpoint.cc
@@ -23,63 +23,65 @@
   return announce != nullptr && announce->announcement.state != UpstreamState::kLeaving;
 }
 
-std::int64_t MillisecondsSince(TimePoint begin) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin).count();
-}
+struct KindVisitor {
+  ControlCallKind operator()(const AnnounceCall&) const { return ControlCallKind::kAnnounce; }
+  ControlCallKind operator()(const LeaveCall&) const { return ControlCallKind::kLeave; }
+  ControlCallKind operator()(const PutRouteTableCall&) const {
+    return ControlCallKind::kPutRouteTable;
+  }
+  ControlCallKind operator()(const GetRouteTableCall&) const {
+    return ControlCallKind::kGetRouteTable;
+  }
+  ControlCallKind operator()(const RefusedCall&) const { return ControlCallKind::kRefused; }
+};
+
+}  // namespace
 
 // One call from its arrival to its answer. Shared by the responder and the watch on the caller.
-struct OpenCall {
+struct ControlEndpoint::OpenCall {
   std::uint64_t number = 0;
+  std::string forwarder;  // process that passed the call on; empty: the caller itself is connected
+  TimePoint read_at{};
   ControlCallKind kind = ControlCallKind::kRefused;
   bool is_routine = false;
   bool is_answered = false;
   bool caller_left = false;
 
-  json Fields() const { return {{"call", number}, {"kind", NameOf(kind)}}; }
-};
-
-void LogReceived(const OpenCall& open, const HttpCall& http) {
-  if (open.is_routine) return;
-  json fields = open.Fields();
-  fields["bytes"] = http.Body().size();
-  LogEvent(LogLevel::kInfo, "control_call_received", fields);
-}
+  json Fields() const {
+    json fields = {{"call", number}, {"kind", NameOf(kind)}};
+    if (!forwarder.empty()) fields["forwarder"] = forwarder;
+    return fields;
+  }
 
-void LogAnswered(const OpenCall& open, const ControlAnswer& answer, std::int64_t took_ms) {
-  if (open.is_routine && answer.status < kFirstFailure) return;
-  json fields = open.Fields();
-  fields["status"] = answer.status;
-  fields["took_ms"] = took_ms;
-  fields["caller_left"] = open.caller_left;
-  LogEvent(LogLevel::kInfo, "control_call_answered", fields);
-}
+  std::int64_t AgeMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - read_at).count();
+  }
 
-void LogCallerLeft(const OpenCall& open, std::int64_t waited_ms) {
-  json fields = open.Fields();
-  fields["waited_ms"] = waited_ms;
-  LogEvent(LogLevel::kWarning, "control_caller_left", fields);
-}
+  void LogReceived(std::size_t bytes) const {
+    if (is_routine) return;
+    json fields = Fields();
+    fields["bytes"] = bytes;
+    LogEvent(LogLevel::kInfo, "control_call_received", fields);
+  }
 
-struct KindVisitor {
-  ControlCallKind operator()(const AnnounceCall&) const { return ControlCallKind::kAnnounce; }
-  ControlCallKind operator()(const LeaveCall&) const { return ControlCallKind::kLeave; }
-  ControlCallKind operator()(const PutRouteTableCall&) const {
-    return ControlCallKind::kPutRouteTable;
+  void LogAnswered(int status) const {
+    if (is_routine && status < kFirstFailure) return;
+    json fields = Fields();
+    fields["status"] = status;
+    fields["took_ms"] = AgeMs();
+    fields["caller_left"] = caller_left;
+    LogEvent(LogLevel::kInfo, "control_call_answered", fields);
   }
-  ControlCallKind operator()(const GetRouteTableCall&) const {
-    return ControlCallKind::kGetRouteTable;
+
+  void LogCallerLeft() const {
+    json fields = Fields();
+    fields["waited_ms"] = AgeMs();
+    LogEvent(LogLevel::kWarning, "control_caller_left", fields);
   }
-  ControlCallKind operator()(const RefusedCall&) const { return ControlCallKind::kRefused; }
 };
 
-}  // namespace
-
 ControlCallKind KindOf(const ControlCall& call) { return std::visit(KindVisitor{}, call); }
 
-ControlAnswer MakeControlError(int status, const std::string& text) {
-  return {status, json{{"error", text}}.dump(-1, ' ', false, json::error_handler_t::replace)};
-}
-
 ControlEndpoint::ControlEndpoint(asio::io_context* io, std::shared_ptr<const Dialect> dialect,
                                  Metrics* metrics, Handler handler)
     : m_dialect(std::move(dialect)),
@@ -96,37 +98,57 @@
 Status ControlEndpoint::Listen(const std::string& address) { return m_listener.Listen(address); }
 
 void ControlEndpoint::OnCall(const HttpCall& http) {
-  const ControlCall call = m_dialect->ReadControlCall(http.Head(), http.Body());
   const auto open = std::make_shared<OpenCall>();
+  open->read_at = http.ReadAt();
+  http.OnCallerGone([this, open] { CallerLeft(open.get()); });
+  Handle(open, {http.Head().method, http.Head().target, http.Body()},
+         [http](const ControlAnswer& answer) {
+           HttpHead head = MakeResponse(answer.status);
+           head.Add("Content-Type", "application/json");
+           http.Respond(std::move(head), answer.body);
+         });
+}
+
+void ControlEndpoint::Take(const ControlRequest& request, const std::string& forwarder,
+                           const ControlResponder& respond) {
+  const auto open = std::make_shared<OpenCall>();
+  open->forwarder = forwarder;
+  open->read_at = Clock::now();
+  Handle(open, request, respond);
+}
+
+void ControlEndpoint::CallerLeft(OpenCall* open) {
+  open->caller_left = true;
+  open->LogCallerLeft();
+  m_metrics->RecordResponse(NameOf(open->kind), kCallerLeft, Clock::now() - open->read_at);
+}
+
+void ControlEndpoint::Handle(const std::shared_ptr<OpenCall>& open, const ControlRequest& request,
+                             const ControlResponder& respond) {
+  HttpHead head;
+  head.method = request.method;
+  head.target = request.target;
+  const ControlCall call = m_dialect->ReadControlCall(head, request.body);
   open->number = ++m_last_call;
   open->kind = KindOf(call);
   open->is_routine = IsRoutine(call);
-  LogReceived(*open, http);
-  const TimePoint read_at = http.ReadAt();
-  http.OnCallerGone([this, open, read_at] {
-    open->caller_left = true;
-    const std::int64_t waited_ms = MillisecondsSince(read_at);
-    LogCallerLeft(*open, waited_ms);
-    m_metrics->RecordResponse(NameOf(open->kind), kCallerLeft, Clock::now() - read_at);
-  });
-  const ControlResponder respond = [this, http, open, read_at](const ControlAnswer& answer) {
+  open->LogReceived(request.body.size());
+  const ControlResponder finish = [this, open, respond](const ControlAnswer& answer) {
     if (std::exchange(open->is_answered, true)) return;
-    LogAnswered(*open, answer, MillisecondsSince(read_at));
+    open->LogAnswered(answer.status);
     if (open->caller_left) return;
-    m_metrics->RecordResponse(NameOf(open->kind), answer.status, Clock::now() - read_at);
-    HttpHead head = MakeResponse(answer.status);
-    head.Add("Content-Type", "application/json");
-    http.Respond(std::move(head), answer.body);
+    m_metrics->RecordResponse(NameOf(open->kind), answer.status, Clock::now() - open->read_at);
+    respond(answer);
   };
   if (const auto* refused = std::get_if<RefusedCall>(&call)) {
     LogEvent(LogLevel::kWarning, "control_call_refused",
-             {{"method", http.Head().method},
-              {"target", http.Head().target},
+             {{"method", request.method},
+              {"target", request.target},
               {"status", refused->status},
               {"reason", refused->reason}});
-    return respond(MakeControlError(refused->status, refused->reason));
+    return finish(MakeControlError(refused->status, refused->reason));
   }
-  m_handler(call, {http.Head().method, http.Head().target, http.Body()}, respond);
+  m_handler(call, request, finish);
 }
 
 }  // namespace corneltray
--- /dev/null
+++ b/src/libfleet/control_relay_test.cc
@@ -0,0 +1,142 @@
+#include "corneltray/control_relay.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "../libcorneltray/test_socket.h"
+#include "../libhttp/event_loop_test.h"
+#include "corneltray/control_client.h"
+#include "platform_dialect.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+PeerOptions OptionsFor(const std::string& host, const std::string& program) {
+  PeerOptions options;
+  options.identity = {host, program, "dkr", "dkr-a", 1};
+  options.listen_address = "127.0.0.1:0";
+  options.shared_key = "0123456789abcdef";
+  return options;
+}
+
+// A control process that answers calls, or takes them and stays silent.
+struct Control {
+  PeerNode node;
+  std::atomic<int> calls{0};
+  std::atomic<int> status{200};  // 0: silent
+
+  explicit Control(const std::string& host) : node(OptionsFor(host, kControlProgram)) {
+    node.SetRequestHandler(MessageType::kControlCall, [this](const PeerIdentity&, const json& body,
+                                                             const PeerNode::Responder& respond) {
+      ++calls;
+      const auto request = DecodeControlRequest(body);
+      if (!request || status == 0) return;
+      respond(EncodeControlAnswer({status, request.value().body}));
+    });
+  }
+};
+
+struct Fixture {
+  Control first{"a"};
+  Control second{"b"};
+  EventLoopThread loop;
+  Metrics metrics;
+  PeerNode node{OptionsFor("gateway", "corneltray-gateway")};
+  std::unique_ptr<ControlRelay> relay;
+
+  Fixture() {
+    REQUIRE(node.Start().Ok());
+    loop.Run([this] {
+      relay = std::make_unique<ControlRelay>(loop.Io(), &node, platform::MakePlatformDialect(),
+                                             &metrics, "dkr-a");
+      REQUIRE(relay->Listen("127.0.0.1:0").Ok());
+      return true;
+    });
+  }
+  ~Fixture() {
+    loop.Run([this] {
+      relay.reset();
+      return true;
+    });
+    node.Stop();
+    first.node.Stop();
+    second.node.Stop();
+    loop.Stop();
+  }
+
+  void Link() {
+    for (Control* control : {&first, &second}) {
+      REQUIRE(control->node.Start().Ok());
+      node.Connect(control->node.ListenAddress());
+    }
+    REQUIRE(loop.WaitFor([this] {
+      const auto peers = node.Peers();
+      return peers.size() == 2 && peers[0].connected && peers[1].connected;
+    }));
+  }
+
+  // Sends one call and returns the whole answer.
+  std::string Call(const std::string& method, const std::string& path, const std::string& body) {
+    TestSocket socket(relay->Address());
+    socket.Send(method + " " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" +
+                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return socket.ReadUntil("");
+  }
+};
+
+bool HasStatus(const std::string& answer, int status) {
+  return answer.rfind("HTTP/1.1 " + std::to_string(status) + " ", 0) == 0;
+}
+
+}  // namespace
+
+TEST_CASE("an entry host passes calls to the control interface on to a control process") {
+  Fixture fixture;
+  SUBCASE("without a link it says so at once") {
+    CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 503));
+  }
+  SUBCASE("with links") {
+    fixture.Link();
+    SUBCASE("the answer is that of the control process") {
+      const std::string body(200'000, 'x');
+      const std::string answer = fixture.Call("POST", "/Config.Put", body);
+      CHECK(HasStatus(answer, 200));
+      CHECK(answer.find(body) != std::string::npos);
+      CHECK(fixture.first.calls + fixture.second.calls == 1);
+    }
+    SUBCASE("a control process that stands still does not hold up the call") {
+      fixture.first.status = 0;
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
+      CHECK(fixture.first.calls == 1);
+      SUBCASE("and the next call begins with another one") {
+        CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
+        CHECK(fixture.first.calls == 1);
+      }
+    }
+    SUBCASE("one that cannot serve it leaves it to the other") {
+      fixture.first.status = 503;
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
+    }
+    SUBCASE("a refusal is passed on and nobody else is asked") {
+      fixture.first.status = 409;
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 409));
+      CHECK(fixture.second.calls == 0);
+    }
+    SUBCASE("all of them stand still") {
+      fixture.first.status = 0;
+      fixture.second.status = 0;
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 503));
+    }
+    SUBCASE("a call that does not exist reaches no control process") {
+      CHECK(HasStatus(fixture.Call("GET", "/none", ""), 404));
+      CHECK(fixture.first.calls + fixture.second.calls == 0);
+    }
+  }
+}
+
+}  // namespace corneltray
