Find the control processes through entry hosts

The seeds that a process is told may be any hosts that serve the control interface, so since entry hosts do, all of them may be entry hosts. A process that started then linked to no control process.

Cause: seeds were taken for control processes.

Change: a process without a link to a control process, or a control process that is no member, asks the hosts it is linked to for the control processes that they are linked to (ControlDiscovery).

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -58,11 +58,14 @@
               [this](const UpstreamUpdates& updates) {
                 ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
               }),
+      m_discovery(io, m_options.node,
+                  [this](const std::string& address) { m_options.node->Connect(address); }),
       m_tick_timer(*io),
       m_flush_timer(*io),
       m_keeper(m_options.target_voters) {}
 
 void FleetService::Register() {
+  m_discovery.Register();
   m_options.node->SetPushHandler(MessageType::kUpstreamUpdates,
                                  [this](const PeerIdentity&, const json& body) {
                                    auto updates = DecodeUpstreamUpdates(body);
@@ -370,6 +373,7 @@
 }
 
 void FleetService::AskToJoin(const ReplicaStatus& status) {
+  asio::post(*m_io, [this] { m_discovery.Ask(Clock::now()); });
   for (const PeerStatus& peer : m_options.node->Peers()) {
     if (!peer.connected || peer.identity.program != kControlProgram) continue;
     m_options.node->Send(peer.identity.host, MessageType::kJoinRequest,
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "control_node.h"
+#include "corneltray/control_discovery.h"
 #include "corneltray/control_endpoint.h"
 #include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
@@ -75,8 +76,8 @@
   void FlushRefreshes(TimePoint now);
   void PlanTick();
   void Tick();
-  void KeepMembers();  // on the I/O thread of PeerNode
-  void AskToJoin(const ReplicaStatus& status);
+  void KeepMembers();                           // on the I/O thread of PeerNode
+  void AskToJoin(const ReplicaStatus& status);  // on the I/O thread of PeerNode
   void LinkMembers(const MemberSet& members);
   void ReadReplica();
   void OnReplicaView(const ReplicaView& view);
@@ -95,6 +96,7 @@
   ControlEndpoint m_endpoint;
   UpstreamPool m_pool;
   ControlLinks m_links;  // to the other control processes
+  ControlDiscovery m_discovery;
   UpstreamTable m_table;
   LayerController m_layers;
   EngineMonitor m_monitor;
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -31,12 +31,14 @@
       m_gateway(gateway),
       m_links(io, node,
               [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
+      m_discovery(io, node, [this](const std::string& address) { KeepLinkTo(address); }),
       m_timer(*io),
       m_seeds(seeds.begin(), seeds.end()) {
   if (!seeds.empty()) m_peer_port = PortOf(seeds.front());
 }
 
 void FleetFeed::Register() {
+  m_discovery.Register();
   const auto take_updates = [this](const json& body) {
     auto updates = DecodeUpstreamUpdates(body);
     if (!updates) return;
@@ -79,10 +81,7 @@
     m_links.Send(MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
   });
   m_started_at = Clock::now();
-  for (const std::string& seed : m_seeds) {
-    m_node->Connect(seed);
-    m_targets.insert(seed);
-  }
+  for (const std::string& seed : m_seeds) KeepLinkTo(seed);
   PlanTick();
 }
 
@@ -93,9 +92,11 @@
 
 void FleetFeed::SetSeeds(const std::vector<std::string>& seeds) {
   m_seeds = {seeds.begin(), seeds.end()};
-  for (const std::string& seed : m_seeds) {
-    if (m_targets.insert(seed).second) m_node->Connect(seed);
-  }
+  for (const std::string& seed : m_seeds) KeepLinkTo(seed);
+}
+
+void FleetFeed::KeepLinkTo(const std::string& address) {
+  if (m_targets.insert(address).second) m_node->Connect(address);
 }
 
 void FleetFeed::PlanTick() {
@@ -110,6 +111,7 @@
 void FleetFeed::Tick() {
   const TimePoint now = Clock::now();
   m_links.Check();
+  if (!HasControlPeer(*m_node)) m_discovery.Ask(now);
   if (now < m_next_fetch || !m_fetches.IsIdle()) return;
   const std::string host = NextHost();
   if (host.empty()) return;
@@ -180,9 +182,7 @@
   for (const json& host : members) {
     wanted.insert(host.get<std::string>() + ":" + m_peer_port);
   }
-  for (const std::string& address : wanted) {
-    if (m_targets.insert(address).second) m_node->Connect(address);
-  }
+  for (const std::string& address : wanted) KeepLinkTo(address);
   for (auto target = m_targets.begin(); target != m_targets.end();) {
     if (wanted.count(*target) > 0) {
       ++target;
--- a/src/corneltray-gateway/fleet_feed.h
+++ b/src/corneltray-gateway/fleet_feed.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/control_discovery.h"
 #include "corneltray/control_links.h"
 #include "corneltray/fetch_gate.h"
 #include "corneltray/gateway.h"
@@ -17,11 +18,11 @@
 namespace corneltray {
 
 // Keeps a gateway up to date from the control processes: the route table with its confirmation by
-// the replicated log, and what upstreams say. Finds further control processes through those it has
-// a link to. Lives on the gateway's io_context; handlers of PeerNode change threads.
+// the replicated log, and what upstreams say. Finds control processes through the hosts it has a
+// link to. Lives on the gateway's io_context; handlers of PeerNode change threads.
 class FleetFeed {
  public:
-  // `name` is that of this host; `seeds` are peer addresses of control processes. All pointers
+  // `name` is that of this host; `seeds` are peer addresses of hosts to join through. All pointers
   // outlive the feed.
   FleetFeed(asio::io_context* io, PeerNode* node, Gateway* gateway, std::string name,
             std::vector<std::string> seeds);
@@ -41,6 +42,7 @@
                     const Result<nlohmann::json>& reply);
   void TakeRouteTable(const nlohmann::json& reply);
   void TakeMembers(const nlohmann::json& members);
+  void KeepLinkTo(const std::string& address);
   std::string NextHost();
 
   asio::io_context* m_io;
@@ -48,6 +50,7 @@
   PeerNode* m_node;
   Gateway* m_gateway;
   ControlLinks m_links;
+  ControlDiscovery m_discovery;
   asio::steady_timer m_timer;
   bool m_stopped = false;
   std::set<std::string> m_seeds;
--- /dev/null
+++ b/src/include/corneltray/control_discovery.h
@@ -0,0 +1,45 @@
+#ifndef CORNELTRAY_CONTROL_DISCOVERY_H_
+#define CORNELTRAY_CONTROL_DISCOVERY_H_
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "corneltray/peer.h"
+#include "corneltray/time.h"
+
+namespace corneltray {
+
+// Finds control processes through other hosts. The seeds that a process is told may all be entry
+// hosts, which serve the control interface too; each process tells those linked to it which control
+// processes it has links to. Lives on one io_context; handlers of PeerNode change threads.
+class ControlDiscovery {
+ public:
+  // Takes the peer address IP:PORT of a control process.
+  using TakeAddress = std::function<void(const std::string& address)>;
+
+  // `take` is called on the io_context. `node` outlives the object.
+  ControlDiscovery(asio::io_context* io, PeerNode* node, TakeAddress take);
+
+  // Registers the handler. Call before PeerNode::Start.
+  void Register();
+  // Asks the linked hosts, unless they were asked a moment ago. Called while the process lacks a
+  // link to a control process, several times a second.
+  void Ask(TimePoint now);
+
+ private:
+  void AskHost(const std::string& host);
+
+  asio::io_context* m_io;
+  PeerNode* m_node;
+  TakeAddress m_take;
+  TimePoint m_next_ask{};
+};
+
+// Whether this process has a link to a control process.
+bool HasControlPeer(const PeerNode& node);
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_CONTROL_DISCOVERY_H_
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -22,11 +22,12 @@
   kUpstreamSuspected,     // push: an upstream does not answer the sender
   kEngineHealth,          // push: what engines answered to the sender
   kControlCall,           // request: a call to the control interface that an entry host passes on
-  kJoinRequest,           // push: a control process that is no member wants to become one
-  kLeaseRequest,          // request: grant or renew the placement lease
-  kLeaseRelease,          // push: the holder gives the lease up
-  kReply,                 // answers a request that succeeded
-  kError,                 // answers a request that was refused
+  kControlHostFetch,  // request: addresses of the control processes that the receiver is linked to
+  kJoinRequest,       // push: a control process that is no member wants to become one
+  kLeaseRequest,      // request: grant or renew the placement lease
+  kLeaseRelease,      // push: the holder gives the lease up
+  kReply,             // answers a request that succeeded
+  kError,             // answers a request that was refused
 };
 
 template <>
@@ -47,6 +48,7 @@
       {MessageType::kUpstreamSuspected, "upstream_suspected"},
       {MessageType::kEngineHealth, "engine_health"},
       {MessageType::kControlCall, "control_call"},
+      {MessageType::kControlHostFetch, "control_host_fetch"},
       {MessageType::kJoinRequest, "join_request"},
       {MessageType::kLeaseRequest, "lease_request"},
       {MessageType::kLeaseRelease, "lease_release"},
--- /dev/null
+++ b/src/libfleet/control_discovery.cc
@@ -0,0 +1,90 @@
+#include "corneltray/control_discovery.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "corneltray/address.h"
+#include "corneltray/control_client.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kAskInterval{500};
+constexpr std::chrono::milliseconds kAskTimeout{1000};
+
+bool IsControlPeer(const PeerStatus& peer) {
+  return peer.connected && peer.identity.program == kControlProgram;
+}
+
+json EncodeControlHosts(const std::vector<PeerStatus>& peers) {
+  json addresses = json::array();
+  for (const PeerStatus& peer : peers) {
+    if (IsControlPeer(peer)) addresses.push_back(peer.address);
+  }
+  return {{"addresses", std::move(addresses)}};
+}
+
+// Entries that are no addresses are left out: a host that names them may still know others.
+std::vector<std::string> DecodeControlHosts(const json& body) {
+  std::vector<std::string> addresses;
+  const auto list = body.find("addresses");
+  if (list == body.end() || !list->is_array()) return addresses;
+  for (const json& entry : *list) {
+    if (!entry.is_string()) continue;
+    const std::string address = entry.get<std::string>();
+    if (!PortOf(address).empty()) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+bool HasControlPeer(const PeerNode& node) {
+  const std::vector<PeerStatus> peers = node.Peers();
+  return std::any_of(peers.begin(), peers.end(), IsControlPeer);
+}
+
+ControlDiscovery::ControlDiscovery(asio::io_context* io, PeerNode* node, TakeAddress take)
+    : m_io(io), m_node(node), m_take(std::move(take)) {}
+
+void ControlDiscovery::Register() {
+  m_node->SetRequestHandler(
+      MessageType::kControlHostFetch,
+      [this](const PeerIdentity&, const json&, const PeerNode::Responder& respond) {
+        respond(EncodeControlHosts(m_node->Peers()));
+      });
+}
+
+void ControlDiscovery::Ask(TimePoint now) {
+  if (now < m_next_ask) return;
+  m_next_ask = now + kAskInterval;
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (peer.connected) AskHost(peer.identity.host);
+  }
+}
+
+void ControlDiscovery::AskHost(const std::string& host) {
+  m_node->Request(
+      host, MessageType::kControlHostFetch, json::object(), Clock::now() + kAskTimeout,
+      [this, host](const Result<json>& reply) {
+        if (!reply) {
+          LogEvent(LogLevel::kWarning, "control_hosts_unknown",
+                   {{"asked", host}, {"reason", reply.error().ToString()}});
+          return;
+        }
+        const std::vector<std::string> found = DecodeControlHosts(reply.value());
+        LogEvent(LogLevel::kInfo, "control_hosts_told", {{"by", host}, {"addresses", found}});
+        asio::post(*m_io, [this, found] {
+          for (const std::string& address : found) m_take(address);
+        });
+      });
+}
+
+}  // namespace corneltray
--- a/testsuite/platform/fleet.py
+++ b/testsuite/platform/fleet.py
@@ -87,15 +87,15 @@
         path.write_text(render(template, values))
         return path
 
-    def control(self, number, bootstrap="true"):
+    def control(self, number, bootstrap="true", **more):
         name = f"core-{number}"
-        path = self.settings("control.toml", name, f"127.0.0.{number}", ZONES[number - 1],
-                             bootstrap=bootstrap)
+        path = self.settings("control.toml", name, f"127.0.0.{number}",
+                             ZONES[(number - 1) % len(ZONES)], bootstrap=bootstrap, **more)
         return self.start("corneltray-control", "--settings", path, name=name)
 
-    def entry(self, number, wait=True, zone="a"):
+    def entry(self, number, wait=True, zone="a", **more):
         name = f"edge-{number}"
-        path = self.settings("entry.toml", name, entry_ip(number), zone)
+        path = self.settings("entry.toml", name, entry_ip(number), zone, **more)
         return self.start("corneltray-gateway", "--settings", path, name=name, wait=wait)
 
     def replica(self, *arguments, controls=None, **more):
