Found the log without seeds that are no control hosts

On an installation with fewer control hosts than seeds are named, a seed of the first start is an entry host, and the log, which waits for the votes of all seeds, never forms.

Cause: every seed of the first start was taken for a replica.

Change: a control process that is linked to the process at a seed's address and finds another program there leaves that host out of the first start. Safe because a host is left out only on the proof of its own hello, so of two founders the higher one needs the vote of the lower one, which that replica gives to itself.

Open: a first start at which no seed is a control host founds nothing.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -455,6 +455,11 @@
   return {};
 }
 
+void ControlNode::ExcludeFoundingHost(const std::string& host) {
+  m_replica.ExcludeFoundingHost(host);
+  Drain();
+}
+
 json ControlNode::ConfigurationSince(const json& body) const {
   const ConfigurationStore& store = m_state.GetConfiguration();
   if (body.contains("history")) {
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -63,6 +63,8 @@
   const RouteTableStore& GetRouteTable() const { return m_state.GetRouteTable(); }
   // Proposes one change of the members, if this replica leads.
   corneltray::Status ChangeMembers(const MemberChange& change);
+  // A host of the first start runs no control process.
+  void ExcludeFoundingHost(const std::string& host);
 
   // From any thread but the I/O thread. Status gives null when the I/O thread does not answer.
   nlohmann::json Status();
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "corneltray/address.h"
 #include "corneltray/compression.h"
 #include "corneltray/control_protocol.h"
 #include "corneltray/engine_call.h"
@@ -337,6 +338,7 @@
 void FleetService::KeepMembers() {
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
   LinkMembers(status.members);
+  if (status.members.members.empty()) ExcludeOtherPrograms();
   if (status.members.members.count(status.self) == 0) return AskToJoin(status);
   if (status.role != ReplicaRole::kLeader) return;
   std::set<std::string> reachable{m_options.host};
@@ -372,6 +374,17 @@
   m_linked_members = std::move(wanted);
 }
 
+// The seeds of the first start found the log; those that serve the control interface and are no
+// control hosts take no part. The whole address is compared: a host may run two programs.
+void FleetService::ExcludeOtherPrograms() {
+  const std::vector<std::string>& seeds = m_options.seeds;
+  for (const PeerStatus& peer : m_options.node->Peers()) {
+    if (!peer.connected || peer.identity.program == kControlProgram) continue;
+    if (std::find(seeds.begin(), seeds.end(), peer.address) == seeds.end()) continue;
+    m_options.control->ExcludeFoundingHost(IpOf(peer.address));
+  }
+}
+
 void FleetService::AskToJoin(const ReplicaStatus& status) {
   asio::post(*m_io, [this] { m_discovery.Ask(Clock::now()); });
   for (const PeerStatus& peer : m_options.node->Peers()) {
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -35,7 +35,8 @@
   std::string host;                // name of this replica
   std::string availability_zone;
   std::size_t target_voters = 3;
-  std::string peer_port;  // at which every control process listens for peers
+  std::string peer_port;           // at which every control process listens for peers
+  std::vector<std::string> seeds;  // peer addresses of the first start
 };
 
 // The calls of upstreams and operators at a control process: takes announcements and passes them on
@@ -79,6 +80,7 @@
   void KeepMembers();                           // on the I/O thread of PeerNode
   void AskToJoin(const ReplicaStatus& status);  // on the I/O thread of PeerNode
   void LinkMembers(const MemberSet& members);
+  void ExcludeOtherPrograms();  // on the I/O thread of PeerNode
   void ReadReplica();
   void OnReplicaView(const ReplicaView& view);
   void PlaceLayers(TimePoint now);
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -225,6 +225,7 @@
     options.availability_zone = m_settings.availability_zone;
     options.target_voters = m_settings.control_voters;
     options.peer_port = PortOf(m_settings.peer_address);
+    options.seeds = m_settings.seeds;
     m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
     m_fleet->Register();
   }
--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -395,6 +395,9 @@
   // Appends one member change at the leader. Fails with kChangeInProgress until the previous change
   // and the first record of the leader's term are committed.
   Result<LogPosition> ProposeMembers(TimePoint now, const MemberChange& change);
+  // A host of the first start is known to run no replica; the others found the log without it. Each
+  // of them has to learn it before it grants its vote. No effect once the log has a record.
+  void ExcludeFoundingHost(const std::string& host);
 
   // Asks for a linearizable read point. Ends with ReadBarrierConfirmed or ReadBarrierFailed for
   // this id; on an error neither follows.
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -286,6 +286,7 @@
 Result<LogPosition> Replica::ProposeMembers(TimePoint now, const MemberChange& change) {
   return m_impl->ProposeMembers(now, change);
 }
+void Replica::ExcludeFoundingHost(const std::string& host) { m_impl->ExcludeFoundingHost(host); }
 Status Replica::ReadBarrier(TimePoint now, std::uint64_t id) {
   return m_impl->ReadBarrier(now, id);
 }
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -47,6 +47,7 @@
   void Step(TimePoint now, const std::string& from_host, const ReplicaMessage& message);
   Result<LogPosition> Propose(TimePoint now, UnixMs timestamp, std::string payload);
   Result<LogPosition> ProposeMembers(TimePoint now, const MemberChange& change);
+  void ExcludeFoundingHost(const std::string& host);
   Status ReadBarrier(TimePoint now, std::uint64_t id);
   Status TransferLeadership(TimePoint now);
   void Persisted(TimePoint now, std::uint64_t sequence);
--- a/src/libcorneltray/consensus_members.cc
+++ b/src/libcorneltray/consensus_members.cc
@@ -28,6 +28,14 @@
   PersistHard();
 }
 
+void Replica::Impl::ExcludeFoundingHost(const std::string& host) {
+  if (host == m_self.host || !m_log.Empty()) return;
+  const auto found = std::find(m_founding_hosts.begin(), m_founding_hosts.end(), host);
+  if (found == m_founding_hosts.end()) return;
+  m_founding_hosts.erase(found);
+  StartFounding();
+}
+
 bool Replica::Impl::IsFounding() const {
   return !m_founding_hosts.empty() && FounderHost(m_founding_hosts) == m_self.host &&
          m_log.Empty() && m_hard.term == kFoundingTerm && m_hard.voted_for == m_self;
--- a/src/libcorneltray/consensus_test.cc
+++ b/src/libcorneltray/consensus_test.cc
@@ -341,6 +341,32 @@
     CHECK(bench.Status().members == Voters({kA, kB, kC}));
     CHECK(bench.Status().last == LogPosition{1, 1});
   }
+  SUBCASE("without a host that runs no replica, once that is known") {
+    PersistentState second = founder;
+    second.self = kB;
+    Bench bench(second);
+    bench.Get().ExcludeFoundingHost("a");
+    bench.Run();
+    CHECK(bench.Count<PersistHardState>() == 1);  // its own vote
+    bench.Receive(kC, 1, FoundReply{true});
+    CHECK(bench.Status().members == Voters({kB, kC}));
+    SUBCASE("and no host is left out afterwards") {
+      bench.Get().ExcludeFoundingHost("c");
+      CHECK(bench.Status().members == Voters({kB, kC}));
+    }
+  }
+  SUBCASE("a host that has not learned of it does not vote for the next one") {
+    PersistentState third = founder;
+    third.self = kC;
+    Bench bench(third);
+    bench.Get().Step(kStart, "b", {kB, {"c", ""}, 1, FoundRequest{}});
+    bench.Run();
+    CHECK(bench.LastSent<FoundReply>() == nullptr);
+    bench.Get().ExcludeFoundingHost("a");
+    bench.Get().Step(kStart, "b", {kB, {"c", ""}, 1, FoundRequest{}});
+    bench.Run();
+    CHECK(bench.LastSent<FoundReply>() != nullptr);
+  }
   SUBCASE("because a host votes for one founder, durably") {
     PersistentState state = founder;
     state.self = kB;
--- a/testsuite/entry-seeds/run.py
+++ b/testsuite/entry-seeds/run.py
@@ -1,7 +1,7 @@
 """Processes whose seeds are entry hosts, on the users' platform.
 
-Guards against a process that never finds the control hosts, because the seeds that it is told
-serve the control interface and are no control hosts.
+Guards against a log that never forms, and a process that never finds the control hosts, because
+the seeds that they are told serve the control interface and are no control hosts.
 """
 
 import pathlib
@@ -16,7 +16,20 @@
 FOUND_WITHIN_S = 4
 
 
-def run(c, build):
+def check_first_start(c, build):
+    """The first of three seeds, in order, is an entry host."""
+    with Platform(build) as platform:
+        seeds = [f"{ip}:{platform.control_port}"
+                 for ip in (entry_ip(1), "127.0.0.2", "127.0.0.3")]
+        platform.entry(1, seeds=seeds)
+        controls = [platform.control(number, seeds=seeds) for number in (1, 2, 3)]
+        h.wait_until(lambda: platform.put(configuration(3)) == 200, 10, "a leader")
+        for control in controls:
+            joined = control.wait_event("route_table_applied", FOUND_WITHIN_S)
+            c.equal(joined["version"], 3, f"{control.name} is part of the log")
+
+
+def check_later_starts(c, build):
     with Platform(build) as platform:
         for number in (1, 2, 3):
             platform.control(number)
@@ -38,5 +51,10 @@
         c.equal(found["version"], 3, "also an entry host that is itself among its seeds")
 
 
+def run(c, build):
+    check_first_start(c, build)
+    check_later_starts(c, build)
+
+
 if __name__ == "__main__":
     h.main(run, __doc__)
