Leave an upstream that sends bytes without end

Cause: heads and whole bodies were bounded, but not what is skipped before an answer (interim answers, answers to other requests), nor an event of a stream, whose end was besides searched from its start for each piece; and several long bodies together had no bound. The same cause elsewhere: the reports asked of engines and the answers to orders were read without a bound, the latter also without a deadline.

Change: UpstreamPool gives up an answer after 256 KiB of skipped bytes, a body over the sender's bound, and at the sender's deadline; EventStream takes events up to 256 KiB; bodies that are not whole share 32 MiB of a host. AskForReport serves control processes and entry hosts in place of two copies of the same call, with a bound and a deadline.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds kPutTimeout{900};
 constexpr std::chrono::milliseconds kGetTimeout{900};
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
+// An engine may carry out an order many seconds late, and may drop it when its connection closes.
+constexpr std::chrono::seconds kOrderAnswerTimeout{15};
 // An engine answers a question for its report within some milliseconds.
 constexpr std::chrono::milliseconds kReportTimeout{300};
 
@@ -427,41 +429,10 @@
 }
 
 void FleetService::AskEngine(const EngineQuestion& question) {
-  // Shared by the callbacks and the timer; the first of them to come finishes the question.
-  struct Asked {
-    explicit Asked(asio::io_context* io) : timer(*io) {}
-    asio::steady_timer timer;
-    UpstreamCall call;
-    std::string body;
-    int status = 0;
-    bool is_finished = false;
-  };
-  const auto asked = std::make_shared<Asked>(m_io);
-  const auto finish = [this, asked, question](bool answered) {
-    if (std::exchange(asked->is_finished, true)) return;
-    asked->timer.cancel();
-    std::optional<EngineReport> report;
-    if (answered && asked->status == kOk) {
-      auto decoded = m_options.dialect->ReadReport(asked->body);
-      if (decoded) report = std::move(decoded).value();
-    }
-    FinishQuestion(question, report);
-  };
-  UpstreamRequest request =
-      MakeEngineCall(question.address, m_options.dialect->WriteReportRequest());
-  request.connect_deadline = Clock::now() + kReportTimeout;
-  UpstreamCallbacks callbacks;
-  callbacks.on_head = [asked](const HttpHead& head) { asked->status = head.status; };
-  callbacks.on_body = [asked](std::string_view bytes) { asked->body.append(bytes); };
-  callbacks.on_end = [finish] { finish(true); };
-  callbacks.on_failure = [finish](UpstreamFailure) { finish(false); };
-  asked->timer.expires_after(kReportTimeout);
-  asked->timer.async_wait([asked, finish](const asio::error_code& cancelled) {
-    if (cancelled) return;
-    asked->call.Cancel();
-    finish(false);
-  });
-  asked->call = m_pool.Send(std::move(request), std::move(callbacks));
+  AskForReport(&m_pool, m_options.dialect, question.address, Clock::now() + kReportTimeout,
+               [this, question](const std::optional<EngineReport>& report) {
+                 FinishQuestion(question, report);
+               });
 }
 
 void FleetService::FinishQuestion(const EngineQuestion& question,
@@ -496,6 +467,7 @@
   UpstreamRequest request =
       MakeEngineCall(decision.address, m_options.dialect->WritePlaceOrder(order));
   request.connect_deadline = Clock::now() + kOrderConnectTimeout;
+  request.answer_deadline = Clock::now() + kOrderAnswerTimeout;
   const auto log = [decision](const std::string& outcome) {
     LogEvent(LogLevel::kInfo, "layers_order_answered",
              {{"upstream", decision.upstream}, {"fence", decision.fence}, {"outcome", outcome}});
--- a/src/include/corneltray/event_stream.h
+++ b/src/include/corneltray/event_stream.h
@@ -8,6 +8,9 @@
 
 namespace corneltray {
 
+// A longer event is malformed; events hold a few tokens.
+constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
+
 // Passes on the whole events of a text/event-stream, each once and in order, also when the stream
 // goes on at another upstream. Bytes of an event that was cut off are dropped. Not thread safe.
 class EventStream {
@@ -24,6 +27,8 @@
 
   // Whether bytes of an unfinished event are left over.
   bool HasPartialEvent() const { return !m_partial.empty(); }
+  // An event is over the limit, so bytes may come without end. Nothing more is taken.
+  bool IsOversized() const { return m_is_oversized; }
   // Id of the last event that was passed on, as text; empty before the first.
   const std::string& LastId() const { return m_last_id; }
   std::uint64_t Events() const { return m_events; }
@@ -38,6 +43,7 @@
   std::optional<std::uint64_t> m_last_number;
   std::uint64_t m_events = 0;
   bool m_has_gap = false;
+  bool m_is_oversized = false;
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -104,16 +104,12 @@
   // Has the control processes ask an engine whose refusal its load does not explain.
   void Doubt(const std::string& address);
   void Finished(const std::shared_ptr<Exchange>& exchange);
+  // Bodies of answers that are held until they are whole, over all requests. A longer one than
+  // there is room for is not taken.
+  bool TakeAnswerBytes(std::size_t bytes);
+  void ReleaseAnswerBytes(std::size_t bytes) { m_answer_bytes -= bytes; }
 
  private:
-  struct ReportQuestion {
-    std::vector<StalledCallback> waiting;
-    UpstreamCall call;
-    std::string body;
-    int status = 0;
-    TimePoint deadline{};
-  };
-
   void OnCall(const HttpCall& call);
   void Admit(const HttpCall& call);
   bool MustWait(const HttpCall& call);
@@ -127,7 +123,7 @@
   void LeaveLostEngine(TimePoint now, const std::string& address);
   void PlanTick();
   void Tick();
-  void FinishReport(const std::string& address, bool answered);
+  void FinishReport(const std::string& address, const std::optional<EngineReport>& report);
 
   asio::io_context* m_io;
   GatewayOptions m_options;
@@ -138,14 +134,15 @@
   std::uint64_t m_used_generation = 0;  // of m_upstreams in the routers
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
-  std::map<std::string, EngineRouter> m_routers;    // by service
-  std::map<std::string, ServicePicker> m_pickers;   // by service
-  std::map<std::string, RetryBudget> m_budgets;     // by service
-  std::map<std::string, ReportQuestion> m_reports;  // by address
-  std::map<std::string, TimePoint> m_next_doubt;    // by address
+  std::map<std::string, EngineRouter> m_routers;                  // by service
+  std::map<std::string, ServicePicker> m_pickers;                 // by service
+  std::map<std::string, RetryBudget> m_budgets;                   // by service
+  std::map<std::string, std::vector<StalledCallback>> m_reports;  // who waits, by address
+  std::map<std::string, TimePoint> m_next_doubt;                  // by address
   SuspectHandler m_on_suspect;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
+  std::size_t m_answer_bytes = 0;  // of answers that are not whole yet
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
   // Goes with the object. A handler of the timer may run after it and looks here first.
--- a/src/include/corneltray/upstream_pool.h
+++ b/src/include/corneltray/upstream_pool.h
@@ -4,7 +4,9 @@
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,6 +50,10 @@
   // Opens a connection of its own instead of reusing one that the upstream may be closing.
   bool fresh_connection = false;
   TimePoint connect_deadline{};
+  // The whole answer is there by then, or the request fails. Empty: its sender cancels it in time.
+  std::optional<TimePoint> answer_deadline;
+  // An answer with a longer body is malformed.
+  std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   // Whether a head belongs to this request. An answer that does not, left over from an earlier
   // request, is skipped. Empty: every head does.
   std::function<bool(const HttpHead& head)> is_answer;
--- a/src/libhttp/upstream_pool.cc
+++ b/src/libhttp/upstream_pool.cc
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{32} * 1024;
+// Interim answers and answers to other requests that are skipped before the one that is waited for.
+constexpr std::size_t kMaxSkippedBytes = std::size_t{256} * 1024;
 // An idle connection is not reused for this long before the upstream says that it closes it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{1000};
 constexpr std::chrono::milliseconds kDefaultKeepAlive{500};
@@ -75,7 +77,7 @@
                      std::string address)
       : m_pool(std::move(pool)),
         m_socket(*io),
-        m_connect_timer(*io),
+        m_timer(*io),
         m_address(std::move(address)),
         m_reader(HttpMessageKind::kResponse, kMaxAnswerHeadBytes) {}
 
@@ -93,9 +95,12 @@
     m_reader.Restart();
     if (m_request.without_body) m_reader.ExpectNoBody();
     m_paused = false;
+    m_skipped_bytes = 0;
+    m_body_bytes = 0;
     if (connect) {
       Connect();
     } else {
+      WatchAnswer();
       SendRequest();
     }
   }
@@ -111,7 +116,7 @@
   void Close() {
     if (std::exchange(m_closed, true)) return;
     asio::error_code ignored;  // the connection is given up either way
-    m_connect_timer.cancel();
+    m_timer.cancel();
     m_socket.close(ignored);
     m_pool->Remove(shared_from_this());
   }
@@ -126,8 +131,8 @@
       return;
     }
     ++m_pool->counters.connects;
-    m_connect_timer.expires_at(m_request.connect_deadline);
-    m_connect_timer.async_wait([self](const asio::error_code& cancelled) {
+    m_timer.expires_at(m_request.connect_deadline);
+    m_timer.async_wait([self](const asio::error_code& cancelled) {
       if (cancelled || self->m_connected) return;
       ++self->m_pool->counters.connect_failures;
       self->Fail(UpstreamFailure::kNotConnected);
@@ -143,13 +148,24 @@
       return Fail(UpstreamFailure::kNotConnected);
     }
     m_connected = true;
-    m_connect_timer.cancel();
+    m_timer.cancel();
     asio::error_code ignored;  // only saves a delay
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    WatchAnswer();
     SendRequest();
     Read();
   }
 
+  void WatchAnswer() {
+    if (!m_request.answer_deadline) return;
+    m_timer.expires_at(*m_request.answer_deadline);
+    m_timer.async_wait(
+        [self = shared_from_this(), number = m_number](const asio::error_code& cancelled) {
+          if (cancelled || !self->m_busy || self->m_number != number) return;
+          self->FailUnfinished();
+        });
+  }
+
   void SendRequest() {
     const auto self = shared_from_this();
     m_writing = true;
@@ -183,6 +199,10 @@
     if (error == asio::error::eof && m_reader.HeadComplete() && m_reader.ReadEnd().Ok()) {
       return Finish();
     }
+    FailUnfinished();
+  }
+
+  void FailUnfinished() {
     Fail(m_reader.Started() ? UpstreamFailure::kTruncated : UpstreamFailure::kNoAnswer);
   }
 
@@ -194,15 +214,16 @@
       const Result<std::size_t> taken = m_reader.Read(bytes, &m_body);
       if (!taken) return Fail(UpstreamFailure::kMalformed);
       bytes.remove_prefix(taken.value());
-      if (!OnProgress()) return;
+      if (!OnProgress(taken.value())) return;
     }
     if (m_closed) return;
     if (!m_busy && !bytes.empty()) return Close();
     Read();
   }
 
-  // Hands out what the reader has. Returns false when reading must stop.
-  bool OnProgress() {
+  // Hands out what the reader has, after it took so many bytes. Returns false when reading must
+  // stop.
+  bool OnProgress(std::size_t bytes) {
     constexpr int kFirstFinalStatus = 200;
     if (!m_reader.HeadComplete()) return true;
     if (!m_head_given && !m_skipping) {
@@ -217,6 +238,11 @@
       }
     }
     if (m_skipping) {
+      m_skipped_bytes += bytes;
+      if (m_skipped_bytes > kMaxSkippedBytes) {
+        Fail(UpstreamFailure::kMalformed);
+        return false;
+      }
       if (!m_reader.MessageComplete()) return true;
       m_skipping = false;
       m_reader.Restart();
@@ -228,6 +254,11 @@
       if (m_callbacks.on_head) m_callbacks.on_head(m_reader.Head());
     }
     if (m_closed) return false;
+    m_body_bytes += m_body.size();
+    if (m_body_bytes > m_request.max_body_bytes) {
+      Fail(UpstreamFailure::kMalformed);
+      return false;
+    }
     if (!m_body.empty() && m_callbacks.on_body) m_callbacks.on_body(m_body);
     if (m_closed) return false;
     if (m_reader.MessageComplete()) Finish();
@@ -241,6 +272,7 @@
     m_callbacks = {};
     m_busy = false;
     m_head_given = false;
+    m_timer.cancel();
     if (reusable) {
       m_pool->Release(shared_from_this(), Clock::now() + m_keep_alive);
     } else {
@@ -260,7 +292,7 @@
 
   std::shared_ptr<UpstreamPool::Impl> m_pool;
   asio::ip::tcp::socket m_socket;
-  asio::steady_timer m_connect_timer;
+  asio::steady_timer m_timer;  // of the connection until it is open, then of the answer
   std::string m_address;
   HttpReader m_reader;
   UpstreamRequest m_request;
@@ -269,6 +301,8 @@
   std::string m_body;
   std::chrono::milliseconds m_keep_alive = kDefaultKeepAlive;
   std::uint64_t m_number = 0;
+  std::size_t m_skipped_bytes = 0;  // before the answer in progress
+  std::size_t m_body_bytes = 0;     // of the answer in progress
   bool m_connected = false;
   bool m_busy = false;
   bool m_writing = false;
--- a/src/libserving/event_stream.cc
+++ b/src/libserving/event_stream.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::size_t kLongestEventEnd = std::string_view("\n\r\n").size();
 
 std::optional<std::uint64_t> ParseId(std::string_view text) {
   std::uint64_t number = 0;
@@ -32,9 +33,8 @@
   return {};
 }
 
-// Returns the end of the first event, past its empty line, or npos.
-std::size_t FindEventEnd(std::string_view bytes) {
-  std::size_t at = 0;
+// Returns the end of the first event, past its empty line, or npos. The end is not before `at`.
+std::size_t FindEventEnd(std::string_view bytes, std::size_t at) {
   while ((at = bytes.find('\n', at)) != std::string_view::npos) {
     const std::string_view rest = bytes.substr(at + 1);
     if (!rest.empty() && rest[0] == '\n') return at + 2;
@@ -51,18 +51,24 @@
 
 std::string EventStream::Take(std::string_view bytes) {
   std::string out;
+  if (m_is_oversized) return out;
+  // The end of an event may begin in what is known already.
+  std::size_t scan_from =
+      m_partial.size() < kLongestEventEnd ? 0 : m_partial.size() - kLongestEventEnd;
   if (!m_partial.empty()) {
     m_partial.append(bytes);
     bytes = m_partial;
   }
   while (true) {
-    const std::size_t end = FindEventEnd(bytes);
+    const std::size_t end = FindEventEnd(bytes, scan_from);
     if (end == std::string_view::npos) break;
     TakeEvent(bytes.substr(0, end), &out);
     bytes.remove_prefix(end);
+    scan_from = 0;
   }
   std::string left(bytes);
   m_partial = std::move(left);
+  m_is_oversized = m_partial.size() > kMaxEventBytes;
   return out;
 }
 
@@ -79,6 +85,9 @@
   out->append(event);
 }
 
-void EventStream::Restart() { m_partial.clear(); }
+void EventStream::Restart() {
+  m_partial.clear();
+  m_is_oversized = false;
+}
 
 }  // namespace corneltray
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -60,6 +60,7 @@
     HttpHead head;                 // of its answer
     std::string faulty_address;    // stage at fault, if its answer names one
     std::string body;              // of an answer that is passed on when it is complete
+    std::size_t body_bytes = 0;    // that count against the room for such answers
     bool is_event_stream = false;  // passed on event by event
     UpstreamCall call;
   };
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -250,8 +250,12 @@
   m_attempt->last_event_at = now;
   m_attempt->check_at = now + kSilenceBeforeCheck;
   if (m_attempt->is_event_stream) return PassOnEvents(bytes);
+  const bool is_over = m_attempt->body.size() + bytes.size() > kMaxWholeAnswer;
+  if (is_over || !m_gateway->TakeAnswerBytes(bytes.size())) {
+    return EndAttempt(AttemptEvidence::kMalformed);
+  }
+  m_attempt->body_bytes += bytes.size();
   m_attempt->body.append(bytes);
-  if (m_attempt->body.size() > kMaxWholeAnswer) EndAttempt(AttemptEvidence::kMalformed);
 }
 
 void Exchange::OnEnd() {
@@ -343,6 +347,7 @@
 // Forgets the present attempt.
 void Exchange::CloseAttempt() {
   if (!m_attempt) return;
+  m_gateway->ReleaseAnswerBytes(m_attempt->body_bytes);
   if (EngineRouter* router = Router()) {
     router->End(m_attempt->chain, m_attempt->tokens);
   } else {
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -17,6 +17,8 @@
 // The lease on keys ends this long before the last moment at which a key may be honoured, for
 // requests that are on their way to an upstream.
 constexpr std::chrono::milliseconds kKeyLeaseMargin{300};
+// Of a host with 112 MB, and no less than one answer of the greatest length.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{32} * 1024 * 1024;
 // Requests that wait for a process to know routes and upstreams, after its start.
 constexpr std::size_t kMaxParked = 500;
 constexpr std::chrono::milliseconds kParkedFor{1600};
@@ -282,6 +284,12 @@
             {"route_version", RouteVersion()}});
 }
 
+bool Gateway::TakeAnswerBytes(std::size_t bytes) {
+  if (m_answer_bytes + bytes > kMaxAnswerBytes) return false;
+  m_answer_bytes += bytes;
+  return true;
+}
+
 void Gateway::Finished(const std::shared_ptr<Exchange>& exchange) { m_exchanges.erase(exchange); }
 
 void Gateway::PlanTick() {
@@ -300,60 +308,33 @@
   if (!m_parked.empty()) AdmitParked();
   const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
   for (const auto& exchange : exchanges) exchange->Tick(now);
-  std::vector<std::string> late;
-  for (const auto& [address, question] : m_reports) {
-    if (now >= question.deadline) late.push_back(address);
-  }
-  for (const std::string& address : late) {
-    m_reports[address].call.Cancel();
-    FinishReport(address, false);
-  }
-  if (!m_exchanges.empty() || !m_reports.empty() || !m_parked.empty()) PlanTick();
+  if (!m_exchanges.empty() || !m_parked.empty()) PlanTick();
 }
 
 void Gateway::AskReport(const std::string& address, StalledCallback done) {
-  const auto [known, is_new] = m_reports.emplace(address, ReportQuestion{});
-  known->second.waiting.push_back(std::move(done));
+  const auto [known, is_new] = m_reports.try_emplace(address);
+  known->second.push_back(std::move(done));
   if (!is_new) return;
-  const TimePoint deadline = Clock::now() + kReportTimeout;
-  known->second.deadline = deadline;
-  UpstreamRequest request = MakeEngineCall(address, m_options.dialect->WriteReportRequest());
-  request.connect_deadline = deadline;
-  UpstreamCallbacks callbacks;
-  callbacks.on_head = [this, address](const HttpHead& head) {
-    m_reports[address].status = head.status;
-  };
-  callbacks.on_body = [this, address](std::string_view bytes) {
-    m_reports[address].body.append(bytes);
-  };
-  callbacks.on_end = [this, address] { FinishReport(address, true); };
-  callbacks.on_failure = [this, address](UpstreamFailure) { FinishReport(address, false); };
-  known->second.call = m_pool.Send(std::move(request), std::move(callbacks));
   m_metrics.Count("probes", "report");
+  AskForReport(&m_pool, m_options.dialect, address, Clock::now() + kReportTimeout,
+               [this, address](const std::optional<EngineReport>& report) {
+                 FinishReport(address, report);
+               });
 }
 
-void Gateway::FinishReport(const std::string& address, bool answered) {
-  constexpr int kOk = 200;
-  const auto found = m_reports.find(address);
-  if (found == m_reports.end()) return;
-  const ReportQuestion question = std::move(found->second);
-  m_reports.erase(found);
-  std::optional<EngineReport> report;
-  if (answered && question.status == kOk) {
-    auto decoded = m_options.dialect->ReadReport(question.body);
-    if (decoded) report = std::move(decoded).value();
-  }
+void Gateway::FinishReport(const std::string& address, const std::optional<EngineReport>& report) {
+  const std::vector<StalledCallback> waiting = std::move(m_reports[address]);
+  m_reports.erase(address);
   LogEvent(LogLevel::kInfo, "engine_report",
            {{"address", address},
             {"answered", report.has_value()},
-            {"status", question.status},
             {"running", report ? report->running : 0},
             {"waiting", report ? report->waiting : 0},
             {"slowness", report ? report->slowness : 0.0},
             {"kv_used", report ? report->kv_used : 0.0},
             {"kv_total", report ? report->kv_total : 0.0},
             {"stalled", report ? report->stalled_addresses : std::vector<std::string>()}});
-  for (const StalledCallback& done : question.waiting) done(report ? &*report : nullptr);
+  for (const StalledCallback& done : waiting) done(report ? &*report : nullptr);
 }
 
 void Gateway::Suspect(const std::string& address, const std::string& why) {
--- /dev/null
+++ b/src/libserving/gateway_fixture_test.h
@@ -0,0 +1,144 @@
+#ifndef CORNELTRAY_GATEWAY_FIXTURE_TEST_H_
+#define CORNELTRAY_GATEWAY_FIXTURE_TEST_H_
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "../libcorneltray/test_socket.h"
+#include "../libhttp/event_loop_test.h"
+#include "corneltray/gateway.h"
+#include "dialect_test.h"
+#include "engine_fleet_test.h"
+
+namespace corneltray {
+
+inline Route MakeRoute(const std::string& prefix, CallKind kind, const std::string& service) {
+  Route route;
+  route.name = prefix;
+  route.host = "h";
+  route.prefix = prefix;
+  route.kind = kind;
+  route.timeout = std::chrono::milliseconds(3000);
+  route.objective = std::chrono::milliseconds(100);
+  route.max_upstreams = 2;
+  route.is_resumable = true;
+  route.targets = {{service, 1}};
+  return route;
+}
+
+inline RouteTable MakeTable(std::uint64_t version) {
+  RouteTable table;
+  table.version = version;
+  table.services["plain"].name = "plain";
+  table.services["model"].name = "model";
+  table.services["model"].engine = TestProfile();
+  // Two stages hold the whole model and leave room for prompts.
+  table.services["model"].engine->accelerators["fast"].memory_mb = 100'000.0;
+  table.routes = {MakeRoute("/get/", CallKind::kIdempotent, "plain"),
+                  MakeRoute("/book/", CallKind::kNonIdempotent, "plain"),
+                  MakeRoute("/talk/", CallKind::kStream, "model"),
+                  MakeRoute("/talk-plain/", CallKind::kStream, "plain")};
+  table.customers = {{"customer", {"key"}, std::nullopt}};
+  table.limits = {16384, 1 << 20, std::chrono::milliseconds(3000),
+                  std::chrono::milliseconds(15000)};
+  return table;
+}
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+}
+
+// One upstream of a test: an address and what it does with each request.
+struct ScriptedUpstream {
+  std::unique_ptr<HttpListener> listener;
+  std::atomic<int> requests{0};
+  std::vector<HttpHead> heads;   // received; on the loop
+  std::vector<HttpCall> parked;  // kept open by the script; on the loop
+};
+
+class GatewayFixture {
+ public:
+  using Script = std::function<void(ScriptedUpstream& self, const HttpCall& call)>;
+
+  GatewayFixture() {
+    loop.Run([this] {
+      GatewayOptions options;
+      options.availability_zone = "a";
+      options.dialect = std::make_shared<TestDialect>();
+      options.retry_allowance = 1000.0;
+      gateway = std::make_unique<Gateway>(loop.Io(), options);
+      REQUIRE(gateway->Listen("127.0.0.1:0").Ok());
+      gateway->SetRouteTable(MakeTable(1));
+      gateway->ConfirmRouteTable(BootTimeNow());
+    });
+  }
+  ~GatewayFixture() {
+    loop.Run([this] {
+      for (const auto& upstream : m_upstreams) upstream->parked.clear();
+      gateway.reset();
+      m_upstreams.clear();
+    });
+    loop.Stop();
+  }
+
+  // Starts an upstream; `first` and `end` are its layers, equal for a plain service.
+  ScriptedUpstream* Add(const std::string& name, const std::string& zone, Script script,
+                        std::uint32_t first = 0, std::uint32_t end = 0) {
+    return loop.Run([&] {
+      m_upstreams.push_back(std::make_unique<ScriptedUpstream>());
+      ScriptedUpstream* self = m_upstreams.back().get();
+      self->listener =
+          std::make_unique<HttpListener>(loop.Io(), [self, script](const HttpCall& call) {
+            if (call.Head().target != "/report") {
+              ++self->requests;
+              self->heads.push_back(call.Head());
+            }
+            script(*self, call);
+          });
+      REQUIRE(self->listener->Listen("127.0.0.1:0").Ok());
+      Announce(name, zone, self->listener->Address(), first, end);
+      return self;
+    });
+  }
+
+  // An upstream at an address of the test. On the loop.
+  void Announce(const std::string& name, const std::string& zone, const std::string& address,
+                std::uint32_t first = 0, std::uint32_t end = 0) {
+    UpstreamUpdate update = TestEngine(name, zone, "fast", first, end);
+    update.announcement.service = first < end ? "model" : "plain";
+    update.announcement.address = address;
+    update.announcement.slots = 100;
+    UpstreamUpdates updates;
+    updates.updates.push_back(update);
+    gateway->UpdateUpstreams(updates);
+  }
+
+  std::string Address() {
+    return loop.Run([this] { return gateway->Address(); });
+  }
+
+  // Sends one request and returns the whole answer, until the caller's connection ends.
+  std::string Call(const std::string& method, const std::string& target,
+                   const std::string& fields = "", const std::string& body = "") {
+    TestSocket caller(Address());
+    REQUIRE(caller.Send(method + " " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n" +
+                        "Key: key\r\nConnection: close\r\n" + fields +
+                        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+    return caller.ReadWhile([](const std::string&) { return true; });
+  }
+
+  EventLoopThread loop;
+  std::unique_ptr<Gateway> gateway;
+
+ private:
+  std::vector<std::unique_ptr<ScriptedUpstream>> m_upstreams;
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_GATEWAY_FIXTURE_TEST_H_
