Give the asking of engines a class of its own

Change: EngineWatch asks the engines of a zone and tells entry hosts what they said; it looks at its own stop. The tests of control processes share their options of a peer. fleet.address is described for both programs.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -28,8 +28,6 @@
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
 // An engine may carry out an order many seconds late, and may drop it when its connection closes.
 constexpr std::chrono::seconds kOrderAnswerTimeout{15};
-// An engine answers a question for its report within some milliseconds.
-constexpr std::chrono::milliseconds kReportTimeout{300};
 
 constexpr int kOk = 200;
 constexpr int kInvalid = 400;
@@ -63,6 +61,8 @@
               }),
       m_discovery(io, m_options.node,
                   [this](const std::string& address) { m_options.node->Connect(address); }),
+      m_engines({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
+                 m_options.node, &m_table}),
       m_tick_timer(*io),
       m_flush_timer(*io),
       m_keeper(m_options.target_voters) {}
@@ -84,11 +84,9 @@
         asio::post(*m_io, [this, host = from.host, suspected = std::move(suspected).value()] {
           for (const UpstreamRefresh& engine : suspected.refreshes) {
             m_table.Suspect(Clock::now(), engine.name, engine.incarnation, engine.sequence);
-            LogEvent(LogLevel::kInfo, "upstream_suspected",
-                     {{"upstream", engine.name}, {"sequence", engine.sequence}, {"by", host}});
-            m_monitor.Suspect(Clock::now(), engine.name);
+            m_engines.Suspect(engine, host);
           }
-          AskEngines();
+          m_engines.Check();
         });
       });
   m_options.node->SetRequestHandler(
@@ -125,6 +123,7 @@
 
 void FleetService::Stop() {
   m_stopped = true;
+  m_engines.Stop();
   m_tick_timer.cancel();
   m_flush_timer.cancel();
   m_endpoint.Close();
@@ -298,8 +297,7 @@
   FlushRefreshes(now);
   m_links.Check();
   PlaceLayers(now);
-  AskEngines();
-  TellEngineHealth();
+  m_engines.Check();
   m_options.node->Post([this] {
     ReadReplica();
     KeepMembers();
@@ -411,53 +409,6 @@
   }
 }
 
-bool FleetService::IsMonitor() const {
-  const std::vector<PeerStatus> peers = m_options.node->Peers();
-  return std::none_of(peers.begin(), peers.end(), [this](const PeerStatus& peer) {
-    return peer.connected && peer.identity.program == kControlProgram &&
-           peer.identity.availability_zone == m_options.availability_zone &&
-           peer.identity.host < m_options.host;
-  });
-}
-
-void FleetService::AskEngines() {
-  if (!IsMonitor()) return m_monitor.Clear();
-  for (const EngineQuestion& question :
-       m_monitor.Due(Clock::now(), m_options.availability_zone, m_table)) {
-    AskEngine(question);
-  }
-}
-
-void FleetService::AskEngine(const EngineQuestion& question) {
-  AskForReport(&m_pool, m_options.dialect, question.address, Clock::now() + kReportTimeout,
-               [this, question](const std::optional<EngineReport>& report) {
-                 FinishQuestion(question, report);
-               });
-}
-
-void FleetService::FinishQuestion(const EngineQuestion& question,
-                                  const std::optional<EngineReport>& report) {
-  if (report) {
-    m_monitor.Answered(question, *report);
-  } else {
-    LogEvent(LogLevel::kWarning, "engine_unanswered",
-             {{"upstream", question.name}, {"address", question.address}});
-    m_monitor.Unanswered(Clock::now(), question);
-  }
-  AskEngines();
-  TellEngineHealth();
-}
-
-void FleetService::TellEngineHealth() {
-  const std::vector<EngineHealth> news = m_monitor.TakeNews(Clock::now());
-  if (news.empty()) return;
-  const json body = EncodeEngineHealth(news);
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (!peer.connected || peer.identity.program == kControlProgram) continue;
-    m_options.node->Send(peer.identity.host, MessageType::kEngineHealth, body);
-  }
-}
-
 void FleetService::SendOrder(const PlaceDecision& decision) {
   PlaceOrder order;
   order.upstream = decision.upstream;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -16,7 +16,6 @@
 #include "corneltray/control_endpoint.h"
 #include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
-#include "corneltray/engine_monitor.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/layer_placement.h"
 #include "corneltray/member_keeper.h"
@@ -24,6 +23,7 @@
 #include "corneltray/peer.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
+#include "engine_watch.h"
 
 namespace corneltray {
 
@@ -84,12 +84,6 @@
   void ReadReplica();
   void OnReplicaView(const ReplicaView& view);
   void PlaceLayers(TimePoint now);
-  // Whether this process is the one of its zone that asks the engines.
-  bool IsMonitor() const;
-  void AskEngines();
-  void AskEngine(const EngineQuestion& question);
-  void FinishQuestion(const EngineQuestion& question, const std::optional<EngineReport>& report);
-  void TellEngineHealth();
   void SendOrder(const PlaceDecision& decision);
 
   asio::io_context* m_io;
@@ -101,7 +95,7 @@
   ControlDiscovery m_discovery;
   UpstreamTable m_table;
   LayerController m_layers;
-  EngineMonitor m_monitor;
+  EngineWatch m_engines;
   asio::steady_timer m_tick_timer;
   asio::steady_timer m_flush_timer;
   bool m_flush_planned = false;
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -92,7 +92,9 @@
       {"control.tolerated_losses", T::kInteger, false, "1", 0, 3, "hosts",
        "control hosts that may be lost at once; twice as many and one more replicas vote"},
       {"fleet.address", T::kString, false, "\"\"", 0, kMaxText, "",
-       "IP:PORT of a control process for upstreams and operators in the installation's dialect"},
+       "IP:PORT for upstreams and operators in the installation's dialect; an entry host passes "
+       "their "
+       "calls on to control hosts"},
       {"entry.key_lease_ms", T::kInteger, false, "5000", 100, kHourMs, "ms",
        "customer keys are honoured this long after the log confirmed the route table"},
       {"entry.retry_ratio", T::kNumber, false, "0.2", 0, 1, "",
--- a/src/libfleet/control_links_test.cc
+++ b/src/libfleet/control_links_test.cc
@@ -8,20 +8,13 @@
 
 #include "../libhttp/event_loop_test.h"
 #include "corneltray/control_client.h"
+#include "peer_options_test.h"
 
 namespace corneltray {
 namespace {
 
 using nlohmann::json;
 
-PeerOptions OptionsFor(const std::string& host, const std::string& program) {
-  PeerOptions options;
-  options.identity = {host, program, "dkr", "dkr-a", 1};
-  options.listen_address = "127.0.0.1:0";
-  options.shared_key = "0123456789abcdef";
-  return options;
-}
-
 // A control process that knows one upstream. It refuses the first fetches if told so.
 struct Control {
   PeerNode node;
@@ -30,7 +23,7 @@
   std::atomic<int> fetches_to_refuse{0};
 
   explicit Control(const std::string& host, const std::string& program = kControlProgram)
-      : node(OptionsFor(host, program)) {
+      : node(TestPeerOptions(host, program)) {
     node.SetRequestHandler(MessageType::kUpstreamFetch, [this](const PeerIdentity&, const json&,
                                                                const PeerNode::Responder& respond) {
       ++fetches;
@@ -49,7 +42,7 @@
 
 struct Fixture {
   EventLoopThread loop;
-  PeerNode node{OptionsFor("gateway", "corneltray-gateway")};
+  PeerNode node{TestPeerOptions("gateway", "corneltray-gateway")};
   std::vector<std::string> taken;  // names of upstreams; on the loop
   std::unique_ptr<ControlLinks> links;
 
--- a/src/libfleet/control_relay_test.cc
+++ b/src/libfleet/control_relay_test.cc
@@ -9,6 +9,7 @@
 #include "../libcorneltray/test_socket.h"
 #include "../libhttp/event_loop_test.h"
 #include "corneltray/control_client.h"
+#include "peer_options_test.h"
 #include "platform_dialect.h"
 
 namespace corneltray {
@@ -16,21 +17,13 @@
 
 using nlohmann::json;
 
-PeerOptions OptionsFor(const std::string& host, const std::string& program) {
-  PeerOptions options;
-  options.identity = {host, program, "dkr", "dkr-a", 1};
-  options.listen_address = "127.0.0.1:0";
-  options.shared_key = "0123456789abcdef";
-  return options;
-}
-
 // A control process that answers calls, or takes them and stays silent.
 struct Control {
   PeerNode node;
   std::atomic<int> calls{0};
   std::atomic<int> status{200};  // 0: silent
 
-  explicit Control(const std::string& host) : node(OptionsFor(host, kControlProgram)) {
+  explicit Control(const std::string& host) : node(TestPeerOptions(host, kControlProgram)) {
     node.SetRequestHandler(MessageType::kControlCall, [this](const PeerIdentity&, const json& body,
                                                              const PeerNode::Responder& respond) {
       ++calls;
@@ -46,7 +39,7 @@
   Control second{"b"};
   EventLoopThread loop;
   Metrics metrics;
-  PeerNode node{OptionsFor("gateway", "corneltray-gateway")};
+  PeerNode node{TestPeerOptions("gateway", "corneltray-gateway")};
   std::unique_ptr<ControlRelay> relay;
 
   Fixture() {
