Bound the calls that the control interface holds in memory

Cause: an entry host of 112 MB may now hold calls to the control interface beside requests and answers, each up to 48 MiB of bodies by default. Change: two of the greatest length, 16 MiB; a call beyond it gets 503, as before. Ruled out: a smaller bound on one call, since a route table may have 8 MiB.

--- a/src/libfleet/control_endpoint.cc
+++ b/src/libfleet/control_endpoint.cc
@@ -13,6 +13,9 @@
 
 constexpr std::chrono::seconds kHeadTimeout{10};
 constexpr std::chrono::seconds kIdleTimeout{30};
+// Of calls that are read or served at once: two of the greatest length, since an entry host has
+// 112 MB for everything.
+constexpr std::size_t kMaxBufferedBytes = 2 * kMaxRouteTableBytes;
 constexpr int kFirstFailure = 300;
 // The status under which a call is counted whose caller left before the answer.
 constexpr int kCallerLeft = 0;
@@ -90,6 +93,7 @@
       m_listener(io, [this](const HttpCall& http) { OnCall(http); }) {
   HttpListenerLimits limits;
   limits.max_body_bytes = kMaxRouteTableBytes;
+  limits.max_buffered_bytes = kMaxBufferedBytes;
   limits.head_timeout = kHeadTimeout;
   limits.idle_timeout = kIdleTimeout;
   m_listener.SetLimits(limits);
