Ask the links whether a control process is linked

Cause: found in reading the diff: HasControlPeer copied the list of peers a second time in each tick of an entry host, for what ControlLinks knows. Change: ControlLinks::IsEmpty in its place.

--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -111,7 +111,7 @@
 void FleetFeed::Tick() {
   const TimePoint now = Clock::now();
   m_links.Check();
-  if (!HasControlPeer(*m_node)) m_discovery.Ask(now);
+  if (m_links.IsEmpty()) m_discovery.Ask(now);
   if (now < m_next_fetch || !m_fetches.IsIdle()) return;
   const std::string host = NextHost();
   if (host.empty()) return;
--- a/src/include/corneltray/control_discovery.h
+++ b/src/include/corneltray/control_discovery.h
@@ -37,9 +37,6 @@
   TimePoint m_next_ask{};
 };
 
-// Whether this process has a link to a control process.
-bool HasControlPeer(const PeerNode& node);
-
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_CONTROL_DISCOVERY_H_
--- a/src/include/corneltray/control_links.h
+++ b/src/include/corneltray/control_links.h
@@ -24,6 +24,7 @@
   // Looks for links that came up or were lost. Called several times a second.
   void Check();
 
+  bool IsEmpty() const { return m_links.empty(); }
   bool Has(const std::string& host) const { return m_links.count(host) > 0; }
   // The linked host after this one in a round; empty if there is none.
   std::string After(const std::string& host) const;
--- a/src/libfleet/control_discovery.cc
+++ b/src/libfleet/control_discovery.cc
@@ -1,9 +1,7 @@
 #include "corneltray/control_discovery.h"
 
-#include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,14 +17,11 @@
 constexpr std::chrono::milliseconds kAskInterval{500};
 constexpr std::chrono::milliseconds kAskTimeout{1000};
 
-bool IsControlPeer(const PeerStatus& peer) {
-  return peer.connected && peer.identity.program == kControlProgram;
-}
-
 json EncodeControlHosts(const std::vector<PeerStatus>& peers) {
   json addresses = json::array();
   for (const PeerStatus& peer : peers) {
-    if (IsControlPeer(peer)) addresses.push_back(peer.address);
+    const bool is_control = peer.connected && peer.identity.program == kControlProgram;
+    if (is_control) addresses.push_back(peer.address);
   }
   return {{"addresses", std::move(addresses)}};
 }
@@ -46,11 +41,6 @@
 
 }  // namespace
 
-bool HasControlPeer(const PeerNode& node) {
-  const std::vector<PeerStatus> peers = node.Peers();
-  return std::any_of(peers.begin(), peers.end(), IsControlPeer);
-}
-
 ControlDiscovery::ControlDiscovery(asio::io_context* io, PeerNode* node, TakeAddress take)
     : m_io(io), m_node(node), m_take(std::move(take)) {}
 
