Read a route table once, not once for each control process asked

What callers saw: suspected only.

Cause: since two control processes are asked for a new table (FetchGate), a host decompressed and parsed it twice, and dropped the second copy after that.

Change: a reply whose version is not newer than the one held is not read.

--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -164,7 +164,9 @@
 }
 
 void FleetFeed::TakeRouteTable(const json& reply) {
-  if (!reply.contains("text")) return;
+  // Two control processes are asked for the same table; the second copy is not worth reading.
+  const bool is_newer = reply.at("version").get<std::uint64_t>() > m_gateway->RouteVersion();
+  if (!is_newer || !reply.contains("text")) return;
   const auto& bytes = reply.at("text").get_binary();
   const auto table =
       ReadCompressedRouteTable(m_gateway->GetDialect(), {bytes.begin(), bytes.end()});
