Wait longer for large calls before another control process is asked

Cause: an entry host asked a second and a third control process for each change that took more than 200 ms. With 1,700 routes a change is half a megabyte, and reading it takes a control host of 0.15 of a core longer than that, so each change was read and proposed three times.

Change: both waits of ForwardedCall grow by 1 ms for each KiB of the call.

Test: "a large call waits longer before another control process is asked" (the parameter does not exist before).

--- a/src/include/corneltray/control_choice.h
+++ b/src/include/corneltray/control_choice.h
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kAskNextAfter{200};
 // Callers of the control interface wait one second for an answer.
 constexpr std::chrono::milliseconds kForwardTimeout{900};
+// Added to both for each KiB of the call. A route table with thousands of routes takes a control
+// process tens of milliseconds to read, and a second one that is asked too early reads it as well.
+constexpr std::chrono::milliseconds kAddedPerKibibyte{1};
 // A control process that failed a call is asked last for this long.
 constexpr std::chrono::milliseconds kAskLastFor{2000};
 // Control processes that get a copy of one call; bounds what a slow log costs all of them.
@@ -42,7 +45,8 @@
 // is idempotent, so several may get it. The first answer that is not a server error ends the call.
 class ForwardedCall {
  public:
-  ForwardedCall(TimePoint now, std::vector<std::string> hosts);
+  // `bytes` is the size of the call.
+  ForwardedCall(TimePoint now, std::vector<std::string> hosts, std::size_t bytes);
 
   // Returns the control process to ask now.
   std::optional<std::string> Next(TimePoint now);
@@ -52,11 +56,13 @@
   bool HasFailed(TimePoint now) const;
   // When to look again.
   TimePoint NextDeadline() const;
+  TimePoint GiveUpAt() const { return m_give_up_at; }
 
  private:
   bool IsAnyoneLeft() const;
 
   std::vector<std::string> m_hosts;
+  std::size_t m_bytes;  // of the call
   std::size_t m_asked = 0;
   std::size_t m_answered = 0;
   TimePoint m_next_at;
--- a/src/libfleet/control_choice.cc
+++ b/src/libfleet/control_choice.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
+constexpr std::size_t kBytesPerKibibyte = 1024;
+
+Duration AddedFor(std::size_t bytes) { return kAddedPerKibibyte * (bytes / kBytesPerKibibyte); }
 
 }  // namespace
 
@@ -27,8 +30,11 @@
   return hosts;
 }
 
-ForwardedCall::ForwardedCall(TimePoint now, std::vector<std::string> hosts)
-    : m_hosts(std::move(hosts)), m_next_at(now), m_give_up_at(now + kForwardTimeout) {
+ForwardedCall::ForwardedCall(TimePoint now, std::vector<std::string> hosts, std::size_t bytes)
+    : m_hosts(std::move(hosts)),
+      m_bytes(bytes),
+      m_next_at(now),
+      m_give_up_at(now + kForwardTimeout + AddedFor(bytes)) {
   if (m_hosts.size() > kMostAskedPerCall) m_hosts.resize(kMostAskedPerCall);
 }
 
@@ -36,7 +42,7 @@
 
 std::optional<std::string> ForwardedCall::Next(TimePoint now) {
   if (!IsAnyoneLeft() || now < m_next_at) return std::nullopt;
-  m_next_at = now + kAskNextAfter;
+  m_next_at = now + kAskNextAfter + AddedFor(m_bytes);
   return m_hosts[m_asked++];
 }
 
--- a/src/libfleet/control_choice_test.cc
+++ b/src/libfleet/control_choice_test.cc
@@ -14,7 +14,7 @@
 // Guards against a call that waits for a control process that stands still.
 TEST_CASE("a call is passed on to the next control process when the first is silent") {
   const TimePoint start{std::chrono::hours(1)};
-  ForwardedCall call(start, {"a", "b", "c", "d"});
+  ForwardedCall call(start, {"a", "b", "c", "d"}, 100);
   REQUIRE(call.Next(start) == "a");
   CHECK_FALSE(call.Next(start).has_value());
   CHECK(call.NextDeadline() == start + kAskNextAfter);
@@ -49,9 +49,20 @@
   }
 }
 
+// Guards against every change of a large route table being read by three control processes.
+TEST_CASE("a large call waits longer before another control process is asked") {
+  const TimePoint start{std::chrono::hours(1)};
+  constexpr std::size_t kBytes = std::size_t{500} * 1024;
+  ForwardedCall call(start, {"a", "b"}, kBytes);
+  REQUIRE(call.Next(start) == "a");
+  CHECK_FALSE(call.Next(start + milliseconds(600)).has_value());
+  CHECK(call.Next(start + milliseconds(700)) == "b");
+  CHECK(call.GiveUpAt() == start + milliseconds(1400));
+}
+
 TEST_CASE("a call without a control process to go to fails at once") {
   const TimePoint start{std::chrono::hours(1)};
-  ForwardedCall call(start, {});
+  ForwardedCall call(start, {}, 0);
   CHECK_FALSE(call.Next(start).has_value());
   CHECK(call.HasFailed(start));
 }
--- a/src/libfleet/control_relay.cc
+++ b/src/libfleet/control_relay.cc
@@ -21,8 +21,8 @@
 
 // One call that is passed on. Shared by the replies, the timer and the control processes asked.
 struct ControlRelay::Forwarding {
-  Forwarding(asio::io_context* io, TimePoint now, std::vector<std::string> hosts)
-      : call(now, std::move(hosts)), timer(*io) {}
+  Forwarding(asio::io_context* io, ForwardedCall forwarded)
+      : call(std::move(forwarded)), timer(*io) {}
 
   ForwardedCall call;
   json message;
@@ -64,8 +64,8 @@
 
 void ControlRelay::Forward(const ControlRequest& request, const ControlResponder& respond) {
   const TimePoint now = Clock::now();
-  const auto forwarding =
-      std::make_shared<Forwarding>(m_io, now, m_choice.Order(now, Candidates()));
+  const auto forwarding = std::make_shared<Forwarding>(
+      m_io, ForwardedCall(now, m_choice.Order(now, Candidates()), request.body.size()));
   forwarding->message = EncodeControlRequest(request);
   forwarding->respond = respond;
   Continue(forwarding);
@@ -89,18 +89,18 @@
   forwarding->unanswered.insert(host);
   forwarding->failure = MakeControlError(kUnavailable, "control process " + host + " is silent");
   const std::weak_ptr<const bool> alive = m_alive;
-  m_node->Request(
-      host, MessageType::kControlCall, forwarding->message, Clock::now() + kForwardTimeout,
-      [this, io = m_io, alive, forwarding, host](const Result<json>& reply) {
-        const Result<ControlAnswer> answer =
-            reply ? DecodeControlAnswer(reply.value()) : Result<ControlAnswer>(reply.error());
-        asio::post(*io, [this, alive, forwarding, host, answer] {
-          if (alive.expired()) return;
-          OnAnswer(
-              forwarding, host,
-              answer ? answer.value() : MakeControlError(kUnavailable, answer.error().ToString()));
-        });
-      });
+  m_node->Request(host, MessageType::kControlCall, forwarding->message, forwarding->call.GiveUpAt(),
+                  [this, io = m_io, alive, forwarding, host](const Result<json>& reply) {
+                    const Result<ControlAnswer> answer = reply
+                                                             ? DecodeControlAnswer(reply.value())
+                                                             : Result<ControlAnswer>(reply.error());
+                    asio::post(*io, [this, alive, forwarding, host, answer] {
+                      if (alive.expired()) return;
+                      OnAnswer(forwarding, host,
+                               answer ? answer.value()
+                                      : MakeControlError(kUnavailable, answer.error().ToString()));
+                    });
+                  });
 }
 
 void ControlRelay::OnAnswer(const std::shared_ptr<Forwarding>& forwarding, const std::string& host,
