Find the replicated log from control processes that are out of it

Cause: three control hosts had been replaced as voters while they were cut off. They hold the old member set, take themselves for members and so ask nobody to join, and know no leader. They are the seeds: after the power loss entry hosts link to these three only, and ask for others only while they have no link to any control process. Class of fault: a link to a process is taken for a way to the log.

Change: an entry host that gets no confirmation asks the hosts it is linked to for other control processes; a replica without a leader asks to join.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -339,7 +339,9 @@
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
   LinkMembers(status.members);
   if (status.members.members.empty()) ExcludeOtherPrograms();
-  if (status.members.members.count(status.self) == 0) return AskToJoin(status);
+  const bool is_member = status.members.members.count(status.self) > 0;
+  // A replica that was removed while it was away does not learn of it, and knows no leader.
+  if (!is_member || !status.leader) AskToJoin(status);
   if (status.role != ReplicaRole::kLeader) return;
   std::set<std::string> reachable{m_options.host};
   for (const PeerStatus& peer : m_options.node->Peers()) {
--- a/src/corneltray-gateway/fleet_feed.cc
+++ b/src/corneltray-gateway/fleet_feed.cc
@@ -150,7 +150,10 @@
     LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
              {{"control_host", host}, {"reason", why}});
     if (m_preferred == host) m_preferred = m_links.After(host);
-    m_next_fetch = Clock::now() + kFetchRetryDelay;
+    const TimePoint now = Clock::now();
+    // Those that are linked may be out of the replicated log and know who is in it.
+    m_discovery.Ask(now);
+    m_next_fetch = now + kFetchRetryDelay;
     return;
   }
   TakeRouteTable(reply.value());
--- a/src/include/corneltray/control_discovery.h
+++ b/src/include/corneltray/control_discovery.h
@@ -24,8 +24,8 @@
 
   // Registers the handler. Call before PeerNode::Start.
   void Register();
-  // Asks the linked hosts, unless they were asked a moment ago. Called while the process lacks a
-  // link to a control process, several times a second.
+  // Asks the linked hosts, unless they were asked a moment ago. Called several times a second while
+  // the process has no link to a control process that knows a leader.
   void Ask(TimePoint now);
 
  private:
--- /dev/null
+++ b/src/libfleet/control_discovery_test.cc
@@ -0,0 +1,73 @@
+#include "corneltray/control_discovery.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+#include "../libhttp/event_loop_test.h"
+#include "corneltray/control_client.h"
+#include "peer_options_test.h"
+
+namespace corneltray {
+namespace {
+
+// A process that tells which control processes it is linked to.
+struct Process {
+  EventLoopThread loop;
+  PeerNode node;
+  std::set<std::string> found;  // on the loop
+  ControlDiscovery discovery{loop.Io(), &node,
+                             [this](const std::string& address) { found.insert(address); }};
+
+  Process(const std::string& host, const std::string& program)
+      : node(TestPeerOptions(host, program)) {
+    discovery.Register();
+    REQUIRE(node.Start().Ok());
+  }
+  ~Process() {
+    node.Stop();
+    loop.Stop();
+  }
+
+  void LinkTo(const Process& other) {
+    node.Connect(other.node.ListenAddress());
+    REQUIRE(loop.WaitFor([this] {
+      const auto peers = node.Peers();
+      return !peers.empty() && peers.back().connected;
+    }));
+  }
+};
+
+}  // namespace
+
+// Guards against a host that knows only processes which know no leader.
+TEST_CASE("a process learns of the control processes that its peers are linked to") {
+  Process leader("leader", kControlProgram);
+  SUBCASE("from an entry host") {
+    Process seed("entry", "corneltray-gateway");
+    seed.LinkTo(leader);
+    Process process("starter", "corneltray-gateway");
+    process.LinkTo(seed);
+    process.loop.Run([&] { process.discovery.Ask(Clock::now()); });
+    CHECK(process.loop.WaitFor([&] { return process.found.size() == 1; }));
+    CHECK(*process.found.begin() == leader.node.ListenAddress());
+  }
+  SUBCASE("from a control process that is out of the replicated log") {
+    Process removed("removed", kControlProgram);
+    removed.LinkTo(leader);
+    Process process("starter", "corneltray-gateway");
+    process.LinkTo(removed);
+    process.loop.Run([&] { process.discovery.Ask(Clock::now()); });
+    CHECK(process.loop.WaitFor([&] { return process.found.size() == 1; }));
+    SUBCASE("and asks again only after a while") {
+      process.loop.Run([&] {
+        process.found.clear();
+        process.discovery.Ask(Clock::now());
+      });
+      CHECK(process.found.empty());
+    }
+  }
+}
+
+}  // namespace corneltray
