Count messages between processes by type and log how a route table arrives

Change: PeerNode counts messages, bytes and handling time by type, as metrics and as the line peer_messages every 10 s; entry hosts log route_table_told and route_table_fetched. No decision changes.

--- a/src/corneltray-control/control_http.cc
+++ b/src/corneltray-control/control_http.cc
@@ -73,6 +73,7 @@
   }
   add("configuration_revision", "gauge", options.feed->Document().revision);
   text += PeerMetricsText(options.node->Counters());
+  text += PeerMessageMetricsText(options.node->MessageCounters());
   if (options.fleet_metrics) text += options.fleet_metrics();
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
--- a/src/corneltray-entry/entry_process.cc
+++ b/src/corneltray-entry/entry_process.cc
@@ -311,6 +311,7 @@
                       {"upstreams_ejected", static_cast<double>(m_routing.Ejected().size())},
                       {"gossip_malformed", static_cast<double>(m_membership.MalformedCount())}});
   response.body += PeerMetricsText(m_node.Counters());
+  response.body += PeerMessageMetricsText(m_node.MessageCounters());
   return response;
 }
 
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -23,6 +23,10 @@
 // unconfirmed one.
 constexpr std::chrono::seconds kUnconfirmedTableDelay{4};
 
+std::int64_t MillisecondsBetween(TimePoint start, TimePoint end) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(end - start).count();
+}
+
 }  // namespace
 
 ControlPlaneSubscriber::ControlPlaneSubscriber(asio::io_context* io, PeerNode* node,
@@ -67,15 +71,11 @@
       m_gateway->UpdateEngineHealth(engines);
     });
   });
-  m_node->SetPushHandler(MessageType::kRouteTableChanged,
-                         [this](const PeerIdentity& from, const json& body) {
-                           const std::uint64_t version = body.value("version", std::uint64_t{0});
-                           asio::post(*m_io, [this, host = from.host, version] {
-                             if (m_fetches.OnVersionCommitted(version, m_gateway->RouteVersion())) {
-                               FetchRouteTable(host, true);
-                             }
-                           });
-                         });
+  m_node->SetPushHandler(MessageType::kRouteTableChanged, [this](const PeerIdentity& from,
+                                                                 const json& body) {
+    const std::uint64_t version = body.value("version", std::uint64_t{0});
+    asio::post(*m_io, [this, host = from.host, version] { OnRouteTableChanged(host, version); });
+  });
 }
 
 void ControlPlaneSubscriber::Start() {
@@ -124,6 +124,19 @@
   FetchRouteTable(host, !(has_no_table && now - m_started_at > kUnconfirmedTableDelay));
 }
 
+void ControlPlaneSubscriber::OnRouteTableChanged(const std::string& host, std::uint64_t version) {
+  const std::uint64_t held = m_gateway->RouteVersion();
+  const bool fetches_now = m_fetches.OnVersionCommitted(version, held);
+  if (version > held) {
+    LogEvent(LogLevel::kInfo, "route_table_told",
+             {{"control_host", host},
+              {"version", version},
+              {"version_in_force", held},
+              {"fetches_now", fetches_now}});
+  }
+  if (fetches_now) FetchRouteTable(host, true);
+}
+
 std::string ControlPlaneSubscriber::SelectControlHost() {
   if (!m_links.Has(m_control_host)) m_control_host = m_links.NextHost(m_control_host);
   return m_control_host;
@@ -160,7 +173,7 @@
     m_next_fetch = now + kFetchRetryDelay;
     return;
   }
-  ApplyRouteTable(reply.value());
+  ApplyRouteTable(host, asked_at, reply.value());
   if (m_fetches.NeedsFetch(m_gateway->RouteVersion())) m_next_fetch = Clock::now();
   ApplyMembers(reply.value().at("members"));
   const auto retries = DecodeRetryCounts(reply.value().at("retries"));
@@ -170,11 +183,13 @@
   }
 }
 
-void ControlPlaneSubscriber::ApplyRouteTable(const json& reply) {
+void ControlPlaneSubscriber::ApplyRouteTable(const std::string& host, TimePoint asked_at,
+                                             const json& reply) {
   // The same table may be fetched from two control processes; the second copy is not decoded.
   const bool is_newer = reply.at("version").get<std::uint64_t>() > m_gateway->RouteVersion();
   if (!is_newer || !reply.contains("text")) return;
   const auto& bytes = reply.at("text").get_binary();
+  const TimePoint decode_start = Clock::now();
   const auto table =
       ReadCompressedRouteTable(m_gateway->GetDialect(), {bytes.begin(), bytes.end()});
   if (!table) {
@@ -183,6 +198,12 @@
               {"error", table.error().ToString()}});
     return;
   }
+  LogEvent(LogLevel::kInfo, "route_table_fetched",
+           {{"control_host", host},
+            {"version", table.value().version},
+            {"bytes", bytes.size()},
+            {"took_ms", MillisecondsBetween(asked_at, BootTimeNow())},
+            {"decoding_ms", MillisecondsBetween(decode_start, Clock::now())}});
   m_gateway->SetRouteTable(table.value());
 }
 
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -41,7 +41,9 @@
   void FetchRouteTable(const std::string& host, bool confirmed);
   void OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
                     const Result<nlohmann::json>& reply);
-  void ApplyRouteTable(const nlohmann::json& reply);
+  // A control process reports that a route table of this version is committed.
+  void OnRouteTableChanged(const std::string& host, std::uint64_t version);
+  void ApplyRouteTable(const std::string& host, TimePoint asked_at, const nlohmann::json& reply);
   void ApplyMembers(const nlohmann::json& members);
   void MaintainLink(const std::string& address);
   std::string SelectControlHost();
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -100,7 +100,8 @@
     }
     if (!m_settings.metrics_address.empty()) {
       m_metrics = std::make_unique<MetricsServer>(&m_io, m_settings.metrics_address, [this] {
-        return m_gateway->MetricsText() + PeerMetricsText(m_node->Counters());
+        return m_gateway->MetricsText() + PeerMetricsText(m_node->Counters()) +
+               PeerMessageMetricsText(m_node->MessageCounters());
       });
     }
     LogEvent(LogLevel::kInfo, "listening",
--- a/src/include/corneltray/metrics.h
+++ b/src/include/corneltray/metrics.h
@@ -41,6 +41,8 @@
 // Returns the exposition of the counters of the links to other processes, the same for every
 // program.
 std::string PeerMetricsText(const PeerCounters& counters);
+// Returns the exposition of the counters by message type.
+std::string PeerMessageMetricsText(const std::map<MessageType, PeerMessageCounters>& by_type);
 
 }  // namespace corneltray
 
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -57,6 +58,15 @@
   std::uint64_t bytes_received = 0;
 };
 
+// Messages of one type since the start of the process.
+struct PeerMessageCounters {
+  std::uint64_t sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t received = 0;
+  std::uint64_t bytes_received = 0;
+  Duration handling_time{0};  // spent in handlers of received messages, on the I/O thread
+};
+
 // Authenticated links between corneltray processes over websocketpp, with CBOR messages. Owns its
 // I/O thread. Every callback and handler runs on that thread and must not block; Send, Request,
 // Connect, Forget, Post and RunAt may be called from any thread.
@@ -110,6 +120,8 @@
 
   std::vector<PeerStatus> Peers() const;
   PeerCounters Counters() const;
+  // Counters by message type. Replies count as kReply or kError.
+  std::map<MessageType, PeerMessageCounters> MessageCounters() const;
 
  private:
   class Impl;
--- a/src/libcorneltray/metrics.cc
+++ b/src/libcorneltray/metrics.cc
@@ -166,4 +166,30 @@
   return text;
 }
 
+std::string PeerMessageMetricsText(const std::map<MessageType, PeerMessageCounters>& by_type) {
+  using Value = double (*)(const PeerMessageCounters&);
+  const std::pair<const char*, Value> metrics[] = {
+      {"messages_sent_total",
+       [](const PeerMessageCounters& c) { return static_cast<double>(c.sent); }},
+      {"message_bytes_sent_total",
+       [](const PeerMessageCounters& c) { return static_cast<double>(c.bytes_sent); }},
+      {"messages_received_total",
+       [](const PeerMessageCounters& c) { return static_cast<double>(c.received); }},
+      {"message_bytes_received_total",
+       [](const PeerMessageCounters& c) { return static_cast<double>(c.bytes_received); }},
+      {"message_handling_seconds_total",
+       [](const PeerMessageCounters& c) { return Seconds(c.handling_time); }},
+  };
+  std::string text;
+  for (const auto& [name, value] : metrics) {
+    const std::string metric = "corneltray_peer_" + std::string(name);
+    text += "# TYPE " + metric + " counter\n";
+    for (const auto& [type, counters] : by_type) {
+      text +=
+          metric + "{type=\"" + std::string(NameOf(type)) + "\"} " + Number(value(counters)) + "\n";
+    }
+  }
+  return text;
+}
+
 }  // namespace corneltray
--- a/src/libcorneltray/peer.cc
+++ b/src/libcorneltray/peer.cc
@@ -76,5 +76,8 @@
 
 std::vector<PeerStatus> PeerNode::Peers() const { return m_impl->loop->Peers(); }
 PeerCounters PeerNode::Counters() const { return m_impl->loop->Counters(); }
+std::map<MessageType, PeerMessageCounters> PeerNode::MessageCounters() const {
+  return m_impl->loop->MessageCounters();
+}
 
 }  // namespace corneltray
--- a/src/libcorneltray/peer_links.cc
+++ b/src/libcorneltray/peer_links.cc
@@ -80,7 +80,7 @@
     case SessionEvent::kMessage:
       // Only authentic frames keep a link alive.
       link->last_received = Clock::now();
-      OnMessage(link, std::move(input.message));
+      OnMessage(link, std::move(input.message), frame.size());
       break;
   }
 }
@@ -209,6 +209,7 @@
   TickLinks(now);
   TickPeers(now);
   TickTargets(now);
+  LogMessageCounters(now);
   m_tick_timer = m_transport.StartTimer(now + kTickInterval, [this] { Tick(); });
 }
 
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -94,6 +94,41 @@
           m_counters.bytes_received};
 }
 
+std::map<MessageType, PeerMessageCounters> PeerLoop::MessageCounters() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_message_counters;
+}
+
+void PeerLoop::CountReceived(MessageType type, std::size_t bytes, Duration handling_time) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  PeerMessageCounters& counters = m_message_counters[type];
+  ++counters.received;
+  counters.bytes_received += bytes;
+  counters.handling_time += handling_time;
+}
+
+void PeerLoop::CountSent(MessageType type, std::size_t bytes) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  PeerMessageCounters& counters = m_message_counters[type];
+  ++counters.sent;
+  counters.bytes_sent += bytes;
+}
+
+void PeerLoop::LogMessageCounters(TimePoint now) {
+  if (now < m_counters_logged_at + kCounterLogInterval) return;
+  m_counters_logged_at = now;
+  json by_type = json::object();
+  for (const auto& [type, counters] : MessageCounters()) {
+    const std::chrono::duration<double, std::milli> handling = counters.handling_time;
+    by_type[std::string(NameOf(type))] = {{"sent", counters.sent},
+                                          {"bytes_sent", counters.bytes_sent},
+                                          {"received", counters.received},
+                                          {"bytes_received", counters.bytes_received},
+                                          {"handling_ms", handling.count()}};
+  }
+  LogEvent(LogLevel::kInfo, "peer_messages", {{"since_start", std::move(by_type)}});
+}
+
 void PeerLoop::Connect(const std::string& address) {
   Dispatch([this, address] { m_targets.try_emplace(address); });
 }
@@ -113,6 +148,7 @@
           {{"reason", "over the frame limit"}, {"type", NameOf(type)}, {"bytes", payload.size()}});
       return;
     }
+    CountSent(type, payload.size());
     SendPayload(link, payload);
   });
 }
@@ -146,12 +182,21 @@
           Complete(id, Error{PeerErrc::kDeadlineExceeded, host});
         });
         Link* link = FindLink(peer->second.active);
-        if (link != nullptr) SendPayload(link, request.payload);
+        if (link == nullptr) return;
+        CountSent(type, request.payload.size());
+        SendPayload(link, request.payload);
       });
   if (!accepted) (*shared_callback)(Error{PeerErrc::kStopped, ""});
 }
 
-void PeerLoop::OnMessage(Link* link, PeerMessage message) {
+void PeerLoop::OnMessage(Link* link, PeerMessage message, std::size_t bytes) {
+  const MessageType type = message.type;
+  const TimePoint start = Clock::now();
+  Handle(link, std::move(message));
+  CountReceived(type, bytes, Clock::now() - start);
+}
+
+void PeerLoop::Handle(Link* link, PeerMessage message) {
   if (message.type == MessageType::kHeartbeat && message.id == 0) return;
   const PeerIdentity from = link->session->Peer().identity;
   if (message.reply_to != 0) {
@@ -237,7 +282,10 @@
   // The reply takes the link of the latest copy of the request: the requester uses that link, while
   // the one in use here may already be closed at the other side.
   Link* link = FindLink(peer->second.replies.LinkOf(id));
-  if (link != nullptr) SendPayload(link, payload);
+  if (link != nullptr) {
+    CountSent(reply.type, payload.size());
+    SendPayload(link, payload);
+  }
   peer->second.replies.Answer(id, std::move(payload));
 }
 
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -34,6 +34,7 @@
 // A peer without a link for this long is forgotten with its stored replies.
 inline constexpr std::chrono::seconds kForgetPeerAfter{60};
 inline constexpr std::chrono::milliseconds kTickInterval{100};
+inline constexpr std::chrono::seconds kCounterLogInterval{10};
 inline constexpr std::chrono::milliseconds kMinRedialDelay{100};
 inline constexpr std::chrono::milliseconds kMaxRedialDelay{2000};
 
@@ -61,6 +62,7 @@
   void RunAt(TimePoint when, std::function<void()> function);
   std::vector<PeerStatus> Peers() const;
   PeerCounters Counters() const;
+  std::map<MessageType, PeerMessageCounters> MessageCounters() const;
 
   void Connect(const std::string& address);
   void Forget(const std::string& address);
@@ -140,7 +142,11 @@
   void PublishPeers();
 
   // Messages: peer_loop.cc.
-  void OnMessage(Link* link, PeerMessage message);
+  void OnMessage(Link* link, PeerMessage message, std::size_t bytes);
+  void Handle(Link* link, PeerMessage message);
+  void CountReceived(MessageType type, std::size_t bytes, Duration handling_time);
+  void CountSent(MessageType type, std::size_t bytes);
+  void LogMessageCounters(TimePoint now);
   void OnRequest(Link* link, const PeerIdentity& from, const PeerMessage& message);
   void Respond(const std::string& host, std::uint64_t incarnation, std::uint64_t id,
                const Result<nlohmann::json>& result);
@@ -163,10 +169,12 @@
   std::map<std::uint64_t, std::shared_ptr<void>> m_timers;  // of RunAt
   std::uint64_t m_last_timer = 0;
   AtomicCounters m_counters;
+  TimePoint m_counters_logged_at{};
 
   mutable std::mutex m_mutex;  // guards the members below
   bool m_stopped = false;
   std::vector<PeerStatus> m_published;
+  std::map<MessageType, PeerMessageCounters> m_message_counters;
 };
 
 }  // namespace corneltray
