Let read barriers that arrive during a heartbeat round share the next one

Cause: each read barrier started a heartbeat round of its own. With six control hosts one confirmation of a route table cost the leader ten messages of the log, and 121 entry hosts ask for 200 confirmations a second. Heartbeats waited behind them and leaders lost their quorum.

Change: a barrier waits for the next round; one round is open at a time, and a periodic heartbeat starts the next one if replies are lost. A barrier is still confirmed only by replies to heartbeats sent after it was requested.

Result: the new test needs 400 heartbeats for 200 reads before the change (bound 2, then 4) and passes now.

--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -76,6 +76,7 @@
   m_transfer.reset();
   m_incoming.reset();
   m_round = 0;
+  m_confirmed_round = 0;
   m_persisted_index = 0;
   m_uncommitted_bytes = 0;
   m_progress.clear();
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -118,6 +118,9 @@
   void AdvanceCommit(TimePoint now);
   void CommitTo(std::uint64_t index);
   void ConfirmBarriers();
+  // Whether a majority has not yet replied to the heartbeats of the current round.
+  bool IsRoundOpen() const { return m_confirmed_round < m_round; }
+  bool HasBarrierForNextRound() const;
   void FailBarriers();
 
   // consensus_snapshot.cc
@@ -176,7 +179,8 @@
   std::uint64_t m_term_start_index = 0;
   std::uint64_t m_persisted_index = 0;  // last index of the own log that was synced in this term
   std::uint64_t m_uncommitted_bytes = 0;
-  std::uint64_t m_round = 0;
+  std::uint64_t m_round = 0;            // of heartbeats, for read barriers
+  std::uint64_t m_confirmed_round = 0;  // latest one that a majority has replied to
   std::vector<Barrier> m_barriers;
   std::optional<Transfer> m_transfer;
   std::map<ReplicaId, ReplicaId>
--- a/src/libcorneltray/consensus_replication.cc
+++ b/src/libcorneltray/consensus_replication.cc
@@ -58,12 +58,16 @@
   if (m_storage_failed) return Error{ConsensusErrc::kStorageFailed, m_storage_error};
   if (!IsLeader()) return NotLeaderError();
   // Everything committed in earlier terms precedes the first entry of this term.
-  m_barriers.push_back({id, ++m_round, std::max(m_commit_index, m_term_start_index)});
-  m_heartbeat_due = true;
-  ConfirmBarriers();
+  m_barriers.push_back({id, m_round + 1, std::max(m_commit_index, m_term_start_index)});
+  if (!IsRoundOpen()) m_heartbeat_due = true;
   return {};
 }
 
+// Whether a barrier waits for a round that has not started. Barriers are in the order of rounds.
+bool Replica::Impl::HasBarrierForNextRound() const {
+  return !m_barriers.empty() && m_barriers.back().round > m_round;
+}
+
 // Sends each member the entries it lacks, and a heartbeat if one is due. Called once for each
 // TakeActions, so that proposals made together are sent in one message.
 void Replica::Impl::SendToAll(TimePoint now) {
@@ -71,6 +75,7 @@
   if (heartbeat) {
     m_heartbeat_due = false;
     m_heartbeat_at = now + m_options.heartbeat_interval;
+    if (HasBarrierForNextRound()) ++m_round;
   }
   for (auto& [id, progress] : m_progress) {
     if (heartbeat) progress.in_flight = 0;
@@ -81,6 +86,7 @@
       SendHeartbeat(now, id, progress);
     }
   }
+  if (heartbeat) ConfirmBarriers();  // a sole voter gets no replies
 }
 
 void Replica::Impl::SendHeartbeat(TimePoint now, const ReplicaId& to, MemberProgress& progress) {
@@ -247,7 +253,8 @@
 }
 
 // Confirms the barriers for which a majority has replied to a heartbeat sent after the request: no
-// other leader had been elected by then.
+// other leader had been elected by then. Barriers requested during a round share the next one, so
+// that the number of heartbeats does not grow with the number of reads.
 void Replica::Impl::ConfirmBarriers() {
   if (m_barriers.empty()) return;
   const MemberSet& members = m_log.Members();
@@ -258,16 +265,17 @@
     rounds.push_back(progress == m_progress.end() ? m_round : progress->second.acked_round);
   }
   std::sort(rounds.begin(), rounds.end(), std::greater<>());
-  const std::uint64_t confirmed = rounds.empty() ? 0 : rounds[members.Quorum() - 1];
+  m_confirmed_round = rounds.empty() ? 0 : rounds[members.Quorum() - 1];
   auto kept = m_barriers.begin();
   for (const Barrier& barrier : m_barriers) {
-    if (barrier.round <= confirmed && barrier.index <= m_commit_index) {
+    if (barrier.round <= m_confirmed_round && barrier.index <= m_commit_index) {
       Emit(ReadBarrierConfirmed{barrier.id, barrier.index});
     } else {
       *kept++ = barrier;
     }
   }
   m_barriers.erase(kept, m_barriers.end());
+  if (HasBarrierForNextRound() && !IsRoundOpen()) m_heartbeat_due = true;
 }
 
 void Replica::Impl::FailBarriers() {
--- a/src/libcorneltray/consensus_test.cc
+++ b/src/libcorneltray/consensus_test.cc
@@ -326,6 +326,41 @@
   CHECK(harness.Count<ReadBarrierFailed>() == 1);
 }
 
+// Guards against a leader that is too busy to send heartbeats because each of many concurrent reads
+// starts a heartbeat round of its own.
+TEST_CASE("reads that arrive during a heartbeat round share the next round") {
+  constexpr std::uint64_t kReads = 200;
+  ReplicaHarness harness(VoterState(kA));
+  harness.Elect();
+  harness.Acknowledge(kB, 4);
+  harness.sent.clear();
+  const auto read = [&harness](std::uint64_t id) {
+    REQUIRE(harness.Get().ReadBarrier(harness.Now(), id).Ok());
+    harness.Run();
+  };
+  read(1);
+  const std::uint64_t first_round = harness.LastSent<AppendRequest>()->round;
+  for (std::uint64_t id = 2; id <= kReads; ++id) read(id);
+  CHECK(harness.sent.size() == 2);  // one heartbeat to each of the two followers
+
+  SUBCASE("and are confirmed by a reply to it") {
+    harness.Acknowledge(kB, 4, first_round);
+    CHECK(harness.Count<ReadBarrierConfirmed>() == 1);
+    CHECK(harness.sent.size() == 4);
+    harness.Acknowledge(kC, 4, first_round);
+    CHECK(harness.Count<ReadBarrierConfirmed>() == 1);
+    harness.Acknowledge(kB, 4, harness.LastSent<AppendRequest>()->round);
+    CHECK(harness.Count<ReadBarrierConfirmed>() == kReads);
+    CHECK(harness.sent.size() == 4);
+  }
+  SUBCASE("which the next periodic heartbeat starts when the replies are lost") {
+    harness.Advance(milliseconds(250));
+    CHECK(harness.sent.size() == 4);
+    harness.Acknowledge(kC, 4, harness.LastSent<AppendRequest>()->round);
+    CHECK(harness.Count<ReadBarrierConfirmed>() == kReads);
+  }
+}
+
 // Guards against a second log after a host is formatted again.
 TEST_CASE("the first start creates exactly one log") {
   PersistentState founder;
