Tell followers at once that an entry is committed

Cause: a follower learned of a commit with the next append request or the next periodic heartbeat, up to 250 ms later. So far the heartbeats of read barriers hid this; with fewer of them a confirmed change would reach hosts later.

Change: when the commit index advances, the leader sends a heartbeat that carries it.

Result: the new test failed before (no message after the commit) and passes. One message more to each follower for each commit. All unit tests pass.

--- a/src/libcorneltray/consensus_replication.cc
+++ b/src/libcorneltray/consensus_replication.cc
@@ -234,6 +234,7 @@
   const std::uint64_t index = on_disk[members.Quorum() - 1];
   if (index <= m_commit_index || m_log.TermAt(index) != m_hard_state.term) return;
   CommitTo(index);
+  m_heartbeat_due = true;  // tells the followers of the commit
   ConfirmBarriers();
   StepDownIfRemoved(now);
 }
--- a/src/libcorneltray/consensus_test.cc
+++ b/src/libcorneltray/consensus_test.cc
@@ -361,6 +361,22 @@
   }
 }
 
+// Guards against followers that serve a replaced configuration until the next periodic heartbeat.
+TEST_CASE("followers are told at once that an entry is committed") {
+  ReplicaHarness harness(VoterState(kA));
+  harness.Elect();
+  harness.Acknowledge(kB, 4);
+  harness.Acknowledge(kC, 4);
+  REQUIRE(harness.Get().Propose(harness.Now(), 0, "x").Ok());
+  harness.Run();
+  harness.sent.clear();
+  harness.Acknowledge(kB, 5);
+  REQUIRE(harness.sent.size() == 2);
+  for (const ReplicaMessage& message : harness.sent) {
+    CHECK(std::get<AppendRequest>(message.body).commit_index == 5);
+  }
+}
+
 // Guards against a second log after a host is formatted again.
 TEST_CASE("the first start creates exactly one log") {
   PersistentState founder;
