Confirm the route table of many hosts with one read of the log

Cause: each host confirms its table every 600 ms, and each confirmation was passed on to the leader and read the log by itself: 200 a second with 121 hosts. Without a leader each was refused at once and repeated 150 ms later. A change that was committed waited for such a confirmation as well.

Change: ReadBatcher groups the reads of one control process. A follower asks the leader for a read index (read_index) at most every 100 ms, waits until it has applied that index, and answers from its own state. Reads wait for a new leader until their deadline. A table newer than the held one is committed, so it is sent at once and marked as unconfirmed; it renews no lease on keys. Retry counts travel with the batch, of each host by name, so that none counts twice. Old hosts get confirmed answers only; an old leader does not know read_index, so control processes are upgraded together.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kMaxBytesPerSnapshot = std::uint64_t{8} * 1024 * 1024;
 constexpr std::chrono::seconds kRetryReportLifetime{4};
 constexpr std::chrono::seconds kMaxRequestTimeout{30};
+// A leader that does not confirm a read within the shortest election timeout may be deposed.
+constexpr std::chrono::milliseconds kReadIndexTimeout{600};
 constexpr std::chrono::milliseconds kStatusTimeout{1000};
 constexpr std::chrono::milliseconds kLeadershipPollInterval{10};
 constexpr std::size_t kMaxHistoryRows = 1000;
@@ -74,6 +76,9 @@
   m_node->SetRequestHandler(MessageType::kPropose,
                             [this](const PeerIdentity&, const json& body,
                                    const Responder& respond) { Propose(body, respond); });
+  m_node->SetRequestHandler(MessageType::kReadIndex,
+                            [this](const PeerIdentity&, const json& body,
+                                   const Responder& respond) { ReadIndex(body, respond); });
   m_node->SetRequestHandler(MessageType::kReadBooking,
                             [this](const PeerIdentity&, const json& body,
                                    const Responder& respond) { ReadBooking(body, respond); });
@@ -107,6 +112,7 @@
   m_recovery_published = m_caught_up;
   CompactIfDue();
   ScheduleTick();
+  RunReadBatches();
 }
 
 void ControlNode::Execute(ActionBatch batch) {
@@ -129,8 +135,8 @@
     void operator()(SendMessage& send) const { node.SendWhenPersisted(std::move(send)); }
     void operator()(ApplyEntries& apply) const { node.Apply(apply.entries); }
     void operator()(RestoreSnapshot& restore) const { node.Restore(restore.snapshot); }
-    void operator()(ReadBarrierConfirmed& read) const { node.FinishRead(read.id, true); }
-    void operator()(ReadBarrierFailed& read) const { node.FinishRead(read.id, false); }
+    void operator()(ReadBarrierConfirmed& read) const { node.FinishRead(read.id, read.index); }
+    void operator()(ReadBarrierFailed& read) const { node.FinishRead(read.id, std::nullopt); }
     void operator()(RoleChanged& change) const { node.OnRoleChanged(change); }
   };
   for (Action& action : other_actions) std::visit(Visitor{*this}, action);
@@ -224,12 +230,12 @@
   if (m_has_leader && !std::exchange(m_leader_reported, true)) m_options.on_leader_known();
 }
 
-void ControlNode::FinishRead(std::uint64_t id, bool confirmed) {
+void ControlNode::FinishRead(std::uint64_t id, std::optional<std::uint64_t> index) {
   const auto read = m_reads.extract(id);
   if (read.empty()) return;
   const PendingRead& waiting = read.mapped();
-  waiting.respond(confirmed ? waiting.answer()
-                            : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
+  waiting.respond(index ? waiting.answer(*index)
+                        : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
 }
 
 void ControlNode::CheckCaughtUp() {
@@ -360,11 +366,12 @@
   if (ForwardToLeader(MessageType::kReadBooking, body, respond)) return;
   const json& parts = body.at("key");
   const BookingKey key{parts.at(0), parts.at(1), parts.at(2)};
-  StartRead([this, key] { return ReplyBody(m_state.ReadBooking(key)); }, respond, DeadlineOf(body));
+  StartRead([this, key](std::uint64_t) { return ReplyBody(m_state.ReadBooking(key)); }, respond,
+            DeadlineOf(body));
 }
 
-void ControlNode::StartRead(std::function<json()> answer, const Responder& respond,
-                            TimePoint deadline) {
+void ControlNode::StartRead(std::function<json(std::uint64_t index)> answer,
+                            const Responder& respond, TimePoint deadline) {
   const std::uint64_t id = ++m_last_read_id;
   m_reads[id] = {std::move(answer), RespondOnce(respond)};
   const corneltray::Status started = m_replica.ReadBarrier(Clock::now(), id);
@@ -392,7 +399,8 @@
   const bool first = body.value("have", std::uint64_t{1}) == 0;
   if (first && m_replica.GetStatus().leader) {
     if (ForwardToLeader(MessageType::kConfigurationFetch, body, respond)) return;
-    StartRead([this, body] { return ConfigurationSince(body); }, respond, DeadlineOf(body));
+    StartRead([this, body](std::uint64_t) { return ConfigurationSince(body); }, respond,
+              DeadlineOf(body));
     return;
   }
   respond(ConfigurationSince(body));
@@ -408,20 +416,114 @@
     }
     return;
   }
-  if (ForwardToLeader(MessageType::kRouteTableFetch, body, respond)) return;
   if (body.contains("retries_of")) {
-    auto counts = DecodeRetryCounts(body.at("retries"));
-    if (counts) {
-      m_retry_reports[body.at("retries_of")] = {std::move(counts).value(),
-                                                Clock::now() + kRetryReportLifetime};
+    StoreRetryReports({{body.at("retries_of").get<std::string>(), body.at("retries")}});
+  }
+  const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
+  if (has_newer && body.value("accepts_unconfirmed", false)) {
+    json reply = RouteTableSince(have);
+    reply["is_confirmed"] = false;
+    respond(std::move(reply));
+    return;
+  }
+  AddBatchedRead([this, have](std::uint64_t) { return RouteTableSince(have); }, respond,
+                 DeadlineOf(body));
+}
+
+void ControlNode::ReadIndex(const json& body, const Responder& respond) {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
+    respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is not the leader"));
+    return;
+  }
+  StoreRetryReports(body.at("retry_reports"));
+  const auto answer = [this](std::uint64_t index) -> json {
+    return {{"index", index}, {"retries", EncodeRetryCounts(FleetRetryCounts())}};
+  };
+  AddBatchedRead(answer, respond, DeadlineOf(body));
+}
+
+void ControlNode::AddBatchedRead(std::function<json(std::uint64_t index)> answer,
+                                 const Responder& respond, TimePoint deadline) {
+  m_batched_reads[m_read_batcher.Add(deadline)] = {std::move(answer), respond};
+  RunReadBatches();
+}
+
+void ControlNode::RunReadBatches() {
+  const TimePoint now = Clock::now();
+  for (const ReadBatcher::Id id : m_read_batcher.TakeComplete(m_applied_index)) {
+    const auto read = m_batched_reads.extract(id);
+    read.mapped().respond(read.mapped().answer(m_last_batch_index));
+  }
+  for (const ReadBatcher::Id id : m_read_batcher.TakeExpired(now)) {
+    const auto read = m_batched_reads.extract(id);
+    read.mapped().respond(
+        ErrorBody(ControlErrc::kUnavailable, m_has_leader ? "the leader did not confirm the read"
+                                                          : m_options.host + " knows no leader"));
+  }
+  if (m_read_batcher.Begin(now)) BeginReadBatch();
+  const auto next = m_read_batcher.NextWakeup();
+  if (!next || (m_next_read_wakeup && *m_next_read_wakeup <= *next)) return;
+  m_next_read_wakeup = next;
+  m_node->RunAt(*next, [this, next] {
+    if (m_next_read_wakeup != next) return;  // an earlier wakeup was scheduled since
+    m_next_read_wakeup.reset();
+    RunReadBatches();
+  });
+}
+
+void ControlNode::BeginReadBatch() {
+  const ReplicaStatus status = m_replica.GetStatus();
+  const auto finish = [this](const Result<json>& reply) { OnReadIndex(reply); };
+  const TimePoint deadline = Clock::now() + kReadIndexTimeout;
+  if (status.role == ReplicaRole::kLeader) {
+    m_unsent_retry_reports = json::object();
+    StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
+    return;
+  }
+  if (!status.leader) {
+    m_read_batcher.Fail();
+    return;
+  }
+  json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
+               {"timeout_ms", kReadIndexTimeout.count()}};
+  m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
+}
+
+void ControlNode::OnReadIndex(const Result<json>& reply) {
+  const bool is_confirmed = reply && reply.value().contains("index");
+  if (is_confirmed) {
+    m_last_batch_index = reply.value().at("index").get<std::uint64_t>();
+    m_read_batcher.Confirm(m_last_batch_index);
+    if (reply.value().contains("retries")) {
+      const auto counts = DecodeRetryCounts(reply.value().at("retries"));
+      if (counts) m_leader_retry_counts = counts.value();
+    }
+  } else {
+    const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
+    LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
+    m_read_batcher.Fail();
+  }
+  RunReadBatches();
+}
+
+// Keeps the counts that entry hosts reported, and passes them on with the next read of the leader.
+void ControlNode::StoreRetryReports(const json& reports) {
+  for (const auto& [host, report] : reports.items()) {
+    auto counts = DecodeRetryCounts(report);
+    if (!counts) {
+      LogEvent(LogLevel::kWarning, "retry_report_refused",
+               {{"of", host}, {"error", counts.error().ToString()}});
+      continue;
     }
+    m_retry_reports[host] = {std::move(counts).value(), Clock::now() + kRetryReportLifetime};
+    m_unsent_retry_reports[host] = report;
   }
-  StartRead([this, have] { return RouteTableSince(have); }, respond, DeadlineOf(body));
 }
 
-// Sums the requests and retries of all entry hosts by service, from the reports that they send with
-// each fetch.
+// Returns the requests and retries of all entry hosts by service: at the leader the sum of their
+// reports, elsewhere what the leader told last.
 std::map<std::string, RetryCounts> ControlNode::FleetRetryCounts() const {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_retry_counts;
   std::map<std::string, RetryCounts> sum;
   const TimePoint now = Clock::now();
   for (const auto& [host, report] : m_retry_reports) {
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -18,6 +18,7 @@
 #include "corneltray/control_state.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/peer.h"
+#include "corneltray/read_batcher.h"
 #include "corneltray/retry.h"
 #include "storage_thread.h"
 
@@ -54,8 +55,11 @@
   void ReadBooking(const nlohmann::json& body, const Responder& respond);
   void FetchConfiguration(const nlohmann::json& body, const Responder& respond);
 
-  // Answers with the route table if it is newer than `have`. With `confirmed` the read goes through
-  // the leader and is linearizable; without it, the answer is what this replica has applied.
+  // Answers with the route table if it is newer than `have`. With `confirmed` the read is
+  // linearizable: it is confirmed by the leader and answered from the state of this replica. A
+  // table newer than one that the host holds is committed and needs no confirmation, so with
+  // `accepts_unconfirmed` it is sent at once, and the reply says that it is unconfirmed. Without
+  // `confirmed`, the answer is what this replica has applied.
   void FetchRouteTable(const nlohmann::json& body, const Responder& respond);
 
   // The next four functions run on the I/O thread.
@@ -92,14 +96,24 @@
   };
   // A read that waits for the confirmation of its read barrier.
   struct PendingRead {
-    std::function<nlohmann::json()> answer;
+    std::function<nlohmann::json(std::uint64_t index)> answer;
     Responder respond;
   };
 
   // Answers when everything committed before the call has been applied, or with an error at the
   // deadline.
-  void StartRead(std::function<nlohmann::json()> answer, const Responder& respond,
-                 TimePoint deadline);
+  void StartRead(std::function<nlohmann::json(std::uint64_t index)> answer,
+                 const Responder& respond, TimePoint deadline);
+  // Adds a read to the next batch. `answer` is called with the index of the log that it reflects.
+  void AddBatchedRead(std::function<nlohmann::json(std::uint64_t index)> answer,
+                      const Responder& respond, TimePoint deadline);
+  // Starts, completes and expires batched reads, and schedules the next call.
+  void RunReadBatches();
+  void BeginReadBatch();
+  void OnReadIndex(const Result<nlohmann::json>& reply);
+  // Answers a read of a follower. Only the leader does; it includes the read in its own batch.
+  void ReadIndex(const nlohmann::json& body, const Responder& respond);
+  void StoreRetryReports(const nlohmann::json& reports);
   // Returns the reply to a configuration fetch, from the state that this replica has applied.
   nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
 
@@ -111,7 +125,7 @@
   void Apply(const std::vector<LogEntry>& entries);
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
-  void FinishRead(std::uint64_t id, bool confirmed);
+  void FinishRead(std::uint64_t id, std::optional<std::uint64_t> index);
   void CheckCaughtUp();
   void PublishConfiguration();
   void PublishRouteTable();
@@ -130,6 +144,10 @@
   std::multimap<std::uint64_t, PendingProposal> m_proposals;  // by log index
   std::map<std::uint64_t, PendingRead> m_reads;               // by barrier id
   std::uint64_t m_last_read_id = 0;
+  ReadBatcher m_read_batcher;
+  std::map<ReadBatcher::Id, PendingRead> m_batched_reads;
+  std::uint64_t m_last_batch_index = 0;  // of the log, at the last batch that was confirmed
+  std::optional<TimePoint> m_next_read_wakeup;
   // Messages to send once the batch with this sequence number is on disk.
   std::deque<std::pair<std::uint64_t, ReplicaMessage>> m_unsent;
   std::uint64_t m_submitted_sequence = 0;
@@ -141,8 +159,10 @@
   std::uint64_t m_compacted_index = 0;
   std::uint64_t m_published_revision = 0;
   std::uint64_t m_published_route_version = 0;
-  std::map<std::string, RetryReport> m_retry_reports;  // by entry host, at the leader
-  std::uint64_t m_applied_bytes = 0;                   // of entries since the last snapshot
+  std::map<std::string, RetryReport> m_retry_reports;  // by entry host; of all hosts at the leader
+  nlohmann::json m_unsent_retry_reports = nlohmann::json::object();  // for the leader
+  std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
+  std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
   bool m_leader_reported = false;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -12,6 +12,7 @@
   kGossip,
   kReplica,               // one message of the replicated log, body is an encoded ReplicaMessage
   kPropose,               // request: a command for the log
+  kReadIndex,             // request: log index of a linearizable read, from the leader
   kReadBooking,           // request: state of one key, read through the leader
   kConfigurationFetch,    // request: the document, or a difference from a revision
   kConfigurationChanged,  // push: a new revision is committed
@@ -38,6 +39,7 @@
       {MessageType::kGossip, "gossip"},
       {MessageType::kReplica, "replica"},
       {MessageType::kPropose, "propose"},
+      {MessageType::kReadIndex, "read_index"},
       {MessageType::kReadBooking, "read_booking"},
       {MessageType::kConfigurationFetch, "configuration_fetch"},
       {MessageType::kConfigurationChanged, "configuration_changed"},
