Spread fetches of the route table and repeat slow ones elsewhere

Cause: a host asked whoever announced a version first, mostly the leader, and after a fetch without a reply in 800 ms the next control process 150 ms later, so three silent ones cost 2.85 s. All hosts asked the same control process first, because the list was ordered by name; so did ControlRelay in each zone.

Change: FetchScheduler replaces FetchLimiter. Each host prefers one control process of its zone by a hash and waits 100 ms for it to announce a version; a fetch without a reply after 400 ms goes to the next one as well, two at a time. ControlHostSelector ranks by the same hash, for ControlRelay too.

--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -14,10 +14,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickInterval{100};
-// Interval of route table confirmations, short enough that the lease on customer keys survives some
-// lost responses.
-constexpr std::chrono::milliseconds kFetchInterval{600};
-constexpr std::chrono::milliseconds kFetchRetryDelay{150};
 constexpr std::chrono::milliseconds kFetchTimeout{800};
 // A process that still has no table after this time, as in a network partition, accepts an
 // unconfirmed one.
@@ -30,17 +26,18 @@
 }  // namespace
 
 ControlPlaneSubscriber::ControlPlaneSubscriber(asio::io_context* io, PeerNode* node,
-                                               Gateway* gateway, std::string name,
+                                               Gateway* gateway, HostLocation self,
                                                std::vector<std::string> seeds)
     : m_io(io),
-      m_name(std::move(name)),
+      m_self(std::move(self)),
       m_node(node),
       m_gateway(gateway),
       m_links(io, node,
               [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
       m_discovery(io, node, [this](const std::string& address) { MaintainLink(address); }),
       m_timer(*io),
-      m_seeds(seeds.begin(), seeds.end()) {
+      m_seeds(seeds.begin(), seeds.end()),
+      m_fetches(m_self.name) {
   if (!seeds.empty()) m_peer_port = PortOf(seeds.front());
 }
 
@@ -116,73 +113,71 @@
   const TimePoint now = Clock::now();
   m_links.Check();
   if (m_links.IsEmpty()) m_discovery.Query(now);
-  if (now < m_next_fetch || !m_fetches.IsIdle()) return;
-  const std::string host = SelectControlHost();
-  if (host.empty()) return;
-  m_next_fetch = now + kFetchInterval;
-  const bool has_no_table = m_gateway->RouteVersion() == 0;
-  FetchRouteTable(host, !(has_no_table && now - m_started_at > kUnconfirmedTableDelay));
+  FetchIfDue();
 }
 
 void ControlPlaneSubscriber::OnRouteTableChanged(const std::string& host, std::uint64_t version) {
+  m_fetches.OnVersionCommitted(Clock::now(), host, version);
   const std::uint64_t held = m_gateway->RouteVersion();
-  const bool fetches_now = m_fetches.OnVersionCommitted(version, held);
-  if (version > held) {
-    LogEvent(LogLevel::kInfo, "route_table_told",
-             {{"control_host", host},
-              {"version", version},
-              {"version_in_force", held},
-              {"fetches_now", fetches_now}});
-  }
-  if (fetches_now) FetchRouteTable(host, true);
+  if (version <= held) return;
+  LogEvent(LogLevel::kInfo, "route_table_told",
+           {{"control_host", host}, {"version", version}, {"version_in_force", held}});
+  FetchIfDue();
 }
 
-std::string ControlPlaneSubscriber::SelectControlHost() {
-  if (!m_links.Has(m_control_host)) m_control_host = m_links.NextHost(m_control_host);
-  return m_control_host;
+void ControlPlaneSubscriber::FetchIfDue() {
+  if (m_stopped) return;
+  while (const auto host =
+             m_fetches.NextFetch(Clock::now(), m_links.Candidates(m_self.availability_zone),
+                                 m_gateway->RouteVersion())) {
+    FetchRouteTable(*host);
+  }
 }
 
-void ControlPlaneSubscriber::FetchRouteTable(const std::string& host, bool confirmed) {
-  m_fetches.Begin();
+void ControlPlaneSubscriber::FetchRouteTable(const std::string& host) {
   const TimePoint asked_at = BootTimeNow();
-  const json body = {{"have", m_gateway->RouteVersion()},
+  const std::uint64_t held = m_gateway->RouteVersion();
+  const bool confirmed = held > 0 || Clock::now() - m_started_at <= kUnconfirmedTableDelay;
+  const json body = {{"have", held},
                      {"confirmed", confirmed},
-                     {"retries_of", m_name},
+                     {"accepts_unconfirmed", true},
+                     {"retries_of", m_self.name},
                      {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
                      {"timeout_ms", kFetchTimeout.count()}};
   m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
                   [this, host, confirmed, asked_at](const Result<json>& reply) {
                     asio::post(*m_io, [this, host, confirmed, asked_at, reply] {
                       OnRouteTable(host, confirmed, asked_at, reply);
+                      FetchIfDue();
                     });
                   });
 }
 
 void ControlPlaneSubscriber::OnRouteTable(const std::string& host, bool confirmed,
                                           TimePoint asked_at, const Result<json>& reply) {
-  m_fetches.End();
-  const bool is_answered = reply && reply.value().contains("version");
-  if (!is_answered) {
-    const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
-    LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
-             {{"control_host", host}, {"reason", why}});
-    if (m_control_host == host) m_control_host = m_links.NextHost(host);
-    const TimePoint now = Clock::now();
-    // The linked control hosts may have left the replicated log but know its current members.
-    m_discovery.Query(now);
-    m_next_fetch = now + kFetchRetryDelay;
-    return;
-  }
-  ApplyRouteTable(host, asked_at, reply.value());
-  if (m_fetches.NeedsFetch(m_gateway->RouteVersion())) m_next_fetch = Clock::now();
-  ApplyMembers(reply.value().at("members"));
-  const auto retries = DecodeRetryCounts(reply.value().at("retries"));
+  if (!reply) return OnFetchFailed(host, reply.error().ToString());
+  const json& body = reply.value();
+  if (!body.contains("version")) return OnFetchFailed(host, body.value("detail", ""));
+  const bool is_confirmed = confirmed && body.value("is_confirmed", true);
+  m_fetches.OnAnswered(host, is_confirmed);
+  ApplyRouteTable(host, asked_at, body);
+  ApplyMembers(body.at("members"));
+  const auto retries = DecodeRetryCounts(body.at("retries"));
   if (retries) m_gateway->SetFleetRetryCounts(retries.value());
-  if (confirmed && m_gateway->RouteVersion() >= reply.value().at("version").get<std::uint64_t>()) {
+  if (is_confirmed && m_gateway->RouteVersion() >= body.at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
   }
 }
 
+void ControlPlaneSubscriber::OnFetchFailed(const std::string& host, const std::string& reason) {
+  LogEvent(LogLevel::kWarning, "route_table_unconfirmed",
+           {{"control_host", host}, {"reason", reason}});
+  const TimePoint now = Clock::now();
+  m_fetches.OnFailed(now, host);
+  // The linked control hosts may have left the replicated log but know its current members.
+  m_discovery.Query(now);
+}
+
 void ControlPlaneSubscriber::ApplyRouteTable(const std::string& host, TimePoint asked_at,
                                              const json& reply) {
   // The same table may be fetched from two control processes; the second copy is not decoded.
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -11,21 +11,26 @@
 
 #include "corneltray/control_discovery.h"
 #include "corneltray/control_links.h"
-#include "corneltray/fetch_limiter.h"
+#include "corneltray/fetch_scheduler.h"
 #include "corneltray/gateway.h"
 #include "corneltray/peer.h"
 
 namespace corneltray {
 
+struct HostLocation {
+  std::string name;
+  std::string availability_zone;
+};
+
 // Keeps a gateway in sync with the control processes: it fetches the route table, confirmed by the
 // replicated log, and applies updates about upstreams. Discovers control processes through the
 // hosts that it is linked to. Runs on the gateway's io_context; PeerNode calls its handlers on
 // another thread, so they post their work to that io_context.
 class ControlPlaneSubscriber {
  public:
-  // `name` is the name of this host; `seeds` are peer addresses of hosts to join through. All
-  // pointers must outlive the subscriber.
-  ControlPlaneSubscriber(asio::io_context* io, PeerNode* node, Gateway* gateway, std::string name,
+  // `self` names this host; `seeds` are peer addresses of hosts to join through. All pointers must
+  // outlive the subscriber.
+  ControlPlaneSubscriber(asio::io_context* io, PeerNode* node, Gateway* gateway, HostLocation self,
                          std::vector<std::string> seeds);
 
   // Registers the message handlers. Must be called before PeerNode::Start.
@@ -38,18 +43,20 @@
  private:
   void ScheduleTick();
   void Tick();
-  void FetchRouteTable(const std::string& host, bool confirmed);
+  // Starts the fetches that are due.
+  void FetchIfDue();
+  void FetchRouteTable(const std::string& host);
   void OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
                     const Result<nlohmann::json>& reply);
+  void OnFetchFailed(const std::string& host, const std::string& reason);
   // A control process reports that a route table of this version is committed.
   void OnRouteTableChanged(const std::string& host, std::uint64_t version);
   void ApplyRouteTable(const std::string& host, TimePoint asked_at, const nlohmann::json& reply);
   void ApplyMembers(const nlohmann::json& members);
   void MaintainLink(const std::string& address);
-  std::string SelectControlHost();
 
   asio::io_context* m_io;
-  std::string m_name;
+  HostLocation m_self;
   PeerNode* m_node;
   Gateway* m_gateway;
   ControlLinks m_links;
@@ -58,10 +65,8 @@
   bool m_stopped = false;
   std::set<std::string> m_seeds;
   std::set<std::string> m_linked_addresses;  // peer addresses that the node stays connected to
-  std::string m_control_host;                // last one that confirmed the route table
   std::string m_peer_port;
-  FetchLimiter m_fetches;
-  TimePoint m_next_fetch{};
+  FetchScheduler m_fetches;
   TimePoint m_started_at{};
 };
 
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -83,8 +83,9 @@
     peer.advertise_address = m_settings.peer_advertise;
     peer.shared_key = m_settings.shared_key;
     m_node = std::make_unique<PeerNode>(std::move(peer));
-    m_subscriber = std::make_unique<ControlPlaneSubscriber>(&m_io, m_node.get(), m_gateway.get(),
-                                                            m_settings.name, m_settings.seeds);
+    m_subscriber = std::make_unique<ControlPlaneSubscriber>(
+        &m_io, m_node.get(), m_gateway.get(),
+        HostLocation{m_settings.name, m_settings.availability_zone}, m_settings.seeds);
     m_subscriber->Register();
     if (const Status started = m_node->Start(); !started) {
       return Fail(kExitAddress, started.error().ToString());
@@ -114,9 +115,9 @@
   }
 
   Status StartRelay() {
-    m_relay =
-        std::make_unique<ControlRelay>(&m_io, m_node.get(), platform::MakePlatformDialect(),
-                                       &m_gateway->GetMetrics(), m_settings.availability_zone);
+    m_relay = std::make_unique<ControlRelay>(&m_io, m_node.get(), platform::MakePlatformDialect(),
+                                             &m_gateway->GetMetrics(), m_settings.name,
+                                             m_settings.availability_zone);
     return m_relay->Listen(m_settings.fleet_address);
   }
 
--- a/src/include/corneltray/control_host_selector.h
+++ b/src/include/corneltray/control_host_selector.h
@@ -2,9 +2,12 @@
 #define CORNELTRAY_CONTROL_HOST_SELECTOR_H_
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "corneltray/time.h"
@@ -33,15 +36,24 @@
 // Tracks which control processes recently failed a call and ranks them for the next call.
 class ControlHostSelector {
  public:
+  ControlHostSelector() = default;
+  // `self` is the name of this process. Processes with different names rank control processes of
+  // the same availability zone differently, which spreads their calls.
+  explicit ControlHostSelector(std::string self) : m_self(std::move(self)) {}
+
   void RecordFailure(TimePoint now, const std::string& host) {
     m_cooldown_until[host] = now + kFailureCooldown;
   }
   void RecordAnswer(const std::string& host) { m_cooldown_until.erase(host); }
 
-  // Sorts by no recent failure first, then local availability zone first, then host name.
+  // Sorts by no recent failure first, then local availability zone first, then a hash of both
+  // names, or the host name if this process has no name.
   std::vector<std::string> Order(TimePoint now, std::vector<ControlCandidate> candidates) const;
 
  private:
+  std::uint64_t SpreadOf(const std::string& host) const;
+
+  std::string m_self;
   std::map<std::string, TimePoint> m_cooldown_until;  // by host that failed
 };
 
--- a/src/include/corneltray/control_links.h
+++ b/src/include/corneltray/control_links.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
+#include "corneltray/control_host_selector.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/peer.h"
 
@@ -25,16 +27,15 @@
   void Check();
 
   bool IsEmpty() const { return m_links.empty(); }
-  bool Has(const std::string& host) const { return m_links.count(host) > 0; }
-  // Returns the linked host after this one in round-robin order, or an empty string if there is
-  // none.
-  std::string NextHost(const std::string& host) const;
+  // Returns the linked control processes, as seen from a process in this availability zone.
+  std::vector<ControlCandidate> Candidates(const std::string& availability_zone) const;
   // Sends a push message to every linked control process.
   void Broadcast(MessageType type, const nlohmann::json& body) const;
 
  private:
   struct Link {
     std::uint64_t incarnation = 0;
+    std::string availability_zone;
     bool is_fetch_started = false;  // in progress or done
   };
 
--- a/src/include/corneltray/control_relay.h
+++ b/src/include/corneltray/control_relay.h
@@ -18,9 +18,9 @@
 // Runs on one io_context.
 class ControlRelay {
  public:
-  // The pointers must outlive the relay.
+  // `name` is that of this host. The pointers must outlive the relay.
   ControlRelay(asio::io_context* io, PeerNode* node, std::shared_ptr<const Dialect> dialect,
-               Metrics* metrics, std::string availability_zone);
+               Metrics* metrics, const std::string& name, std::string availability_zone);
   ~ControlRelay();
   ControlRelay(const ControlRelay&) = delete;
   ControlRelay& operator=(const ControlRelay&) = delete;
--- /dev/null
+++ b/src/include/corneltray/fetch_scheduler.h
@@ -0,0 +1,74 @@
+#ifndef CORNELTRAY_FETCH_SCHEDULER_H_
+#define CORNELTRAY_FETCH_SCHEDULER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "corneltray/control_host_selector.h"
+#include "corneltray/time.h"
+
+namespace corneltray {
+
+// Interval of confirmed fetches, short enough that the lease on customer keys survives some lost
+// replies.
+constexpr std::chrono::milliseconds kConfirmInterval{600};
+// A fetch without a reply after this time is also sent to the next control process.
+constexpr std::chrono::milliseconds kFetchHedgeDelay{400};
+// Pause after a failed fetch.
+constexpr std::chrono::milliseconds kFetchRetryDelay{150};
+// A new version is fetched from another control process if the preferred one has not announced it
+// by then.
+constexpr std::chrono::milliseconds kAnnouncementWait{100};
+// Every control process announces a new version to every host. If a hundred hosts fetched it from
+// all of them at once, no reply would arrive before its deadline.
+constexpr std::size_t kMaxConcurrentFetches = 2;
+
+// Decides when one entry host fetches the route table and from which control process. Each host
+// prefers one control process of its availability zone, chosen by a hash, so that the hosts are
+// spread over all of them. Not thread safe.
+class FetchScheduler {
+ public:
+  // `host` is the name of the entry host.
+  explicit FetchScheduler(const std::string& host) : m_ranking(host) {}
+
+  // A control process reports that a route table of this version is committed.
+  void OnVersionCommitted(TimePoint now, const std::string& control_host, std::uint64_t version);
+
+  // Returns the control process to fetch from now, if a fetch is due, and records the fetch as in
+  // progress. `candidates` are the linked control processes; `held` is the version of this host.
+  std::optional<std::string> NextFetch(TimePoint now, std::vector<ControlCandidate> candidates,
+                                       std::uint64_t held);
+  // A fetch was answered; `is_confirmed` tells whether the answer renews the lease on keys.
+  void OnAnswered(const std::string& control_host, bool is_confirmed);
+  void OnFailed(TimePoint now, const std::string& control_host);
+
+ private:
+  std::optional<std::string> NextHedge(TimePoint now, const std::vector<std::string>& order);
+  std::optional<std::string> AnnouncerOf(TimePoint now,
+                                         const std::vector<std::string>& order) const;
+  std::string Begin(TimePoint now, const std::string& control_host);
+
+  struct Fetch {
+    TimePoint started_at;
+    std::uint64_t announced = 0;  // version that the control process had announced by then
+  };
+
+  ControlHostSelector m_ranking;
+  std::map<std::string, Fetch> m_in_progress;  // by control process
+  TimePoint m_last_begin{};
+  TimePoint m_next_confirm{};
+  TimePoint m_not_before{};    // no new fetch before this time, after a failure
+  std::uint64_t m_newest = 0;  // version that was announced
+  TimePoint m_newest_announced_at{};
+  std::set<std::string> m_announcers;  // of the newest version
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_FETCH_SCHEDULER_H_
--- a/src/libfleet/control_host_selector.cc
+++ b/src/libfleet/control_host_selector.cc
@@ -1,5 +1,7 @@
 #include "corneltray/control_host_selector.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -16,12 +18,19 @@
 
 }  // namespace
 
+std::uint64_t ControlHostSelector::SpreadOf(const std::string& host) const {
+  if (m_self.empty()) return 0;
+  const std::string names = m_self + '/' + host;
+  return XXH64(names.data(), names.size(), 0);
+}
+
 std::vector<std::string> ControlHostSelector::Order(
     TimePoint now, std::vector<ControlCandidate> candidates) const {
   const auto rank = [this, now](const ControlCandidate& candidate) {
     const auto cooldown = m_cooldown_until.find(candidate.host);
     const bool failed = cooldown != m_cooldown_until.end() && now < cooldown->second;
-    return std::make_tuple(failed, !candidate.is_local, std::cref(candidate.host));
+    return std::make_tuple(failed, !candidate.is_local, SpreadOf(candidate.host),
+                           std::cref(candidate.host));
   };
   std::sort(
       candidates.begin(), candidates.end(),
--- a/src/libfleet/control_links.cc
+++ b/src/libfleet/control_links.cc
@@ -30,7 +30,7 @@
     }
     Link& link = m_links[host];
     if (link.incarnation != peer.identity.incarnation) {
-      link = {peer.identity.incarnation, false};
+      link = {peer.identity.incarnation, peer.identity.availability_zone, false};
       LogEvent(LogLevel::kInfo, "control_link_up",
                {{"control_host", host}, {"incarnation", link.incarnation}});
     }
@@ -38,10 +38,13 @@
   }
 }
 
-std::string ControlLinks::NextHost(const std::string& host) const {
-  if (m_links.empty()) return "";
-  const auto next = m_links.upper_bound(host);
-  return next == m_links.end() ? m_links.begin()->first : next->first;
+std::vector<ControlCandidate> ControlLinks::Candidates(const std::string& availability_zone) const {
+  std::vector<ControlCandidate> candidates;
+  candidates.reserve(m_links.size());
+  for (const auto& [host, link] : m_links) {
+    candidates.push_back({host, link.availability_zone == availability_zone});
+  }
+  return candidates;
 }
 
 void ControlLinks::Broadcast(MessageType type, const json& body) const {
--- a/src/libfleet/control_relay.cc
+++ b/src/libfleet/control_relay.cc
@@ -42,10 +42,11 @@
 
 ControlRelay::ControlRelay(asio::io_context* io, PeerNode* node,
                            std::shared_ptr<const Dialect> dialect, Metrics* metrics,
-                           std::string availability_zone)
+                           const std::string& name, std::string availability_zone)
     : m_io(io),
       m_node(node),
       m_availability_zone(std::move(availability_zone)),
+      m_ranking(name),
       m_endpoint(io, std::move(dialect), metrics,
                  [this](const ControlCall&, const ControlRequest& request,
                         const ControlResponder& respond) { Forward(request, respond); }) {}
