--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -25,6 +25,8 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_answer_tokens = 0;
   std::string last_event_id;  // a stream resumes after this event; empty: from the start
+  // Identifiers of the parts of the prompt that other requests may hold as well, in their order.
+  std::vector<std::string> shared_prompt_parts;
 };
 
 // One stage of a pipeline chain: an engine that runs the layers [first, end).
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -334,6 +334,7 @@
             {"status", m_attempt->head.status},
             {"faulty_address", m_attempt->faulty_address},
             {"events", m_attempt->events},
+            {"prompt_parts", m_request.metadata.shared_prompt_parts},
             {"after_ms", after.count()}});
   m_gateway->GetMetrics().Count("attempts_failed", NameOf(evidence));
 }
