--- a/src/libfleet/fetch_scheduler_test.cc
+++ b/src/libfleet/fetch_scheduler_test.cc
@@ -121,8 +121,9 @@
     }
   }
   REQUIRE(preferred.size() == 6);
-  for (const auto& [control, hosts] : preferred) {
-    CAPTURE(control);
+  for (const auto& entry : preferred) {
+    const int hosts = entry.second;
+    CAPTURE(entry.first);
     CHECK(hosts >= kHostsPerZone / 4);
     CHECK(hosts <= kHostsPerZone * 3 / 4);
   }
