--- a/src/libfleet/fetch_scheduler_test.cc
+++ b/src/libfleet/fetch_scheduler_test.cc
@@ -15,8 +15,10 @@
 
 // Two control processes in each of three availability zones.
 std::vector<ControlCandidate> Candidates(int own_zone = 0) {
+  constexpr int kControlProcesses = 6;
   std::vector<ControlCandidate> candidates;
-  for (int control = 0; control < 6; ++control) {
+  candidates.reserve(kControlProcesses);
+  for (int control = 0; control < kControlProcesses; ++control) {
     candidates.push_back({"control-" + std::to_string(control), control / 2 == own_zone});
   }
   return candidates;
@@ -77,6 +79,7 @@
   for (int host = 0; host < kHosts; ++host) {
     FetchScheduler scheduler(HostName(host));
     std::vector<ControlCandidate> candidates;
+    candidates.reserve(kControlProcesses);
     for (int control = 0; control < kControlProcesses; ++control) {
       candidates.push_back({"control-" + std::to_string(control), false});
     }
