Quarantine prompt parts on which upstreams crash

Cause: each host took each crash for a loss of its own; nothing remembered what the requests had in common, and a host sees one to three crashes, too few to be sure. So callers and the gateway's own second attempts sent them again.

Change: hosts report to all control processes which shared parts were present when an upstream closed the connection before the first event (CrashReport). Each control process decides from the reports of all hosts (CrashAttribution): two crashes whose answers had begun quarantine a part, four if no request is known whose answer had begun; crashes within 100 ms have a common cause and count as one; an answer that begins clears a part; an upstream that goes on announcing itself has not crashed. Parts that were always present together are refused only together, so requests with one of them show which is sound. Hosts refuse such requests at once with 503 and the time until a trial. The leader grants one trial in the region, after 10 s, four times longer after each further crash, and one without delay to a part that was served within the last minute. A host without control processes decides from what it sees itself. Reasons why an engine is taken for lost are an enumeration now; engine_suspected says connection_closed or not_connected where it said no_answer.

Why it works: with the reports of all hosts the second crash names the part, so the fifth is not reached.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -64,12 +64,14 @@
                   [this](const std::string& address) { m_options.node->Connect(address); }),
       m_health_checker({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
                         m_options.node, &m_table}),
+      m_quarantine(io, {m_options.node, &m_table, &m_metrics}),
       m_tick_timer(*io),
       m_flush_timer(*io),
       m_member_controller(m_options.target_voters) {}
 
 void FleetService::Register() {
   m_discovery.Register();
+  m_quarantine.Register();
   m_options.node->SetPushHandler(MessageType::kUpstreamUpdates,
                                  [this](const PeerIdentity&, const json& body) {
                                    auto updates = DecodeUpstreamUpdates(body);
@@ -92,9 +94,11 @@
       });
   m_options.node->SetRequestHandler(
       MessageType::kUpstreamFetch,
-      [this](const PeerIdentity&, const json&, const PeerNode::Responder& respond) {
-        asio::post(*m_io,
-                   [this, respond] { respond(EncodeUpstreamUpdates(AllUpstreams(m_table))); });
+      [this](const PeerIdentity& from, const json&, const PeerNode::Responder& respond) {
+        asio::post(*m_io, [this, host = from.host, respond] {
+          respond(EncodeUpstreamUpdates(AllUpstreams(m_table)));
+          m_quarantine.SendVerdicts(host);
+        });
       });
   m_options.node->SetRequestHandler(
       MessageType::kControlCall,
@@ -300,6 +304,7 @@
   m_links.Check();
   PlaceLayers(now);
   m_health_checker.Check();
+  m_quarantine.Check();
   m_options.node->Post([this] {
     ReadReplica();
     UpdateMembership();
@@ -312,6 +317,7 @@
   if (status.role == ReplicaRole::kLeader && m_options.control->CaughtUp()) {
     view.leading_term = status.term;
   }
+  if (status.leader) view.leader_host = status.leader->host;
   const RouteTableStore& store = m_options.control->GetRouteTable();
   view.route_version = store.Version();
   if (view.route_version != m_last_seen_route_version) {
@@ -327,6 +333,7 @@
              {{"term", view.leading_term.value_or(m_leading_term.value_or(0))}});
   }
   m_leading_term = view.leading_term;
+  m_quarantine.SetLeader(m_leading_term.has_value(), view.leader_host);
   if (!view.compressed_routes.empty()) {
     m_route_version = view.route_version;
     m_compressed_routes = view.compressed_routes;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -24,6 +24,7 @@
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
 #include "engine_health_checker.h"
+#include "quarantine_service.h"
 
 namespace corneltray {
 
@@ -60,6 +61,7 @@
   // State of the replica, passed from the I/O thread of PeerNode to this io_context.
   struct ReplicaView {
     std::optional<std::uint64_t> leading_term;
+    std::string leader_host;  // empty if no leader is known
     std::uint64_t route_version = 0;
     std::string compressed_routes;  // empty if unchanged
   };
@@ -98,6 +100,7 @@
   UpstreamTable m_table;
   LayerController m_layers;
   EngineHealthChecker m_health_checker;
+  QuarantineService m_quarantine;
   asio::steady_timer m_tick_timer;
   asio::steady_timer m_flush_timer;
   bool m_flush_scheduled = false;
--- /dev/null
+++ b/src/corneltray-control/quarantine_service.h
@@ -0,0 +1,60 @@
+#ifndef CORNELTRAY_QUARANTINE_SERVICE_H_
+#define CORNELTRAY_QUARANTINE_SERVICE_H_
+
+#include <asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "corneltray/crash_attribution.h"
+#include "corneltray/metrics.h"
+#include "corneltray/peer.h"
+#include "corneltray/prompt_quarantine.h"
+#include "corneltray/upstream_table.h"
+
+namespace corneltray {
+
+// Collects at a control process the crashes that all entry hosts report, decides which prompt parts
+// are quarantined and tells all hosts. Each control process decides by itself from the same
+// reports, so the decision outlives the loss of any of them. Only the leader grants trials, so that
+// one request in the region is sent and not one for each host. Runs on one io_context; handlers of
+// PeerNode run on its I/O thread.
+class QuarantineService {
+ public:
+  struct Options {
+    PeerNode* node = nullptr;                  // must outlive this object
+    const UpstreamTable* upstreams = nullptr;  // must outlive this object
+    Metrics* metrics = nullptr;                // must outlive this object
+  };
+
+  QuarantineService(asio::io_context* io, Options options) : m_io(io), m_options(options) {}
+
+  // Registers the handlers of peer messages. Call before PeerNode::Start.
+  void Register();
+  // Drops evidence that announcements disprove. Called several times per second.
+  void Check();
+  // Sets who leads the replicated log: this process, or the control process `host` if that is
+  // known.
+  void SetLeader(bool is_self, const std::string& host);
+  // Sends all verdicts to a process that has just been linked.
+  void SendVerdicts(const std::string& host) const;
+
+ private:
+  void OnCrash(const std::string& reporter, const CrashReport& report);
+  void OnAnswerBegun(const std::string& reporter, const std::vector<std::string>& parts);
+  void OnVerdicts(const std::vector<PartVerdict>& verdicts);
+  void OnTrial(const std::string& host, const TrialRequest& request, bool is_forwarded,
+               const PeerNode::Responder& respond);
+  void GrantTrial(const std::string& host, const TrialRequest& request,
+                  const PeerNode::Responder& respond);
+  void PublishChanges();
+
+  asio::io_context* m_io;
+  Options m_options;
+  CrashAttribution m_attribution;
+  bool m_is_leader = false;
+  std::string m_leader_host;  // empty if no leader is known
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_QUARANTINE_SERVICE_H_
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -3,10 +3,12 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <variant>
 
 #include "corneltray/address.h"
 #include "corneltray/control_client.h"
 #include "corneltray/log.h"
+#include "corneltray/prompt_messages.h"
 
 namespace corneltray {
 namespace {
@@ -15,6 +17,8 @@
 
 constexpr std::chrono::milliseconds kTickInterval{100};
 constexpr std::chrono::milliseconds kFetchTimeout{800};
+// The caller of the request that is to be tried waits for the answer.
+constexpr std::chrono::milliseconds kTrialAnswerTimeout{400};
 // A process that still has no table after this time, as in a network partition, accepts an
 // unconfirmed one.
 constexpr std::chrono::seconds kUnconfirmedTableDelay{4};
@@ -68,6 +72,19 @@
       m_gateway->UpdateEngineHealth(engines);
     });
   });
+  m_node->SetPushHandler(MessageType::kPromptVerdicts,
+                         [this](const PeerIdentity& from, const json& body) {
+                           auto verdicts = DecodePartVerdicts(body);
+                           if (!verdicts) {
+                             return LogEvent(LogLevel::kWarning, "message_refused",
+                                             {{"of", from.host},
+                                              {"type", NameOf(MessageType::kPromptVerdicts)},
+                                              {"error", verdicts.error().ToString()}});
+                           }
+                           asio::post(*m_io, [this, verdicts = std::move(verdicts).value()] {
+                             m_gateway->UpdatePromptVerdicts(verdicts);
+                           });
+                         });
   m_node->SetPushHandler(MessageType::kRouteTableChanged, [this](const PeerIdentity& from,
                                                                  const json& body) {
     const std::uint64_t version = body.value("version", std::uint64_t{0});
@@ -81,11 +98,40 @@
     suspected.refreshes.push_back(engine);
     m_links.Broadcast(MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
   });
+  m_gateway->SetQuarantineHandler(
+      [this](const QuarantineAction& action) { return SendQuarantineAction(action); });
   m_started_at = Clock::now();
   for (const std::string& seed : m_seeds) MaintainLink(seed);
   ScheduleTick();
 }
 
+bool ControlPlaneSubscriber::SendQuarantineAction(const QuarantineAction& action) {
+  if (m_links.IsEmpty()) return false;
+  struct Visitor {
+    ControlPlaneSubscriber& subscriber;
+    void operator()(const CrashReport& report) const {
+      subscriber.m_links.Broadcast(MessageType::kPromptCrash, EncodeCrashReport(report));
+    }
+    void operator()(const AnswerBegun& begun) const {
+      subscriber.m_links.Broadcast(MessageType::kPromptBegun, EncodePromptParts(begun.parts));
+    }
+    void operator()(const TrialRequest& request) const { subscriber.RequestTrial(request); }
+  };
+  std::visit(Visitor{*this}, action);
+  return true;
+}
+
+void ControlPlaneSubscriber::RequestTrial(const TrialRequest& request) {
+  const std::string host =
+      m_fetches.Preferred(Clock::now(), m_links.Candidates(m_self.availability_zone));
+  const auto finish = [this, part = request.verdict.part](const Result<json>& reply) {
+    const bool is_granted = reply && IsTrialGranted(reply.value());
+    asio::post(*m_io, [this, part, is_granted] { m_gateway->AnswerTrial(part, is_granted); });
+  };
+  m_node->Request(host, MessageType::kPromptTrial, EncodeTrialRequest(request),
+                  Clock::now() + kTrialAnswerTimeout, finish);
+}
+
 void ControlPlaneSubscriber::Stop() {
   m_stopped = true;
   m_timer.cancel();
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -53,6 +53,10 @@
   void OnRouteTableChanged(const std::string& host, std::uint64_t version);
   void ApplyRouteTable(const std::string& host, TimePoint asked_at, const nlohmann::json& reply);
   void ApplyMembers(const nlohmann::json& members);
+  // Sends evidence about prompt parts to all control processes, and a trial request to one. Returns
+  // false if none is linked.
+  bool SendQuarantineAction(const QuarantineAction& action);
+  void RequestTrial(const TrialRequest& request);
   void MaintainLink(const std::string& address);
 
   asio::io_context* m_io;
--- a/src/include/corneltray/attempt_rules.h
+++ b/src/include/corneltray/attempt_rules.h
@@ -38,6 +38,34 @@
   };
 };
 
+// Why an engine is taken for lost.
+enum class EngineLossReason {
+  kConnectionClosed,   // it closed the connection of a request without an answer
+  kNotConnected,       // no connection could be opened
+  kRefusedAfterStall,  // it refused a request after a time in which it did not respond
+  kNoReport,           // it does not report its state
+  kStallsChain,        // another stage of its chain reports that it does not respond
+  kToldByControlHost,  // a control process got no response
+};
+
+// An engine that is taken for lost.
+struct EngineLoss {
+  std::string address;
+  EngineLossReason reason = EngineLossReason::kConnectionClosed;
+};
+
+template <>
+struct EnumNames<EngineLossReason> {
+  static constexpr EnumName<EngineLossReason> kTable[] = {
+      {EngineLossReason::kConnectionClosed, "connection_closed"},
+      {EngineLossReason::kNotConnected, "not_connected"},
+      {EngineLossReason::kRefusedAfterStall, "refused_after_a_stall"},
+      {EngineLossReason::kNoReport, "no_report"},
+      {EngineLossReason::kStallsChain, "stalls_its_chain"},
+      {EngineLossReason::kToldByControlHost, "told_by_control_host"},
+  };
+};
+
 // Whether an upstream executed a request.
 enum class HasRun { kNo, kMaybe, kYes };
 
--- a/src/include/corneltray/fetch_scheduler.h
+++ b/src/include/corneltray/fetch_scheduler.h
@@ -44,6 +44,8 @@
   // progress. `candidates` are the linked control processes; `held` is the version of this host.
   std::optional<std::string> NextFetch(TimePoint now, std::vector<ControlCandidate> candidates,
                                        std::uint64_t held);
+  // Returns the control process that answers best at present. `candidates` must not be empty.
+  std::string Preferred(TimePoint now, std::vector<ControlCandidate> candidates) const;
   // A fetch was answered; `is_confirmed` tells whether the answer renews the lease on keys.
   void OnAnswered(const std::string& control_host, bool is_confirmed);
   void OnFailed(TimePoint now, const std::string& control_host);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/attempt_rules.h"
 #include "corneltray/dialect.h"
 #include "corneltray/engine_router.h"
 #include "corneltray/fleet_messages.h"
@@ -19,6 +20,7 @@
 #include "corneltray/http_listener.h"
 #include "corneltray/key_lease.h"
 #include "corneltray/metrics.h"
+#include "corneltray/prompt_quarantine.h"
 #include "corneltray/retry.h"
 #include "corneltray/route_table.h"
 #include "corneltray/service_picker.h"
@@ -75,6 +77,17 @@
   using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
   void SetSuspectHandler(SuspectHandler handler) { m_suspect_handler = std::move(handler); }
 
+  // Applies verdicts of the control processes about prompt parts.
+  void UpdatePromptVerdicts(const std::vector<PartVerdict>& verdicts);
+  // The handler sends evidence and trial requests to the control processes. It returns whether it
+  // could: without a control process this host decides about trials by itself.
+  using QuarantineHandler = std::function<bool(const QuarantineAction& action)>;
+  void SetQuarantineHandler(QuarantineHandler handler) {
+    m_quarantine_handler = std::move(handler);
+  }
+  // Ends a TrialRequest of the handler.
+  void AnswerTrial(const std::string& part, bool is_granted);
+
   // Whether the load balancer should route callers to this host.
   bool IsReady() const;
   // Reports the host as not ready and closes connections after their current response.
@@ -106,10 +119,16 @@
   void RequestReport(const std::string& address, EngineReportCallback done);
   // Marks an engine as suspected, notifies the control processes and fails over the requests that
   // wait for it.
-  void ReportSuspectedEngine(const std::string& address, const std::string& why);
+  void ReportSuspectedEngine(const EngineLoss& loss);
   // Asks the control processes to check an engine that refused a request although its load leaves
   // room.
   void RequestHealthCheck(const std::string& address);
+  // An upstream closed the connection of a request before the first event of its answer.
+  void ReportCrash(const std::string& upstream, CrashPhase phase,
+                   const std::vector<std::string>& prompt_parts);
+  // An upstream has begun an answer to a prompt with these parts.
+  void ReportAnswerBegun(const std::vector<std::string>& prompt_parts);
+  bool IsQuarantined(const std::vector<std::string>& prompt_parts) const;
   void RemoveExchange(const std::shared_ptr<Exchange>& exchange);
   // Reserve memory for response bodies that are buffered until they are complete. The limit applies
   // to the sum over all requests; returns false if it would be exceeded.
@@ -121,13 +140,18 @@
   void Admit(const HttpCall& call);
   bool MustDefer(const HttpCall& call);
   void AdmitDeferred();
+  // Returns whether a request may be sent as far as its prompt parts are concerned. Otherwise it is
+  // refused or waits for the decision about a trial.
+  bool AdmitPrompt(const HttpCall& call, const GatewayRequest& request);
+  void SendQuarantineActions();
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
   double AllowedRetries(const RetryCounts& fleet) const;
   void OnReadyCall(const HttpCall& call);
-  void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal);
+  void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
+              std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
   void RefreshUpstreams();
-  void FailOverFromEngine(TimePoint now, const std::string& address);
+  void FailOverFromEngine(TimePoint now, const EngineLoss& loss);
   void ScheduleTick();
   void Tick();
   void FinishReport(const std::string& address, const std::optional<EngineReport>& report);
@@ -148,6 +172,8 @@
       m_pending_reports;                                 // callbacks, by address
   std::map<std::string, TimePoint> m_next_health_check;  // by address
   SuspectHandler m_suspect_handler;
+  PromptQuarantine m_quarantine;
+  QuarantineHandler m_quarantine_handler;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
@@ -155,7 +181,8 @@
   bool m_tick_planned = false;
   // Expires with this object. A timer handler may run after destruction, so it checks this first.
   std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
-  // Requests that arrived before this process received routes and upstreams.
+  // Requests that arrived before this process received routes and upstreams, or that wait for the
+  // decision about a trial of their prompt.
   std::vector<HttpCall> m_deferred;
   std::optional<TimePoint> m_warm_up_end;  // no request is deferred after this time
   bool m_draining = false;
--- a/src/include/corneltray/gateway_request.h
+++ b/src/include/corneltray/gateway_request.h
@@ -27,7 +27,8 @@
   kOverloaded,      // it would miss its deadline
   kRetryBudget,     // every attempt failed without running it, and the budget allows no more
   kUpstreamsRefused,
-  kStopping,  // this process is shutting down and might not finish it
+  kQuarantinedPart,  // its prompt holds a part on which upstreams crash
+  kStopping,         // this process is shutting down and might not finish it
 };
 
 template <>
@@ -43,6 +44,7 @@
       {GatewayRefusal::kOverloaded, "overloaded"},
       {GatewayRefusal::kRetryBudget, "retry_budget"},
       {GatewayRefusal::kUpstreamsRefused, "upstreams_refused"},
+      {GatewayRefusal::kQuarantinedPart, "quarantined_part"},
       {GatewayRefusal::kStopping, "stopping"},
   };
 };
@@ -52,8 +54,10 @@
 // Returns the delay after which the caller may retry, or nullopt if a retry does not help.
 std::optional<std::chrono::milliseconds> RetryAfter(GatewayRefusal refusal);
 
-// Returns the head of the response to a refused request.
-HttpHead RefusalHead(GatewayRefusal refusal);
+// Returns the head of the response to a refused request. `retry_after` replaces the delay that is
+// usual for the refusal.
+HttpHead RefusalHead(GatewayRefusal refusal,
+                     std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
 
 // A request and what the filters resolved for it.
 struct GatewayRequest {
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -22,6 +22,10 @@
   kUpstreamFetch,         // request: everything the receiver knows of upstreams
   kUpstreamSuspected,     // push: an upstream does not answer the sender
   kEngineHealth,          // push: what engines answered to the sender
+  kPromptCrash,           // push: an upstream crashed when it began an answer to a prompt
+  kPromptBegun,           // push: an answer began with prompt parts that are suspected
+  kPromptVerdicts,        // push: prompt parts that are suspected, quarantined or sound again
+  kPromptTrial,           // request: may one request with a quarantined prompt part be sent
   kControlCall,           // request: a call to the control interface that an entry host passes on
   kControlHostFetch,  // request: addresses of the control processes that the receiver is linked to
   kJoinRequest,       // push: a control process that is no member wants to become one
@@ -49,6 +53,10 @@
       {MessageType::kUpstreamFetch, "upstream_fetch"},
       {MessageType::kUpstreamSuspected, "upstream_suspected"},
       {MessageType::kEngineHealth, "engine_health"},
+      {MessageType::kPromptCrash, "prompt_crash"},
+      {MessageType::kPromptBegun, "prompt_begun"},
+      {MessageType::kPromptVerdicts, "prompt_verdicts"},
+      {MessageType::kPromptTrial, "prompt_trial"},
       {MessageType::kControlCall, "control_call"},
       {MessageType::kControlHostFetch, "control_host_fetch"},
       {MessageType::kJoinRequest, "join_request"},
--- a/src/libcorneltray/decoder_fuzz_test.cc
+++ b/src/libcorneltray/decoder_fuzz_test.cc
@@ -16,6 +16,7 @@
 #include "corneltray/fleet_messages.h"
 #include "corneltray/lease.h"
 #include "corneltray/membership.h"
+#include "corneltray/prompt_messages.h"
 #include "corneltray/settings.h"
 #include "corneltray/upstream.h"
 #include "log_storage_codec.h"
@@ -221,6 +222,32 @@
       if (decoded) EncodeRetryCounts(decoded.value());
     });
   }
+  SUBCASE("of control processes, about prompts") {
+    Fuzz<json>({EncodeCrashReport({"engine-1", 7, 3, CrashPhase::kBeforeHead, {"a", "b"}})}, tree,
+               [](const json& input) {
+                 const auto decoded = DecodeCrashReport(input);
+                 if (decoded) EncodeCrashReport(decoded.value());
+               });
+    Fuzz<json>({EncodePromptParts({"a", "b"})}, tree, [](const json& input) {
+      const auto decoded = DecodePromptParts(input);
+      if (decoded) EncodePromptParts(decoded.value());
+    });
+    Fuzz<json>({EncodeTrialReply(true)}, tree, [](const json& input) { IsTrialGranted(input); });
+    const PartVerdict verdict{"a", PartState::kQuarantined,         3,
+                              2,   std::chrono::milliseconds(5000), {"b"}};
+    Fuzz<json>({EncodeTrialRequest({verdict, TrialReason::kBegunBefore})}, tree,
+               [](const json& input) {
+                 const auto decoded = DecodeTrialRequest(input);
+                 if (decoded) EncodeTrialRequest(decoded.value());
+               });
+    Fuzz<json>({EncodePartVerdicts({verdict})}, tree, [](const json& input) {
+      const auto decoded = DecodePartVerdicts(input);
+      if (!decoded) return;
+      CrashAttribution attribution;
+      attribution.Merge(TimePoint(std::chrono::hours(1)), decoded.value());
+      EncodePartVerdicts(attribution.Verdicts(TimePoint(std::chrono::hours(1))));
+    });
+  }
   SUBCASE("of gossip") {
     std::mt19937_64 random(kSeed);
     TimePoint now{std::chrono::hours(1000)};
--- a/src/libfleet/fetch_scheduler.cc
+++ b/src/libfleet/fetch_scheduler.cc
@@ -30,6 +30,11 @@
   return Begin(now, order.front());
 }
 
+std::string FetchScheduler::Preferred(TimePoint now,
+                                      std::vector<ControlCandidate> candidates) const {
+  return m_ranking.Order(now, std::move(candidates)).front();
+}
+
 // New fetches begin with other control processes than those that are slow to answer this one.
 std::optional<std::string> FetchScheduler::NextHedge(TimePoint now,
                                                      const std::vector<std::string>& order) {
--- a/src/libserving/dialect_test.h
+++ b/src/libserving/dialect_test.h
@@ -2,6 +2,7 @@
 #define CORNELTRAY_DIALECT_TEST_H_
 
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -21,6 +22,8 @@
       metadata.time_left = std::chrono::milliseconds(std::stoll(*left));
     }
     metadata.prompt_tokens = 800;
+    std::istringstream parts{std::string(head.Value("Prompt-Parts"))};
+    for (std::string part; parts >> part;) metadata.shared_prompt_parts.push_back(part);
     return metadata;
   }
 
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -59,6 +59,7 @@
   if (events.empty()) return;
   RecordEvent(Clock::now());
   m_attempt->events += m_stream.events.EventCount() - before;
+  if (m_attempt->events >= kEventsOfBegunAnswer) RecordAnswerBegun();
   if (!std::exchange(m_stream.begun, true)) {
     HttpHead head = m_attempt->head;
     head.Remove("Content-Length");  // the response may resume at another upstream
@@ -81,6 +82,11 @@
   m_last_event_at = now;
 }
 
+void Exchange::RecordAnswerBegun() {
+  if (std::exchange(m_attempt->is_begin_recorded, true)) return;
+  m_gateway->ReportAnswerBegun(m_request.metadata.shared_prompt_parts);
+}
+
 void Exchange::FinishStream() {
   if (m_stream.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
   if (!m_stream.begun) return FinishBuffered();
@@ -91,6 +97,7 @@
 }
 
 void Exchange::FinishBuffered() {
+  RecordAnswerBegun();
   HttpHead head = m_attempt->head;
   RemoveConnectionFields(&head);
   const std::string body = std::move(m_attempt->body);
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -14,6 +14,10 @@
 
 namespace corneltray {
 
+// An upstream that has written this many events did not crash on the prompt. A single event may
+// arrive from one that does.
+constexpr std::uint64_t kEventsOfBegunAnswer = 2;
+
 // An error response of an upstream. It is forwarded if no other upstream succeeds.
 struct FallbackResponse {
   HttpHead head;
@@ -38,7 +42,7 @@
   // Handles expired timeouts and checks silent streams.
   void Tick(TimePoint now);
   // An engine no longer responds. A request that waits for it fails over at once.
-  void OnEngineLost(TimePoint now, const std::string& address);
+  void OnEngineLost(TimePoint now, const EngineLoss& loss);
   // Ends the request without a response because the process stops.
   void Abandon();
 
@@ -57,6 +61,7 @@
     TimePoint check_at{};            // next check if the stream stays silent
     bool is_report_pending = false;  // from the first stage
     std::uint64_t events = 0;
+    bool is_begin_recorded = false;
     HttpHead head;                 // of the response
     std::string faulty_address;    // failed stage, if the response names one
     std::string body;              // buffered until the response is complete
@@ -83,13 +88,12 @@
   void RecordLoad(const ResponseMetadata& metadata);
   void OnRefused(const ResponseMetadata& metadata);
   void EndAttempt(AttemptEvidence evidence);
-  // Ends the attempt because the engine at `address` does not respond. An empty address means that
-  // no engine is suspected.
-  void EndAttemptOnLostEngine(AttemptEvidence evidence, const std::string& address,
-                              const char* reason);
+  // Ends the attempt. `loss` names the engine that does not respond, if one is suspected.
+  void EndAttemptOnLostEngine(AttemptEvidence evidence, const std::optional<EngineLoss>& loss);
   void LogAttemptSent(TimePoint now) const;
   void LogAttemptFailure(TimePoint now, AttemptEvidence evidence, HasRun has_run) const;
   void RecordFault(TimePoint now, AttemptEvidence evidence, const std::string& address);
+  void RecordCrash(CrashPhase phase) const;
   void CloseAttempt();
   void CancelAttempt();
   bool CanRetry(TimePoint now, const AttemptOutcome& outcome) const;
@@ -101,6 +105,8 @@
   void RecordEvent(TimePoint now);
   void FinishStream();
   void FinishBuffered();
+  // Records that an upstream has begun the answer, if that has not been recorded for this attempt.
+  void RecordAnswerBegun();
   void OnCallerGone();
   void OnDeadline();
   void Fail(int status);
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -240,7 +240,8 @@
   m_excluded.insert(faulty);
   const TimePoint now = Clock::now();
   if (Router() != nullptr && now - m_attempt->started_at >= kStallBeforeRefusal) {
-    return EndAttemptOnLostEngine(AttemptEvidence::kRefused, faulty, "refused_after_a_stall");
+    return EndAttemptOnLostEngine(AttemptEvidence::kRefused,
+                                  EngineLoss{faulty, EngineLossReason::kRefusedAfterStall});
   }
   if (EngineRouter* router = Router()) {
     if (!router->IsNearlyFull(now, faulty)) m_gateway->RequestHealthCheck(faulty);
@@ -281,17 +282,19 @@
 void Exchange::OnFailure(UpstreamFailure failure) { EndAttempt(EvidenceOf(failure)); }
 
 void Exchange::EndAttempt(AttemptEvidence evidence) {
-  const bool no_answer =
-      evidence == AttemptEvidence::kNotConnected || evidence == AttemptEvidence::kNoAnswer;
-  if (Router() != nullptr && no_answer) {
-    const std::string address = m_attempt->address;
-    return EndAttemptOnLostEngine(evidence, address, "no_answer");
+  if (Router() != nullptr && evidence == AttemptEvidence::kNoAnswer) {
+    return EndAttemptOnLostEngine(
+        evidence, EngineLoss{m_attempt->address, EngineLossReason::kConnectionClosed});
   }
-  EndAttemptOnLostEngine(evidence, "", "");
+  if (Router() != nullptr && evidence == AttemptEvidence::kNotConnected) {
+    return EndAttemptOnLostEngine(evidence,
+                                  EngineLoss{m_attempt->address, EngineLossReason::kNotConnected});
+  }
+  EndAttemptOnLostEngine(evidence, std::nullopt);
 }
 
-void Exchange::EndAttemptOnLostEngine(AttemptEvidence evidence, const std::string& address,
-                                      const char* reason) {
+void Exchange::EndAttemptOnLostEngine(AttemptEvidence evidence,
+                                      const std::optional<EngineLoss>& loss) {
   const TimePoint now = Clock::now();
   const AttemptOutcome outcome = ClassifyAttempt(evidence, IsRetrySafe(*m_request.route));
   m_last_evidence = evidence;
@@ -300,13 +303,15 @@
     m_runs.Add(m_gateway->Upstreams(), m_attempt->upstream, evidence);
   }
   LogAttemptFailure(now, evidence, outcome.has_run);
+  if (evidence == AttemptEvidence::kNoAnswer) RecordCrash(CrashPhase::kBeforeHead);
+  if (evidence == AttemptEvidence::kTruncated) RecordCrash(CrashPhase::kBeforeFirstEvent);
   RecordFault(now, evidence, m_attempt->address);
   CancelAttempt();
   m_stream.events.Restart();
   // This also fails over the other requests. This one has no attempt now, so it is not affected.
-  if (!address.empty()) {
-    m_excluded.insert(address);
-    m_gateway->ReportSuspectedEngine(address, reason);
+  if (loss) {
+    m_excluded.insert(loss->address);
+    m_gateway->ReportSuspectedEngine(*loss);
   }
   if (now < m_request.deadline && CanRetry(now, outcome)) {
     const bool is_untouched = m_has_run == HasRun::kNo && !HasBegun();
@@ -349,6 +354,13 @@
   picker.RecordFailure(now, address);
 }
 
+// An upstream that crashes on a prompt does so when it begins the answer, so a crash in the middle
+// of an answer says nothing about its prompt.
+void Exchange::RecordCrash(CrashPhase phase) const {
+  if (m_attempt->events > 0) return;
+  m_gateway->ReportCrash(m_attempt->upstream, phase, m_request.metadata.shared_prompt_parts);
+}
+
 // Releases the resources of the current attempt, if there is one.
 void Exchange::CloseAttempt() {
   if (!m_attempt) return;
@@ -369,6 +381,7 @@
 
 bool Exchange::CanRetry(TimePoint now, const AttemptOutcome& outcome) const {
   if (!outcome.may_try_another) return false;
+  if (m_gateway->IsQuarantined(m_request.metadata.shared_prompt_parts)) return false;
   const std::uint32_t allowed = m_request.route->max_upstreams;
   return m_runs.Count(now, m_gateway->Upstreams()) < allowed &&
          m_attempts < allowed + kExtraAttempts;
@@ -385,10 +398,16 @@
   });
 }
 
-void Exchange::OnEngineLost(TimePoint now, const std::string& address) {
+void Exchange::OnEngineLost(TimePoint now, const EngineLoss& loss) {
   if (m_finished || !m_attempt || now - m_attempt->last_event_at < kSilenceBeforeFailover) return;
-  if (!ContainsStage(m_attempt->chain, address)) return;
-  m_excluded.insert(address);
+  if (!ContainsStage(m_attempt->chain, loss.address)) return;
+  m_excluded.insert(loss.address);
+  // The connection of this request is closed as well, but that was not read yet.
+  const bool has_crashed = loss.reason == EngineLossReason::kConnectionClosed;
+  if (has_crashed && loss.address == m_attempt->address) {
+    RecordCrash(m_attempt->head.status == 0 ? CrashPhase::kBeforeHead
+                                            : CrashPhase::kBeforeFirstEvent);
+  }
   EndAttempt(AttemptEvidence::kStageLost);
 }
 
@@ -400,11 +419,13 @@
   m_attempt->check_at = now + kCheckInterval;
   if (report == nullptr) {
     const std::string first = m_attempt->address;
-    return EndAttemptOnLostEngine(AttemptEvidence::kStageLost, first, "no_report");
+    return EndAttemptOnLostEngine(AttemptEvidence::kStageLost,
+                                  EngineLoss{first, EngineLossReason::kNoReport});
   }
   for (const std::string& stalled : report->stalled_addresses) {
     if (!ContainsStage(m_attempt->chain, stalled)) continue;
-    return EndAttemptOnLostEngine(AttemptEvidence::kStageLost, stalled, "stalls_its_chain");
+    return EndAttemptOnLostEngine(AttemptEvidence::kStageLost,
+                                  EngineLoss{stalled, EngineLossReason::kStallsChain});
   }
 }
 
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -97,14 +97,14 @@
       LogEvent(LogLevel::kWarning, "engine_told_lost",
                {{"upstream", engine.name}, {"address", record->announcement.address}});
     }
-    FailOverFromEngine(now, record->announcement.address);
+    FailOverFromEngine(now, {record->announcement.address, EngineLossReason::kToldByControlHost});
   }
 }
 
 // Fails over the requests that wait for a lost engine.
-void Gateway::FailOverFromEngine(TimePoint now, const std::string& address) {
+void Gateway::FailOverFromEngine(TimePoint now, const EngineLoss& loss) {
   const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
-  for (const auto& exchange : exchanges) exchange->OnEngineLost(now, address);
+  for (const auto& exchange : exchanges) exchange->OnEngineLost(now, loss);
 }
 
 void Gateway::RefreshUpstreams() {
@@ -266,20 +266,83 @@
   GatewayRequest request = MakeRequest(call);
   const auto refusal = FilterRequest(MakeFilterContext(Clock::now()), &request);
   if (refusal) return Refuse(call, request, *refusal);
+  if (!AdmitPrompt(call, request)) return;
   const auto exchange = std::make_shared<Exchange>(this, call, std::move(request));
   m_exchanges.insert(exchange);
   ScheduleTick();
   exchange->Start();
 }
 
+bool Gateway::AdmitPrompt(const HttpCall& call, const GatewayRequest& request) {
+  const PromptDecision decision =
+      m_quarantine.Admit(Clock::now(), request.metadata.shared_prompt_parts);
+  if (decision.admission == PromptAdmission::kAllowed) return true;
+  const bool can_wait = m_deferred.size() < kMaxDeferredRequests;
+  if (decision.admission == PromptAdmission::kAwaitingTrial && can_wait) {
+    m_deferred.push_back(call);
+    ScheduleTick();
+    SendQuarantineActions();
+    return false;
+  }
+  LogEvent(LogLevel::kInfo, "prompt_refused",
+           {{"request_id", request.metadata.request_id},
+            {"part", decision.part},
+            {"retry_after_ms", decision.retry_after.count()}});
+  std::optional<std::chrono::milliseconds> retry_after;
+  if (decision.retry_after > std::chrono::milliseconds(0)) retry_after = decision.retry_after;
+  Refuse(call, request, GatewayRefusal::kQuarantinedPart, retry_after);
+  return false;
+}
+
+void Gateway::SendQuarantineActions() {
+  for (const QuarantineAction& action : m_quarantine.TakeActions()) {
+    const bool is_sent = m_quarantine_handler && m_quarantine_handler(action);
+    const auto* trial = std::get_if<TrialRequest>(&action);
+    if (is_sent || trial == nullptr) continue;
+    const TimePoint now = Clock::now();
+    m_quarantine.OnTrialAnswered(now, trial->verdict.part, m_quarantine.GrantTrial(now, *trial));
+  }
+}
+
+void Gateway::AnswerTrial(const std::string& part, bool is_granted) {
+  m_quarantine.OnTrialAnswered(Clock::now(), part, is_granted);
+  AdmitDeferred();
+}
+
+void Gateway::UpdatePromptVerdicts(const std::vector<PartVerdict>& verdicts) {
+  m_quarantine.Merge(Clock::now(), verdicts);
+}
+
+void Gateway::ReportCrash(const std::string& upstream, CrashPhase phase,
+                          const std::vector<std::string>& prompt_parts) {
+  if (prompt_parts.empty()) return;
+  const UpstreamTableEntry* record = m_upstreams.Find(upstream);
+  if (record == nullptr) return;
+  const Announcement& announcement = record->announcement;
+  m_quarantine.OnCrash(Clock::now(), {upstream, announcement.incarnation, announcement.sequence,
+                                      phase, prompt_parts});
+  SendQuarantineActions();
+}
+
+void Gateway::ReportAnswerBegun(const std::vector<std::string>& prompt_parts) {
+  if (prompt_parts.empty()) return;
+  m_quarantine.OnAnswerBegun(Clock::now(), prompt_parts);
+  SendQuarantineActions();
+}
+
+bool Gateway::IsQuarantined(const std::vector<std::string>& prompt_parts) const {
+  return m_quarantine.IsQuarantined(Clock::now(), prompt_parts);
+}
+
 void Gateway::OnReadyCall(const HttpCall& call) {
   constexpr int kOk = 200;
   constexpr int kUnavailable = 503;
   call.Respond(MakeResponse(IsReady() ? kOk : kUnavailable), "");
 }
 
-void Gateway::Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal) {
-  call.Respond(RefusalHead(refusal), "");
+void Gateway::Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
+                     std::optional<std::chrono::milliseconds> retry_after) {
+  call.Respond(RefusalHead(refusal, retry_after), "");
   m_metrics.Count("refusals", NameOf(refusal));
   LogEvent(LogLevel::kInfo, "request_refused",
            {{"request_id", request.metadata.request_id},
@@ -344,7 +407,8 @@
   for (const EngineReportCallback& done : waiting) done(report ? &*report : nullptr);
 }
 
-void Gateway::ReportSuspectedEngine(const std::string& address, const std::string& why) {
+void Gateway::ReportSuspectedEngine(const EngineLoss& loss) {
+  const std::string& address = loss.address;
   const UpstreamTableEntry* record = m_upstreams.FindAddress(address);
   const std::uint64_t sequence = record == nullptr ? 0 : record->announcement.sequence;
   const TimePoint now = Clock::now();
@@ -353,11 +417,11 @@
            {{"address", address},
             {"upstream", record == nullptr ? "" : record->announcement.name},
             {"sequence", sequence},
-            {"reason", why}});
+            {"reason", NameOf(loss.reason)}});
   if (record != nullptr && m_suspect_handler) {
     m_suspect_handler({record->announcement.name, record->announcement.incarnation, sequence});
   }
-  FailOverFromEngine(now, address);
+  FailOverFromEngine(now, loss);
 }
 
 void Gateway::RequestHealthCheck(const std::string& address) {
@@ -381,6 +445,8 @@
       {"upstream_connects", static_cast<double>(pool.connects)},
       {"upstream_connect_failures", static_cast<double>(pool.connect_failures)},
       {"route_table_version", static_cast<double>(RouteVersion())},
+      {"prompt_parts_quarantined",
+       static_cast<double>(m_quarantine.QuarantinedCount(Clock::now()))},
       {"ready", IsReady() ? 1.0 : 0.0},
   });
 }
--- a/src/libserving/gateway_request.cc
+++ b/src/libserving/gateway_request.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "corneltray/crash_attribution.h"
+
 namespace corneltray {
 namespace {
 
@@ -77,6 +79,7 @@
     case GatewayRefusal::kOverloaded:
     case GatewayRefusal::kRetryBudget:
     case GatewayRefusal::kUpstreamsRefused:
+    case GatewayRefusal::kQuarantinedPart:
     case GatewayRefusal::kStopping:
       return 503;
   }
@@ -101,15 +104,18 @@
     case GatewayRefusal::kOverloaded:
     case GatewayRefusal::kRetryBudget:
       return milliseconds(1000);
+    case GatewayRefusal::kQuarantinedPart:
+      return kTrialDelay;
     case GatewayRefusal::kNoUpstream:
       return milliseconds(1500);  // layers are reloaded within seconds
   }
   return std::nullopt;
 }
 
-HttpHead RefusalHead(GatewayRefusal refusal) {
+HttpHead RefusalHead(GatewayRefusal refusal, std::optional<std::chrono::milliseconds> retry_after) {
   HttpHead head = MakeResponse(StatusOf(refusal));
-  if (const auto after = RetryAfter(refusal)) head.Add("Retry-After", FormatRetryAfter(*after));
+  if (!retry_after) retry_after = RetryAfter(refusal);
+  if (retry_after) head.Add("Retry-After", FormatRetryAfter(*retry_after));
   return head;
 }
 
--- a/testsuite/platform/replicas.py
+++ b/testsuite/platform/replicas.py
@@ -7,12 +7,14 @@
 import time
 
 HEARTBEAT_S = 0.3
+RESTART_S = 0.4  # time from a crash until the replica is back, empty
 
 
 class Replica:
     """One replica: answers requests and orders, and announces itself to control hosts."""
 
-    def __init__(self, name, service, zone, controls, kind=None, event_s=0.02):
+    def __init__(self, name, service, zone, controls, kind=None, event_s=0.02, deadly_part=None):
+        self.deadly_part, self.crashes, self.down_until = deadly_part, 0, 0.0
         self.name, self.service, self.zone, self.kind = name, service, zone, kind
         self.controls, self.event_s = controls, event_s
         self.layers = [0, 0]
@@ -35,6 +37,9 @@
                 self.serve()
 
             def serve(self):
+                if replica.is_down():
+                    self.close_connection = True
+                    return None
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 if self.path == "/order":
                     return self.answer(replica.take_order(json.loads(body)), b"")
@@ -65,9 +70,16 @@
                 self.send_header("Content-Type", "text/event-stream")
                 self.send_header("Transfer-Encoding", "chunked")
                 self.end_headers()
+                life = replica.born
+                if replica.is_deadly(self.headers):
+                    self.wfile.flush()
+                    replica.crash()
                 first = int(self.headers.get("Last-Event-Id") or 0) + 1
                 count = int(self.headers["X-Tokens"].split(",")[1])
                 for number in range(first, count + 1):
+                    if replica.born != life:  # it crashed meanwhile
+                        self.close_connection = True
+                        return
                     event = f"id: {number}\ndata: token {number}\n\n".encode()
                     self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                     self.wfile.flush()
@@ -80,6 +92,20 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
+    def is_deadly(self, headers):
+        parts = headers.get("X-Prefix-Hash", "").split(",")[:-1]
+        return self.deadly_part in [part.split(":")[0] for part in parts]
+
+    def crash(self):
+        """Ends all answers. The replica is back after RESTART_S, without layers."""
+        self.down_until = time.monotonic() + RESTART_S
+        self.crashes += 1
+        self.layers, self.sequence, self.fence, self.orders = [0, 0], 0, 0, []
+        self.born = max(int(time.time() * 1000), self.born + 1)
+
+    def is_down(self):
+        return time.monotonic() < self.down_until
+
     def take_order(self, order):
         if order["fence"] < self.fence:
             return 412
@@ -113,6 +139,9 @@
     def _beat(self):
         while not self.stopped.is_set():
             state = self.state
+            if self.is_down():
+                self.stopped.wait(0.05)
+                continue
             if self.send("/Replicas.Heartbeat/" + self.name, self.body()) and state == self.state:
                 self.acknowledged.set()
             self.stopped.wait(HEARTBEAT_S)
