Tell hosts of suspected prompt parts together, and only of those that count

Cause: each of the requests that break off at a crash is a report, and each report made every control process send a message to every host.

Change: verdicts into or out of quarantine are sent at once, other changes with the next check, every 250 ms. A suspicion that does not count, because a request is known whose answer had begun, is not told, nor is its end.

Result: the new case of crash_attribution_test plays 30 requests at one crash: 1 verdict instead of 31.

--- a/src/corneltray-control/quarantine_service.cc
+++ b/src/corneltray-control/quarantine_service.cc
@@ -91,14 +91,14 @@
     known.sequence = std::max(known.sequence, upstream->announcement.sequence);
   }
   m_attribution.OnCrash(Clock::now(), known);
-  PublishChanges();
+  if (m_attribution.HasUrgentChange()) PublishChanges();
 }
 
 void QuarantineService::OnAnswerBegun(const std::string& reporter,
                                       const std::vector<std::string>& parts) {
   LogEvent(LogLevel::kInfo, "prompt_answer_begun", {{"of", reporter}, {"prompt_parts", parts}});
   m_attribution.OnAnswerBegun(Clock::now(), parts);
-  PublishChanges();
+  if (m_attribution.HasUrgentChange()) PublishChanges();
 }
 
 void QuarantineService::OnVerdicts(const std::vector<PartVerdict>& verdicts) {
--- a/src/corneltray-control/quarantine_service.h
+++ b/src/corneltray-control/quarantine_service.h
@@ -30,7 +30,8 @@
 
   // Registers the handlers of peer messages. Call before PeerNode::Start.
   void Register();
-  // Drops evidence that announcements disprove. Called several times per second.
+  // Drops evidence that announcements disprove, and tells the changes that can wait: a crash breaks
+  // off many requests, and one message to each host has to do. Called several times per second.
   void Check();
   // Sets who leads the replicated log: this process, or the control process `host` if that is
   // known.
--- a/src/include/corneltray/crash_attribution.h
+++ b/src/include/corneltray/crash_attribution.h
@@ -137,7 +137,11 @@
                                            const std::vector<std::string>& parts) const;
   // Returns the verdict about a part; an unknown one is sound.
   PartVerdict VerdictOn(TimePoint now, const std::string& part) const;
-  // Returns the verdicts that changed here since the last call, other than by Merge.
+  // Whether a part has entered or left quarantine here since the last call of TakeChanges. Other
+  // changes may be told later, and together.
+  bool HasUrgentChange() const;
+  // Returns the verdicts that changed here since the last call, other than by Merge. Leaves out
+  // suspicions that do not count and those that were cleared before they were told.
   std::vector<PartVerdict> TakeChanges(TimePoint now);
   // Returns all verdicts that others need.
   std::vector<PartVerdict> Verdicts(TimePoint now) const;
@@ -161,6 +165,8 @@
     std::uint32_t clearances = 0;  // times that it was found sound after a crash
     bool is_tried_early = false;
     bool is_changed = false;
+    bool is_urgent = false;  // the change is one into or out of quarantine, or a further crash
+    bool is_told = false;    // others know that it is not sound
   };
 
   void Expire(TimePoint now);
--- a/src/libserving/crash_attribution.cc
+++ b/src/libserving/crash_attribution.cc
@@ -97,19 +97,23 @@
   part->trial_at = std::max(part->trial_at, now + TrialDelay(crashes));
   part->next_grant_at = part->trial_at;
   part->expires_at = part->trial_at + kMaxTrialDelay;
+  part->is_urgent = true;
 }
 
 void CrashAttribution::Clear(TimePoint now, Part* part) {
-  if (part->state == PartState::kQuarantined) ++part->generation;
+  const bool was_quarantined = part->state == PartState::kQuarantined;
+  if (was_quarantined) ++part->generation;
   ++part->clearances;
   Reset(now, part);
   part->is_changed = true;
+  part->is_urgent = was_quarantined;
 }
 
 void CrashAttribution::Reset(TimePoint now, Part* part) {
   Part sound;
   sound.generation = part->generation;
   sound.clearances = part->clearances;
+  sound.is_told = part->is_told;
   sound.expires_at = now + kSoundRetention;
   *part = std::move(sound);
 }
@@ -237,10 +241,20 @@
   return verdict;
 }
 
+bool CrashAttribution::HasUrgentChange() const {
+  return std::any_of(m_parts.begin(), m_parts.end(),
+                     [](const auto& part) { return part.second.is_urgent; });
+}
+
 std::vector<PartVerdict> CrashAttribution::TakeChanges(TimePoint now) {
   std::vector<PartVerdict> changes;
   for (auto& [name, part] : m_parts) {
     if (!std::exchange(part.is_changed, false)) continue;
+    part.is_urgent = false;
+    const bool counts = CountCrashes(part, CrashPhase::kBeforeHead) > 0;
+    if (part.state == PartState::kSuspected && !counts) continue;
+    if (part.state == PartState::kSound && !part.is_told) continue;
+    part.is_told = part.state != PartState::kSound;
     changes.push_back(MakeVerdict(now, name, part));
   }
   return changes;
--- a/src/libserving/crash_attribution_test.cc
+++ b/src/libserving/crash_attribution_test.cc
@@ -180,6 +180,37 @@
   }
 }
 
+// Guards against a crash that costs a control process a message to every host for each of the
+// requests that were in the queue.
+TEST_CASE("only suspicions that count are told to the hosts") {
+  CrashAttribution attribution;
+  for (int request = 0; request < 30; ++request) {
+    const std::string part = "queued" + std::to_string(request);
+    attribution.OnCrash(kStart, Crash("a", {part}, CrashPhase::kBeforeHead));
+  }
+  attribution.OnCrash(kStart, Crash("a", {"begun"}));
+  CHECK_FALSE(attribution.HasUrgentChange());
+  const std::vector<PartVerdict> changes = attribution.TakeChanges(kStart);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].part == "begun");
+  attribution.OnAnswerBegun(kStart, {"queued1"});
+  CHECK(attribution.TakeChanges(kStart).empty());
+
+  SUBCASE("those about parts in quarantine at once") {
+    attribution.OnCrash(kStart + seconds(1), Crash("b", {"begun"}));
+    CHECK(attribution.HasUrgentChange());
+    CHECK(attribution.TakeChanges(kStart + seconds(1)).size() == 1);
+    CHECK_FALSE(attribution.HasUrgentChange());
+    attribution.OnAnswerBegun(kStart + seconds(1), {"begun"});
+    CHECK(attribution.HasUrgentChange());
+  }
+  SUBCASE("and that a suspected part is sound") {
+    attribution.OnAnswerBegun(kStart, {"begun"});
+    CHECK_FALSE(attribution.HasUrgentChange());
+    CHECK(attribution.TakeChanges(kStart).size() == 1);
+  }
+}
+
 // Guards against hosts that go on sending requests with a part that others know to be deadly, and
 // against an old verdict that quarantines a part again.
 TEST_CASE("verdicts of other processes are taken over unless newer ones are known") {
