Move the route tables of the control node into a file of their own

FetchRouteTable, ReadIndex, the batches, the retry reports and RouteTableSince are moved as they are; DeadlineOf becomes a static member, since both files use it.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -100,6 +100,8 @@
     Responder respond;
   };
 
+  // Returns the deadline of a request, from the time that its body allows.
+  static TimePoint DeadlineOf(const nlohmann::json& body);
   // Answers when everything committed before the call has been applied, or with an error at the
   // deadline.
   void StartRead(std::function<nlohmann::json(std::uint64_t index)> answer,
--- /dev/null
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -0,0 +1,167 @@
+// Route tables that gateways fetch, and the reads of the log that confirm them.
+#include <chrono>
+#include <utility>
+
+#include "control_node.h"
+#include "corneltray/control_protocol.h"
+#include "corneltray/fleet_messages.h"
+#include "corneltray/log.h"
+
+namespace corneltray {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kRetryReportLifetime{4};
+// A leader that does not confirm a read within the shortest election timeout may be deposed.
+constexpr std::chrono::milliseconds kReadIndexTimeout{600};
+
+}  // namespace
+
+void ControlNode::FetchRouteTable(const json& body, const Responder& respond) {
+  const std::uint64_t have = body.at("have");
+  if (!body.value("confirmed", false)) {
+    if (m_caught_up) {
+      respond(RouteTableSince(have));
+    } else {
+      respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is still recovering"));
+    }
+    return;
+  }
+  if (body.contains("retries_of")) {
+    StoreRetryReports({{body.at("retries_of").get<std::string>(), body.at("retries")}});
+  }
+  const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
+  if (has_newer && body.value("accepts_unconfirmed", false)) {
+    json reply = RouteTableSince(have);
+    reply["is_confirmed"] = false;
+    respond(std::move(reply));
+    return;
+  }
+  AddBatchedRead([this, have](std::uint64_t) { return RouteTableSince(have); }, respond,
+                 DeadlineOf(body));
+}
+
+void ControlNode::ReadIndex(const json& body, const Responder& respond) {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
+    respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is not the leader"));
+    return;
+  }
+  StoreRetryReports(body.at("retry_reports"));
+  const auto answer = [this](std::uint64_t index) -> json {
+    return {{"index", index}, {"retries", EncodeRetryCounts(FleetRetryCounts())}};
+  };
+  AddBatchedRead(answer, respond, DeadlineOf(body));
+}
+
+void ControlNode::AddBatchedRead(std::function<json(std::uint64_t index)> answer,
+                                 const Responder& respond, TimePoint deadline) {
+  m_batched_reads[m_read_batcher.Add(deadline)] = {std::move(answer), respond};
+  RunReadBatches();
+}
+
+void ControlNode::RunReadBatches() {
+  const TimePoint now = Clock::now();
+  for (const ReadBatcher::Id id : m_read_batcher.TakeComplete(m_applied_index)) {
+    const auto read = m_batched_reads.extract(id);
+    read.mapped().respond(read.mapped().answer(m_last_batch_index));
+  }
+  for (const ReadBatcher::Id id : m_read_batcher.TakeExpired(now)) {
+    const auto read = m_batched_reads.extract(id);
+    read.mapped().respond(
+        ErrorBody(ControlErrc::kUnavailable, m_has_leader ? "the leader did not confirm the read"
+                                                          : m_options.host + " knows no leader"));
+  }
+  if (m_read_batcher.Begin(now)) BeginReadBatch();
+  const auto next = m_read_batcher.NextWakeup();
+  if (!next || (m_next_read_wakeup && *m_next_read_wakeup <= *next)) return;
+  m_next_read_wakeup = next;
+  m_node->RunAt(*next, [this, next] {
+    if (m_next_read_wakeup != next) return;  // an earlier wakeup was scheduled since
+    m_next_read_wakeup.reset();
+    RunReadBatches();
+  });
+}
+
+void ControlNode::BeginReadBatch() {
+  const ReplicaStatus status = m_replica.GetStatus();
+  const auto finish = [this](const Result<json>& reply) { OnReadIndex(reply); };
+  const TimePoint deadline = Clock::now() + kReadIndexTimeout;
+  if (status.role == ReplicaRole::kLeader) {
+    m_unsent_retry_reports = json::object();
+    StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
+    return;
+  }
+  if (!status.leader) {
+    m_read_batcher.Fail();
+    return;
+  }
+  json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
+               {"timeout_ms", kReadIndexTimeout.count()}};
+  m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
+}
+
+void ControlNode::OnReadIndex(const Result<json>& reply) {
+  const bool is_confirmed = reply && reply.value().contains("index");
+  if (is_confirmed) {
+    m_last_batch_index = reply.value().at("index").get<std::uint64_t>();
+    m_read_batcher.Confirm(m_last_batch_index);
+    if (reply.value().contains("retries")) {
+      const auto counts = DecodeRetryCounts(reply.value().at("retries"));
+      if (counts) m_leader_retry_counts = counts.value();
+    }
+  } else {
+    const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
+    LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
+    m_read_batcher.Fail();
+  }
+  RunReadBatches();
+}
+
+// Keeps the counts that entry hosts reported, and passes them on with the next read of the leader.
+void ControlNode::StoreRetryReports(const json& reports) {
+  for (const auto& [host, report] : reports.items()) {
+    auto counts = DecodeRetryCounts(report);
+    if (!counts) {
+      LogEvent(LogLevel::kWarning, "retry_report_refused",
+               {{"of", host}, {"error", counts.error().ToString()}});
+      continue;
+    }
+    m_retry_reports[host] = {std::move(counts).value(), Clock::now() + kRetryReportLifetime};
+    m_unsent_retry_reports[host] = report;
+  }
+}
+
+// Returns the requests and retries of all entry hosts by service: at the leader the sum of their
+// reports, elsewhere what the leader told last.
+std::map<std::string, RetryCounts> ControlNode::FleetRetryCounts() const {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_retry_counts;
+  std::map<std::string, RetryCounts> sum;
+  const TimePoint now = Clock::now();
+  for (const auto& [host, report] : m_retry_reports) {
+    if (now >= report.expires_at) continue;
+    for (const auto& [service, counts] : report.by_service) {
+      RetryCounts& total = sum[service];
+      total.requests += counts.requests;
+      total.retries += counts.retries;
+      ++total.hosts;
+    }
+  }
+  return sum;
+}
+
+json ControlNode::RouteTableSince(std::uint64_t have) const {
+  const RouteTableStore& store = m_state.GetRouteTable();
+  json members = json::array();
+  for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
+  json reply = {{"version", store.Version()},
+                {"members", std::move(members)},
+                {"retries", EncodeRetryCounts(FleetRetryCounts())}};
+  if (store.Version() > have) {
+    const std::string& text = store.CompressedText();
+    reply["text"] = json::binary({text.begin(), text.end()});
+  }
+  return reply;
+}
+
+}  // namespace corneltray
