Wait in tests until a frozen process has stopped

Cause: Process.freeze returned after the signal was sent. A thread that is running or waits for a core stops a moment later, so the entry host could still read the call and claim its key; the repeat at another host then waits for that claim, which is right.

Ruled out: a fault of the claim, since in each of these the frozen host holds the claim and answers "done" later.

Change: freeze waits until all threads are stopped, so the checks are stricter than before.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -220,7 +220,16 @@
         self.popen.wait(10)
 
     def freeze(self):
+        """Returns when every thread has stopped; the signal alone lets some run for a moment."""
         self.send(signal.SIGSTOP)
+        wait_until(lambda: not self.alive() or self._is_stopped(), 5, f"{self.name} is stopped")
+
+    def _is_stopped(self):
+        tasks = pathlib.Path(f"/proc/{self.pid}/task").iterdir()
+        try:
+            return all((task / "stat").read_text().rpartition(") ")[2][0] == "T" for task in tasks)
+        except OSError:  # a thread has ended in the meantime, so not all were stopped
+            return False
 
     def thaw(self):
         self.send(signal.SIGCONT)
