Send no requests to an upstream that says it is leaving

What callers may see: an upstream that shuts down, and whose announcement has not reached this host (its control processes are cut off, or the upstream tells nobody), gets requests until it closes its connections, and these fail.

Only announcements counted.

Change: the dialect reads the field; UpstreamBackoff keeps it at the host that got the response, for that incarnation, and the upstream is excluded from every choice, as a replica and as any stage of a chain. A 421 says nothing, because another upstream may have sent it. Other hosts are not told: each learns it from its own first response or from the announcement.

The product's own interface (corneltray-entry) has no such field and is not changed.

--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -53,6 +53,7 @@
   bool is_authentic = false;   // carries the upstream's signature
   bool is_not_run = false;     // the upstream has not run the request and will not run it
   bool is_encoded = false;     // has a content coding, so the body is not the upstream's original
+  bool is_leaving = false;     // the upstream is shutting down
   std::string faulty_address;  // failed stage of a chain; empty: not named
   std::optional<LoadReport> load;
   std::optional<std::uint32_t> slots;  // capacity of the upstream, sent with the load
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -24,6 +24,7 @@
 #include "corneltray/retry.h"
 #include "corneltray/route_table.h"
 #include "corneltray/service_picker.h"
+#include "corneltray/upstream_backoff.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
 
@@ -117,6 +118,11 @@
   // response.
   using EngineReportCallback = std::function<void(const EngineReport* report)>;
   void RequestReport(const std::string& address, EngineReportCallback done);
+  // An upstream said in a response that it is shutting down. This host sends it no more requests,
+  // even if the control processes have not heard of it.
+  void ReportLeaving(const std::string& upstream, std::uint64_t incarnation);
+  // Adds the addresses of the upstreams that asked this host for no more requests.
+  void AddBlocked(std::set<std::string>* addresses) const;
   // Marks an engine as suspected, notifies the control processes and fails over the requests that
   // wait for it.
   void ReportSuspectedEngine(const EngineLoss& loss);
@@ -162,6 +168,7 @@
   HttpListener m_ready_listener;
   UpstreamPool m_pool;
   UpstreamTable m_upstreams;
+  UpstreamBackoff m_backoff;
   std::uint64_t m_applied_generation = 0;  // of m_upstreams, last given to the routers
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
--- a/src/libserving/dialect_test.h
+++ b/src/libserving/dialect_test.h
@@ -44,6 +44,7 @@
     metadata.is_authentic = head.Find("Mark") != nullptr;
     metadata.is_not_run = head.Find("Not-Run") != nullptr;
     metadata.is_encoded = head.Find("Content-Encoding") != nullptr;
+    metadata.is_leaving = head.Find("Leaving") != nullptr;
     metadata.faulty_address = head.Value("Faulty");
     return metadata;
   }
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -51,6 +51,7 @@
   struct Attempt {
     std::uint32_t number = 0;
     std::string upstream;
+    std::uint64_t incarnation = 0;  // of the upstream
     std::string address;
     std::vector<ChainStage> chain;
     TimePoint started_at{};
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -77,6 +77,8 @@
   }
   m_chain_wait_deadline.reset();
   attempt.number = ++m_attempts;
+  const UpstreamTableEntry* record = m_gateway->Upstreams().Find(attempt.upstream);
+  if (record != nullptr) attempt.incarnation = record->announcement.incarnation;
   attempt.started_at = now;
   const bool has_attempt_timeout =
       IsRetrySafe(*m_request.route) && m_attempts < m_request.route->max_upstreams;
@@ -121,8 +123,10 @@
 
 bool Exchange::ChooseUpstream(TimePoint now, Attempt* attempt) {
   const UpstreamTable& upstreams = m_gateway->Upstreams();
+  std::set<std::string> excluded = m_excluded;
+  m_gateway->AddBlocked(&excluded);
   if (EngineRouter* router = Router()) {
-    ChainChoice choice = router->Choose(now, upstreams, m_excluded);
+    ChainChoice choice = router->Choose(now, upstreams, excluded);
     m_scope = choice.scope;
     if (choice.stages.empty()) return false;
     attempt->upstream = choice.stages.front().upstream;
@@ -131,8 +135,7 @@
     attempt->load = choice.load;
     return true;
   }
-  const auto choice =
-      m_gateway->PickerOf(m_request.service->name).Choose(now, upstreams, m_excluded);
+  const auto choice = m_gateway->PickerOf(m_request.service->name).Choose(now, upstreams, excluded);
   if (!choice) return false;
   m_scope = choice->is_own_zone ? ChainScope::kOwnZone : ChainScope::kOtherZone;
   attempt->upstream = choice->upstream;
@@ -209,6 +212,7 @@
 void Exchange::OnHead(HttpHead head) {
   const ResponseMetadata metadata = m_gateway->GetDialect().ReadResponse(head);
   RecordLoad(metadata);
+  if (metadata.is_leaving) m_gateway->ReportLeaving(m_attempt->upstream, m_attempt->incarnation);
   m_attempt->head = std::move(head);
   m_attempt->faulty_address = metadata.faulty_address;
   m_attempt->is_event_stream =
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -110,6 +110,7 @@
 void Gateway::RefreshUpstreams() {
   if (m_applied_generation == m_upstreams.Generation()) return;
   m_applied_generation = m_upstreams.Generation();
+  m_backoff.RemoveObsolete(m_upstreams);
   for (auto& [service, router] : m_routers) router.SetEngines(service, m_upstreams);
   for (auto& [service, picker] : m_pickers) picker.SetReplicas(m_upstreams);
   for (const auto& [name, record] : m_upstreams.Records()) {
@@ -221,7 +222,9 @@
   }
   if (EngineRouter* router = RouterOf(*request.service)) {
     // While only some engines are known, a chain would be routed through other zones.
-    return router->Choose(now, m_upstreams, {}).scope != ChainScope::kOwnZone;
+    std::set<std::string> blocked;
+    AddBlocked(&blocked);
+    return router->Choose(now, m_upstreams, blocked).scope != ChainScope::kOwnZone;
   }
   const auto& records = m_upstreams.Records();
   return std::none_of(records.begin(), records.end(), [&request](const auto& record) {
@@ -424,6 +427,16 @@
   FailOverFromEngine(now, loss);
 }
 
+void Gateway::ReportLeaving(const std::string& upstream, std::uint64_t incarnation) {
+  if (!m_backoff.MarkLeaving(upstream, incarnation)) return;
+  LogEvent(LogLevel::kInfo, "upstream_leaving",
+           {{"upstream", upstream}, {"incarnation", incarnation}});
+}
+
+void Gateway::AddBlocked(std::set<std::string>* addresses) const {
+  m_backoff.AddBlocked(m_upstreams, addresses);
+}
+
 void Gateway::RequestHealthCheck(const std::string& address) {
   constexpr std::chrono::milliseconds kHealthCheckInterval{400};
   const UpstreamTableEntry* record = m_upstreams.FindAddress(address);
