Give upstreams the pause that they ask for with Retry-After

What callers may see: an upstream that refuses a request and says when it wants the next one goes on getting requests from the same host. Each of them is refused, costs a retry of the budget, and the caller may end with a 503 that names a time at which the upstream refuses again.

A replica of a service that refused was not avoided by the next request at all, an engine for 250 ms.

UpstreamBackoff keeps the end of the pause for the incarnation that asked, at the host that got the response, and excludes the upstream from every choice, also as a later stage of a chain. If all upstreams of a service have asked for a pause, a caller is refused at once and told when the first of them takes requests again. The pause holds for the upstream that answered, also where it names another stage at fault; that one is avoided for 250 ms as before.

Evidence: the new cases of upstream_backoff_test.cc, built without the call of ReportPause, failed 7 of their checks (2 requests at an upstream that asked for a minute, callers not refused); they pass with it, and so do the other unit tests (269).

--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -121,8 +121,15 @@
   // An upstream said in a response that it is shutting down. This host sends it no more requests,
   // even if the control processes have not heard of it.
   void ReportLeaving(const std::string& upstream, std::uint64_t incarnation);
-  // Adds the addresses of the upstreams that asked this host for no more requests.
-  void AddBlocked(std::set<std::string>* addresses) const;
+  // An upstream refused a request and wants no others from this host for this time.
+  void ReportPause(const std::string& upstream, std::uint64_t incarnation,
+                   std::chrono::milliseconds pause);
+  // Adds the addresses of the upstreams that asked this host for no requests now.
+  void AddBlocked(TimePoint now, std::set<std::string>* addresses) const;
+  // If all upstreams of a service asked for no requests now, returns the time until one takes them
+  // again.
+  std::optional<std::chrono::milliseconds> RemainingPause(TimePoint now,
+                                                          const std::string& service) const;
   // Marks an engine as suspected, notifies the control processes and fails over the requests that
   // wait for it.
   void ReportSuspectedEngine(const EngineLoss& loss);
--- a/src/include/corneltray/http_head.h
+++ b/src/include/corneltray/http_head.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,9 @@
 // Returns the value of a Retry-After field: seconds, with a fraction where there is one.
 std::string FormatRetryAfter(std::chrono::milliseconds after);
 
+// Parses the seconds of a Retry-After field. Returns nullopt for anything else, such as a date.
+std::optional<std::chrono::milliseconds> ParseRetryAfter(std::string_view text);
+
 // Returns a response without a body, with the standard reason of its status.
 HttpHead MakeResponse(int status);
 
--- a/src/libhttp/http_head.cc
+++ b/src/libhttp/http_head.cc
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 
 namespace corneltray {
 namespace {
@@ -138,6 +140,17 @@
   return text;
 }
 
+std::optional<std::chrono::milliseconds> ParseRetryAfter(std::string_view text) {
+  constexpr double kMaxSeconds = 24.0 * 3600.0;  // longer times are cut to this one
+  double seconds = 0.0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  if (error != std::errc() || rest != end || !std::isfinite(seconds) || seconds < 0.0)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
+}
+
 HttpHead MakeResponse(int status) {
   HttpHead head;
   head.status = status;
--- a/src/libserving/dialect_test.h
+++ b/src/libserving/dialect_test.h
@@ -45,6 +45,7 @@
     metadata.is_not_run = head.Find("Not-Run") != nullptr;
     metadata.is_encoded = head.Find("Content-Encoding") != nullptr;
     metadata.is_leaving = head.Find("Leaving") != nullptr;
+    metadata.retry_after = ParseRetryAfter(head.Value("Pause"));
     metadata.faulty_address = head.Value("Faulty");
     return metadata;
   }
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -147,7 +147,8 @@
 }
 
 void Exchange::Refuse(GatewayRefusal refusal) {
-  m_call.Respond(RefusalHead(refusal), "");
+  const auto pause = m_gateway->RemainingPause(Clock::now(), m_request.service->name);
+  m_call.Respond(RefusalHead(refusal, pause), "");
   Finish(StatusOf(refusal), NameOf(refusal));
 }
 
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -124,7 +124,7 @@
 bool Exchange::ChooseUpstream(TimePoint now, Attempt* attempt) {
   const UpstreamTable& upstreams = m_gateway->Upstreams();
   std::set<std::string> excluded = m_excluded;
-  m_gateway->AddBlocked(&excluded);
+  m_gateway->AddBlocked(now, &excluded);
   if (EngineRouter* router = Router()) {
     ChainChoice choice = router->Choose(now, upstreams, excluded);
     m_scope = choice.scope;
@@ -213,6 +213,9 @@
   const ResponseMetadata metadata = m_gateway->GetDialect().ReadResponse(head);
   RecordLoad(metadata);
   if (metadata.is_leaving) m_gateway->ReportLeaving(m_attempt->upstream, m_attempt->incarnation);
+  if (metadata.retry_after) {
+    m_gateway->ReportPause(m_attempt->upstream, m_attempt->incarnation, *metadata.retry_after);
+  }
   m_attempt->head = std::move(head);
   m_attempt->faulty_address = metadata.faulty_address;
   m_attempt->is_event_stream =
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -222,9 +222,7 @@
   }
   if (EngineRouter* router = RouterOf(*request.service)) {
     // While only some engines are known, a chain would be routed through other zones.
-    std::set<std::string> blocked;
-    AddBlocked(&blocked);
-    return router->Choose(now, m_upstreams, blocked).scope != ChainScope::kOwnZone;
+    return router->Choose(now, m_upstreams, {}).scope != ChainScope::kOwnZone;
   }
   const auto& records = m_upstreams.Records();
   return std::none_of(records.begin(), records.end(), [&request](const auto& record) {
@@ -429,12 +427,28 @@
 
 void Gateway::ReportLeaving(const std::string& upstream, std::uint64_t incarnation) {
   if (!m_backoff.MarkLeaving(upstream, incarnation)) return;
+  m_metrics.Count("upstream_backoffs", "leaving");
   LogEvent(LogLevel::kInfo, "upstream_leaving",
            {{"upstream", upstream}, {"incarnation", incarnation}});
 }
 
-void Gateway::AddBlocked(std::set<std::string>* addresses) const {
-  m_backoff.AddBlocked(m_upstreams, addresses);
+void Gateway::ReportPause(const std::string& upstream, std::uint64_t incarnation,
+                          std::chrono::milliseconds pause) {
+  m_backoff.Pause(upstream, incarnation, Clock::now() + pause);
+  m_metrics.Count("upstream_backoffs", "retry_after");
+  LogEvent(LogLevel::kInfo, "upstream_paused",
+           {{"upstream", upstream}, {"incarnation", incarnation}, {"pause_ms", pause.count()}});
+}
+
+void Gateway::AddBlocked(TimePoint now, std::set<std::string>* addresses) const {
+  m_backoff.AddBlocked(now, m_upstreams, addresses);
+}
+
+std::optional<std::chrono::milliseconds> Gateway::RemainingPause(TimePoint now,
+                                                                 const std::string& service) const {
+  const std::optional<TimePoint> end = m_backoff.EndOfPause(now, m_upstreams, service);
+  if (!end) return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(*end - now);
 }
 
 void Gateway::RequestHealthCheck(const std::string& address) {
--- a/src/libserving/upstream_backoff_test.cc
+++ b/src/libserving/upstream_backoff_test.cc
@@ -1,8 +1,14 @@
 // Tests of the data path with upstreams that ask, in their responses, for no more requests.
+#include "corneltray/upstream_backoff.h"
+
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <chrono>
+#include <optional>
+#include <set>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "gateway_fixture_test.h"
@@ -10,6 +16,8 @@
 namespace corneltray {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int kCalls = 20;
 
 HttpHead MakeAuthenticHead(const std::string& type) {
@@ -24,6 +32,15 @@
   return response.compare(0, 12, "HTTP/1.1 " + status) == 0;
 }
 
+// Returns the Retry-After of a response.
+std::optional<milliseconds> RetryAfterOf(const std::string& response) {
+  const std::string name = "\r\nRetry-After: ";
+  const std::size_t at = response.find(name);
+  if (at == std::string::npos) return std::nullopt;
+  const std::size_t value = at + name.size();
+  return ParseRetryAfter(response.substr(value, response.find("\r\n", value) - value));
+}
+
 // Guards against requests that reach an upstream after it has told this host that it is shutting
 // down, while the control processes do not say so.
 TEST_CASE("an upstream that says in a response that it is leaving gets no more requests") {
@@ -95,5 +112,84 @@
   }
 }
 
+// Guards against requests that reach an upstream although it has asked this host for a pause, and
+// against callers that wait for an upstream that takes nothing.
+TEST_CASE("an upstream that refuses a request with Retry-After gets none until that time") {
+  GatewayFixture fixture;
+  std::atomic<milliseconds> pause{std::chrono::minutes(1)};
+  const auto serve = [](ScriptedUpstream&, const HttpCall& call) {
+    call.Respond(MakeAuthenticHead("text/plain"), "done");
+  };
+  // Refuses its first request only.
+  const auto refuse = [&pause, serve](ScriptedUpstream& self, const HttpCall& call) {
+    if (self.requests > 1) return serve(self, call);
+    HttpHead head = MakeResponse(503);
+    head.Add("Not-Run", "1");
+    head.Add("Pause", FormatRetryAfter(pause));
+    call.Respond(std::move(head), "");
+  };
+
+  SUBCASE("while another replica of the service serves") {
+    ScriptedUpstream* paused = fixture.Add("u", "a", refuse);
+    ScriptedUpstream* other = fixture.Add("v", "b", serve);
+    for (int i = 0; i < kCalls; ++i) CHECK(HasStatus(fixture.Call("GET", "/get/"), "200"));
+    CHECK(paused->requests == 1);
+    CHECK(other->requests == kCalls);
+  }
+  SUBCASE("while another copy of the model serves") {
+    ScriptedUpstream* paused = fixture.Add("a1", "a", refuse, 0, 80);
+    ScriptedUpstream* other = fixture.Add("b1", "b", serve, 0, 80);
+    for (int i = 0; i < kCalls; ++i) CHECK(HasStatus(fixture.Call("POST", "/talk/"), "200"));
+    CHECK(paused->requests == 1);
+    CHECK(other->requests == kCalls);
+  }
+  SUBCASE("and callers are refused at once and told the time if no other is left") {
+    const TimePoint start = Clock::now();
+    ScriptedUpstream* paused = fixture.Add("u", "a", refuse);
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string answer = fixture.Call("GET", "/get/");
+      CHECK(HasStatus(answer, "503"));
+      const std::optional<milliseconds> told = RetryAfterOf(answer);
+      REQUIRE(told.has_value());
+      CHECK(Clock::now() + *told >= start + pause.load());
+      CHECK(*told <= pause.load());
+    }
+    CHECK(paused->requests == 1);
+  }
+  SUBCASE("and then is used again") {
+    constexpr milliseconds kShortPause{200};
+    pause = kShortPause;
+    ScriptedUpstream* paused = fixture.Add("u", "a", refuse);
+    CHECK(HasStatus(fixture.Call("GET", "/get/"), "503"));
+    std::this_thread::sleep_for(kShortPause);
+    CHECK(HasStatus(fixture.Call("GET", "/get/"), "200"));
+    CHECK(paused->requests == 2);
+  }
+}
+
+TEST_CASE("a shorter pause does not end a longer one") {
+  const TimePoint now{std::chrono::hours(1)};
+  UpstreamTable upstreams;
+  upstreams.Apply(now, TestEngine("u", "a", "fast", 0, 80));
+  UpstreamBackoff backoff;
+  backoff.Pause("u", 1, now + milliseconds(900));
+  backoff.Pause("u", 1, now + milliseconds(300));
+  const auto is_blocked = [&](milliseconds after) {
+    std::set<std::string> blocked;
+    backoff.AddBlocked(now + after, upstreams, &blocked);
+    return blocked.count("u") > 0;
+  };
+  CHECK(is_blocked(milliseconds(899)));
+  CHECK_FALSE(is_blocked(milliseconds(900)));
+
+  SUBCASE("nor the one of an upstream that is leaving") {
+    CHECK(backoff.MarkLeaving("u", 1));
+    CHECK_FALSE(backoff.MarkLeaving("u", 1));
+    backoff.Pause("u", 1, now + milliseconds(300));
+    CHECK(is_blocked(std::chrono::hours(1)));
+    CHECK(backoff.EndOfPause(now, upstreams, "s") == std::nullopt);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
