Take a stream without events that ends with its connection for broken off

The caller got 200 and an empty answer that looked complete. Where the stream resumed another one, the caller got the events of the first upstream and a regular end.

Cause: the end of the connection is the regular end of such a response, and a stream without events was treated as a buffered answer. The crash was therefore not reported, and since the answer counted as begun, the prompt parts of the request were reported as sound: requests with a part that crashes upstreams in this way would never have been refused.

Change: a stream of events that is delimited by the end of the connection and has brought no event in this attempt is truncated. The attempt fails with the evidence that counts as a crash, and the request goes to another upstream within its limits. A stream with a length or chunks may be empty as before, and one that ends after an event is complete; a crash between two events cannot be told from that.

--- a/src/libserving/deadly_prompt_test.cc
+++ b/src/libserving/deadly_prompt_test.cc
@@ -147,5 +147,89 @@
   });
 }
 
+const char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nMark: m\r\nContent-Type: text/event-stream\r\n";
+
+bool EndsAsComplete(const std::string& response) {
+  const std::string last_chunk = "0\r\n\r\n";
+  return response.size() > last_chunk.size() &&
+         response.compare(response.size() - last_chunk.size(), last_chunk.size(), last_chunk) == 0;
+}
+
+// Guards against a crash that is taken for the end of a response without length and chunks: the
+// caller would get it as complete, and the prompt part would be taken for sound.
+TEST_CASE("a stream whose connection ends before its first event is incomplete") {
+  GatewayFixture fixture;
+  std::vector<CrashReport> reports;
+  fixture.loop.Run([&] {
+    fixture.gateway->SetQuarantineHandler([&reports](const QuarantineAction& action) {
+      if (const auto* report = std::get_if<CrashReport>(&action)) reports.push_back(*report);
+      return true;
+    });
+  });
+  const std::string parts = "Prompt-Parts: part\r\n";
+
+  SUBCASE("and is sent to another upstream") {
+    const ScriptedPeer crashing([](TestSocket* socket) {
+      socket->ReadRequest();
+      socket->Send(std::string(kStreamHead) + "\r\n");
+    });
+    fixture.loop.Run([&] { fixture.Announce("u", "a", crashing.Address()); });
+    fixture.Add("v", "b", [](ScriptedUpstream&, const HttpCall& call) {
+      HttpHead head = MakeResponse(200);
+      head.Add("Request-Id", "r1");
+      head.Add("Mark", "m");
+      head.Add("Content-Type", "text/event-stream");
+      call.Begin(std::move(head));
+      call.Write(Event(1) + Event(2));
+      call.End();
+    });
+    const std::string response = fixture.Call("POST", "/talk-plain/", parts);
+    CHECK(response.find(Event(2)) != std::string::npos);
+    CHECK(EndsAsComplete(response));
+    const std::vector<CrashReport> crashes = fixture.loop.Run([&] { return reports; });
+    CHECK(crashes.size() == 1);
+    for (const CrashReport& crash : crashes) {
+      CHECK(crash.upstream == "u");
+      CHECK(crash.phase == CrashPhase::kBeforeFirstEvent);
+    }
+  }
+  SUBCASE("also when it resumes a stream that another upstream broke off") {
+    const ScriptedPeer breaking([](TestSocket* socket) {
+      socket->ReadRequest();
+      socket->Send(std::string(kStreamHead) + "\r\n" + Event(1) + "id: 2");
+    });
+    const ScriptedPeer crashing([](TestSocket* socket) {
+      socket->ReadRequest();
+      socket->Send(std::string(kStreamHead) + "\r\n");
+    });
+    fixture.loop.Run([&] {
+      fixture.Announce("u", "a", breaking.Address());
+      fixture.Announce("v", "b", crashing.Address());
+    });
+    const std::string response = fixture.Call("POST", "/talk-plain/", parts);
+    CHECK(response.find(Event(1)) != std::string::npos);
+    CHECK_FALSE(EndsAsComplete(response));
+  }
+  SUBCASE("unless it has a length") {
+    const ScriptedPeer empty([](TestSocket* socket) {
+      socket->ReadRequest();
+      socket->Send(std::string(kStreamHead) + "Content-Length: 0\r\n\r\n");
+    });
+    fixture.loop.Run([&] { fixture.Announce("u", "a", empty.Address()); });
+    CHECK(HasStatus(fixture.Call("POST", "/talk-plain/", parts), "200"));
+    fixture.loop.Run([&] { CHECK(reports.empty()); });
+  }
+  SUBCASE("but complete if it ends after an event") {
+    const ScriptedPeer whole([](TestSocket* socket) {
+      socket->ReadRequest();
+      socket->Send(std::string(kStreamHead) + "\r\n" + Event(1) + Event(2));
+    });
+    fixture.loop.Run([&] { fixture.Announce("u", "a", whole.Address()); });
+    CHECK(EndsAsComplete(fixture.Call("POST", "/talk-plain/", parts)));
+    fixture.loop.Run([&] { CHECK(reports.empty()); });
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -20,6 +20,11 @@
   return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+// Whether the end of the connection marks the end of the body.
+bool IsDelimitedByClose(const HttpHead& head) {
+  return head.Find("Content-Length") == nullptr && head.Find("Transfer-Encoding") == nullptr;
+}
+
 }  // namespace
 
 Exchange::Exchange(Gateway* gateway, HttpCall call, GatewayRequest request)
@@ -88,7 +93,11 @@
 }
 
 void Exchange::FinishStream() {
-  if (m_stream.events.HasPartialEvent()) return EndAttempt(AttemptEvidence::kTruncated);
+  // Without any event, the end of the connection is more likely a crash than the end of a stream.
+  const bool has_crashed = m_attempt->events == 0 && IsDelimitedByClose(m_attempt->head);
+  if (has_crashed || m_stream.events.HasPartialEvent()) {
+    return EndAttempt(AttemptEvidence::kTruncated);
+  }
   if (!m_stream.begun) return FinishBuffered();
   const int status = m_attempt->head.status;
   CloseAttempt();
