--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -49,11 +49,11 @@
 
 // Metadata in the header fields of a response.
 struct ResponseMetadata {
-  std::string request_id;      // of the request that it belongs to
-  bool is_authentic = false;   // carries the upstream's signature
-  bool is_not_run = false;     // the upstream has not run the request and will not run it
-  bool is_encoded = false;     // has a content coding, so the body is not the upstream's original
-  bool is_leaving = false;     // the upstream is shutting down
+  std::string request_id;     // of the request that it belongs to
+  bool is_authentic = false;  // carries the upstream's signature
+  bool is_not_run = false;    // the upstream has not run the request and will not run it
+  bool is_encoded = false;    // has a content coding, so the body is not the upstream's original
+  bool is_leaving = false;    // the upstream is shutting down
   // The upstream refused the request and wants no other one from this host for this time.
   std::optional<std::chrono::milliseconds> retry_after;
   std::string faulty_address;  // failed stage of a chain; empty: not named
