--- a/src/libhttp/http_head.cc
+++ b/src/libhttp/http_head.cc
@@ -145,8 +145,8 @@
   double seconds = 0.0;
   const char* end = text.data() + text.size();
   const auto [rest, error] = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-  if (error != std::errc() || rest != end || !std::isfinite(seconds) || seconds < 0.0)
-    return std::nullopt;
+  if (error != std::errc() || rest != end) return std::nullopt;
+  if (!std::isfinite(seconds) || seconds < 0.0) return std::nullopt;
   return std::chrono::ceil<std::chrono::milliseconds>(
       std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
 }
