Query one host at a time for control processes

Cause: a process that knows no leader asked every linked host, every 500 ms, which control processes it knows. With 300 hosts that is 600 queries a second at each control host and as many from it, and each answer copied the status of all peers.

Evidence: until 3.8 s before traffic the first leader spent 1,171 ms of its 1,500 ms on 2,904 such queries, 249 ms on fetches of tables and 129 ms on the log. Ruled out for the start: the size of tables and upstream updates, which did not change.

Change: DiscoverySchedule picks one linked host after the other, beginning at another one for each host, with pauses from 0.5 to 4 s; an answer reads the connected control processes only.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -60,7 +60,7 @@
               [this](const UpstreamUpdates& updates) {
                 ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
               }),
-      m_discovery(io, m_options.node,
+      m_discovery(io, m_options.node, m_options.host,
                   [this](const std::string& address) { m_options.node->Connect(address); }),
       m_health_checker({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
                         m_options.node, &m_table}),
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -38,7 +38,8 @@
       m_gateway(gateway),
       m_links(io, node,
               [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
-      m_discovery(io, node, [this](const std::string& address) { MaintainLink(address); }),
+      m_discovery(io, node, m_self.name,
+                  [this](const std::string& address) { MaintainLink(address); }),
       m_timer(*io),
       m_seeds(seeds.begin(), seeds.end()),
       m_fetches(m_self.name) {
--- a/src/include/corneltray/control_discovery.h
+++ b/src/include/corneltray/control_discovery.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "corneltray/discovery_schedule.h"
 #include "corneltray/peer.h"
 #include "corneltray/time.h"
 
@@ -20,11 +21,12 @@
   using AddressHandler = std::function<void(const std::string& address)>;
 
   // `on_address` is called on the io_context. `node` must outlive the object.
-  ControlDiscovery(asio::io_context* io, PeerNode* node, AddressHandler on_address);
+  ControlDiscovery(asio::io_context* io, PeerNode* node, const std::string& own_host,
+                   AddressHandler on_address);
 
   // Registers the request handler. Must be called before PeerNode::Start.
   void Register();
-  // Queries all linked hosts, at a limited rate. Called several times a second while the process
+  // Queries a linked host if a query is due. Called several times a second while the process
   // has no link to a control process that knows a leader.
   void Query(TimePoint now);
 
@@ -33,8 +35,8 @@
 
   asio::io_context* m_io;
   PeerNode* m_node;
+  DiscoverySchedule m_schedule;
   AddressHandler m_on_address;
-  TimePoint m_next_query{};
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -119,6 +119,8 @@
   void RunAt(TimePoint when, std::function<void()> function);
 
   std::vector<PeerStatus> Peers() const;
+  // Returns the connected peers that run this program.
+  std::vector<PeerStatus> ConnectedPeers(std::string_view program) const;
   PeerCounters Counters() const;
   // Counters by message type. Replies count as kReply or kError.
   std::map<MessageType, PeerMessageCounters> MessageCounters() const;
--- a/src/libcorneltray/peer.cc
+++ b/src/libcorneltray/peer.cc
@@ -75,6 +75,9 @@
 }
 
 std::vector<PeerStatus> PeerNode::Peers() const { return m_impl->loop->Peers(); }
+std::vector<PeerStatus> PeerNode::ConnectedPeers(std::string_view program) const {
+  return m_impl->loop->ConnectedPeers(program);
+}
 PeerCounters PeerNode::Counters() const { return m_impl->loop->Counters(); }
 std::map<MessageType, PeerMessageCounters> PeerNode::MessageCounters() const {
   return m_impl->loop->MessageCounters();
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -88,6 +88,15 @@
   return m_published;
 }
 
+std::vector<PeerStatus> PeerLoop::ConnectedPeers(std::string_view program) const {
+  std::vector<PeerStatus> connected;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const PeerStatus& peer : m_published) {
+    if (peer.connected && peer.identity.program == program) connected.push_back(peer);
+  }
+  return connected;
+}
+
 PeerCounters PeerLoop::Counters() const {
   return {m_counters.malformed,     m_counters.oversized,      m_counters.unauthenticated,
           m_counters.replayed,      m_counters.links_replaced, m_counters.bytes_sent,
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -61,6 +61,7 @@
   bool Dispatch(std::function<void()> function);
   void RunAt(TimePoint when, std::function<void()> function);
   std::vector<PeerStatus> Peers() const;
+  std::vector<PeerStatus> ConnectedPeers(std::string_view program) const;
   PeerCounters Counters() const;
   std::map<MessageType, PeerMessageCounters> MessageCounters() const;
 
--- a/src/libfleet/control_discovery.cc
+++ b/src/libfleet/control_discovery.cc
@@ -14,15 +14,11 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kQueryInterval{500};
 constexpr std::chrono::milliseconds kQueryTimeout{1000};
 
-json EncodeControlHosts(const std::vector<PeerStatus>& peers) {
+json EncodeControlHosts(const std::vector<PeerStatus>& control_processes) {
   json addresses = json::array();
-  for (const PeerStatus& peer : peers) {
-    const bool is_control = peer.connected && peer.identity.program == kControlProgram;
-    if (is_control) addresses.push_back(peer.address);
-  }
+  for (const PeerStatus& process : control_processes) addresses.push_back(process.address);
   return {{"addresses", std::move(addresses)}};
 }
 
@@ -41,23 +37,25 @@
 
 }  // namespace
 
-ControlDiscovery::ControlDiscovery(asio::io_context* io, PeerNode* node, AddressHandler on_address)
-    : m_io(io), m_node(node), m_on_address(std::move(on_address)) {}
+ControlDiscovery::ControlDiscovery(asio::io_context* io, PeerNode* node,
+                                   const std::string& own_host, AddressHandler on_address)
+    : m_io(io), m_node(node), m_schedule(own_host), m_on_address(std::move(on_address)) {}
 
 void ControlDiscovery::Register() {
   m_node->SetRequestHandler(
       MessageType::kControlHostFetch,
       [this](const PeerIdentity&, const json&, const PeerNode::Responder& respond) {
-        respond(EncodeControlHosts(m_node->Peers()));
+        respond(EncodeControlHosts(m_node->ConnectedPeers(kControlProgram)));
       });
 }
 
 void ControlDiscovery::Query(TimePoint now) {
-  if (now < m_next_query) return;
-  m_next_query = now + kQueryInterval;
+  if (!m_schedule.IsDue(now)) return;
+  std::vector<std::string> linked;
   for (const PeerStatus& peer : m_node->Peers()) {
-    if (peer.connected) QueryHost(peer.identity.host);
+    if (peer.connected) linked.push_back(peer.identity.host);
   }
+  if (const auto host = m_schedule.Next(now, std::move(linked))) QueryHost(*host);
 }
 
 void ControlDiscovery::QueryHost(const std::string& host) {
--- a/src/libfleet/control_discovery_test.cc
+++ b/src/libfleet/control_discovery_test.cc
@@ -2,8 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <set>
 #include <string>
+#include <thread>
 
 #include "../libhttp/event_loop_test.h"
 #include "corneltray/control_client.h"
@@ -17,7 +20,7 @@
   EventLoopThread loop;
   PeerNode node;
   std::set<std::string> found;  // accessed on the loop thread
-  ControlDiscovery discovery{loop.Io(), &node,
+  ControlDiscovery discovery{loop.Io(), &node, "own",
                              [this](const std::string& address) { found.insert(address); }};
 
   Process(const std::string& host, const std::string& program)
@@ -70,4 +73,27 @@
   }
 }
 
+// Guards against queries that grow with the square of the number of hosts while none has a leader.
+TEST_CASE("a process queries one host at a time for control processes") {
+  Process process("starter", "corneltray-gateway");
+  Process first("first", kControlProgram);
+  Process second("second", kControlProgram);
+  Process third("third", "corneltray-gateway");
+  for (const Process* other : {&first, &second, &third}) {
+    process.node.Connect(other->node.ListenAddress());
+  }
+  REQUIRE(process.loop.WaitFor([&] {
+    const auto peers = process.node.Peers();
+    return peers.size() == 3 &&
+           std::all_of(peers.begin(), peers.end(), [](const auto& peer) { return peer.connected; });
+  }));
+  process.loop.Run([&] { process.discovery.Query(Clock::now()); });
+  const auto sent = [&] {
+    return process.node.MessageCounters()[MessageType::kControlHostFetch].sent;
+  };
+  CHECK(process.loop.WaitFor([&] { return sent() > 0; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(sent() == 1);
+}
+
 }  // namespace corneltray
