--- a/src/libfleet/discovery_schedule_test.cc
+++ b/src/libfleet/discovery_schedule_test.cc
@@ -30,9 +30,9 @@
       if (const auto asked = host.Next(now, kControlHosts)) ++queries[*asked];
     }
   }
-  for (const auto& [host, count] : queries) {
-    CAPTURE(host);
-    CHECK(count <= kMaxQueriesPerSecond * kSeconds);
+  CHECK(queries.size() == kControlHosts.size());
+  for (const auto& queries_of_host : queries) {
+    CHECK(queries_of_host.second <= kMaxQueriesPerSecond * kSeconds);
   }
 }
 
