--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -10,6 +10,7 @@
 import re
 import subprocess
 import sys
+import textwrap
 
 TOP = pathlib.Path(__file__).resolve().parent.parent
 CASE_TIMEOUT_S = 300
@@ -56,6 +57,11 @@
     return case.name, done.returncode == 0, done.stdout + done.stderr
 
 
+def print_output(output):
+    """Prints what a case printed, indented: .ci/run adds up the lines that begin with a count."""
+    print(textwrap.indent(output, "    "))
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", type=pathlib.Path, default=TOP / "build")
@@ -81,11 +87,11 @@
                 print(f"{name}: passed")
             elif name in red:
                 print(f"{name}: failed, listed in KNOWN-RED.txt")
-                print(output[-4000:])
+                print_output(output[-4000:])
             else:
                 failed += 1
                 print(f"{name}: FAILED")
-                print(output[-20000:])
+                print_output(output[-20000:])
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
