Encode a message to several hosts once

Cause: a push to all hosts copied its JSON tree and encoded it for each of them.

Change: PeerNode::Broadcast encodes a message once, and only if a receiver has a link. Messages count how often they were encoded and how long sending took, by type, in the metrics and in peer_messages, so that the cost of sending shows.

Result: the test of a broadcast to three hosts counts one encoding; Send to each of them counted three.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -253,12 +253,9 @@
   m_published_revision = revision;
   m_options.feed->Activate(current);
   m_options.on_revision(revision);
-  const json update = MakeConfigurationUpdate(previous, current);
-  for (const PeerStatus& peer : m_node->Peers()) {
-    // Control processes receive the document through the log.
-    if (!peer.connected || peer.identity.program == kControlProgram) continue;
-    m_node->Send(peer.identity.host, MessageType::kConfigurationChanged, update);
-  }
+  // Control processes receive the document through the log.
+  m_node->Broadcast(ConnectedHosts(m_node->Peers(), kControlProgram),
+                    MessageType::kConfigurationChanged, MakeConfigurationUpdate(previous, current));
 }
 
 void ControlNode::PublishRouteTable() {
@@ -267,10 +264,8 @@
   if (version == m_published_route_version) return;
   m_published_route_version = version;
   if (m_options.on_route_table) m_options.on_route_table(version);
-  for (const PeerStatus& peer : m_node->Peers()) {
-    if (!peer.connected || peer.identity.program == kControlProgram) continue;
-    m_node->Send(peer.identity.host, MessageType::kRouteTableChanged, {{"version", version}});
-  }
+  m_node->Broadcast(ConnectedHosts(m_node->Peers(), kControlProgram),
+                    MessageType::kRouteTableChanged, {{"version", version}});
 }
 
 void ControlNode::CompactIfDue() {
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "corneltray/messages.h"
@@ -47,6 +48,10 @@
   bool connected = false;
 };
 
+// Returns the hosts of all connected peers except those that run the program `except`.
+std::vector<std::string> ConnectedHosts(const std::vector<PeerStatus>& peers,
+                                        std::string_view except = {});
+
 // Counters of frames that were dropped, for metrics and tests.
 struct PeerCounters {
   std::uint64_t malformed = 0;
@@ -60,8 +65,10 @@
 
 // Messages of one type since the start of the process.
 struct PeerMessageCounters {
+  std::uint64_t encoded = 0;  // a message to several hosts is encoded once
   std::uint64_t sent = 0;
   std::uint64_t bytes_sent = 0;
+  Duration sending_time{0};  // spent in encoding, authenticating and queueing, on the I/O thread
   std::uint64_t received = 0;
   std::uint64_t bytes_received = 0;
   Duration handling_time{0};  // spent in handlers of received messages, on the I/O thread
@@ -108,6 +115,10 @@
   // `host` is PeerIdentity::host.
   void Send(const std::string& host, MessageType type, nlohmann::json body);
 
+  // Sends the same message without a reply to several hosts. It is encoded once, and only if at
+  // least one of the hosts has a link.
+  void Broadcast(std::vector<std::string> hosts, MessageType type, nlohmann::json body);
+
   // Sends a request. The callback runs exactly once: with the reply, the peer's error (kRefused),
   // or kDeadlineExceeded, kNotConnected or kStopped. After any error but kRefused the peer may have
   // run it. A restarted peer does not get requests sent to its predecessor.
--- a/src/libcorneltray/metrics.cc
+++ b/src/libcorneltray/metrics.cc
@@ -169,10 +169,14 @@
 std::string PeerMessageMetricsText(const std::map<MessageType, PeerMessageCounters>& by_type) {
   using Value = double (*)(const PeerMessageCounters&);
   const std::pair<const char*, Value> metrics[] = {
+      {"messages_encoded_total",
+       [](const PeerMessageCounters& c) { return static_cast<double>(c.encoded); }},
       {"messages_sent_total",
        [](const PeerMessageCounters& c) { return static_cast<double>(c.sent); }},
       {"message_bytes_sent_total",
        [](const PeerMessageCounters& c) { return static_cast<double>(c.bytes_sent); }},
+      {"message_sending_seconds_total",
+       [](const PeerMessageCounters& c) { return Seconds(c.sending_time); }},
       {"messages_received_total",
        [](const PeerMessageCounters& c) { return static_cast<double>(c.received); }},
       {"message_bytes_received_total",
--- a/src/libcorneltray/peer.cc
+++ b/src/libcorneltray/peer.cc
@@ -34,6 +34,15 @@
   return {static_cast<int>(errc), category};
 }
 
+std::vector<std::string> ConnectedHosts(const std::vector<PeerStatus>& peers,
+                                        std::string_view except) {
+  std::vector<std::string> hosts;
+  for (const PeerStatus& peer : peers) {
+    if (peer.connected && peer.identity.program != except) hosts.push_back(peer.identity.host);
+  }
+  return hosts;
+}
+
 class PeerNode::Impl {
  public:
   explicit Impl(PeerOptions options) : loop(std::make_shared<PeerLoop>(std::move(options))) {}
@@ -63,6 +72,10 @@
   m_impl->loop->Send(host, type, std::move(body));
 }
 
+void PeerNode::Broadcast(std::vector<std::string> hosts, MessageType type, nlohmann::json body) {
+  m_impl->loop->Broadcast(std::move(hosts), type, std::move(body));
+}
+
 void PeerNode::Request(const std::string& host, MessageType type, nlohmann::json body,
                        TimePoint deadline, ReplyCallback callback) {
   m_impl->loop->Request(host, type, std::move(body), deadline, std::move(callback));
--- a/src/libcorneltray/peer_frame.cc
+++ b/src/libcorneltray/peer_frame.cc
@@ -32,11 +32,11 @@
 
 }  // namespace
 
-std::string EncodePeerMessage(const PeerMessage& message) {
+std::string EncodePeerMessage(PeerMessage message) {
   json encoded = {{"type", NameOf(message.type)}};
   if (message.id != 0) encoded["id"] = message.id;
   if (message.reply_to != 0) encoded["reply_to"] = message.reply_to;
-  if (!message.body.is_null()) encoded["body"] = message.body;
+  if (!message.body.is_null()) encoded["body"] = std::move(message.body);
   std::string payload;
   json::to_cbor(encoded, payload);
   return payload;
--- a/src/libcorneltray/peer_frame.h
+++ b/src/libcorneltray/peer_frame.h
@@ -28,7 +28,7 @@
 };
 
 // CBOR of a message. Decoding returns nothing for malformed bytes or an unknown type.
-std::string EncodePeerMessage(const PeerMessage& message);
+std::string EncodePeerMessage(PeerMessage message);
 std::optional<PeerMessage> DecodePeerMessage(std::string_view payload);
 
 // HMAC-SHA-256 of the text under the key, 32 bytes.
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -116,6 +116,16 @@
   counters.handling_time += handling_time;
 }
 
+void PeerLoop::CountEncoded(MessageType type) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_message_counters[type].encoded;
+}
+
+void PeerLoop::CountSendingTime(MessageType type, Duration time) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_message_counters[type].sending_time += time;
+}
+
 void PeerLoop::CountSent(MessageType type, std::size_t bytes) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   PeerMessageCounters& counters = m_message_counters[type];
@@ -128,12 +138,13 @@
   m_counters_logged_at = now;
   json by_type = json::object();
   for (const auto& [type, counters] : MessageCounters()) {
+    const std::chrono::duration<double, std::milli> sending = counters.sending_time;
     const std::chrono::duration<double, std::milli> handling = counters.handling_time;
-    by_type[std::string(NameOf(type))] = {{"sent", counters.sent},
-                                          {"bytes_sent", counters.bytes_sent},
-                                          {"received", counters.received},
-                                          {"bytes_received", counters.bytes_received},
-                                          {"handling_ms", handling.count()}};
+    by_type[std::string(NameOf(type))] = {
+        {"encoded", counters.encoded},       {"sent", counters.sent},
+        {"bytes_sent", counters.bytes_sent}, {"sending_ms", sending.count()},
+        {"received", counters.received},     {"bytes_received", counters.bytes_received},
+        {"handling_ms", handling.count()}};
   }
   LogEvent(LogLevel::kInfo, "peer_messages", {{"since_start", std::move(by_type)}});
 }
@@ -147,18 +158,30 @@
 }
 
 void PeerLoop::Send(const std::string& host, MessageType type, json body) {
-  Dispatch([this, host, type, body = std::move(body)] {
-    Link* link = ActiveLink(host);
-    if (link == nullptr) return;
-    const std::string payload = EncodePeerMessage({type, 0, 0, body});
+  Broadcast({host}, type, std::move(body));
+}
+
+void PeerLoop::Broadcast(std::vector<std::string> hosts, MessageType type, json body) {
+  Dispatch([this, hosts = std::move(hosts), type, body = std::move(body)]() mutable {
+    std::vector<Link*> links;
+    for (const std::string& host : hosts) {
+      if (Link* link = ActiveLink(host)) links.push_back(link);
+    }
+    if (links.empty()) return;
+    const TimePoint start = Clock::now();
+    const std::string payload = EncodePeerMessage({type, 0, 0, std::move(body)});
+    CountEncoded(type);
     if (payload.size() + kFrameHeaderBytes > kMaxFrameBytes) {
       LogEvent(
           LogLevel::kError, "peer_message_dropped",
           {{"reason", "over the frame limit"}, {"type", NameOf(type)}, {"bytes", payload.size()}});
       return;
     }
-    CountSent(type, payload.size());
-    SendPayload(link, payload);
+    for (Link* link : links) {
+      CountSent(type, payload.size());
+      SendPayload(link, payload);
+    }
+    CountSendingTime(type, Clock::now() - start);
   });
 }
 
@@ -166,7 +189,7 @@
                        PeerNode::ReplyCallback callback) {
   auto shared_callback = std::make_shared<PeerNode::ReplyCallback>(std::move(callback));
   const bool accepted =
-      Dispatch([this, host, type, body = std::move(body), deadline, shared_callback] {
+      Dispatch([this, host, type, body = std::move(body), deadline, shared_callback]() mutable {
         const auto peer = m_peers.find(host);
         const TimePoint now = Clock::now();
         // A link that was lost a moment ago is usually replaced: the request waits for the new one.
@@ -177,8 +200,10 @@
           (*shared_callback)(Error{PeerErrc::kNotConnected, host});
           return;
         }
+        const TimePoint start = Clock::now();
         const std::uint64_t id = ++m_last_request;
-        std::string payload = EncodePeerMessage({type, id, 0, body});
+        std::string payload = EncodePeerMessage({type, id, 0, std::move(body)});
+        CountEncoded(type);
         if (payload.size() + kFrameHeaderBytes > kMaxFrameBytes) {
           (*shared_callback)(Error{PeerErrc::kRefused, "request over the frame limit"});
           return;
@@ -194,6 +219,7 @@
         if (link == nullptr) return;
         CountSent(type, request.payload.size());
         SendPayload(link, request.payload);
+        CountSendingTime(type, Clock::now() - start);
       });
   if (!accepted) (*shared_callback)(Error{PeerErrc::kStopped, ""});
 }
@@ -278,6 +304,7 @@
                        const Result<json>& result) {
   const auto peer = m_peers.find(host);
   if (peer == m_peers.end() || peer->second.identity.incarnation != incarnation) return;
+  const TimePoint start = Clock::now();
   PeerMessage reply;
   reply.reply_to = id;
   reply.type = result ? MessageType::kReply : MessageType::kError;
@@ -295,6 +322,8 @@
     CountSent(reply.type, payload.size());
     SendPayload(link, payload);
   }
+  CountEncoded(reply.type);
+  CountSendingTime(reply.type, Clock::now() - start);
   peer->second.replies.Answer(id, std::move(payload));
 }
 
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -68,6 +68,7 @@
   void Connect(const std::string& address);
   void Forget(const std::string& address);
   void Send(const std::string& host, MessageType type, nlohmann::json body);
+  void Broadcast(std::vector<std::string> hosts, MessageType type, nlohmann::json body);
   void Request(const std::string& host, MessageType type, nlohmann::json body, TimePoint deadline,
                PeerNode::ReplyCallback callback);
 
@@ -146,7 +147,9 @@
   void OnMessage(Link* link, PeerMessage message, std::size_t bytes);
   void Handle(Link* link, PeerMessage message);
   void CountReceived(MessageType type, std::size_t bytes, Duration handling_time);
+  void CountEncoded(MessageType type);
   void CountSent(MessageType type, std::size_t bytes);
+  void CountSendingTime(MessageType type, Duration time);
   void LogMessageCounters(TimePoint now);
   void OnRequest(Link* link, const PeerIdentity& from, const PeerMessage& message);
   void Respond(const std::string& host, std::uint64_t incarnation, std::uint64_t id,
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -211,6 +211,39 @@
   }
 }
 
+// Guards against a push to many hosts that costs one encoding for each of them, which kept control
+// processes of a large site busy.
+TEST_CASE("a broadcast is encoded once for all hosts") {
+  Echo sender(OptionsFor("sender"));
+  REQUIRE(sender.node.Start().Ok());
+  std::list<Echo> receivers;
+  std::vector<std::string> hosts;
+  for (const char* name : {"a", "b", "c"}) {
+    receivers.emplace_back(OptionsFor(name));
+    REQUIRE(receivers.back().node.Start().Ok());
+    sender.node.Connect(receivers.back().node.ListenAddress());
+    hosts.emplace_back(name);
+  }
+  REQUIRE(Eventually([&] { return ConnectedHosts(sender.node.Peers()).size() == hosts.size(); }));
+  hosts.emplace_back("without-a-link");
+
+  sender.node.Broadcast(hosts, MessageType::kGossip, {{"x", 1}});
+  for (Echo& receiver : receivers) {
+    CHECK(Eventually([&] { return receiver.pushes == 1; }));
+  }
+  const PeerMessageCounters counters = sender.node.MessageCounters()[MessageType::kGossip];
+  CHECK(counters.encoded == 1);
+  CHECK(counters.sent == receivers.size());
+
+  SUBCASE("and not at all if none of them is linked") {
+    sender.node.Broadcast({"without-a-link"}, MessageType::kGossip, {{"x", 2}});
+    std::promise<void> done;
+    sender.node.Post([&] { done.set_value(); });
+    done.get_future().wait();
+    CHECK(sender.node.MessageCounters()[MessageType::kGossip].encoded == 1);
+  }
+}
+
 // Guards against a stop that waits for ever because it meets the regular timer of the loop.
 TEST_CASE("a process stops at any moment") {
   for (int i = 0; i < 8; ++i) {
--- a/src/libfleet/control_links.cc
+++ b/src/libfleet/control_links.cc
@@ -48,7 +48,10 @@
 }
 
 void ControlLinks::Broadcast(MessageType type, const json& body) const {
-  for (const auto& [host, link] : m_links) m_node->Send(host, type, body);
+  std::vector<std::string> hosts;
+  hosts.reserve(m_links.size());
+  for (const auto& [host, link] : m_links) hosts.push_back(host);
+  m_node->Broadcast(std::move(hosts), type, body);
 }
 
 void ControlLinks::Fetch(const std::string& host) {
