--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -26,6 +26,7 @@
 
 struct ControlNodeOptions {
   std::string host;
+  std::string availability_zone;
   PeerNode* node = nullptr;           // must outlive the ControlNode and be stopped before it
   ConfigurationFeed* feed = nullptr;  // receives every committed document
   // The callbacks below run on the I/O thread.
@@ -131,6 +132,7 @@
   void CheckCaughtUp();
   void PublishConfiguration();
   void PublishRouteTable();
+  nlohmann::json MemberZones() const;
   nlohmann::json RouteTableSince(std::uint64_t have) const;
   std::map<std::string, RetryCounts> FleetRetryCounts() const;
   void CompactIfDue();
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -150,12 +150,23 @@
   return sum;
 }
 
+// Returns the availability zones of the control processes that this one is linked to, by host, and
+// its own.
+json ControlNode::MemberZones() const {
+  json zones = {{m_options.host, m_options.availability_zone}};
+  for (const PeerStatus& peer : m_node->ConnectedPeers(kControlProgram)) {
+    zones[peer.identity.host] = peer.identity.availability_zone;
+  }
+  return zones;
+}
+
 json ControlNode::RouteTableSince(std::uint64_t have) const {
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
   json reply = {{"version", store.Version()},
                 {"members", std::move(members)},
+                {"member_zones", MemberZones()},
                 {"retries", EncodeRetryCounts(FleetRetryCounts())}};
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
--- a/src/corneltray-control/engine_health_checker.cc
+++ b/src/corneltray-control/engine_health_checker.cc
@@ -64,11 +64,7 @@
 void EngineHealthChecker::BroadcastHealth() {
   const std::vector<EngineHealth> changes = m_monitor.TakeHealthUpdates(Clock::now());
   if (changes.empty()) return;
-  const nlohmann::json body = EncodeEngineHealth(changes);
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (!peer.connected || peer.identity.program == kControlProgram) continue;
-    m_options.node->Send(peer.identity.host, MessageType::kEngineHealth, body);
-  }
+  m_options.distributor->Broadcast(MessageType::kEngineHealth, EncodeEngineHealth(changes));
 }
 
 }  // namespace corneltray
--- a/src/corneltray-control/engine_health_checker.h
+++ b/src/corneltray-control/engine_health_checker.h
@@ -10,6 +10,7 @@
 #include "corneltray/engine_monitor.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/peer.h"
+#include "corneltray/upstream_distributor.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
 
@@ -24,9 +25,10 @@
     std::string host;  // name of this control process
     std::string availability_zone;
     std::shared_ptr<const Dialect> dialect;
-    UpstreamPool* pool = nullptr;              // must outlive this object
-    PeerNode* node = nullptr;                  // must outlive this object
-    const UpstreamTable* upstreams = nullptr;  // must outlive this object
+    UpstreamPool* pool = nullptr;                // must outlive this object
+    PeerNode* node = nullptr;                    // must outlive this object
+    const UpstreamTable* upstreams = nullptr;    // must outlive this object
+    UpstreamDistributor* distributor = nullptr;  // must outlive this object
   };
 
   explicit EngineHealthChecker(Options options) : m_options(std::move(options)) {}
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -18,11 +18,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickInterval{250};
-// Changes within this time are sent in one message.
-constexpr std::chrono::milliseconds kFlushDelay{20};
-constexpr std::chrono::milliseconds kRefreshInterval{1000};
-// Upstreams time out a call after one second.
-constexpr std::chrono::milliseconds kDepartureTimeout{600};
 constexpr std::chrono::milliseconds kPutTimeout{900};
 constexpr std::chrono::milliseconds kGetTimeout{900};
 constexpr std::chrono::milliseconds kOrderConnectTimeout{500};
@@ -57,47 +52,36 @@
                         const ControlResponder& respond) { OnCall(call, respond); }),
       m_pool(io),
       m_links(io, m_options.node,
-              [this](const UpstreamUpdates& updates) {
-                ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
+              [this](const std::string& host, const UpstreamUpdates& fetched) {
+                m_distributor.MergeFetched(host, fetched);
               }),
       m_discovery(io, m_options.node, m_options.host,
                   [this](const std::string& address) { m_options.node->Connect(address); }),
+      m_distributor({io, m_options.node, &m_table, m_options.incarnation,
+                     [this](const std::string& host) { m_quarantine.SendVerdicts(host); },
+                     [this](const std::string& host) { m_links.FetchAgain(host); }}),
       m_health_checker({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
-                        m_options.node, &m_table}),
-      m_quarantine(io, {m_options.node, &m_table, &m_metrics}),
+                        m_options.node, &m_table, &m_distributor}),
+      m_quarantine(io, {m_options.node, &m_table, &m_metrics, &m_distributor}),
       m_tick_timer(*io),
-      m_flush_timer(*io),
       m_member_controller(m_options.target_voters) {}
 
 void FleetService::Register() {
   m_discovery.Register();
   m_quarantine.Register();
-  m_options.node->SetPushHandler(MessageType::kUpstreamUpdates,
-                                 [this](const PeerIdentity&, const json& body) {
-                                   auto updates = DecodeUpstreamUpdates(body);
-                                   if (!updates) return;
-                                   asio::post(*m_io, [this, updates = std::move(updates).value()] {
-                                     ApplyUpstreamUpdates(Clock::now(), updates, &m_table);
-                                   });
-                                 });
+  m_distributor.Register();
   m_options.node->SetPushHandler(
       MessageType::kUpstreamSuspected, [this](const PeerIdentity& from, const json& body) {
         auto suspected = DecodeUpstreamUpdates(body);
         if (!suspected) return;
-        asio::post(*m_io, [this, host = from.host, suspected = std::move(suspected).value()] {
-          for (const UpstreamRefresh& engine : suspected.refreshes) {
-            m_table.Suspect(Clock::now(), engine.name, engine.incarnation, engine.sequence);
-            m_health_checker.Suspect(engine, host);
-          }
-          m_health_checker.Check();
+        asio::post(*m_io, [this, from, suspected = std::move(suspected).value()] {
+          OnSuspected(from, suspected);
         });
       });
-  m_options.node->SetRequestHandler(
-      MessageType::kUpstreamFetch,
-      [this](const PeerIdentity& from, const json&, const PeerNode::Responder& respond) {
-        asio::post(*m_io, [this, host = from.host, respond] {
-          respond(EncodeUpstreamUpdates(AllUpstreams(m_table)));
-          m_quarantine.SendVerdicts(host);
+  m_options.node->SetPushHandler(
+      MessageType::kEngineHealth, [this](const PeerIdentity&, const json& body) {
+        asio::post(*m_io, [this, body] {
+          m_distributor.RelayToFollowers(MessageType::kEngineHealth, body);
         });
       });
   m_options.node->SetRequestHandler(
@@ -130,7 +114,7 @@
   m_stopped = true;
   m_health_checker.Stop();
   m_tick_timer.cancel();
-  m_flush_timer.cancel();
+  m_distributor.Stop();
   m_endpoint.Close();
   m_pool.CloseAll();
 }
@@ -150,30 +134,32 @@
   std::visit(Visitor{*this, respond}, call);
 }
 
+void FleetService::OnSuspected(const PeerIdentity& from, const UpstreamUpdates& suspected) {
+  UpstreamUpdates relayed;
+  for (const UpstreamRefresh& engine : suspected.refreshes) {
+    const UpstreamTableEntry* known = m_table.Find(engine.name);
+    // Many hosts suspect an engine at the same time; the other control processes need one of these
+    // reports.
+    if (known == nullptr || !known->is_suspected) relayed.refreshes.push_back(engine);
+    m_table.Suspect(Clock::now(), engine.name, engine.incarnation, engine.sequence);
+    m_health_checker.Suspect(engine, from.host);
+  }
+  if (from.program != kControlProgram && !relayed.refreshes.empty()) {
+    m_distributor.RelayToControlHosts(MessageType::kUpstreamSuspected,
+                                      EncodeUpstreamUpdates(relayed));
+  }
+  m_health_checker.Check();
+}
+
 void FleetService::OnAnnounce(const AnnounceCall& announce, const ControlResponder& respond) {
-  const UpstreamUpdate update{announce.announcement, false};
-  const UpdateResult result = m_table.Apply(Clock::now(), update);
   const Announcement& announcement = announce.announcement;
-  if (result == UpdateResult::kRefreshed || result == UpdateResult::kStale) {
-    if (result == UpdateResult::kRefreshed) {
-      m_refreshes.refreshes.push_back(
-          {announcement.name, announcement.incarnation, announcement.sequence});
-    }
-    return respond({kOk});
-  }
+  const UpdateResult result = m_distributor.Announce(Clock::now(), announcement);
+  if (result == UpdateResult::kRefreshed || result == UpdateResult::kStale) return respond({kOk});
   json fields = LogFields(announcement);
   fields["verdict"] = NameOf(result);
   LogEvent(LogLevel::kInfo, "upstream_announced", fields);
-  if (announcement.state == UpstreamState::kLeaving) return AcknowledgeDeparture(update, respond);
-  m_changes.updates.push_back(update);
-  if (!std::exchange(m_flush_scheduled, true)) {
-    m_flush_timer.expires_after(kFlushDelay);
-    m_flush_timer.async_wait([this](const asio::error_code& cancelled) {
-      m_flush_scheduled = false;
-      if (!cancelled) FlushChanges();
-    });
-  }
-  respond({kOk});
+  if (announcement.state != UpstreamState::kLeaving) return respond({kOk});
+  m_distributor.Depart({announcement, false}, [respond] { respond({kOk}); });
 }
 
 void FleetService::OnLeave(const LeaveCall& leave, const ControlResponder& respond) {
@@ -183,33 +169,7 @@
             {"incarnation", leave.incarnation},
             {"known", update.has_value()}});
   if (!update) return respond({kOk});
-  AcknowledgeDeparture(*update, respond);
-}
-
-void FleetService::AcknowledgeDeparture(const UpstreamUpdate& update,
-                                        const ControlResponder& respond) {
-  const auto missing_replies = std::make_shared<std::size_t>(0);
-  const TimePoint deadline = Clock::now() + kDepartureTimeout;
-  UpstreamUpdates updates;
-  updates.updates.push_back(update);
-  const json body = EncodeUpstreamUpdates(updates);
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (!peer.connected) continue;
-    if (peer.identity.program == kControlProgram) {
-      m_options.node->Send(peer.identity.host, MessageType::kUpstreamUpdates, body);
-      continue;
-    }
-    ++*missing_replies;
-    m_options.node->Request(peer.identity.host, MessageType::kUpstreamUpdates, body, deadline,
-                            [this, missing_replies, respond](const Result<json>&) {
-                              // Also counts a failed request: a peer that does not answer is
-                              // disconnected or slow, and the update stays queued on its link.
-                              asio::post(*m_io, [missing_replies, respond] {
-                                if (--*missing_replies == 0) respond({kOk});
-                              });
-                            });
-  }
-  if (*missing_replies == 0) respond({kOk});
+  m_distributor.Depart(*update, [respond] { respond({kOk}); });
 }
 
 void FleetService::OnPut(const PutRouteTableCall& put, const ControlResponder& respond) {
@@ -267,27 +227,6 @@
   m_options.node->Post([this, body, finish] { m_options.control->FetchRouteTable(body, finish); });
 }
 
-void FleetService::Broadcast(const UpstreamUpdates& updates) {
-  const json body = EncodeUpstreamUpdates(updates);
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (!peer.connected) continue;
-    m_options.node->Send(peer.identity.host, MessageType::kUpstreamUpdates, body);
-  }
-}
-
-void FleetService::FlushChanges() {
-  if (m_changes.updates.empty()) return;
-  Broadcast(m_changes);
-  m_changes = {};
-}
-
-void FleetService::FlushRefreshes(TimePoint now) {
-  if (now < m_refresh_at || m_refreshes.refreshes.empty()) return;
-  m_refresh_at = now + kRefreshInterval;
-  Broadcast(m_refreshes);
-  m_refreshes = {};
-}
-
 void FleetService::ScheduleTick() {
   m_tick_timer.expires_after(kTickInterval);
   m_tick_timer.async_wait([this](const asio::error_code& cancelled) {
@@ -300,7 +239,7 @@
 void FleetService::Tick() {
   const TimePoint now = Clock::now();
   m_table.Expire(now);
-  FlushRefreshes(now);
+  m_distributor.Check(now);
   m_links.Check();
   PlaceLayers(now);
   m_health_checker.Check();
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -21,6 +21,7 @@
 #include "corneltray/member_set_controller.h"
 #include "corneltray/metrics.h"
 #include "corneltray/peer.h"
+#include "corneltray/upstream_distributor.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
 #include "engine_health_checker.h"
@@ -35,6 +36,7 @@
   ControlNode* control = nullptr;  // must outlive the service
   std::string host;                // host name of this replica
   std::string availability_zone;
+  std::uint64_t incarnation = 0;  // of this process
   std::size_t target_voters = 3;
   std::string peer_port;           // peer port of every control process
   std::vector<std::string> seeds;  // peer addresses of the initial members
@@ -72,11 +74,8 @@
   void OnPut(const PutRouteTableCall& put, const ControlResponder& respond);
   void OnGet(const ControlResponder& respond);
 
-  // Notifies every entry process and answers the upstream when all have replied or at a deadline.
-  void AcknowledgeDeparture(const UpstreamUpdate& update, const ControlResponder& respond);
-  void Broadcast(const UpstreamUpdates& updates);
-  void FlushChanges();
-  void FlushRefreshes(TimePoint now);
+  // A host got no response from these engines.
+  void OnSuspected(const PeerIdentity& from, const UpstreamUpdates& suspected);
   void ScheduleTick();
   void Tick();
   void UpdateMembership();                             // on the I/O thread of PeerNode
@@ -98,16 +97,12 @@
   ControlLinks m_links;  // to the other control processes
   ControlDiscovery m_discovery;
   UpstreamTable m_table;
+  UpstreamDistributor m_distributor;
   LayerController m_layers;
   EngineHealthChecker m_health_checker;
   QuarantineService m_quarantine;
   asio::steady_timer m_tick_timer;
-  asio::steady_timer m_flush_timer;
-  bool m_flush_scheduled = false;
   bool m_stopped = false;
-  UpstreamUpdates m_changes;    // not yet broadcast
-  UpstreamUpdates m_refreshes;  // not yet broadcast
-  TimePoint m_refresh_at{};
   std::optional<std::uint64_t> m_leading_term;
   std::uint64_t m_route_version = 0;
   std::string m_compressed_routes;  // not yet decoded
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -150,6 +150,7 @@
 
     ControlNodeOptions options;
     options.host = m_settings.peer_name;
+    options.availability_zone = m_settings.availability_zone;
     options.node = m_node.get();
     options.feed = m_feed.get();
     options.on_revision = [this](std::uint64_t revision) {
@@ -167,7 +168,7 @@
     m_control = std::make_unique<ControlNode>(std::move(options), std::move(storage));
     m_control->Register();
     m_client = std::make_unique<LocalControlClient>(m_node.get(), m_control.get());
-    if (HasFleetService()) MakeFleetService();
+    if (HasFleetService()) MakeFleetService(incarnation);
 
     if (const corneltray::Status started = m_node->Start(); !started) {
       return Fail(kExitAddress, started.error().ToString());
@@ -219,7 +220,7 @@
 
   bool HasFleetService() const { return !m_settings.fleet_address.empty(); }
 
-  void MakeFleetService() {
+  void MakeFleetService(std::uint64_t incarnation) {
     FleetServiceOptions options;
     options.address = m_settings.fleet_address;
     options.dialect = platform::MakePlatformDialect();
@@ -227,6 +228,7 @@
     options.control = m_control.get();
     options.host = m_settings.peer_name;
     options.availability_zone = m_settings.availability_zone;
+    options.incarnation = incarnation;
     options.target_voters = m_settings.control_voters;
     options.peer_port = PortOf(m_settings.peer_address);
     options.seeds = m_settings.seeds;
--- a/src/corneltray-control/quarantine_service.cc
+++ b/src/corneltray-control/quarantine_service.cc
@@ -28,23 +28,28 @@
       MessageType::kPromptCrash, [this](const PeerIdentity& from, const json& body) {
         auto report = DecodeCrashReport(body);
         if (!report) return LogMalformed(from, MessageType::kPromptCrash, report.error());
-        asio::post(*m_io, [this, host = from.host, report = std::move(report).value()] {
-          OnCrash(host, report);
+        asio::post(*m_io, [this, from, body, report = std::move(report).value()] {
+          Relay(from, MessageType::kPromptCrash, body);
+          OnCrash(from.host, report);
         });
       });
   m_options.node->SetPushHandler(
       MessageType::kPromptBegun, [this](const PeerIdentity& from, const json& body) {
         auto parts = DecodePromptParts(body);
         if (!parts) return LogMalformed(from, MessageType::kPromptBegun, parts.error());
-        asio::post(*m_io, [this, host = from.host, parts = std::move(parts).value()] {
-          OnAnswerBegun(host, parts);
+        asio::post(*m_io, [this, from, body, parts = std::move(parts).value()] {
+          Relay(from, MessageType::kPromptBegun, body);
+          OnAnswerBegun(from.host, parts);
         });
       });
   m_options.node->SetPushHandler(
       MessageType::kPromptVerdicts, [this](const PeerIdentity& from, const json& body) {
         auto verdicts = DecodePartVerdicts(body);
         if (!verdicts) return LogMalformed(from, MessageType::kPromptVerdicts, verdicts.error());
-        asio::post(*m_io, [this, verdicts = std::move(verdicts).value()] { OnVerdicts(verdicts); });
+        asio::post(*m_io, [this, body, verdicts = std::move(verdicts).value()] {
+          m_options.distributor->RelayToFollowers(MessageType::kPromptVerdicts, body);
+          OnVerdicts(verdicts);
+        });
       });
   m_options.node->SetRequestHandler(
       MessageType::kPromptTrial,
@@ -61,6 +66,11 @@
       });
 }
 
+void QuarantineService::Relay(const PeerIdentity& from, MessageType type, const json& body) {
+  if (from.program == kControlProgram) return;
+  m_options.distributor->RelayToControlHosts(type, body);
+}
+
 void QuarantineService::Check() {
   m_attribution.DropDisproved(Clock::now(), *m_options.upstreams);
   PublishChanges();
@@ -146,12 +156,7 @@
               {"companions", verdict.companions},
               {"trial_in_ms", verdict.trial_in.count()}});
   }
-  const json body = EncodePartVerdicts(changes);
-  for (const PeerStatus& peer : m_options.node->Peers()) {
-    if (peer.connected) {
-      m_options.node->Send(peer.identity.host, MessageType::kPromptVerdicts, body);
-    }
-  }
+  m_options.distributor->Broadcast(MessageType::kPromptVerdicts, EncodePartVerdicts(changes));
 }
 
 }  // namespace corneltray
--- a/src/corneltray-control/quarantine_service.h
+++ b/src/corneltray-control/quarantine_service.h
@@ -9,6 +9,7 @@
 #include "corneltray/metrics.h"
 #include "corneltray/peer.h"
 #include "corneltray/prompt_quarantine.h"
+#include "corneltray/upstream_distributor.h"
 #include "corneltray/upstream_table.h"
 
 namespace corneltray {
@@ -21,9 +22,10 @@
 class QuarantineService {
  public:
   struct Options {
-    PeerNode* node = nullptr;                  // must outlive this object
-    const UpstreamTable* upstreams = nullptr;  // must outlive this object
-    Metrics* metrics = nullptr;                // must outlive this object
+    PeerNode* node = nullptr;                    // must outlive this object
+    const UpstreamTable* upstreams = nullptr;    // must outlive this object
+    Metrics* metrics = nullptr;                  // must outlive this object
+    UpstreamDistributor* distributor = nullptr;  // must outlive this object
   };
 
   QuarantineService(asio::io_context* io, Options options) : m_io(io), m_options(options) {}
@@ -42,6 +44,8 @@
  private:
   void OnCrash(const std::string& reporter, const CrashReport& report);
   void OnAnswerBegun(const std::string& reporter, const std::vector<std::string>& parts);
+  // Passes a report of an entry host, which is linked to few control processes, on to the others.
+  void Relay(const PeerIdentity& from, MessageType type, const nlohmann::json& body);
   void OnVerdicts(const std::vector<PartVerdict>& verdicts);
   void OnTrial(const std::string& host, const TrialRequest& request, bool is_forwarded,
                const PeerNode::Responder& respond);
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -36,36 +36,20 @@
       m_self(std::move(self)),
       m_node(node),
       m_gateway(gateway),
-      m_links(io, node,
-              [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
+      m_subscription(
+          io, node, m_self,
+          [gateway](const UpstreamUpdates& updates) { gateway->UpdateUpstreams(updates); }),
       m_discovery(io, node, m_self.name,
-                  [this](const std::string& address) { MaintainLink(address); }),
+                  [this](const std::string& address) { m_subscription.AddDiscovered(address); }),
       m_timer(*io),
-      m_seeds(seeds.begin(), seeds.end()),
       m_fetches(m_self.name) {
   if (!seeds.empty()) m_peer_port = PortOf(seeds.front());
+  m_subscription.SetSeeds(seeds);
 }
 
 void ControlPlaneSubscriber::Register() {
   m_discovery.Register();
-  const auto apply_updates = [this](const json& body) {
-    auto updates = DecodeUpstreamUpdates(body);
-    if (!updates) return;
-    asio::post(*m_io, [this, updates = std::move(updates).value()] {
-      m_gateway->UpdateUpstreams(updates);
-    });
-  };
-  m_node->SetPushHandler(
-      MessageType::kUpstreamUpdates,
-      [apply_updates](const PeerIdentity&, const json& body) { apply_updates(body); });
-  m_node->SetRequestHandler(MessageType::kUpstreamUpdates,
-                            [this, apply_updates](const PeerIdentity&, const json& body,
-                                                  const PeerNode::Responder& respond) {
-                              apply_updates(body);
-                              // Responds after the update was applied: posted handlers run in
-                              // order.
-                              asio::post(*m_io, [respond] { respond(json::object()); });
-                            });
+  m_subscription.Register();
   m_node->SetPushHandler(MessageType::kEngineHealth, [this](const PeerIdentity&, const json& body) {
     auto engines = DecodeEngineHealth(body);
     if (!engines) return;
@@ -97,24 +81,24 @@
   m_gateway->SetSuspectHandler([this](const UpstreamRefresh& engine) {
     UpstreamUpdates suspected;
     suspected.refreshes.push_back(engine);
-    m_links.Broadcast(MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
+    m_subscription.SendToSource(MessageType::kUpstreamSuspected, EncodeUpstreamUpdates(suspected));
   });
   m_gateway->SetQuarantineHandler(
       [this](const QuarantineAction& action) { return SendQuarantineAction(action); });
   m_started_at = Clock::now();
-  for (const std::string& seed : m_seeds) MaintainLink(seed);
   ScheduleTick();
 }
 
 bool ControlPlaneSubscriber::SendQuarantineAction(const QuarantineAction& action) {
-  if (m_links.IsEmpty()) return false;
+  if (!m_subscription.HasLinks()) return false;
   struct Visitor {
     ControlPlaneSubscriber& subscriber;
     void operator()(const CrashReport& report) const {
-      subscriber.m_links.Broadcast(MessageType::kPromptCrash, EncodeCrashReport(report));
+      subscriber.m_subscription.SendToAll(MessageType::kPromptCrash, EncodeCrashReport(report));
     }
     void operator()(const AnswerBegun& begun) const {
-      subscriber.m_links.Broadcast(MessageType::kPromptBegun, EncodePromptParts(begun.parts));
+      subscriber.m_subscription.SendToAll(MessageType::kPromptBegun,
+                                          EncodePromptParts(begun.parts));
     }
     void operator()(const TrialRequest& request) const { subscriber.RequestTrial(request); }
   };
@@ -123,8 +107,7 @@
 }
 
 void ControlPlaneSubscriber::RequestTrial(const TrialRequest& request) {
-  const std::string host =
-      m_fetches.Preferred(Clock::now(), m_links.Candidates(m_self.availability_zone));
+  const std::string host = m_fetches.Preferred(Clock::now(), m_subscription.Candidates());
   const auto finish = [this, part = request.verdict.part](const Result<json>& reply) {
     const bool is_granted = reply && IsTrialGranted(reply.value());
     asio::post(*m_io, [this, part, is_granted] { m_gateway->AnswerTrial(part, is_granted); });
@@ -139,12 +122,7 @@
 }
 
 void ControlPlaneSubscriber::SetSeeds(const std::vector<std::string>& seeds) {
-  m_seeds = {seeds.begin(), seeds.end()};
-  for (const std::string& seed : m_seeds) MaintainLink(seed);
-}
-
-void ControlPlaneSubscriber::MaintainLink(const std::string& address) {
-  if (m_linked_addresses.insert(address).second) m_node->Connect(address);
+  m_subscription.SetSeeds(seeds);
 }
 
 void ControlPlaneSubscriber::ScheduleTick() {
@@ -158,8 +136,8 @@
 
 void ControlPlaneSubscriber::Tick() {
   const TimePoint now = Clock::now();
-  m_links.Check();
-  if (m_links.IsEmpty()) m_discovery.Query(now);
+  m_subscription.Check(now);
+  if (!m_subscription.HasLinks()) m_discovery.Query(now);
   FetchIfDue();
 }
 
@@ -174,9 +152,8 @@
 
 void ControlPlaneSubscriber::FetchIfDue() {
   if (m_stopped) return;
-  while (const auto host =
-             m_fetches.NextFetch(Clock::now(), m_links.Candidates(m_self.availability_zone),
-                                 m_gateway->RouteVersion())) {
+  while (const auto host = m_fetches.NextFetch(Clock::now(), m_subscription.Candidates(),
+                                               m_gateway->RouteVersion())) {
     FetchRouteTable(*host);
   }
 }
@@ -208,11 +185,12 @@
   const bool is_confirmed = confirmed && body.value("is_confirmed", true);
   m_fetches.OnAnswered(host, is_confirmed);
   ApplyRouteTable(host, asked_at, body);
-  ApplyMembers(body.at("members"));
+  ApplyMembers(body);
   const auto retries = DecodeRetryCounts(body.at("retries"));
   if (retries) m_gateway->SetFleetRetryCounts(retries.value());
   if (is_confirmed && m_gateway->RouteVersion() >= body.at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
+    m_subscription.OnConfirmed(Clock::now(), host);
   }
 }
 
@@ -249,20 +227,15 @@
   m_gateway->SetRouteTable(table.value());
 }
 
-void ControlPlaneSubscriber::ApplyMembers(const json& members) {
-  std::set<std::string> wanted = m_seeds;
-  for (const json& host : members) {
-    wanted.insert(host.get<std::string>() + ":" + m_peer_port);
-  }
-  for (const std::string& address : wanted) MaintainLink(address);
-  for (auto target = m_linked_addresses.begin(); target != m_linked_addresses.end();) {
-    if (wanted.count(*target) > 0) {
-      ++target;
-      continue;
-    }
-    m_node->Forget(*target);
-    target = m_linked_addresses.erase(target);
+void ControlPlaneSubscriber::ApplyMembers(const json& reply) {
+  const auto zones = reply.find("member_zones");
+  std::vector<ControlHost> members;
+  for (const json& member : reply.at("members")) {
+    const std::string host = member.get<std::string>();
+    const std::string zone = zones == reply.end() ? "" : zones->value(host, "");
+    members.push_back({host + ":" + m_peer_port, zone});
   }
+  m_subscription.SetMembers(members);
 }
 
 }  // namespace corneltray
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -5,23 +5,17 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "corneltray/control_discovery.h"
-#include "corneltray/control_links.h"
 #include "corneltray/fetch_scheduler.h"
 #include "corneltray/gateway.h"
 #include "corneltray/peer.h"
+#include "corneltray/upstream_subscription.h"
 
 namespace corneltray {
 
-struct HostLocation {
-  std::string name;
-  std::string availability_zone;
-};
-
 // Keeps a gateway in sync with the control processes: it fetches the route table, confirmed by the
 // replicated log, and applies updates about upstreams. Discovers control processes through the
 // hosts that it is linked to. Runs on the gateway's io_context; PeerNode calls its handlers on
@@ -52,23 +46,20 @@
   // A control process reports that a route table of this version is committed.
   void OnRouteTableChanged(const std::string& host, std::uint64_t version);
   void ApplyRouteTable(const std::string& host, TimePoint asked_at, const nlohmann::json& reply);
-  void ApplyMembers(const nlohmann::json& members);
+  void ApplyMembers(const nlohmann::json& reply);
   // Sends evidence about prompt parts to all control processes, and a trial request to one. Returns
   // false if none is linked.
   bool SendQuarantineAction(const QuarantineAction& action);
   void RequestTrial(const TrialRequest& request);
-  void MaintainLink(const std::string& address);
 
   asio::io_context* m_io;
   HostLocation m_self;
   PeerNode* m_node;
   Gateway* m_gateway;
-  ControlLinks m_links;
+  UpstreamSubscription m_subscription;
   ControlDiscovery m_discovery;
   asio::steady_timer m_timer;
   bool m_stopped = false;
-  std::set<std::string> m_seeds;
-  std::set<std::string> m_linked_addresses;  // peer addresses that the node stays connected to
   std::string m_peer_port;
   FetchScheduler m_fetches;
   TimePoint m_started_at{};
--- a/src/include/corneltray/control_links.h
+++ b/src/include/corneltray/control_links.h
@@ -18,7 +18,8 @@
 // control process has received. Runs on one io_context; PeerNode delivers replies on other threads.
 class ControlLinks {
  public:
-  using UpdateHandler = std::function<void(const UpstreamUpdates& updates)>;
+  using UpdateHandler =
+      std::function<void(const std::string& host, const UpstreamUpdates& updates)>;
 
   // `on_updates` is called on the io_context. Both pointers must outlive the object.
   ControlLinks(asio::io_context* io, PeerNode* node, UpdateHandler on_updates);
@@ -31,6 +32,8 @@
   std::vector<ControlCandidate> Candidates(const std::string& availability_zone) const;
   // Sends a push message to every linked control process.
   void Broadcast(MessageType type, const nlohmann::json& body) const;
+  // Fetches the upstream state from this control process again, at the next check.
+  void FetchAgain(const std::string& host);
 
  private:
   struct Link {
--- /dev/null
+++ b/src/include/corneltray/control_source_selector.h
@@ -0,0 +1,126 @@
+#ifndef CORNELTRAY_CONTROL_SOURCE_SELECTOR_H_
+#define CORNELTRAY_CONTROL_SOURCE_SELECTOR_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "corneltray/enum_names.h"
+#include "corneltray/time.h"
+
+namespace corneltray {
+
+// Links that a host keeps to control processes: one to the source that it follows and one to take
+// over without a new handshake. More would cost every control process a link to every host.
+constexpr std::size_t kControlLinksPerHost = 2;
+// A control process whose link does not come up within this time is not waited for, and one more is
+// connected.
+constexpr std::chrono::milliseconds kLinkUpTimeout{1000};
+// A source that has sent nothing for this long is left. Sources send at least once per
+// kHostRefreshInterval.
+constexpr std::chrono::milliseconds kSourceSilenceTimeout{1600};
+// A source that has confirmed no read of the log for this long, while another control process has,
+// is left: it may be cut off from the other control processes.
+constexpr std::chrono::milliseconds kUnconfirmedSourceTimeout{2500};
+// Pause before a control process that failed is followed again, doubled with each failure up to the
+// maximum. Without it, hosts that leave a busy control process would return and overload it again.
+constexpr std::chrono::seconds kMinSourceCooldown{4};
+constexpr std::chrono::seconds kMaxSourceCooldown{32};
+// A better source, such as one in the own zone that has come back, is followed once it has been
+// linked for this long.
+constexpr std::chrono::seconds kSourceReturnDelay{5};
+
+enum class SourceFailure { kSilent, kUnconfirmed, kFetchFailed };
+
+template <>
+struct EnumNames<SourceFailure> {
+  static constexpr EnumName<SourceFailure> kTable[] = {
+      {SourceFailure::kSilent, "silent"},
+      {SourceFailure::kUnconfirmed, "unconfirmed"},
+      {SourceFailure::kFetchFailed, "fetch_failed"},
+  };
+};
+
+// A control process that a host may connect to.
+struct ControlHost {
+  std::string address;            // peer address IP:PORT
+  std::string availability_zone;  // empty if not known yet
+};
+
+// A control process that a host is linked to.
+struct LinkedControlHost {
+  std::string host;
+  std::string address;
+  std::string availability_zone;
+};
+
+// Decides which control processes an entry host is linked to, and which of them it follows. Hosts
+// prefer their own availability zone and are spread over its control processes, and over the others
+// when one fails, by a hash of both names. Not thread safe.
+class ControlSourceSelector {
+ public:
+  ControlSourceSelector(const std::string& host, const std::string& availability_zone)
+      : m_host(host), m_availability_zone(availability_zone) {}
+
+  // Replaces the control processes that the host may connect to.
+  void SetCandidates(const std::vector<ControlHost>& candidates);
+  // Reports all links to control processes. Called several times per second.
+  void SetLinked(TimePoint now, const std::vector<LinkedControlHost>& linked);
+
+  // Returns the addresses that the host keeps links to: as many of the best candidates as needed
+  // for kControlLinksPerHost usable links, or all candidates if there is no link at all.
+  std::set<std::string> WantedAddresses(TimePoint now);
+
+  // Returns the control process to follow, or nullopt if none is linked.
+  std::optional<std::string> Choose(TimePoint now) const;
+  // The host follows this control process from now on.
+  void OnFollowed(TimePoint now, const std::string& host);
+  // The source that is followed; empty if there is none.
+  const std::string& Source() const { return m_source; }
+
+  // The source has sent a message.
+  void OnHeard(TimePoint now) { m_heard_at = now; }
+  // A control process has confirmed a read of the log.
+  void OnConfirmed(TimePoint now, const std::string& host) { m_confirmed_at[host] = now; }
+  void OnFetchFailed(TimePoint now, const std::string& host) { RecordFailure(now, host); }
+  // Returns why the source has to be left, if it has to, and records its failure.
+  std::optional<SourceFailure> CheckSource(TimePoint now);
+
+ private:
+  struct Link {
+    std::string address;
+    std::string availability_zone;
+    TimePoint up_since;
+  };
+  struct Failures {
+    TimePoint cooldown_until;
+    std::uint32_t count = 0;
+  };
+
+  bool IsInCooldown(TimePoint now, const std::string& host) const;
+  void RecordFailure(TimePoint now, const std::string& host);
+  std::uint64_t SpreadOf(const std::string& address) const;
+  // Host of the link to this address; empty if there is none.
+  std::string HostAt(const std::string& address) const;
+  std::optional<SourceFailure> FailureOfSource(TimePoint now) const;
+
+  std::string m_host;
+  std::string m_availability_zone;
+  std::map<std::string, std::string> m_candidates;  // availability zone by address
+  std::map<std::string, TimePoint> m_wanted_since;  // by address without a link
+  std::map<std::string, Link> m_links;              // by host
+  std::map<std::string, Failures> m_failures;       // by host
+  std::map<std::string, TimePoint> m_confirmed_at;  // by host
+  std::string m_source;
+  TimePoint m_followed_at{};
+  TimePoint m_heard_at{};
+};
+
+}  // namespace corneltray
+
+#endif  // CORNELTRAY_CONTROL_SOURCE_SELECTOR_H_
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,11 +21,21 @@
   std::uint64_t sequence = 0;
 };
 
+// Position in the numbered messages about upstreams that one control process sends to the hosts
+// that follow it.
+struct FeedPosition {
+  std::uint64_t epoch = 0;  // incarnation of the sender
+  std::uint64_t batch = 0;  // messages with changes so far
+
+  bool operator==(const FeedPosition& o) const { return epoch == o.epoch && batch == o.batch; }
+};
+
 // Upstream state that the sender has received. Body of upstream_updates, and of the reply to
 // upstream_fetch.
 struct UpstreamUpdates {
   std::vector<UpstreamUpdate> updates;
   std::vector<UpstreamRefresh> refreshes;
+  std::optional<FeedPosition> position;  // after this message; absent between control processes
 };
 
 // Result of the last probe of one engine by a control process of its zone.
@@ -45,6 +56,12 @@
 // Fails on a malformed body and then returns no part of it.
 Result<UpstreamUpdates> DecodeUpstreamUpdates(const nlohmann::json& body);
 
+// Returns an update for every entry of a table.
+UpstreamUpdates AllUpstreams(const UpstreamTable& table);
+
+// Encodes all entries of a table, compressed. DecodeUpstreamUpdates reads both forms.
+nlohmann::json EncodeUpstreamSnapshot(const UpstreamTable& table);
+
 // Applies all updates and refreshes to a table. Returns how many entries were new or changed.
 std::size_t ApplyUpstreamUpdates(TimePoint now, const UpstreamUpdates& updates,
                                  UpstreamTable* table);
@@ -54,9 +71,6 @@
 // Fails on a malformed body.
 Result<std::map<std::string, RetryCounts>> DecodeRetryCounts(const nlohmann::json& body);
 
-// Returns an update for every entry of a table.
-UpstreamUpdates AllUpstreams(const UpstreamTable& table);
-
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_FLEET_MESSAGES_H_
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -19,20 +19,21 @@
   kRouteTableFetch,       // request: the route table, if it is newer than a version
   kRouteTableChanged,     // push: a route table of this version is committed
   kUpstreamUpdates,       // push: what upstreams have said to the sender
-  kUpstreamFetch,         // request: everything the receiver knows of upstreams
-  kUpstreamSuspected,     // push: an upstream does not answer the sender
-  kEngineHealth,          // push: what engines answered to the sender
-  kPromptCrash,           // push: an upstream crashed when it began an answer to a prompt
-  kPromptBegun,           // push: an answer began with prompt parts that are suspected
-  kPromptVerdicts,        // push: prompt parts that are suspected, quarantined or sound again
-  kPromptTrial,           // request: may one request with a quarantined prompt part be sent
-  kControlCall,           // request: a call to the control interface that an entry host passes on
-  kControlHostFetch,  // request: addresses of the control processes that the receiver is linked to
-  kJoinRequest,       // push: a control process that is no member wants to become one
-  kLeaseRequest,      // request: grant or renew the placement lease
-  kLeaseRelease,      // push: the holder gives the lease up
-  kReply,             // answers a request that succeeded
-  kError,             // answers a request that was refused
+  kUpstreamFetch,      // request: everything the receiver knows of upstreams, and updates from then
+  kUpstreamUnfollow,   // push: the sender gets its updates elsewhere
+  kUpstreamSuspected,  // push: an upstream does not answer the sender
+  kEngineHealth,       // push: what engines answered to the sender
+  kPromptCrash,        // push: an upstream crashed when it began an answer to a prompt
+  kPromptBegun,        // push: an answer began with prompt parts that are suspected
+  kPromptVerdicts,     // push: prompt parts that are suspected, quarantined or sound again
+  kPromptTrial,        // request: may one request with a quarantined prompt part be sent
+  kControlCall,        // request: a call to the control interface that an entry host passes on
+  kControlHostFetch,   // request: addresses of the control processes that the receiver is linked to
+  kJoinRequest,        // push: a control process that is no member wants to become one
+  kLeaseRequest,       // request: grant or renew the placement lease
+  kLeaseRelease,       // push: the holder gives the lease up
+  kReply,              // answers a request that succeeded
+  kError,              // answers a request that was refused
 };
 
 template <>
@@ -51,6 +52,7 @@
       {MessageType::kRouteTableChanged, "route_table_changed"},
       {MessageType::kUpstreamUpdates, "upstream_updates"},
       {MessageType::kUpstreamFetch, "upstream_fetch"},
+      {MessageType::kUpstreamUnfollow, "upstream_unfollow"},
       {MessageType::kUpstreamSuspected, "upstream_suspected"},
       {MessageType::kEngineHealth, "engine_health"},
       {MessageType::kPromptCrash, "prompt_crash"},
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -111,6 +111,10 @@
   // Stops opening links to this address. A link that is open stays until it is lost.
   void Forget(const std::string& address);
 
+  // Stops opening links to this address and closes an open one, after the time that frames on the
+  // way take to arrive.
+  void Disconnect(const std::string& address);
+
   // Sends without a reply; dropped when there is no link to that host process.
   // `host` is PeerIdentity::host.
   void Send(const std::string& host, MessageType type, nlohmann::json body);
--- a/src/include/corneltray/upstream_table.h
+++ b/src/include/corneltray/upstream_table.h
@@ -75,9 +75,9 @@
   std::optional<UpstreamUpdate> MarkLeft(TimePoint now, const std::string& name,
                                          std::uint64_t incarnation);
 
-  // Records that an upstream was heard from, at this sequence or a later one. Has no effect if
-  // `incarnation` is not the current one or `sequence` is not newer.
-  void Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
+  // Records that an upstream was heard from, at this sequence or a later one. Has no effect and
+  // returns false if `incarnation` is not the current one or `sequence` is not newer.
+  bool Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
                std::uint64_t sequence);
 
   // Marks an upstream as suspected because a host got no response from it. `sequence` is the last
--- a/src/libcorneltray/peer.cc
+++ b/src/libcorneltray/peer.cc
@@ -67,6 +67,7 @@
 std::string PeerNode::ListenAddress() const { return m_impl->loop->ListenAddress(); }
 void PeerNode::Connect(const std::string& address) { m_impl->loop->Connect(address); }
 void PeerNode::Forget(const std::string& address) { m_impl->loop->Forget(address); }
+void PeerNode::Disconnect(const std::string& address) { m_impl->loop->Disconnect(address); }
 
 void PeerNode::Send(const std::string& host, MessageType type, nlohmann::json body) {
   m_impl->loop->Send(host, type, std::move(body));
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -150,13 +150,29 @@
 }
 
 void PeerLoop::Connect(const std::string& address) {
-  Dispatch([this, address] { m_targets.try_emplace(address); });
+  Dispatch([this, address] {
+    m_targets.try_emplace(address);
+    // The address may have been disconnected a moment ago, and its link still be open.
+    for (auto& [host, peer] : m_peers) {
+      Link* active = FindLink(peer.active);
+      if (active != nullptr && active->address == address) active->retire_at.reset();
+    }
+  });
 }
 
 void PeerLoop::Forget(const std::string& address) {
   Dispatch([this, address] { m_targets.erase(address); });
 }
 
+void PeerLoop::Disconnect(const std::string& address) {
+  Dispatch([this, address] {
+    m_targets.erase(address);
+    for (auto& [id, link] : m_links) {
+      if (link.address == address && link.opened_here) link.retire_at = Clock::now() + kRetireDelay;
+    }
+  });
+}
+
 void PeerLoop::Send(const std::string& host, MessageType type, json body) {
   Broadcast({host}, type, std::move(body));
 }
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -67,6 +67,7 @@
 
   void Connect(const std::string& address);
   void Forget(const std::string& address);
+  void Disconnect(const std::string& address);
   void Send(const std::string& host, MessageType type, nlohmann::json body);
   void Broadcast(std::vector<std::string> hosts, MessageType type, nlohmann::json body);
   void Request(const std::string& host, MessageType type, nlohmann::json body, TimePoint deadline,
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -290,6 +290,27 @@
   CHECK(a.node.Counters().links_replaced == 0);
 }
 
+// Guards against hosts that keep links which they no longer need and that cost the other side.
+TEST_CASE("a disconnected address loses its link") {
+  Echo a(OptionsFor("a"));
+  Echo b(OptionsFor("b"));
+  REQUIRE(a.node.Start().Ok());
+  REQUIRE(b.node.Start().Ok());
+  a.node.Connect(b.node.ListenAddress());
+  REQUIRE(Eventually([&] { return IsConnected(a.node, "b") && IsConnected(b.node, "a"); }));
+  a.node.Disconnect(b.node.ListenAddress());
+  SUBCASE("after a request on the way was answered") {
+    CHECK(Ask(&a.node, "b", {{"number", 1}}).Ok());
+    CHECK(Eventually([&] { return !IsConnected(a.node, "b") && !IsConnected(b.node, "a"); }));
+  }
+  SUBCASE("unless it is connected again meanwhile") {
+    a.node.Connect(b.node.ListenAddress());
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    CHECK(IsConnected(a.node, "b"));
+    CHECK(a.node.Counters().links_replaced == 0);
+  }
+}
+
 // Guards against a process with another key, and against two processes under one name.
 TEST_CASE("strangers get no link") {
   Echo a(OptionsFor("a"));
--- a/src/libfleet/control_links.cc
+++ b/src/libfleet/control_links.cc
@@ -54,18 +54,21 @@
   m_node->Broadcast(std::move(hosts), type, body);
 }
 
+void ControlLinks::FetchAgain(const std::string& host) {
+  const auto link = m_links.find(host);
+  if (link != m_links.end()) link->second.is_fetch_started = false;
+}
+
 void ControlLinks::Fetch(const std::string& host) {
   m_node->Request(host, MessageType::kUpstreamFetch, json::object(), Clock::now() + kFetchTimeout,
                   [this, host](const Result<json>& reply) {
                     auto updates = reply ? DecodeUpstreamUpdates(reply.value())
                                          : Result<UpstreamUpdates>(reply.error());
                     asio::post(*m_io, [this, host, updates] {
-                      if (updates) return m_on_updates(updates.value());
+                      if (updates) return m_on_updates(host, updates.value());
                       LogEvent(LogLevel::kWarning, "upstream_fetch_failed",
                                {{"control_host", host}, {"reason", updates.error().ToString()}});
-                      const auto link = m_links.find(host);
-                      // Retried at the next check.
-                      if (link != m_links.end()) link->second.is_fetch_started = false;
+                      FetchAgain(host);
                     });
                   });
 }
--- a/src/libfleet/control_links_test.cc
+++ b/src/libfleet/control_links_test.cc
@@ -49,8 +49,8 @@
 
   Fixture() {
     REQUIRE(node.Start().Ok());
-    links =
-        std::make_unique<ControlLinks>(loop.Io(), &node, [this](const UpstreamUpdates& updates) {
+    links = std::make_unique<ControlLinks>(
+        loop.Io(), &node, [this](const std::string&, const UpstreamUpdates& updates) {
           for (const UpstreamRefresh& refresh : updates.refreshes) names.push_back(refresh.name);
         });
   }
@@ -109,6 +109,13 @@
       });
       CHECK(fixture.loop.WaitFor([&] { return a.pushes == 1 && b.pushes == 1; }));
     }
+    // Guards against a process that knows of a missing message and never gets its content.
+    SUBCASE("upstream state is fetched again on request") {
+      fixture.loop.Run([&] { fixture.links->FetchAgain("a"); });
+      CHECK(fixture.CheckUntil([&] { return fixture.names.size() == 3; }));
+      CHECK(a.fetches == 2);
+      CHECK(b.fetches == 1);
+    }
     SUBCASE("a lost link is removed") {
       a.node.Stop();
       CHECK(fixture.CheckUntil([&] { return !fixture.IsLinked("a"); }));
--- /dev/null
+++ b/src/libfleet/control_source_selector_test.cc
@@ -0,0 +1,157 @@
+#include "corneltray/control_source_selector.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace corneltray {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart = Clock::now();
+
+std::string AddressOf(const std::string& host) { return host + ":9000"; }
+
+// Five control processes, one in each zone: c-a is in zone a.
+const std::vector<std::string> kHosts = {"c-a", "c-b", "c-c", "c-d", "c-e"};
+
+std::vector<ControlHost> Candidates() {
+  std::vector<ControlHost> candidates;
+  for (const std::string& host : kHosts) candidates.push_back({AddressOf(host), host.substr(2)});
+  return candidates;
+}
+
+std::vector<LinkedControlHost> Linked(const std::vector<std::string>& hosts) {
+  std::vector<LinkedControlHost> linked;
+  for (const std::string& host : hosts) linked.push_back({host, AddressOf(host), host.substr(2)});
+  return linked;
+}
+
+// An entry host whose links come up as soon as they are wanted, unless the control process is down.
+struct Host {
+  ControlSourceSelector selector;
+  std::set<std::string> down;
+  std::vector<std::string> links;
+  TimePoint now = kStart;
+  int moves = 0;
+
+  explicit Host(const std::string& name) : selector(name, "a") {
+    selector.SetCandidates(Candidates());
+  }
+
+  void Step(Duration time = milliseconds(100)) {
+    now += time;
+    const std::set<std::string> wanted = selector.WantedAddresses(now);
+    links.clear();
+    for (const std::string& host : kHosts) {
+      if (wanted.count(AddressOf(host)) > 0 && down.count(host) == 0) links.push_back(host);
+    }
+    selector.SetLinked(now, Linked(links));
+    selector.CheckSource(now);
+    const auto chosen = selector.Choose(now);
+    if (!chosen || *chosen == selector.Source()) return;
+    selector.OnFollowed(now, *chosen);
+    ++moves;
+  }
+  // Steps during which the source sends its messages.
+  void Run(Duration time) {
+    for (const TimePoint end = now + time; now < end;) {
+      selector.OnHeard(now);
+      Step();
+    }
+  }
+  bool IsLinked(const std::string& host) const {
+    return std::find(links.begin(), links.end(), host) != links.end();
+  }
+};
+
+TEST_CASE("a host follows the control process of its zone and keeps one more link") {
+  Host host("edge-1");
+  host.Run(seconds(3));
+  CHECK(host.selector.Source() == "c-a");
+  CHECK(host.links.size() == kControlLinksPerHost);
+  CHECK(host.moves <= 2);
+
+  SUBCASE("when it is lost, the host follows the other link at once and opens one more") {
+    const auto other = std::find_if(host.links.begin(), host.links.end(),
+                                    [](const std::string& link) { return link != "c-a"; });
+    const std::string next = *other;
+    host.down.insert("c-a");
+    host.Step();
+    CHECK(host.selector.Source() == next);
+    host.Run(kLinkUpTimeout + milliseconds(200));
+    CHECK(host.links.size() == kControlLinksPerHost);
+
+    SUBCASE("and goes back once it has been up for a while") {
+      host.down.clear();
+      host.Run(kSourceReturnDelay - milliseconds(500));
+      CHECK(host.selector.Source() == next);
+      host.Run(seconds(2));
+      CHECK(host.selector.Source() == "c-a");
+    }
+  }
+  // Guards against a host that stays with a frozen source: its link is up and carries nothing.
+  SUBCASE("a silent source is left and not followed again as soon as it wakes") {
+    const TimePoint silent_since = host.now;
+    while (host.selector.Source() == "c-a" && host.now < silent_since + seconds(10)) host.Step();
+    CHECK(host.now <= silent_since + kSourceSilenceTimeout + milliseconds(200));
+    host.Run(kMinSourceCooldown - milliseconds(500));
+    CHECK(host.selector.Source() != "c-a");
+    host.Run(kSourceReturnDelay + seconds(2));
+    CHECK(host.selector.Source() == "c-a");
+  }
+  // Guards against a host that follows a control process which is cut off from all others.
+  SUBCASE("a source that confirms nothing is left if another control process does") {
+    for (int i = 0; i < 40; ++i) {
+      host.selector.OnConfirmed(host.now, "c-b");
+      host.Run(milliseconds(100));
+    }
+    CHECK(host.selector.Source() != "c-a");
+  }
+  SUBCASE("while nobody confirms anything, the source is kept") {
+    host.Run(seconds(20));
+    CHECK(host.selector.Source() == "c-a");
+  }
+  // Guards against hosts that wander among control processes which are all too busy to send, and
+  // add a fetch of everything at each of them.
+  SUBCASE("when all are silent, the host moves less and less often") {
+    const int before = host.moves;
+    for (int i = 0; i < 600; ++i) host.Step();
+    // In a minute each of five fails four times, after pauses of 4, 8, 16 and 32 s.
+    CHECK(host.moves - before <= 20);
+  }
+}
+
+// Guards against one control process that gets all hosts of another one that died.
+TEST_CASE("the hosts of a lost control process are spread over the others") {
+  std::map<std::string, int> followers;
+  std::map<std::string, int> links;
+  const int count = 300;
+  for (int i = 0; i < count; ++i) {
+    Host host("edge-" + std::to_string(i));
+    host.down.insert("c-a");
+    host.Run(seconds(3));
+    ++followers[host.selector.Source()];
+    for (const std::string& link : host.links) ++links[link];
+  }
+  for (const std::string host : {"c-b", "c-c", "c-d", "c-e"}) {
+    CAPTURE(host);
+    CHECK(followers[host] > count / 8);
+    CHECK(followers[host] < count * 3 / 8);
+    CHECK(links[host] < count * 5 / 8);
+  }
+}
+
+// Guards against a host that cannot find control processes because it keeps few links.
+TEST_CASE("a host without a link tries all candidates") {
+  ControlSourceSelector selector("edge-1", "a");
+  selector.SetCandidates(Candidates());
+  CHECK(selector.WantedAddresses(kStart).size() == kHosts.size());
+  CHECK_FALSE(selector.Choose(kStart));
+}
+
+}  // namespace
+}  // namespace corneltray
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -3,10 +3,20 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "corneltray/compression.h"
+
 namespace corneltray {
 
 using nlohmann::json;
 
+namespace {
+
+constexpr char kCompressedField[] = "compressed";
+// A table of 10,000 upstreams takes some 4 MB.
+constexpr std::size_t kMaxSnapshotBytes = 16UL * 1024UL * 1024UL;
+
+}  // namespace
+
 json EncodeUpstreamUpdates(const UpstreamUpdates& updates) {
   json changed = json::array();
   for (const UpstreamUpdate& update : updates.updates) {
@@ -17,11 +27,49 @@
   for (const UpstreamRefresh& refresh : updates.refreshes) {
     refreshed.push_back({refresh.name, refresh.incarnation, refresh.sequence});
   }
-  return {{"updates", std::move(changed)}, {"refreshes", std::move(refreshed)}};
+  json body = {{"updates", std::move(changed)}, {"refreshes", std::move(refreshed)}};
+  if (updates.position) {
+    body["position"] = {updates.position->epoch, updates.position->batch};
+  }
+  return body;
 }
 
+UpstreamUpdates AllUpstreams(const UpstreamTable& table) {
+  UpstreamUpdates all;
+  for (const auto& [name, record] : table.Records()) {
+    all.updates.push_back({record.announcement, record.has_left});
+  }
+  return all;
+}
+
+json EncodeUpstreamSnapshot(const UpstreamTable& table) {
+  std::string encoded;
+  json::to_cbor(EncodeUpstreamUpdates(AllUpstreams(table)), encoded);
+  const std::string compressed = Compress(encoded);
+  return {{kCompressedField, json::binary({compressed.begin(), compressed.end()})}};
+}
+
+namespace {
+
+// Reads the compressed form, and takes the position from outside of it.
+Result<UpstreamUpdates> DecodeSnapshot(const json& body) {
+  const auto& bytes = body.at(kCompressedField).get_binary();
+  const auto encoded = Decompress({bytes.begin(), bytes.end()}, kMaxSnapshotBytes);
+  if (!encoded) return encoded.error();
+  json inner = json::from_cbor(encoded.value());
+  if (inner.contains(kCompressedField)) {
+    return Error{UpstreamErrc::kMalformedAnnouncement, "compressed twice"};
+  }
+  const auto position = body.find("position");
+  if (position != body.end()) inner["position"] = *position;
+  return DecodeUpstreamUpdates(inner);
+}
+
+}  // namespace
+
 Result<UpstreamUpdates> DecodeUpstreamUpdates(const json& body) {
   try {
+    if (body.contains(kCompressedField)) return DecodeSnapshot(body);
     UpstreamUpdates decoded;
     for (const json& update : body.at("updates")) {
       auto announcement = DecodeAnnouncement(update.at("announcement"));
@@ -32,6 +80,8 @@
     for (const json& refresh : body.at("refreshes")) {
       decoded.refreshes.push_back({refresh.at(0), refresh.at(1), refresh.at(2)});
     }
+    const auto position = body.find("position");
+    if (position != body.end()) decoded.position = {position->at(0), position->at(1)};
     return decoded;
   } catch (const json::exception& error) {
     return Error{UpstreamErrc::kMalformedAnnouncement, error.what()};
@@ -91,12 +141,4 @@
   }
 }
 
-UpstreamUpdates AllUpstreams(const UpstreamTable& table) {
-  UpstreamUpdates all;
-  for (const auto& [name, record] : table.Records()) {
-    all.updates.push_back({record.announcement, record.has_left});
-  }
-  return all;
-}
-
 }  // namespace corneltray
--- a/src/libserving/upstream_table.cc
+++ b/src/libserving/upstream_table.cc
@@ -81,16 +81,17 @@
   return UpstreamUpdate{record.announcement, true};
 }
 
-void UpstreamTable::Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
+bool UpstreamTable::Refresh(TimePoint now, const std::string& name, std::uint64_t incarnation,
                             std::uint64_t sequence) {
   const auto known = m_records.find(name);
-  if (known == m_records.end()) return;
+  if (known == m_records.end()) return false;
   UpstreamTableEntry& record = known->second;
-  if (record.announcement.incarnation != incarnation) return;
-  if (sequence <= record.announcement.sequence) return;
+  if (record.announcement.incarnation != incarnation) return false;
+  if (sequence <= record.announcement.sequence) return false;
   record.announcement.sequence = sequence;
   record.heard_at = now;
   record.is_suspected = false;
+  return true;
 }
 
 void UpstreamTable::Suspect(TimePoint now, const std::string& name, std::uint64_t incarnation,
