Send the health of engines of all zones together and share replies to fetches

Cause: after hosts follow one control process, the health of engines was most of what a control process sent: the checker of each of five zones publishes twice a second, and each message was relayed at once, 9,611 of 12,600 messages in 20 s. Replies to fetches of the route table, 100 a second, were built for each host, with the same content.

Change: EngineHealthBatch collects the health of all zones and sends it every 250 ms, or at once if an engine was lost or is back. A control process builds the reply to hosts with the same version once in 100 ms.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -101,6 +101,14 @@
     Responder respond;
   };
 
+  // A reply to a fetch of the route table that several hosts get.
+  struct CachedFetchReply {
+    std::uint64_t have = 0;
+    std::uint64_t version = 0;
+    TimePoint expires_at{};
+    nlohmann::json body;
+  };
+
   // Returns the deadline of a request, from the time that its body allows.
   static TimePoint DeadlineOf(const nlohmann::json& body);
   // Answers when everything committed before the call has been applied, or with an error at the
@@ -133,7 +141,9 @@
   void PublishConfiguration();
   void PublishRouteTable();
   nlohmann::json MemberZones() const;
-  nlohmann::json RouteTableSince(std::uint64_t have) const;
+  // The reply to a process that holds this version. Valid until the next call.
+  const nlohmann::json& RouteTableSince(std::uint64_t have);
+  nlohmann::json MakeRouteTableReply(std::uint64_t have) const;
   std::map<std::string, RetryCounts> FleetRetryCounts() const;
   void CompactIfDue();
   void ScheduleTick();
@@ -152,6 +162,7 @@
   std::map<ReadBatcher::Id, PendingRead> m_batched_reads;
   std::uint64_t m_last_batch_index = 0;  // of the log, at the last batch that was confirmed
   std::optional<TimePoint> m_next_read_wakeup;
+  CachedFetchReply m_route_table_reply;
   // Messages to send once the batch with this sequence number is on disk.
   std::deque<std::pair<std::uint64_t, ReplicaMessage>> m_unsent;
   std::uint64_t m_submitted_sequence = 0;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -13,6 +13,9 @@
 using nlohmann::json;
 
 constexpr std::chrono::seconds kRetryReportLifetime{4};
+// Many hosts wait for the same read and get the same reply. Only the members and the counts of
+// retries in it may be as old as this.
+constexpr std::chrono::milliseconds kReplyLifetime{100};
 // A leader that does not confirm a read within the shortest election timeout may be deposed.
 constexpr std::chrono::milliseconds kReadIndexTimeout{600};
 
@@ -160,7 +163,17 @@
   return zones;
 }
 
-json ControlNode::RouteTableSince(std::uint64_t have) const {
+const json& ControlNode::RouteTableSince(std::uint64_t have) {
+  const std::uint64_t version = m_state.GetRouteTable().Version();
+  const TimePoint now = Clock::now();
+  CachedFetchReply& reply = m_route_table_reply;
+  if (reply.have != have || reply.version != version || now >= reply.expires_at) {
+    reply = {have, version, now + kReplyLifetime, MakeRouteTableReply(have)};
+  }
+  return reply.body;
+}
+
+json ControlNode::MakeRouteTableReply(std::uint64_t have) const {
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
--- a/src/corneltray-control/engine_health_checker.cc
+++ b/src/corneltray-control/engine_health_checker.cc
@@ -64,7 +64,7 @@
 void EngineHealthChecker::BroadcastHealth() {
   const std::vector<EngineHealth> changes = m_monitor.TakeHealthUpdates(Clock::now());
   if (changes.empty()) return;
-  m_options.distributor->Broadcast(MessageType::kEngineHealth, EncodeEngineHealth(changes));
+  m_options.distributor->DistributeHealth(changes);
 }
 
 }  // namespace corneltray
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -78,12 +78,6 @@
           OnSuspected(from, suspected);
         });
       });
-  m_options.node->SetPushHandler(
-      MessageType::kEngineHealth, [this](const PeerIdentity&, const json& body) {
-        asio::post(*m_io, [this, body] {
-          m_distributor.RelayToFollowers(MessageType::kEngineHealth, body);
-        });
-      });
   m_options.node->SetRequestHandler(
       MessageType::kControlCall,
       [this](const PeerIdentity& from, const json& body, const PeerNode::Responder& respond) {
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -1,6 +1,7 @@
 #ifndef CORNELTRAY_FLEET_MESSAGES_H_
 #define CORNELTRAY_FLEET_MESSAGES_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
@@ -38,6 +39,9 @@
   std::optional<FeedPosition> position;  // after this message; absent between control processes
 };
 
+// Interval of messages about the health of engines to followers.
+constexpr std::chrono::milliseconds kHealthRelayInterval{250};
+
 // Result of the last probe of one engine by a control process of its zone.
 struct EngineHealth {
   std::string name;
@@ -47,6 +51,22 @@
   double slowness = 1.0;  // above 1: this many times slower than its accelerator kind
 };
 
+// Collects the health of engines that several control processes send, so that followers get one
+// message for all zones. An engine that was lost or is back is sent at once. Not thread safe.
+class EngineHealthBatch {
+ public:
+  void Add(const std::vector<EngineHealth>& engines);
+  // Returns what is due now: everything once per interval, and everything if an engine was lost or
+  // is back.
+  std::vector<EngineHealth> TakeDue(TimePoint now);
+
+ private:
+  std::map<std::string, EngineHealth> m_unsent;  // by engine
+  std::map<std::string, bool> m_sent_answers;    // whether the engine answered, as sent last
+  bool m_is_urgent = false;
+  TimePoint m_next_at{};
+};
+
 // Encodes the body of engine_health.
 nlohmann::json EncodeEngineHealth(const std::vector<EngineHealth>& engines);
 // Fails on a malformed body and then returns no part of it.
--- a/src/include/corneltray/upstream_distributor.h
+++ b/src/include/corneltray/upstream_distributor.h
@@ -51,6 +51,9 @@
 
   // Sends a message to all followers and to all other control processes, which relay it.
   void Broadcast(MessageType type, nlohmann::json body);
+  // Sends the health of engines that this process has probed to all control processes and all
+  // followers.
+  void DistributeHealth(const std::vector<EngineHealth>& engines);
   // Relays a message of another control process to the followers of this one.
   void RelayToFollowers(MessageType type, nlohmann::json body);
   // Relays a message of an entry host to the other control processes.
@@ -73,6 +76,7 @@
                                const std::shared_ptr<Acknowledgements>& pending);
   void ScheduleFlush();
   void Send(const UpstreamFeedMessages& messages);
+  void SendHealthDue(TimePoint now);
   std::vector<std::string> ControlHosts() const;
   // The reply to a fetch, encoded again only when the table has changed.
   const nlohmann::json& EncodedTable(TimePoint now);
@@ -80,6 +84,7 @@
   Options m_options;
   UpstreamFeed m_feed;
   std::map<std::string, FeedCursor> m_cursors;  // by control process
+  EngineHealthBatch m_health;
   asio::steady_timer m_flush_timer;
   bool m_is_flush_scheduled = false;
   nlohmann::json m_encoded_table;
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -88,6 +88,29 @@
   }
 }
 
+void EngineHealthBatch::Add(const std::vector<EngineHealth>& engines) {
+  for (const EngineHealth& engine : engines) {
+    m_unsent[engine.name] = engine;
+    const auto sent = m_sent_answers.find(engine.name);
+    const bool answered = sent == m_sent_answers.end() || sent->second;
+    if (engine.answers != answered) m_is_urgent = true;
+  }
+}
+
+std::vector<EngineHealth> EngineHealthBatch::TakeDue(TimePoint now) {
+  if (m_unsent.empty() || (!m_is_urgent && now < m_next_at)) return {};
+  m_is_urgent = false;
+  m_next_at = now + kHealthRelayInterval;
+  std::vector<EngineHealth> due;
+  due.reserve(m_unsent.size());
+  for (const auto& [name, engine] : m_unsent) {
+    due.push_back(engine);
+    m_sent_answers[name] = engine.answers;
+  }
+  m_unsent.clear();
+  return due;
+}
+
 json EncodeEngineHealth(const std::vector<EngineHealth>& engines) {
   json body = json::array();
   for (const EngineHealth& engine : engines) {
--- a/src/libfleet/upstream_distributor.cc
+++ b/src/libfleet/upstream_distributor.cc
@@ -21,6 +21,11 @@
 // newer sequences with the next refresh.
 constexpr std::chrono::milliseconds kEncodedTableLifetime{500};
 
+void LogMalformed(const PeerIdentity& from, MessageType type, const Error& error) {
+  LogEvent(LogLevel::kWarning, "message_refused",
+           {{"of", from.host}, {"type", NameOf(type)}, {"error", error.ToString()}});
+}
+
 bool IsNew(UpdateResult result) {
   return result == UpdateResult::kNew || result == UpdateResult::kChanged;
 }
@@ -40,28 +45,20 @@
     : m_options(std::move(options)), m_feed(m_options.epoch), m_flush_timer(*m_options.io) {}
 
 void UpstreamDistributor::Register() {
-  const auto log_malformed = [](const PeerIdentity& from, const Error& error) {
-    LogEvent(LogLevel::kWarning, "message_refused",
-             {{"of", from.host},
-              {"type", NameOf(MessageType::kUpstreamUpdates)},
-              {"error", error.ToString()}});
-  };
   m_options.node->SetPushHandler(
-      MessageType::kUpstreamUpdates,
-      [this, log_malformed](const PeerIdentity& from, const json& body) {
+      MessageType::kUpstreamUpdates, [this](const PeerIdentity& from, const json& body) {
         auto updates = DecodeUpstreamUpdates(body);
-        if (!updates) return log_malformed(from, updates.error());
+        if (!updates) return LogMalformed(from, MessageType::kUpstreamUpdates, updates.error());
         asio::post(*m_options.io, [this, host = from.host, updates = std::move(updates).value()] {
           OnMessage(host, updates);
         });
       });
   m_options.node->SetRequestHandler(
       MessageType::kUpstreamUpdates,
-      [this, log_malformed](const PeerIdentity& from, const json& body,
-                            const PeerNode::Responder& respond) {
+      [this](const PeerIdentity& from, const json& body, const PeerNode::Responder& respond) {
         auto updates = DecodeUpstreamUpdates(body);
         if (!updates) {
-          log_malformed(from, updates.error());
+          LogMalformed(from, MessageType::kUpstreamUpdates, updates.error());
           return respond(updates.error());
         }
         asio::post(*m_options.io,
@@ -76,6 +73,17 @@
         asio::post(*m_options.io,
                    [this, from, follows, respond] { OnFetch(from, follows, respond); });
       });
+  m_options.node->SetPushHandler(
+      MessageType::kEngineHealth, [this](const PeerIdentity& from, const json& body) {
+        auto engines = DecodeEngineHealth(body);
+        if (!engines) {
+          return LogMalformed(from, MessageType::kEngineHealth, engines.error());
+        }
+        asio::post(*m_options.io, [this, engines = std::move(engines).value()] {
+          m_health.Add(engines);
+          SendHealthDue(Clock::now());
+        });
+      });
   m_options.node->SetPushHandler(
       MessageType::kUpstreamUnfollow, [this](const PeerIdentity& from, const json&) {
         asio::post(*m_options.io, [this, host = from.host] { m_feed.RemoveFollower(host); });
@@ -87,6 +95,7 @@
 void UpstreamDistributor::Check(TimePoint now) {
   m_feed.RetainFollowers(ConnectedHosts(m_options.node->Peers(), kControlProgram));
   Send(m_feed.TakeDue(now));
+  SendHealthDue(now);
 }
 
 UpdateResult UpstreamDistributor::Announce(TimePoint now, const Announcement& announcement) {
@@ -177,6 +186,17 @@
   m_options.node->Broadcast(std::move(hosts), type, std::move(body));
 }
 
+void UpstreamDistributor::DistributeHealth(const std::vector<EngineHealth>& engines) {
+  RelayToControlHosts(MessageType::kEngineHealth, EncodeEngineHealth(engines));
+  m_health.Add(engines);
+  SendHealthDue(Clock::now());
+}
+
+void UpstreamDistributor::SendHealthDue(TimePoint now) {
+  const std::vector<EngineHealth> due = m_health.TakeDue(now);
+  if (!due.empty()) RelayToFollowers(MessageType::kEngineHealth, EncodeEngineHealth(due));
+}
+
 void UpstreamDistributor::RelayToFollowers(MessageType type, json body) {
   m_options.node->Broadcast(m_feed.Followers(), type, std::move(body));
 }
