Serve requests that have arrived before a planned stop closes their connections

Cause: a stop closed the acceptor with connections in its queue, closed kept connections whose next request was in the kernel, closed connections that had been opened a moment before, and closed connections while the rest of an answer waited for a slow caller; it ended the process as soon as no request was in progress, whatever was unread or unsent.

Change: the listener accepts what is queued before it closes the acceptor. A connection is idle only if nothing is unread or unsent and it is not new; those that are not idle yet are closed later. The process waits for all of them within its grace.

--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -160,7 +160,7 @@
     const std::chrono::milliseconds grace(m_settings.drain_deadline_ms);
     if (since >= kUnreadyDetectionTime) m_gateway->CloseIdle();
     if (since >= kAcceptAfterSignal) m_gateway->StopAccepting();
-    const bool idle = since >= kAcceptAfterSignal && m_gateway->InFlight() == 0;
+    const bool idle = since >= kAcceptAfterSignal && m_gateway->IsFinished();
     if (idle || since >= grace - kStopMargin) {
       LogEvent(LogLevel::kInfo, "drained", {{"cut_off", m_gateway->InFlight()}});
       m_io.stop();
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -98,6 +98,8 @@
   void StopAccepting();
   void CloseAll();
   std::size_t InFlight() const { return m_exchanges.size(); }
+  // Whether no request is in progress or on a connection, and every answer is sent.
+  bool IsFinished() const { return m_exchanges.empty() && m_listener.Counters().unfinished == 0; }
   std::string MetricsText() const;
   HttpListenerCounters ListenerCounters() const { return m_listener.Counters(); }
   // Bound addresses as IP:PORT, for tests.
--- a/src/include/corneltray/http_listener.h
+++ b/src/include/corneltray/http_listener.h
@@ -72,7 +72,8 @@
   std::uint64_t malformed = 0;
   std::uint64_t refused = 0;  // over a limit
   std::size_t open = 0;
-  std::size_t busy = 0;  // with a request in progress
+  std::size_t busy = 0;        // with a request in progress
+  std::size_t unfinished = 0;  // with a request that is not read, or an answer that is not sent
 };
 
 // Accepts connections of callers and reads their requests, without a thread for each. Requests on
@@ -96,7 +97,7 @@
   void BeginDrain();
   // Closes connections that carry no request.
   void CloseIdle();
-  // Stops accepting.
+  // Stops accepting. Connections that the system has completed by then are still served.
   void CloseListener();
   // Closes every connection.
   void CloseAll();
--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 // Time in which a caller reads the last bytes of an answer that ends its connection.
 constexpr std::chrono::seconds kLingerTimeout{2};
+// A new connection without a request is not closed as idle before this time.
+constexpr std::chrono::milliseconds kFirstRequestDelay{300};
 
 }  // namespace
 
@@ -28,10 +30,25 @@
   asio::error_code ignored;  // the options only save time and memory
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
-  m_deadline = Clock::now() + m_listener->limits.idle_timeout;
+  m_opened_at = Clock::now();
+  m_deadline = m_opened_at + m_listener->limits.idle_timeout;
   Read();
 }
 
+bool HttpCallerConnection::IsQuiet() const {
+  if (m_state == State::kClosing) return true;
+  if (m_state != State::kReading || m_reader.Started() || !m_input.empty()) return false;
+  // Bytes that the kernel holds may be a whole request.
+  asio::error_code error;
+  return m_socket.available(error) == 0 && !error;
+}
+
+bool HttpCallerConnection::Idle() const {
+  // A caller sends its request right after it has connected.
+  const bool is_new = m_number == 0 && Clock::now() < m_opened_at + kFirstRequestDelay;
+  return m_state == State::kReading && !is_new && Unsent() == 0 && IsQuiet();
+}
+
 bool HttpCallerConnection::Expired(TimePoint now) const {
   return (m_state == State::kReading || m_state == State::kClosing) && now >= m_deadline;
 }
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -36,6 +36,8 @@
 
  private:
   void Accept();
+  void AcceptPending();
+  void AddConnection(asio::ip::tcp::socket socket);
   void PlanSweep();
   void Sweep();
 
@@ -44,6 +46,7 @@
   asio::steady_timer m_sweep_timer;
   bool m_sweep_planned = false;
   bool m_draining = false;
+  bool m_closes_idle = false;
 };
 
 // One connection of a caller.
@@ -53,7 +56,11 @@
 
   void Start();
   void Close();
-  bool Idle() const { return m_state == State::kReading && !m_reader.Started(); }
+  // Whether closing the connection cuts off nothing: no request is in progress, partly read or
+  // waiting to be read, and every answer is sent.
+  bool Idle() const;
+  // Whether the end of the process would cut off a request or an answer.
+  bool Unfinished() const { return m_state != State::kClosed && (Unsent() > 0 || !IsQuiet()); }
   bool Busy() const { return m_state == State::kServing; }
   // Whether the caller has taken longer than the limits allow.
   bool Expired(TimePoint now) const;
@@ -76,6 +83,8 @@
  private:
   enum class State { kReading, kServing, kClosing, kClosed };
 
+  // Whether it waits for a request of which nothing has arrived, or for the caller to close.
+  bool IsQuiet() const;
   void Read();
   void OnRead(std::size_t bytes);
   void ReadRequest();
@@ -100,6 +109,7 @@
   std::size_t m_counted_body = 0;
   std::uint64_t m_number = 0;
   TimePoint m_read_at{};
+  TimePoint m_opened_at{};
   TimePoint m_deadline{};  // of the caller: to finish its head, or to send another request
   bool m_continue_sent = false;
   bool m_begun = false;
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -61,6 +61,30 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+// Closing the acceptor resets the connections in its queue, whose callers may have sent a request.
+void HttpListener::Impl::AcceptPending() {
+  if (!m_acceptor.is_open()) return;
+  asio::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(*io);
+    m_acceptor.accept(socket, error);
+    if (!error) AddConnection(std::move(socket));
+  }
+}
+
+void HttpListener::Impl::AddConnection(asio::ip::tcp::socket socket) {
+  ++counters.accepted;
+  if (connections.size() >= limits.max_connections) {
+    ++counters.refused;
+    return;
+  }
+  auto connection = std::make_shared<HttpCallerConnection>(shared_from_this(), std::move(socket));
+  connections.insert(connection);
+  connection->Start();
+  PlanSweep();
+}
+
 void HttpListener::Impl::Accept() {
   m_acceptor.async_accept(
       [self = shared_from_this()](const asio::error_code& error, asio::ip::tcp::socket socket) {
@@ -72,15 +96,7 @@
           });
           return;
         }
-        ++self->counters.accepted;
-        if (self->connections.size() < self->limits.max_connections) {
-          auto connection = std::make_shared<HttpCallerConnection>(self, std::move(socket));
-          self->connections.insert(connection);
-          connection->Start();
-          self->PlanSweep();
-        } else {
-          ++self->counters.refused;
-        }
+        self->AddConnection(std::move(socket));
         self->Accept();
       });
 }
@@ -104,9 +120,12 @@
     if (connection->Expired(now)) expired.push_back(connection);
   }
   for (const auto& connection : expired) connection->Close();
+  if (m_closes_idle) CloseIdle();
 }
 
 void HttpListener::Impl::CloseIdle() {
+  // Connections that are not idle yet are closed later.
+  m_closes_idle = true;
   std::vector<std::shared_ptr<HttpCallerConnection>> idle;
   for (const auto& connection : connections) {
     if (connection->Idle()) idle.push_back(connection);
@@ -115,6 +134,7 @@
 }
 
 void HttpListener::Impl::CloseListener() {
+  AcceptPending();
   asio::error_code ignored;  // nothing depends on a listener that is given up
   m_acceptor.close(ignored);
 }
@@ -129,7 +149,10 @@
 HttpListenerCounters HttpListener::Impl::Counters() const {
   HttpListenerCounters now = counters;
   now.open = connections.size();
-  for (const auto& connection : connections) now.busy += connection->Busy() ? 1 : 0;
+  for (const auto& connection : connections) {
+    now.busy += connection->Busy() ? 1 : 0;
+    now.unfinished += connection->Unfinished() ? 1 : 0;
+  }
   return now;
 }
 
--- a/src/libhttp/http_listener_test.cc
+++ b/src/libhttp/http_listener_test.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <memory>
 #include <optional>
+#include <thread>
 
 #include "../libcorneltray/test_socket.h"
 #include "event_loop_test.h"
@@ -132,6 +134,66 @@
   CHECK(fixture.loop.WaitFor([&] { return fixture.Listener().Counters().open == 0; }));
 }
 
+// Guards against requests that a planned stop cuts off although they had arrived: the loop is busy
+// while the caller connects or sends, as under load.
+TEST_CASE("a stop serves the requests that have arrived") {
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "done"); });
+  const auto read_answer = [](TestSocket* caller) {
+    return caller->ReadWhile([](const std::string& read) { return !EndsWith(read, "done"); });
+  };
+
+  SUBCASE("on a connection that was not accepted yet") {
+    const std::string address = fixture.Address();
+    std::unique_ptr<TestSocket> caller;
+    fixture.loop.Run([&] {
+      caller = std::make_unique<TestSocket>(address);
+      REQUIRE(caller->Send(kGet));
+      fixture.Listener().BeginDrain();
+      fixture.Listener().CloseListener();
+    });
+    CHECK(EndsWith(read_answer(caller.get()), "done"));
+  }
+  SUBCASE("on a kept connection") {
+    TestSocket caller(fixture.Address());
+    REQUIRE(caller.Send(kGet));
+    REQUIRE(EndsWith(read_answer(&caller), "done"));
+    fixture.loop.Run([&] {
+      fixture.Listener().BeginDrain();
+      REQUIRE(caller.Send(kGet));
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      CHECK(fixture.Listener().Counters().unfinished == 1);
+      fixture.Listener().CloseIdle();
+    });
+    CHECK(EndsWith(read_answer(&caller), "done"));
+  }
+  SUBCASE("on a new connection that has sent nothing yet") {
+    TestSocket caller(fixture.Address());
+    REQUIRE(fixture.loop.WaitFor([&] { return fixture.Listener().Counters().open == 1; }));
+    fixture.loop.Run([&] {
+      fixture.Listener().BeginDrain();
+      fixture.Listener().CloseIdle();
+    });
+    REQUIRE(caller.Send(kGet));
+    CHECK(EndsWith(read_answer(&caller), "done"));
+  }
+}
+
+// Guards against a stop that cuts off the end of an answer whose caller reads slowly.
+TEST_CASE("a stop sends the rest of an answer") {
+  const std::string body(std::size_t{8} * 1024 * 1024, 'x');
+  ListenerFixture fixture([&body](const HttpCall& call) { call.Respond(MakeResponse(200), body); });
+  TestSocket caller(fixture.Address());
+  REQUIRE(caller.Send(kGet));
+  REQUIRE(fixture.loop.WaitFor([&] { return fixture.Listener().Counters().unfinished == 1; }));
+  fixture.loop.Run([&] {
+    fixture.Listener().BeginDrain();
+    fixture.Listener().CloseIdle();
+  });
+  const std::string answer = caller.ReadWhile(
+      [&body](const std::string& read) { return read.size() < body.size() + 100; });
+  CHECK(answer.size() > body.size());
+}
+
 TEST_CASE("limits of a listener hold") {
   ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), ""); });
   HttpListenerLimits limits;
