Let a control process act on leadership only while it was told a moment ago

Cause: the thread that orders layers and grants trials kept the term that its replica had last reported without an end. A process that was paused or suspended for seconds could send an order, or grant a trial, before it heard that another one had been elected meanwhile; the check for gaps between placements uses a steady clock, which stops during suspend.

Change: LeadershipView ends one second after the replica was read, by the time since boot, and is asked just before each placement and each trial. A placement after such a pause begins with the settling time of a new leader.

--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -10,6 +10,7 @@
 #include "corneltray/compression.h"
 #include "corneltray/control_protocol.h"
 #include "corneltray/engine_call.h"
+#include "corneltray/key_lease.h"
 #include "corneltray/log.h"
 
 namespace corneltray {
@@ -62,7 +63,7 @@
                      [this](const std::string& host) { m_links.FetchAgain(host); }}),
       m_health_checker({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
                         m_options.node, &m_table, &m_distributor}),
-      m_quarantine(io, {m_options.node, &m_table, &m_metrics, &m_distributor}),
+      m_quarantine(io, {m_options.node, &m_table, &m_metrics, &m_distributor, &m_leadership}),
       m_tick_timer(*io),
       m_member_controller(m_options.target_voters) {}
 
@@ -247,6 +248,7 @@
 void FleetService::ReadReplica() {
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
   ReplicaView view;
+  view.read_at = BootTimeNow();
   if (status.role == ReplicaRole::kLeader && m_options.control->CaughtUp()) {
     view.leading_term = status.term;
   }
@@ -261,17 +263,17 @@
 }
 
 void FleetService::OnReplicaView(const ReplicaView& view) {
-  if (view.leading_term != m_leading_term) {
+  if (view.leading_term != m_logged_term) {
     LogEvent(LogLevel::kInfo, view.leading_term ? "placement_begins" : "placement_ends",
-             {{"term", view.leading_term.value_or(m_leading_term.value_or(0))}});
+             {{"term", view.leading_term.value_or(m_logged_term.value_or(0))}});
   }
-  m_leading_term = view.leading_term;
-  m_quarantine.SetLeader(m_leading_term.has_value(), view.leader_host);
+  m_logged_term = view.leading_term;
+  m_leadership.Update(view.read_at, view.leading_term, view.leader_host);
   if (!view.compressed_routes.empty()) {
     m_route_version = view.route_version;
     m_compressed_routes = view.compressed_routes;
   }
-  if (m_leading_term) DecodeRoutes();
+  if (view.leading_term) DecodeRoutes();
 }
 
 void FleetService::DecodeRoutes() {
@@ -349,7 +351,8 @@
 }
 
 void FleetService::PlaceLayers(TimePoint now) {
-  for (const PlacementDecision& decision : m_layers.Tick(now, m_leading_term, m_routes, m_table)) {
+  for (const PlacementDecision& decision :
+       m_layers.Tick(now, m_leadership.LeadingTerm(BootTimeNow()), m_routes, m_table)) {
     LogEvent(LogLevel::kInfo, "layers_ordered",
              {{"service", decision.service},
               {"upstream", decision.upstream},
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -18,6 +18,7 @@
 #include "corneltray/dialect.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/layer_placement.h"
+#include "corneltray/leadership_view.h"
 #include "corneltray/member_set_controller.h"
 #include "corneltray/metrics.h"
 #include "corneltray/peer.h"
@@ -62,6 +63,7 @@
  private:
   // State of the replica, passed from the I/O thread of PeerNode to this io_context.
   struct ReplicaView {
+    TimePoint read_at{};  // of BootTimeNow
     std::optional<std::uint64_t> leading_term;
     std::string leader_host;  // empty if no leader is known
     std::uint64_t route_version = 0;
@@ -98,12 +100,13 @@
   ControlDiscovery m_discovery;
   UpstreamTable m_table;
   UpstreamDistributor m_distributor;
+  LeadershipView m_leadership;
   LayerController m_layers;
   EngineHealthChecker m_health_checker;
   QuarantineService m_quarantine;
   asio::steady_timer m_tick_timer;
   bool m_stopped = false;
-  std::optional<std::uint64_t> m_leading_term;
+  std::optional<std::uint64_t> m_logged_term;  // that this process leads, as logged last
   std::uint64_t m_route_version = 0;
   std::string m_compressed_routes;  // not yet decoded
   RouteTable m_routes;
--- a/src/corneltray-control/quarantine_service.cc
+++ b/src/corneltray-control/quarantine_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "corneltray/control_protocol.h"
+#include "corneltray/key_lease.h"
 #include "corneltray/log.h"
 #include "corneltray/prompt_messages.h"
 
@@ -76,11 +77,6 @@
   PublishChanges();
 }
 
-void QuarantineService::SetLeader(bool is_self, const std::string& host) {
-  m_is_leader = is_self;
-  m_leader_host = host;
-}
-
 void QuarantineService::SendVerdicts(const std::string& host) const {
   const std::vector<PartVerdict> verdicts = m_attribution.Verdicts(Clock::now());
   if (verdicts.empty()) return;
@@ -117,11 +113,12 @@
 
 void QuarantineService::OnTrial(const std::string& host, const TrialRequest& request,
                                 bool is_forwarded, const PeerNode::Responder& respond) {
-  if (m_is_leader) return GrantTrial(host, request, respond);
+  if (m_options.leadership->LeadingTerm(BootTimeNow())) return GrantTrial(host, request, respond);
   // A process that is asked by another control process but does not lead refuses: the caller may
   // come back once the leader is known.
-  if (is_forwarded || m_leader_host.empty()) return respond(EncodeTrialReply(false));
-  m_options.node->Request(m_leader_host, MessageType::kPromptTrial, EncodeTrialRequest(request),
+  const std::string& leader = m_options.leadership->LeaderHost();
+  if (is_forwarded || leader.empty()) return respond(EncodeTrialReply(false));
+  m_options.node->Request(leader, MessageType::kPromptTrial, EncodeTrialRequest(request),
                           Clock::now() + kForwardTimeout, [respond](const Result<json>& reply) {
                             respond(reply ? reply.value() : EncodeTrialReply(false));
                           });
--- a/src/corneltray-control/quarantine_service.h
+++ b/src/corneltray-control/quarantine_service.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "corneltray/crash_attribution.h"
+#include "corneltray/leadership_view.h"
 #include "corneltray/metrics.h"
 #include "corneltray/peer.h"
 #include "corneltray/prompt_quarantine.h"
@@ -26,6 +27,7 @@
     const UpstreamTable* upstreams = nullptr;    // must outlive this object
     Metrics* metrics = nullptr;                  // must outlive this object
     UpstreamDistributor* distributor = nullptr;  // must outlive this object
+    const LeadershipView* leadership = nullptr;  // must outlive this object
   };
 
   QuarantineService(asio::io_context* io, Options options) : m_io(io), m_options(options) {}
@@ -35,9 +37,6 @@
   // Drops evidence that announcements disprove, and tells the changes that can wait: a crash breaks
   // off many requests, and one message to each host has to do. Called several times per second.
   void Check();
-  // Sets who leads the replicated log: this process, or the control process `host` if that is
-  // known.
-  void SetLeader(bool is_self, const std::string& host);
   // Sends all verdicts to a process that has just been linked.
   void SendVerdicts(const std::string& host) const;
 
@@ -56,8 +55,6 @@
   asio::io_context* m_io;
   Options m_options;
   CrashAttribution m_attribution;
-  bool m_is_leader = false;
-  std::string m_leader_host;  // empty if no leader is known
 };
 
 }  // namespace corneltray
