Test that a late second copy of an answer reaches no other request

Cause: operators of similar systems saw a second copy of an answer arrive late, on a connection in use again, and reach the next caller.

Change: a test of the connection pool in which the upstream answers twice, the second time while the next request waits on the same connection, and while the connection is idle.

--- a/src/libhttp/upstream_pool_test.cc
+++ b/src/libhttp/upstream_pool_test.cc
@@ -42,8 +42,8 @@
     loop.Stop();
   }
 
-  // Sends a request and waits until it has ended.
-  Outcome Send(UpstreamRequest request) {
+  // Sends a request.
+  std::shared_ptr<const Outcome> Begin(UpstreamRequest request) {
     const auto outcome = std::make_shared<Outcome>();
     UpstreamCallbacks callbacks;
     callbacks.on_head = [outcome](const HttpHead& head) { outcome->status = head.status; };
@@ -52,6 +52,12 @@
     callbacks.on_failure = [outcome](UpstreamFailure failure) { outcome->failure = failure; };
     request.connect_deadline = Clock::now() + std::chrono::seconds(2);
     loop.Run([&] { pool->Send(std::move(request), std::move(callbacks)); });
+    return outcome;
+  }
+
+  // Sends a request and waits until it has ended.
+  Outcome Send(UpstreamRequest request) {
+    const auto outcome = Begin(std::move(request));
     REQUIRE(loop.WaitFor([&] { return outcome->Done(); }));
     return *outcome;
   }
@@ -144,6 +150,52 @@
   CHECK(fixture.Counters().skipped_answers == 1);
 }
 
+// Guards against a second copy of an answer that arrives late, when the connection is in use again
+// or waits for its next request: the next caller would get it.
+TEST_CASE("a late second copy of an answer reaches no other request") {
+  int calls = 0;
+  std::optional<HttpCall> second_copy;
+  const auto answer = [](const HttpCall& call, const char* to) {
+    HttpHead head = KeepAlive("timeout=10");
+    head.Add("Answer-To", to);
+    call.Respond(std::move(head), to);
+  };
+  PoolFixture fixture([&](const HttpCall& call) {
+    ++calls;
+    if (calls == 2) {
+      second_copy = call;
+    } else {
+      answer(call, calls == 1 ? "first" : "next");
+    }
+  });
+  const auto request_for = [&fixture](const char* name) {
+    UpstreamRequest request = fixture.Get();
+    request.is_answer = [name](const HttpHead& head) { return head.Value("Answer-To") == name; };
+    return request;
+  };
+  UpstreamRequest first = request_for("first");
+  first.bytes += first.bytes;  // the upstream answers it twice
+  REQUIRE(fixture.Send(first).body == "first");
+  REQUIRE(fixture.loop.WaitFor([&] { return second_copy.has_value(); }));
+  const auto send_copy = [&] { answer(*second_copy, "first"); };
+
+  SUBCASE("while the next request waits for its answer") {
+    const auto outcome = fixture.Begin(request_for("next"));
+    fixture.loop.Run(send_copy);
+    REQUIRE(fixture.loop.WaitFor([&] { return outcome->Done(); }));
+    CHECK(outcome->body == "next");
+    CHECK(fixture.Counters().skipped_answers == 1);
+    CHECK(fixture.Counters().connects == 1);
+  }
+  SUBCASE("while the connection is idle") {
+    fixture.loop.Run(send_copy);
+    REQUIRE(fixture.loop.WaitFor([&] { return fixture.pool->Counters().open == 0; }));
+    CHECK(fixture.Send(request_for("next")).body == "next");
+    CHECK(fixture.Counters().connects == 2);
+  }
+  fixture.loop.Run([&] { second_copy.reset(); });
+}
+
 TEST_CASE("a cancelled request calls nobody and closes its connection") {
   std::optional<HttpCall> kept;
   std::atomic<bool> caller_left{false};
