Bound the time in which the body of a request has to arrive

Cause: the deadline of a body moved with each byte that arrived, so a caller that sends a byte now and then kept its connection, and the memory of what was read, without end.

Change: a body has to arrive within twice the idle timeout and at 512 bytes a second or more.

Result: a byte every 20 ms of 1,000 was still read after 5 s, and is cut off now; twenty bytes every 20 ms are not.

--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 // Time in which a caller reads the last bytes of an answer that ends its connection.
 constexpr std::chrono::seconds kLingerTimeout{2};
+// A slower caller is taken for stalled. Far below the slowest link that requests come from.
+constexpr std::size_t kMinBodyBytesPerSecond = 512;
 // A new connection without a request is not closed as idle before this time.
 constexpr std::chrono::milliseconds kFirstRequestDelay{300};
 
@@ -93,7 +95,10 @@
 
 void HttpCallerConnection::ReadRequest() {
   if (m_input.empty()) return;
-  if (!m_reader.Started()) m_deadline = Clock::now() + m_listener->limits.head_timeout;
+  if (!m_reader.Started()) {
+    m_deadline = Clock::now() + m_listener->limits.head_timeout;
+    m_body_deadline.reset();
+  }
   const Result<std::size_t> taken = m_reader.Read(m_input, &m_body);
   if (!taken) {
     const bool large = taken.error().code == HttpReaderErrc::kHeadTooLarge;
@@ -103,19 +108,35 @@
   m_input.erase(0, taken.value());
   if (!m_reader.HeadComplete() || !CheckSizes()) return;
   if (m_reader.MessageComplete()) return StartServing();
-  m_deadline = Clock::now() + m_listener->limits.idle_timeout;
+  m_deadline = std::min(Clock::now() + m_listener->limits.idle_timeout, BodyDeadline());
   if (!m_continue_sent && ListsToken(m_reader.Head().Value("Expect"), "100-continue")) {
     m_continue_sent = true;
     Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
+std::size_t HttpCallerConnection::AnnouncedLength() const {
+  const std::string announced(m_reader.Head().Value("Content-Length"));
+  return std::strtoull(announced.c_str(), nullptr, 10);
+}
+
+// Set when the head has been read. A caller that sends a byte now and then would otherwise keep the
+// connection, and what was read of its body, for as long as it likes.
+TimePoint HttpCallerConnection::BodyDeadline() {
+  const HttpListenerLimits& limits = m_listener->limits;
+  if (!m_body_deadline) {
+    const bool has_length = m_reader.Head().Find("Content-Length") != nullptr;
+    const std::size_t bytes = has_length ? AnnouncedLength() : limits.max_body_bytes;
+    m_body_deadline = Clock::now() + 2 * limits.idle_timeout +
+                      std::chrono::seconds(bytes / kMinBodyBytesPerSecond);
+  }
+  return *m_body_deadline;
+}
+
 // Refuses a body that is too large, from its announced length where there is one.
 bool HttpCallerConnection::CheckSizes() {
   const HttpListenerLimits& limits = m_listener->limits;
-  const std::string announced(m_reader.Head().Value("Content-Length"));
-  const std::size_t length =
-      std::max<std::size_t>(m_body.size(), std::strtoull(announced.c_str(), nullptr, 10));
+  const std::size_t length = std::max(m_body.size(), AnnouncedLength());
   if (length > limits.max_body_bytes) {
     ++m_listener->counters.refused;
     Refuse(413);
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -88,6 +89,8 @@
   void Read();
   void OnRead(std::size_t bytes);
   void ReadRequest();
+  std::size_t AnnouncedLength() const;
+  TimePoint BodyDeadline();
   bool CheckSizes();
   void StartServing();
   void Refuse(int status);
@@ -110,6 +113,7 @@
   std::uint64_t m_number = 0;
   TimePoint m_read_at{};
   TimePoint m_opened_at{};
+  std::optional<TimePoint> m_body_deadline;  // of the request that is being read
   TimePoint m_deadline{};  // of the caller: to finish its head, or to send another request
   bool m_continue_sent = false;
   bool m_begun = false;
--- a/src/libhttp/http_listener_test.cc
+++ b/src/libhttp/http_listener_test.cc
@@ -213,5 +213,38 @@
   }
 }
 
+// Guards against a caller that keeps a connection for ever by sending a byte now and then, and
+// against one that is cut off although it goes on sending.
+TEST_CASE("a body has to arrive at a minimum rate") {
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "done"); });
+  HttpListenerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(200);
+  fixture.loop.Run([&] { fixture.Listener().SetLimits(limits); });
+  TestSocket caller(fixture.Address());
+  REQUIRE(caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"));
+  bool is_cut_off = false;
+  const auto send_body = [&](std::size_t bytes_at_once) {
+    const TimePoint end = Clock::now() + std::chrono::seconds(5);
+    std::size_t sent = 0;
+    while (sent < 1000 && Clock::now() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      is_cut_off = fixture.loop.Run([&] { return fixture.Listener().Counters().open == 0; });
+      if (is_cut_off) break;
+      if (!caller.Send(std::string(bytes_at_once, 'x'))) break;
+      sent += bytes_at_once;
+    }
+    return sent;
+  };
+  SUBCASE("a byte every 20 ms is too slow") {
+    CHECK(send_body(1) < 1000);
+    CHECK(is_cut_off);
+  }
+  SUBCASE("twenty are enough") {
+    CHECK(send_body(20) == 1000);
+    CHECK(EndsWith(
+        caller.ReadWhile([](const std::string& read) { return !EndsWith(read, "done"); }), "done"));
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
