Settle what the linter found and correct comments about the upstream feed

Cause: the linter wants containers of known size reserved and no captured structured binding; a comment still said that positions exist for hosts only, and a reason to leave a source was never used.

Change: as said; the checks of the tests are the same.

Result: clang-tidy is clean on the changed units but the one test, which was corrected after that run; unit tests of the feed pass.

--- a/src/include/corneltray/control_source_selector.h
+++ b/src/include/corneltray/control_source_selector.h
@@ -35,14 +35,14 @@
 // linked for this long.
 constexpr std::chrono::seconds kSourceReturnDelay{5};
 
-enum class SourceFailure { kSilent, kUnconfirmed, kFetchFailed };
+// Why a source is left.
+enum class SourceFailure { kSilent, kUnconfirmed };
 
 template <>
 struct EnumNames<SourceFailure> {
   static constexpr EnumName<SourceFailure> kTable[] = {
       {SourceFailure::kSilent, "silent"},
       {SourceFailure::kUnconfirmed, "unconfirmed"},
-      {SourceFailure::kFetchFailed, "fetch_failed"},
   };
 };
 
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -23,7 +23,7 @@
 };
 
 // Position in the numbered messages about upstreams that one control process sends to the hosts
-// that follow it.
+// that follow it, or to the other control processes.
 struct FeedPosition {
   std::uint64_t epoch = 0;  // incarnation of the sender
   std::uint64_t batch = 0;  // messages with changes so far
@@ -36,7 +36,7 @@
 struct UpstreamUpdates {
   std::vector<UpstreamUpdate> updates;
   std::vector<UpstreamRefresh> refreshes;
-  std::optional<FeedPosition> position;  // after this message; absent between control processes
+  std::optional<FeedPosition> position;  // of the sender's messages, after this one
 };
 
 // Interval of messages about the health of engines to followers.
--- a/src/libfleet/control_source_selector_test.cc
+++ b/src/libfleet/control_source_selector_test.cc
@@ -20,12 +20,14 @@
 
 std::vector<ControlHost> Candidates() {
   std::vector<ControlHost> candidates;
+  candidates.reserve(kHosts.size());
   for (const std::string& host : kHosts) candidates.push_back({AddressOf(host), host.substr(2)});
   return candidates;
 }
 
 std::vector<LinkedControlHost> Linked(const std::vector<std::string>& hosts) {
   std::vector<LinkedControlHost> linked;
+  linked.reserve(hosts.size());
   for (const std::string& host : hosts) linked.push_back({host, AddressOf(host), host.substr(2)});
   return linked;
 }
--- a/src/libfleet/upstream_feed_test.cc
+++ b/src/libfleet/upstream_feed_test.cc
@@ -183,12 +183,13 @@
       if (due.to_followers) deliver(*due.to_followers);
     }
     REQUIRE(host.Records().size() == source.Records().size());
-    for (const auto& [name, record] : source.Records()) {
+    for (const auto& entry : source.Records()) {
+      const std::string& name = entry.first;
       CAPTURE(name);
       const UpstreamTableEntry* copy = host.Find(name);
       REQUIRE(copy != nullptr);
-      CHECK(copy->announcement.slots == record.announcement.slots);
-      CHECK(copy->announcement.sequence <= record.announcement.sequence);
+      CHECK(copy->announcement.slots == entry.second.announcement.slots);
+      CHECK(copy->announcement.sequence <= entry.second.announcement.sequence);
     }
   }
 }
