--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # they can be loaded.
 set -eu
 cd "$(dirname "$0")/.."
-for file in review/common/*.py review/[1-5]/*.py testsuite/harness.py testsuite/platform/fleet.py testsuite/platform/replicas.py; do
+for file in review/common/*.py review/[1-5]/*.py review/displaced/*.py testsuite/harness.py testsuite/platform/fleet.py testsuite/platform/replicas.py; do
   [ -f "$file" ] || continue
   python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
