Write again what a full disk refused, instead of never

Cause: the first failed write was final. The storage thread ended, the replica ignored ticks and messages, and nothing restarted the process: it stayed up and linked as a voter that never votes and as a source that never learns of a commit.

Change: LogStorage::Rewind goes back to what was synced last, so that the same actions can be written again; records that a failed sync covered are written again, not only synced again. The replica steps down, goes on following the log in memory without votes and acknowledgements, and takes part again after StorageRecovered. Over 32 MiB of backlog end the process. It works because nothing that depends on the disk leaves the process before the disk has it, as with a slow disk, and the retried actions start from a known file.

The simulator's FillDisk no longer loses the batches; a crash still does.

storage_thread.h moves to the library, where its test is.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -20,6 +20,8 @@
 constexpr std::uint64_t kMinEntriesPerSnapshot = 4096;
 // Bounds the size of the log on a small disk when the commands are large.
 constexpr std::uint64_t kMaxBytesPerSnapshot = std::uint64_t{8} * 1024 * 1024;
+// Bounds the memory for entries that wait for a disk that refuses writes.
+constexpr std::size_t kMaxStorageBacklogBytes = std::size_t{32} * 1024 * 1024;
 constexpr std::chrono::seconds kMaxRequestTimeout{30};
 constexpr std::chrono::milliseconds kStatusTimeout{1000};
 constexpr std::chrono::milliseconds kLeadershipPollInterval{10};
@@ -118,6 +120,7 @@
   if (batch.needs_sync) {
     m_submitted_sequence = batch.sequence;
     m_storage.Submit(std::move(persist));
+    CheckStorageBacklog();
   }
   struct Visitor {
     ControlNode& node;
@@ -147,11 +150,7 @@
 void ControlNode::OnPersisted(std::uint64_t sequence, const corneltray::Status& status) {
   const TimePoint now = Clock::now();
   if (!status) {
-    m_storage_failed = true;
-    m_unsent.clear();  // the messages would acknowledge entries that are not on disk
-    LogEvent(LogLevel::kError, "storage_failed", {{"error", status.error().ToString()}});
-    m_replica.StorageFailed(now, status.error());
-    ProcessActions();
+    OnStorageFailed(now, status.error());
     return;
   }
   m_persisted_sequence = std::max(m_persisted_sequence, sequence);
@@ -161,9 +160,30 @@
     m_node->Send(message.to.host, MessageType::kReplica, ReplicaMessageToJson(message));
   }
   m_replica.Persisted(now, sequence);
+  if (m_storage_failed.exchange(false)) {
+    LogEvent(LogLevel::kInfo, "storage_recovered", {{"sequence", sequence}});
+    m_replica.StorageRecovered(now);
+  }
   ProcessActions();
 }
 
+void ControlNode::OnStorageFailed(TimePoint now, const Error& error) {
+  m_storage_failed = true;
+  m_unsent.clear();  // the messages would acknowledge entries that are not on disk
+  LogEvent(LogLevel::kError, "storage_failed", {{"error", error.ToString()}});
+  if (error.code == StorageErrc::kOutOfOrder) m_options.on_fatal(error.ToString());
+  m_replica.StorageFailed(now, error);
+  ProcessActions();
+}
+
+// A process that follows the log without a disk for long would run out of memory. After a restart
+// it has what is on the disk and gets the rest from the leader.
+void ControlNode::CheckStorageBacklog() {
+  if (!m_storage_failed || m_storage.BacklogBytes() <= kMaxStorageBacklogBytes) return;
+  m_options.on_fatal("the disk refuses writes and " + std::to_string(m_storage.BacklogBytes()) +
+                     " bytes wait for it");
+}
+
 void ControlNode::Apply(const std::vector<LogEntry>& entries) {
   for (const LogEntry& entry : entries) {
     m_applied_index = entry.index;
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -20,7 +20,7 @@
 #include "corneltray/peer.h"
 #include "corneltray/read_batcher.h"
 #include "corneltray/retry.h"
-#include "storage_thread.h"
+#include "corneltray/storage_thread.h"
 
 namespace corneltray {
 
@@ -80,6 +80,7 @@
 
   // The functions below may be called from any thread.
   bool HasLeader() const { return m_has_leader; }
+  // Whether the disk refuses writes at the moment.
   bool StorageFailed() const { return m_storage_failed; }
   // Returns whether every entry that was committed before the start has been applied. Until then
   // the configuration may be older than one that this host has served before.
@@ -133,6 +134,8 @@
   void Execute(ActionBatch batch);
   void SendWhenPersisted(SendMessage send);
   void OnPersisted(std::uint64_t sequence, const corneltray::Status& status);
+  void OnStorageFailed(TimePoint now, const Error& error);
+  void CheckStorageBacklog();
   void Apply(const std::vector<LogEntry>& entries);
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -79,6 +79,7 @@
     sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN);  // the file size limit is reported like a full disk
 
     StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
                  m_settings.log_level);
--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -411,9 +411,13 @@
   // Reports that the persist actions of this and all earlier batches are on disk.
   void Persisted(TimePoint now, std::uint64_t sequence);
 
-  // Reports a failed write. The replica steps down, and from then on neither votes nor
-  // acknowledges. It recovers only through a restart from the disk.
+  // Reports a failed write. The replica steps down. Until StorageRecovered it follows the log, but
+  // does not campaign and sends no message that depends on the disk: neither votes nor
+  // acknowledgements. The caller keeps all persist actions, including those that follow, in order.
   void StorageFailed(TimePoint now, const Error& error);
+  // Reports that the disk accepts writes again and that all persist actions up to the last call of
+  // Persisted are on it.
+  void StorageRecovered(TimePoint now);
 
   // Stores a snapshot of the state machine after it has applied everything up to `index`. Older
   // entries beyond `trailing_entries` are dropped. Ignored unless `index` is applied and newer than
--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -20,6 +20,7 @@
   kAlreadyFormatted,  // Format was called on a folder that holds files
   kWrongHost,         // the folder belongs to a host of another name
   kInUse,             // another process has the folder open
+  kOutOfOrder,        // a record does not follow the last one; writing it again cannot succeed
 };
 
 std::error_code make_error_code(StorageErrc errc);
@@ -65,8 +66,8 @@
 //   hard_state  term and vote
 //   snapshot    latest snapshot
 //   log         records: length, xxh64 checksum, index, term, payload
-// After the first failed write every later write fails with the same error, because the content of
-// the file is unknown; a new Open recovers it. Not thread-safe.
+// After a failed write every later write fails with the same error, because the content of the file
+// is unknown, until Rewind or a new Open restores it. Not thread-safe.
 class LogStorage {
  public:
   // Creates the files of a founding voter in an empty or absent folder, with a new random disk
@@ -90,12 +91,17 @@
   virtual const StorageReport& Report() const = 0;
 
   // Writes one persist action; any other action is ignored. Records are durable only after Sync.
-  // Fails with kDiskFull or kWriteFailed; nothing written before is lost.
+  // Fails with kDiskFull, kWriteFailed, kReadFailed or kOutOfOrder; nothing synced before is lost.
   virtual Status Write(const Action& action) = 0;
 
   // Makes everything written so far durable with one sync. Several batches may share one call.
   virtual Status Sync() = 0;
 
+  // After a failed write, discards the records that were not synced, so that writing is possible
+  // again. The caller then repeats, in order, all actions since the last successful Sync; some of
+  // them may be stored already. Fails like Write, and may be called again.
+  virtual Status Rewind() = 0;
+
   // Writes and syncs all persist actions of some batches (group commit).
   Status Commit(const std::vector<ActionBatch>& batches);
 
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -130,8 +130,7 @@
 void Replica::Impl::Step(TimePoint now, const std::string& from_host,
                          const ReplicaMessage& message) {
   m_now = now;
-  if (m_storage_failed || message.from.host != from_host || message.to.host != m_self.host ||
-      message.from == m_self) {
+  if (message.from.host != from_host || message.to.host != m_self.host || message.from == m_self) {
     return;
   }
   if (std::holds_alternative<FoundingRequest>(message.body)) {
@@ -207,7 +206,7 @@
     last = m_pending.front();
     m_pending.pop_front();
   }
-  if (m_storage_failed || !last || last->term != m_hard_state.term) return;
+  if (!last || last->term != m_hard_state.term) return;
   if (m_role == ReplicaRole::kCandidate && !m_pre_vote && m_hard_state.voted_for == m_self) {
     CountVote(now, m_self);
   } else if (IsLeader()) {
@@ -222,25 +221,36 @@
   if (m_storage_failed) return;
   m_storage_failed = true;
   m_storage_error = error.ToString();
-  // Messages that depend on unwritten state must not be sent.
-  m_actions.erase(std::remove_if(m_actions.begin(), m_actions.end(),
-                                 [](const Action& action) {
-                                   return IsPersistAction(action) || WaitsForPersist(action);
-                                 }),
-                  m_actions.end());
   if (IsLeader()) {
     if (const auto successor = BestSuccessor(now)) Send(*successor, TimeoutNow{}, false);
     FailBarriers();
   }
   m_transfer.reset();
   m_heartbeat_due = false;
+  m_votes.clear();
+  m_pre_vote = false;
   m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
   m_leader.reset();
   AnnounceRole(RoleReason::kStorageFailed);
 }
 
+void Replica::Impl::StorageRecovered(TimePoint now) {
+  m_now = now;
+  if (!std::exchange(m_storage_failed, false)) return;
+  m_storage_error.clear();
+  ResetElectionDeadline(now);
+}
+
+// A lost message is harmless, because its receiver asks again. Keeping it would not be: by the time
+// that the disk accepts writes again, there may be as many as the failure was long.
+void Replica::Impl::DropMessagesAwaitingPersist() {
+  m_actions.erase(std::remove_if(m_actions.begin(), m_actions.end(), WaitsForPersist),
+                  m_actions.end());
+}
+
 ActionBatch Replica::Impl::TakeActions() {
-  if (IsLeader() && !m_storage_failed) SendToAll(m_now);
+  if (IsLeader()) SendToAll(m_now);
+  if (m_storage_failed) DropMessagesAwaitingPersist();
   ActionBatch batch;
   batch.sequence = ++m_sequence;
   batch.actions = std::move(m_actions);
@@ -260,7 +270,7 @@
   status.commit_index = m_commit_index;
   status.snapshot_index = m_snapshot ? m_snapshot->last.index : 0;
   status.members = m_log.Members();
-  status.accepts_proposals = IsLeader() && !m_transfer && !m_storage_failed;
+  status.accepts_proposals = IsLeader() && !m_transfer;
   status.storage_failed = m_storage_failed;
   if (IsLeader()) {
     for (const auto& [id, progress] : m_progress) status.match_index[id] = progress.match;
@@ -296,6 +306,7 @@
 void Replica::StorageFailed(TimePoint now, const Error& error) {
   m_impl->StorageFailed(now, error);
 }
+void Replica::StorageRecovered(TimePoint now) { m_impl->StorageRecovered(now); }
 void Replica::Compact(std::uint64_t index, std::string data) {
   m_impl->Compact(index, std::move(data));
 }
--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -121,6 +121,7 @@
 
 void Replica::Impl::OnTimeoutNow(TimePoint now, const ReplicaMessage& message) {
   if (IsLeader() || m_leader != message.from || !m_log.Members().IsVoter(m_self)) return;
+  if (m_storage_failed) return;
   Campaign(now, false, true);
 }
 
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -52,6 +52,7 @@
   Status TransferLeadership(TimePoint now);
   void Persisted(TimePoint now, std::uint64_t sequence);
   void StorageFailed(TimePoint now, const Error& error);
+  void StorageRecovered(TimePoint now);
   void Compact(std::uint64_t index, std::string data);
   ActionBatch TakeActions();
   ReplicaStatus GetStatus() const;
@@ -87,6 +88,7 @@
   void Send(const ReplicaId& to, MessageBody body, bool after_persist = true);
   void SendWithTerm(const ReplicaId& to, std::uint64_t term, MessageBody body, bool after_persist);
   void EmitHardState();
+  void DropMessagesAwaitingPersist();
   void AnnounceRole(RoleReason reason);
   void Dispatch(TimePoint now, const ReplicaMessage& message);
   bool HandleTerm(TimePoint now, const ReplicaMessage& message);
--- a/src/libcorneltray/consensus_property_test.cc
+++ b/src/libcorneltray/consensus_property_test.cc
@@ -20,7 +20,7 @@
 // One random step: a client call or a fault.
 void RandomStep(ConsensusSimulator& sim, std::mt19937_64& random, int* down) {
   const std::size_t host = random() % sim.HostCount();
-  switch (random() % 24) {
+  switch (random() % 26) {
     case 0:
     case 1:
       // At most two hosts are down at once, so that the second can fail during the repair of the
@@ -52,6 +52,12 @@
         sim.Restart(host);
       }
       break;
+    case 18:
+      sim.FillDisk(host);
+      break;
+    case 19:
+      for (std::size_t i = 0; i < sim.HostCount(); ++i) sim.FreeDisk(i);
+      break;
     case 8:
       sim.Partition({host, random() % sim.HostCount()});
       break;
@@ -95,6 +101,7 @@
     {"members changed", &SimulatorCounts::members_changed},
     {"transfers", &SimulatorCounts::transfers},
     {"storage failures", &SimulatorCounts::storage_failures},
+    {"storage recoveries", &SimulatorCounts::storage_recoveries},
 };
 
 // Runs the schedule of one seed. Returns a description of the failure, or an empty string.
@@ -117,7 +124,10 @@
     sim.loss = sim.duplication = 0;
     sim.max_delay = milliseconds(5);
     sim.max_sync_time = milliseconds(3);
-    for (std::size_t host = 0; host < sim.HostCount(); ++host) sim.Restart(host);
+    for (std::size_t host = 0; host < sim.HostCount(); ++host) {
+      sim.FreeDisk(host);
+      sim.Restart(host);
+    }
     if (!sim.RunUntil([&] { return sim.Leader().has_value(); }, std::chrono::seconds(20))) {
       return "no leader after the faults ended\n" + sim.Describe();
     }
--- a/src/libcorneltray/consensus_simulator_test.cc
+++ b/src/libcorneltray/consensus_simulator_test.cc
@@ -114,6 +114,7 @@
   Host& h = m_hosts[host];
   ++h.starts;
   h.sync_running = false;
+  h.disk_full = false;
   h.unsynced.clear();
   h.barriers.clear();
   h.applied = 0;
@@ -162,13 +163,25 @@
 }
 
 void ConsensusSimulator::FillDisk(std::size_t host) {
-  if (!IsUp(host)) return;
-  LoseUnsynced(host);
+  if (!IsUp(host) || m_hosts[host].disk_full) return;
+  m_hosts[host].disk_full = true;
   m_hosts[host].replica->StorageFailed(
       m_now, Error{std::make_error_code(std::errc::no_space_on_device), "log"});
   ExecuteActions(host);
 }
 
+void ConsensusSimulator::FreeDisk(std::size_t host) {
+  Host& h = m_hosts[host];
+  if (!IsUp(host) || !std::exchange(h.disk_full, false)) return;
+  ++m_counts.storage_recoveries;
+  if (!h.unsynced.empty()) {
+    StartSync(host);
+    return;
+  }
+  h.replica->StorageRecovered(m_now);
+  ExecuteActions(host);
+}
+
 bool ConsensusSimulator::LoseDisk(std::size_t host, bool formatted_again) {
   Host& h = m_hosts[host];
   if (!KeepsMajorities(h.disk.self)) return false;
@@ -356,6 +369,7 @@
 void ConsensusSimulator::FinishSync(std::size_t host) {
   Host& h = m_hosts[host];
   h.sync_running = false;
+  if (h.disk_full) return;  // the batches stay until FreeDisk
   std::deque<ActionBatch> batches = std::move(h.unsynced);
   h.unsynced.clear();
   if (batches.empty()) return;
@@ -369,8 +383,13 @@
       WriteToDisk(&h.disk, action);
     }
   }
-  for (const ActionBatch& batch : batches) SendAfterPersist(host, batch);
+  // Messages that were waiting when the disk failed are lost.
+  const bool had_failed = h.replica->GetStatus().storage_failed;
+  for (const ActionBatch& batch : batches) {
+    if (!had_failed) SendAfterPersist(host, batch);
+  }
   h.replica->Persisted(m_now, batches.back().sequence);
+  if (had_failed) h.replica->StorageRecovered(m_now);
   ExecuteActions(host);
 }
 
--- a/src/libcorneltray/consensus_simulator_test.h
+++ b/src/libcorneltray/consensus_simulator_test.h
@@ -42,6 +42,7 @@
   std::uint64_t members_changed = 0;
   std::uint64_t transfers = 0;
   std::uint64_t storage_failures = 0;
+  std::uint64_t storage_recoveries = 0;  // without a restart
 };
 
 // Replicas on simulated hosts with simulated disks, clock and network. After each call into a
@@ -60,8 +61,10 @@
   void Crash(std::size_t host);
   void Restart(std::size_t host);
   void Freeze(std::size_t host, Duration span);
-  // Fails the next write: reports it to the replica and loses unsynced data.
+  // Reports a failed write to the replica. Nothing is written until FreeDisk; a crash before that
+  // loses unsynced data.
   void FillDisk(std::size_t host);
+  void FreeDisk(std::size_t host);
   // Crashes the host and gives it an empty folder, formatted again by mistake or unformatted.
   // Returns false without any effect if some member set would lose its majority with this disk.
   bool LoseDisk(std::size_t host, bool formatted_again);
@@ -101,6 +104,7 @@
     std::uint64_t starts = 0;  // number of starts; events of an earlier start are dropped
     std::deque<ActionBatch> unsynced;
     bool sync_running = false;
+    bool disk_full = false;
     TimePoint frozen_until;
     TimePoint tick_at;
     bool started = false;  // the actions of the start have been executed
--- a/src/libcorneltray/consensus_test.cc
+++ b/src/libcorneltray/consensus_test.cc
@@ -306,6 +306,50 @@
   }
 }
 
+// Guards against a replica that is lost to the group for good after its disk was full for some
+// seconds, and against one that promises what is not on its disk meanwhile.
+TEST_CASE("a replica whose disk refuses writes takes part again once the disk recovers") {
+  ReplicaHarness harness(VoterState(kA));
+  harness.Receive(kB, 3, AppendRequest{{3, 2}, {}, 2, 0});
+  harness.Get().StorageFailed(harness.Now(), Error{{}, "disk full: log"});
+  harness.sent.clear();
+  harness.actions.clear();
+  harness.Receive(kB, 3, AppendRequest{{3, 2}, {Command(4, 3), Command(5, 3)}, 4, 0});
+
+  SUBCASE("meanwhile it applies what others have committed, and acknowledges nothing") {
+    CHECK(harness.Status().commit_index == 4);
+    CHECK(harness.Count<ApplyEntries>() == 1);
+    CHECK(harness.Count<PersistEntries>() == 1);
+    CHECK(harness.sent.empty());
+  }
+  SUBCASE("meanwhile it neither votes nor campaigns, also when it is asked to take over") {
+    harness.Receive(kB, 3, TimeoutNow{});
+    harness.Advance(std::chrono::minutes(1));
+    harness.Receive(kC, 4, VoteRequest{false, true, {9, 9}});
+    CHECK(harness.Status().role == ReplicaRole::kFollower);
+    CHECK(harness.sent.empty());
+  }
+  SUBCASE("afterwards it acknowledges what the disk holds") {
+    harness.Get().StorageRecovered(harness.Now());
+    CHECK_FALSE(harness.Status().storage_failed);
+    harness.Receive(kB, 3, AppendRequest{{5, 3}, {}, 5, 7});
+    REQUIRE(harness.LastSent<AppendReply>() != nullptr);
+    CHECK(harness.LastSent<AppendReply>()->accepted);
+    CHECK(harness.LastSent<AppendReply>()->match_index == 5);
+  }
+  SUBCASE("afterwards it votes") {
+    harness.Get().StorageRecovered(harness.Now());
+    harness.Receive(kC, 4, VoteRequest{false, true, {9, 9}});
+    REQUIRE(harness.LastSent<VoteReply>() != nullptr);
+    CHECK(harness.LastSent<VoteReply>()->granted);
+  }
+  SUBCASE("afterwards it can become the leader, and accepts proposals") {
+    harness.Get().StorageRecovered(harness.Now());
+    harness.Elect();
+    CHECK(harness.Get().Propose(harness.Now(), 0, "x").Ok());
+  }
+}
+
 // Guards against a read that misses an entry committed by a successor.
 TEST_CASE("a linearizable read waits for a heartbeat round and for the first entry of the term") {
   ReplicaHarness harness(VoterState(kA));
--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -1,5 +1,6 @@
 #include "corneltray/log_storage.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -36,6 +37,8 @@
         return "the folder belongs to another host";
       case StorageErrc::kInUse:
         return "the folder is in use by another process";
+      case StorageErrc::kOutOfOrder:
+        return "record out of order";
     }
     return "unknown storage error";
   }
@@ -68,12 +71,10 @@
   return text;
 }
 
-// Replaces a file atomically: writes it under a temporary name, syncs it, renames it and syncs the
-// folder. After a crash the file has either the old or the new content. If `keep_open` is given, it
-// receives the open descriptor of the new file.
-Status ReplaceFile(FileOperations& files, const std::string& folder, const std::string& name,
-                   const std::string& bytes, int* keep_open = nullptr) {
-  const std::string path = folder + '/' + name;
+// Writes a file under a temporary name, syncs it and renames it. Returns the open descriptor of the
+// new file. The new name is durable once the folder has been synced.
+Result<int> RenameIntoPlace(FileOperations& files, const std::string& path,
+                            const std::string& bytes) {
   const std::string temporary = path + kTemporarySuffix;
   int descriptor = -1;
   if (const int error = files.Open(temporary, true, &descriptor)) return WriteError(path, error);
@@ -81,13 +82,19 @@
   if (error == 0) error = files.WriteAt(descriptor, 0, bytes);
   if (error == 0) error = files.Sync(descriptor);
   if (error == 0) error = files.Rename(temporary, path);
-  if (error == 0) error = files.SyncFolder(folder);
-  if (error != 0 || keep_open == nullptr) {
-    files.Close(descriptor);
-  } else {
-    *keep_open = descriptor;
-  }
-  if (error != 0) return WriteError(path, error);
+  if (error == 0) return descriptor;
+  files.Close(descriptor);
+  return WriteError(path, error);
+}
+
+// Replaces a file atomically. After a crash the file has either the old or the new content.
+Status ReplaceFile(FileOperations& files, const std::string& folder, const std::string& name,
+                   const std::string& bytes) {
+  const std::string path = folder + '/' + name;
+  const auto descriptor = RenameIntoPlace(files, path, bytes);
+  if (!descriptor) return descriptor.error();
+  files.Close(descriptor.value());
+  if (const int error = files.SyncFolder(folder)) return WriteError(path, error);
   return {};
 }
 
@@ -117,6 +124,7 @@
   const StorageReport& Report() const override { return m_report; }
   Status Write(const Action& action) override;
   Status Sync() override;
+  Status Rewind() override;
   std::uint64_t SyncCount() const override { return m_sync_count; }
 
  private:
@@ -132,6 +140,8 @@
   Status WriteEntries(const std::vector<LogEntry>& entries);
   Status WriteSnapshot(const PersistSnapshot& action);
   Status ReplaceLog(LogPosition base, const std::string& records);
+  Status SyncLogName();
+  Status TruncateLog(std::uint64_t last_index);
   std::uint64_t LastIndex() const { return m_base_index + m_offsets.size(); }
   Status RecordFailure(Status status);
 
@@ -144,7 +154,9 @@
   std::uint64_t m_base_index = 0;
   std::vector<std::uint64_t> m_offsets;  // element i: of index m_base_index + 1 + i
   std::uint64_t m_log_bytes = 0;
+  std::uint64_t m_synced_index = 0;  // last record that is durable
   bool m_unsynced = false;
+  bool m_folder_unsynced = false;  // the log was renamed into place, but its name may be lost
   std::uint64_t m_sync_count = 0;
   std::optional<Error> m_write_error;
 };
@@ -240,6 +252,7 @@
     m_recovered.entries.push_back(std::move(record->entry));
   }
   m_log_bytes = offset;
+  m_synced_index = LastIndex();
   return {};
 }
 
@@ -254,6 +267,7 @@
   m_report.truncated_at = offset;
   m_report.truncated_file = PathOf(kLogName);
   m_log_bytes = offset;
+  m_synced_index = LastIndex();
   int error = m_files.Truncate(m_log_descriptor, offset);
   if (error == 0) error = m_files.Sync(m_log_descriptor);
   if (error != 0) return WriteError(PathOf(kLogName), error);
@@ -304,28 +318,41 @@
   return {};
 }
 
+// Removes the records after an index. The file is truncated and synced immediately: after a crash
+// it must not mix new records with the old tail.
+Status FileLogStorage::TruncateLog(std::uint64_t last_index) {
+  const std::uint64_t kept = last_index - m_base_index;
+  if (kept < m_offsets.size()) {
+    m_log_bytes = m_offsets[kept];
+    m_offsets.resize(kept);
+  }
+  m_synced_index = std::min(m_synced_index, last_index);
+  int error = m_files.Truncate(m_log_descriptor, m_log_bytes);
+  if (error == 0) error = m_files.Sync(m_log_descriptor);
+  if (error != 0) return WriteError(PathOf(kLogName), error);
+  return {};
+}
+
 Status FileLogStorage::WriteEntries(const std::vector<LogEntry>& entries) {
-  if (entries.empty()) return {};
+  // A snapshot that was stored before a Rewind covers the entries up to its base.
+  const auto begin = std::find_if(entries.begin(), entries.end(), [this](const LogEntry& entry) {
+    return entry.index > m_base_index;
+  });
+  if (begin == entries.end()) return {};
   const std::string path = PathOf(kLogName);
-  const std::uint64_t first = entries.front().index;
-  if (first <= m_base_index || first > LastIndex() + 1) {
-    return Error{StorageErrc::kWriteFailed, path + ": record " + std::to_string(first) +
-                                                " does not follow " + std::to_string(LastIndex())};
+  const std::uint64_t first = begin->index;
+  if (first > LastIndex() + 1) {
+    return Error{StorageErrc::kOutOfOrder, path + ": record " + std::to_string(first) +
+                                               " does not follow " + std::to_string(LastIndex())};
   }
   if (first <= LastIndex()) {
-    // Syncs immediately: after a crash the file must not mix new records with the old tail.
-    const std::uint64_t size = m_offsets[first - m_base_index - 1];
-    int error = m_files.Truncate(m_log_descriptor, size);
-    if (error == 0) error = m_files.Sync(m_log_descriptor);
-    if (error != 0) return WriteError(path, error);
-    m_offsets.resize(first - m_base_index - 1);
-    m_log_bytes = size;
+    if (Status s = TruncateLog(first - 1); !s) return s;
   }
   std::string bytes;
   std::vector<std::uint64_t> offsets;
-  for (const LogEntry& entry : entries) {
+  for (auto entry = begin; entry != entries.end(); ++entry) {
     offsets.push_back(m_log_bytes + bytes.size());
-    bytes += EncodeLogRecord(entry);
+    bytes += EncodeLogRecord(*entry);
   }
   if (const int error = m_files.WriteAt(m_log_descriptor, m_log_bytes, bytes)) {
     return WriteError(path, error);
@@ -357,10 +384,11 @@
 // Replaces the log file with one that holds the given encoded records, which follow the base.
 Status FileLogStorage::ReplaceLog(LogPosition base, const std::string& records) {
   const std::string bytes = EncodeLogHeader(base) + records;
-  int descriptor = -1;
-  if (Status s = ReplaceFile(m_files, m_folder, kLogName, bytes, &descriptor); !s) return s;
+  const auto descriptor = RenameIntoPlace(m_files, PathOf(kLogName), bytes);
+  if (!descriptor) return descriptor.error();
+  // From here on the old file has no name, so that nothing may be written to it any more.
   m_files.Close(m_log_descriptor);
-  m_log_descriptor = descriptor;
+  m_log_descriptor = descriptor.value();
   const std::uint64_t first_kept = records.empty() ? m_offsets.size() : base.index - m_base_index;
   const std::uint64_t first_offset = records.empty() ? 0 : m_offsets[first_kept];
   std::vector<std::uint64_t> offsets;
@@ -370,7 +398,27 @@
   m_offsets = std::move(offsets);
   m_base_index = base.index;
   m_log_bytes = bytes.size();
+  m_synced_index = LastIndex();
+  m_unsynced = false;
+  m_folder_unsynced = true;
+  return SyncLogName();
+}
+
+Status FileLogStorage::SyncLogName() {
+  if (!m_folder_unsynced) return {};
+  if (const int error = m_files.SyncFolder(m_folder)) return WriteError(PathOf(kLogName), error);
+  m_folder_unsynced = false;
+  return {};
+}
+
+// Writes the records after the last durable one again rather than syncing them again: once a sync
+// has failed, a later one may succeed without having stored them.
+Status FileLogStorage::Rewind() {
+  if (!m_write_error) return {};
+  if (Status s = SyncLogName(); !s) return s;
+  if (Status s = TruncateLog(m_synced_index); !s) return s;
   m_unsynced = false;
+  m_write_error.reset();
   return {};
 }
 
@@ -382,6 +430,7 @@
     return RecordFailure(WriteError(PathOf(kLogName), error));
   }
   m_unsynced = false;
+  m_synced_index = LastIndex();
   return {};
 }
 
--- a/src/libcorneltray/log_storage_test.cc
+++ b/src/libcorneltray/log_storage_test.cc
@@ -8,8 +8,10 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <random>
 #include <sstream>
+#include <utility>
 
 #include "log_storage_codec.h"
 
@@ -40,6 +42,9 @@
   int bytes_left = -1;       // a write beyond these bytes is short and fails with ENOSPC
   int syncs_left = -1;       // a sync after these fails with EIO
   int operations_left = -1;  // after these modifying calls every call fails, as in a crash
+  // A failed sync loses what was written since the last one, and later syncs succeed, as on systems
+  // that mark the pages of a failed write as clean.
+  bool failed_sync_loses_writes = false;
 
   int Open(const std::string& path, bool create, int* descriptor) override {
     return HasCrashed(create) ? EIO : m_files.Open(path, create, descriptor);
@@ -51,6 +56,7 @@
       static_cast<void>(m_files.WriteAt(descriptor, offset, bytes.substr(0, bytes.size() / 2)));
       return EIO;
     }
+    m_unsynced[descriptor].emplace_back(offset, bytes.size());
     if (bytes_left < 0) return m_files.WriteAt(descriptor, offset, bytes);
     const auto fits = std::min<std::size_t>(bytes.size(), static_cast<std::size_t>(bytes_left));
     const int error = m_files.WriteAt(descriptor, offset, bytes.substr(0, fits));
@@ -62,7 +68,11 @@
     return HasCrashed(true) ? EIO : m_files.Truncate(descriptor, size);
   }
   int Sync(int descriptor) override {
-    if (syncs_left == 0) return EIO;
+    const auto written = std::exchange(m_unsynced[descriptor], {});
+    if (syncs_left == 0) {
+      if (failed_sync_loses_writes) Erase(descriptor, written);
+      return EIO;
+    }
     if (syncs_left > 0) --syncs_left;
     return HasCrashed(true) ? EIO : m_files.Sync(descriptor);
   }
@@ -81,12 +91,20 @@
   }
 
  private:
+  using Written = std::vector<std::pair<std::uint64_t, std::size_t>>;  // offset and size
+
+  void Erase(int descriptor, const Written& written) {
+    for (const auto& [offset, size] : written) {
+      static_cast<void>(m_files.WriteAt(descriptor, offset, std::string(size, '\0')));
+    }
+  }
   bool HasCrashed(bool changes) {
     if (operations_left == 0) return true;
     if (changes && operations_left > 0) --operations_left;
     return false;
   }
   FileOperations& m_files = PosixFileOperations();
+  std::map<int, Written> m_unsynced;  // by descriptor
 };
 
 LogEntry Entry(std::uint64_t index, std::uint64_t term, std::string payload = "") {
@@ -418,5 +436,89 @@
   CHECK(crash_points > 30);
 }
 
+// Guards against a disk that was full for some seconds and is never written again, and against a
+// retry that loses records or mixes old and new ones.
+TEST_CASE("after a failed write the same actions can be written again") {
+  const std::vector<std::vector<Action>> steps = {
+      {PersistHardState{{2, ReplicaId{"a", "1"}}}, PersistEntries{Entries(1, 4, 2)}},
+      {PersistEntries{Entries(3, 6, 3)}},
+      {PersistEntries{Entries(7, 8, 3)}, SnapshotAt({5, 3}, {3, 3}, false)},
+      {PersistHardState{{4, {}}}, PersistEntries{Entries(9, 10, 4)}},
+      {SnapshotAt({12, 6}, {12, 6}, true), PersistEntries{Entries(13, 14, 6)}},
+      {PersistEntries{Entries(14, 15, 7)}},
+  };
+  const TemporaryFolder folder;
+  FaultyFiles files;
+
+  SUBCASE("whichever file operation failed, and however often") {
+    const auto write_all = [&](LogStorage& storage, int operations, int failures) {
+      bool has_failed = false;
+      files.operations_left = operations;
+      for (const auto& step : steps) {
+        Status status = storage.Commit({{1, true, step}});
+        for (int i = 0; !status && i < failures; ++i) status = storage.Rewind();
+        if (status) continue;
+        has_failed = true;
+        files.operations_left = -1;
+        REQUIRE(storage.Rewind().Ok());
+        REQUIRE(storage.Commit({{1, true, step}}).Ok());
+      }
+      return has_failed;
+    };
+    int fault_points = 0;
+    for (const int failures : {0, 2}) {
+      bool has_failed = true;
+      for (int operations = 0; has_failed; ++operations) {
+        CAPTURE(failures);
+        CAPTURE(operations);
+        fs::remove_all(folder.Data());
+        files.operations_left = -1;
+        auto storage = MustOpen(folder, files);
+        has_failed = write_all(*storage, operations, failures);
+        fault_points += has_failed ? 1 : 0;
+        storage.reset();
+        storage = MustOpen(folder);
+        const PersistentState& state = storage->Recovered();
+        CHECK(state.hard_state == HardState{4, {}});
+        CHECK(*state.snapshot->data == "state at 12");
+        CHECK(state.log_base == LogPosition{12, 6});
+        CHECK(state.entries == std::vector<LogEntry>{Entry(13, 6), Entry(14, 7), Entry(15, 7)});
+        CHECK(storage->Report().truncated_bytes == 0);
+      }
+    }
+    CHECK(fault_points > 60);
+  }
+  SUBCASE("also when the failed sync has lost what was written") {
+    auto storage = MustOpen(folder, files);
+    MustCommit(*storage, {PersistEntries{Entries(1, 3, 2)}});
+    files.syncs_left = 0;
+    files.failed_sync_loses_writes = true;
+    const std::vector<ActionBatch> batches = {{2, true, {PersistEntries{Entries(4, 5, 2)}}},
+                                              {3, true, {PersistEntries{Entries(6, 6, 2)}}}};
+    CHECK_FALSE(storage->Commit(batches).Ok());
+    files.syncs_left = -1;
+    REQUIRE(storage->Rewind().Ok());
+    REQUIRE(storage->Commit(batches).Ok());
+    storage.reset();
+    CHECK(MustOpen(folder)->Recovered().entries == Entries(1, 6, 2));
+  }
+  SUBCASE("and nothing is written before the file has been restored") {
+    auto storage = MustOpen(folder, files);
+    MustCommit(*storage, {PersistEntries{Entries(1, 3, 2)}});
+    files.bytes_left = 30;
+    CHECK_FALSE(storage->Commit({{2, true, {PersistEntries{Entries(4, 4, 2)}}}}).Ok());
+    files.bytes_left = -1;
+    CHECK_FALSE(storage->Commit({{2, true, {PersistEntries{Entries(4, 4, 2)}}}}).Ok());
+    REQUIRE(storage->Rewind().Ok());
+    MustCommit(*storage, {PersistEntries{Entries(4, 4, 2)}});
+  }
+  SUBCASE("but a record that does not follow the last one is an error that no retry mends") {
+    auto storage = MustOpen(folder, files);
+    const Status refused = storage->Commit({{1, true, {PersistEntries{Entries(2, 2, 1)}}}});
+    REQUIRE_FALSE(refused.Ok());
+    CHECK(refused.error().code == StorageErrc::kOutOfOrder);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
