Refuse every key once the last customer has been removed

Cause: whether keys are checked was derived from the number of customers, so an empty list of permissions was read as no access control.

It works because no list that shrinks can change what is checked any more.

--- a/src/include/corneltray/route_table.h
+++ b/src/include/corneltray/route_table.h
@@ -100,6 +100,20 @@
   std::chrono::milliseconds idle_timeout{0};
 };
 
+// Who may call the routes that are not public.
+enum class RouteAccess {
+  kCustomers,  // callers with a key of a customer; without any customer nobody
+  kEveryone,   // the installation has no customers, so keys are not checked
+};
+
+template <>
+struct EnumNames<RouteAccess> {
+  static constexpr EnumName<RouteAccess> kTable[] = {
+      {RouteAccess::kCustomers, "customers"},
+      {RouteAccess::kEveryone, "everyone"},
+  };
+};
+
 struct RouteCustomer {
   std::string name;
   std::vector<std::string> keys;
@@ -112,6 +126,9 @@
   std::uint64_t version = 0;
   std::vector<RouteEntry> routes;
   std::map<std::string, RouteService> services;
+  // Stated by the table. An empty list of customers must not open the routes: it is what is left
+  // when the last customer is removed.
+  RouteAccess access = RouteAccess::kCustomers;
   std::vector<RouteCustomer> customers;
   CallerLimits limits;
 };
@@ -139,10 +156,13 @@
   const RouteTable& Table() const { return m_table; }
   // Returns the route of this host whose prefix is the longest match for the path, or null.
   const RouteEntry* FindRoute(std::string_view host, std::string_view path) const;
-  // Returns the customer that owns a key, or null.
+  // Returns the customer that owns a key, or null. A request without a key has no customer.
   const RouteCustomer* FindCustomer(const std::string& key) const;
   const RouteService* FindService(const std::string& name) const;
-  bool HasCustomers() const { return !m_table.customers.empty(); }
+  // Whether a request on this route needs the key of a customer.
+  bool RequiresKey(const RouteEntry& route) const { return RequiresKeys() && !route.is_public; }
+  // Whether routes that are not public need the key of a customer.
+  bool RequiresKeys() const { return m_table.access == RouteAccess::kCustomers; }
 
  private:
   RouteTable m_table;
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -64,6 +64,7 @@
            {{"version", table.version},
             {"previous_version", RouteVersion()},
             {"routes", table.routes.size()},
+            {"access", NameOf(table.access)},
             {"customers", table.customers.size()}});
   for (const auto& [name, service] : table.services) {
     if (!service.engine || m_routers.count(name) > 0) continue;
@@ -147,7 +148,7 @@
 
 bool Gateway::IsReady() const {
   if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
-  return !m_routes->HasCustomers() || !m_key_lease.IsHalfElapsed(BootTimeNow());
+  return !m_routes->RequiresKeys() || !m_key_lease.IsHalfElapsed(BootTimeNow());
 }
 
 void Gateway::BeginDrain() {
--- a/src/libserving/gateway_request.cc
+++ b/src/libserving/gateway_request.cc
@@ -35,7 +35,7 @@
 
 std::optional<GatewayRefusal> IdentifyCustomer(const FilterContext& context,
                                                GatewayRequest* request) {
-  if (request->route->is_public || !request->routes->HasCustomers()) return std::nullopt;
+  if (!request->routes->RequiresKey(*request->route)) return std::nullopt;
   // A key can only be checked while the table is known to be the newest one.
   if (!context.key_lease->IsValid(context.boot_now)) return GatewayRefusal::kKeyLeaseLapsed;
   request->customer = request->routes->FindCustomer(request->metadata.customer_key);
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -82,6 +82,28 @@
     fixture.loop.Run([&] { fixture.gateway->SetRouteTable(table); });
     CHECK(StatusOf(fixture.Call("GET", "/get/")) == 401);
   }
+  // Guards against a table whose last customer was removed and that opens its routes to every key.
+  SUBCASE("whatever its key, when the last customer has been removed") {
+    RouteTable table = MakeTable(2);
+    table.customers.clear();
+    fixture.loop.Run([&] { fixture.gateway->SetRouteTable(table); });
+    CHECK(StatusOf(fixture.Call("GET", "/get/")) == 401);
+    for (const char* key : {"", "Key: \r\n", "Key: other\r\n"}) {
+      CAPTURE(key);
+      TestSocket caller(fixture.Address());
+      REQUIRE(caller.Send("GET /get/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n" + std::string(key) +
+                          "Connection: close\r\n\r\n"));
+      CHECK(StatusOf(caller.ReadWhile([](const std::string&) { return true; })) == 401);
+    }
+  }
+  SUBCASE("but not for its key when the table has no customers at all") {
+    RouteTable table = MakeTable(2);
+    table.customers.clear();
+    table.access = RouteAccess::kEveryone;
+    fixture.loop.Run([&] { fixture.gateway->SetRouteTable(table); });
+    CHECK(StatusOf(fixture.Call("GET", "/get/")) == 200);
+    return;
+  }
   SUBCASE("but not because of a table that is older than the current one") {
     RouteTable table = MakeTable(0);
     table.customers.clear();
--- a/src/libserving/route_table.cc
+++ b/src/libserving/route_table.cc
@@ -112,6 +112,7 @@
 }
 
 const RouteCustomer* RouteIndex::FindCustomer(const std::string& key) const {
+  if (key.empty()) return nullptr;
   const auto found = m_customers.find(key);
   return found == m_customers.end() ? nullptr : found->second;
 }
--- a/src/libserving/route_table_test.cc
+++ b/src/libserving/route_table_test.cc
@@ -53,6 +53,11 @@
   CHECK(index.FindCustomer("k2")->name == "first");
   CHECK(index.FindCustomer("k3")->name == "second");
   CHECK(index.FindCustomer("") == nullptr);
+
+  // Guards against a customer with an empty key that owns every request without a key.
+  RouteTable table = MakeTable();
+  table.customers.push_back({"careless", {""}, std::nullopt});
+  CHECK(RouteIndex(table).FindCustomer("") == nullptr);
 }
 
 // Guards against a configuration that fails every request of a route.
