Keep the evidence about deadly prompt parts in the replicated log

Cause: crashes, suspicions and verdicts lived in memory only, and a process did not add the crashes that others had counted to those it saw itself.

Change: the leader records verdicts and suspicions that count in the replicated log; each control process takes them over before it may grant trials and tells its hosts. Verdicts carry the crashes after which an answer had begun, and a process adds those that only others have counted to its own. It works because after the restart the first crash suffices at each host, so nothing is sent a second time, and a trial that fails makes the refusal longer.

The tests that build a verdict name both counts now; what they check is unchanged.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -66,6 +66,7 @@
   // The next four functions run on the I/O thread.
   ReplicaStatus GetReplicaStatus() const { return m_replica.GetStatus(); }
   const RouteTableStore& GetRouteTable() const { return m_state.GetRouteTable(); }
+  const PartVerdictStore& GetPartVerdicts() const { return m_state.GetPartVerdicts(); }
   // Proposes a membership change. Fails if this replica is not the leader.
   corneltray::Status ChangeMembers(const MemberChange& change);
   // Removes a host without a control process from the initial members.
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -63,7 +63,8 @@
                      [this](const std::string& host) { m_links.FetchAgain(host); }}),
       m_health_checker({m_options.host, m_options.availability_zone, m_options.dialect, &m_pool,
                         m_options.node, &m_table, &m_distributor}),
-      m_quarantine(io, {m_options.node, &m_table, &m_metrics, &m_distributor, &m_leadership}),
+      m_quarantine(io, {m_options.node, &m_table, &m_metrics, &m_distributor, &m_leadership,
+                        [this](const RecordPartVerdicts& verdicts) { ProposeVerdicts(verdicts); }}),
       m_tick_timer(*io),
       m_member_controller(m_options.target_voters) {}
 
@@ -259,15 +260,35 @@
     m_last_seen_route_version = view.route_version;
     view.compressed_routes = store.CompressedText();
   }
+  const PartVerdictStore& verdicts = m_options.control->GetPartVerdicts();
+  if (verdicts.Version() != m_last_seen_verdicts_version) {
+    m_last_seen_verdicts_version = verdicts.Version();
+    view.verdicts = verdicts.Verdicts();
+  }
   asio::post(*m_io, [this, view = std::move(view)] { OnReplicaView(view); });
 }
 
+void FleetService::ProposeVerdicts(const RecordPartVerdicts& verdicts) {
+  const json body = ProposeBody(verdicts, kPutTimeout.count());
+  const auto finish = [](const Result<json>& result) {
+    const auto reply =
+        result ? ParseReplyBody(result.value()) : Result<CommandReply>(result.error());
+    if (reply) return;
+    // What the log lacks is proposed again.
+    LogEvent(LogLevel::kWarning, "prompt_verdicts_not_recorded",
+             {{"error", reply.error().ToString()}});
+  };
+  m_options.node->Post([this, body, finish] { m_options.control->Propose(body, finish); });
+}
+
 void FleetService::OnReplicaView(const ReplicaView& view) {
   if (view.leading_term != m_logged_term) {
     LogEvent(LogLevel::kInfo, view.leading_term ? "placement_begins" : "placement_ends",
              {{"term", view.leading_term.value_or(m_logged_term.value_or(0))}});
   }
   m_logged_term = view.leading_term;
+  // Before this process may lead and grant trials.
+  if (view.verdicts) m_quarantine.OnRecorded(*view.verdicts);
   m_leadership.Update(view.read_at, view.leading_term, view.leader_host);
   if (!view.compressed_routes.empty()) {
     m_route_version = view.route_version;
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -67,7 +67,8 @@
     std::optional<std::uint64_t> leading_term;
     std::string leader_host;  // empty if no leader is known
     std::uint64_t route_version = 0;
-    std::string compressed_routes;  // empty if unchanged
+    std::string compressed_routes;                           // empty if unchanged
+    std::optional<std::vector<StoredPartVerdict>> verdicts;  // if changed
   };
 
   void OnCall(const ControlCall& call, const ControlResponder& respond);
@@ -85,6 +86,8 @@
   void ConnectMembers(const MemberSet& members);
   void ExcludeOtherPrograms();  // on the I/O thread of PeerNode
   void ReadReplica();
+  // Proposes verdicts on prompt parts to the replicated log.
+  void ProposeVerdicts(const RecordPartVerdicts& verdicts);
   void OnReplicaView(const ReplicaView& view);
   // Decodes the route table before its first use for placement; only the leader needs it.
   void DecodeRoutes();
@@ -114,6 +117,7 @@
   // The members below are used on the I/O thread of PeerNode.
   MemberSetController m_member_controller;
   std::uint64_t m_last_seen_route_version = 0;
+  std::uint64_t m_last_seen_verdicts_version = 0;
   std::set<std::string> m_connected_members;  // addresses that the node keeps connections to
 };
 
--- a/src/corneltray-control/quarantine_service.cc
+++ b/src/corneltray-control/quarantine_service.cc
@@ -16,6 +16,8 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kForwardTimeout{250};
+// Pause between two proposals of verdicts, so that one that is on its way is not proposed again.
+constexpr std::chrono::milliseconds kRecordInterval{500};
 
 void LogMalformed(const PeerIdentity& from, MessageType type, const Error& error) {
   LogEvent(LogLevel::kWarning, "message_refused",
@@ -75,6 +77,33 @@
 void QuarantineService::Check() {
   m_attribution.DropDisproved(Clock::now(), *m_options.upstreams);
   PublishChanges();
+  RecordIfDue();
+}
+
+void QuarantineService::OnRecorded(const std::vector<StoredPartVerdict>& recorded) {
+  m_recorded = recorded;
+  const TimePoint now = Clock::now();
+  std::vector<PartVerdict> recovered;
+  for (const PartVerdict& verdict : RecoverVerdicts(recorded, UnixNow())) {
+    const bool is_unknown = !m_attribution.IsKnown(verdict.part);
+    const std::uint64_t known = m_attribution.VerdictOn(now, verdict.part).generation;
+    if (is_unknown || verdict.generation > known) recovered.push_back(verdict);
+  }
+  if (recovered.empty()) return;
+  m_attribution.Merge(now, recovered);
+  LogEvent(LogLevel::kInfo, "prompt_verdicts_recovered", {{"parts", recovered.size()}});
+  m_options.distributor->RelayToFollowers(MessageType::kPromptVerdicts,
+                                          EncodePartVerdicts(recovered));
+}
+
+void QuarantineService::RecordIfDue() {
+  const TimePoint now = Clock::now();
+  if (now < m_next_record_at || !m_options.leadership->LeadingTerm(BootTimeNow())) return;
+  RecordPartVerdicts command{FindUnrecorded(m_attribution.Verdicts(now), m_recorded, UnixNow())};
+  if (command.verdicts.empty()) return;
+  m_next_record_at = now + kRecordInterval;
+  LogEvent(LogLevel::kInfo, "prompt_verdicts_proposed", {{"parts", command.verdicts.size()}});
+  m_options.record(command);
 }
 
 void QuarantineService::SendVerdicts(const std::string& host) const {
@@ -149,11 +178,12 @@
              {{"part", verdict.part},
               {"state", NameOf(verdict.state)},
               {"generation", verdict.generation},
-              {"crashes", verdict.crashes},
+              {"crashes", verdict.crashes.all},
               {"companions", verdict.companions},
               {"trial_in_ms", verdict.trial_in.count()}});
   }
   m_options.distributor->Broadcast(MessageType::kPromptVerdicts, EncodePartVerdicts(changes));
+  RecordIfDue();
 }
 
 }  // namespace corneltray
--- a/src/include/corneltray/booking.h
+++ b/src/include/corneltray/booking.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "corneltray/enum_names.h"
+#include "corneltray/part_state.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
 
@@ -99,9 +100,28 @@
   std::string compressed_text;
 };
 
+// What is held of a prompt part on which upstreams may crash.
+struct StoredPartVerdict {
+  std::string part;
+  PartState state = PartState::kSound;
+  std::uint64_t generation = 0;     // number of changes into and out of quarantine
+  std::uint32_t begun_crashes = 0;  // just after an answer with the part had begun
+  std::uint32_t crashes = 0;        // with those before an answer had begun
+  // When one request with the quarantined part may be tried; in the other states, when the verdict
+  // was recorded.
+  UnixMs trial_at = 0;
+  // Parts that were present whenever this one was; only requests with all of them are refused.
+  std::vector<std::string> companions;
+};
+
+// Records verdicts on prompt parts. A verdict that is older than the one held changes nothing.
+struct RecordPartVerdicts {
+  std::vector<StoredPartVerdict> verdicts;
+};
+
 // A command of the replicated log that changes ControlState.
 using Command = std::variant<ClaimBooking, FinishBooking, MarkBookingUnknown, RefuseBooking,
-                             ApplyConfiguration, ReplaceRouteTable>;
+                             ApplyConfiguration, ReplaceRouteTable, RecordPartVerdicts>;
 
 enum class BookingVerdict {
   kGranted,      // the attempt holds the claim and may send
@@ -176,11 +196,19 @@
   std::uint64_t version = 0;  // in force
 };
 
-using CommandReply = std::variant<BookingReply, ConfigurationReply, RouteTableReply>;
+struct PartVerdictsReply {
+  std::uint64_t version = 0;  // of the verdicts held
+};
+
+using CommandReply =
+    std::variant<BookingReply, ConfigurationReply, RouteTableReply, PartVerdictsReply>;
 
 // Encodes for the log and for the wire (CBOR). Decoding fails on a malformed or unknown command.
 std::string EncodeCommand(const Command& command);
 Result<Command> DecodeCommand(const std::string& bytes);
+// JSON encoding of verdicts, for commands and snapshots. Decoding throws nlohmann::json::exception.
+nlohmann::json StoredVerdictsToJson(const std::vector<StoredPartVerdict>& verdicts);
+std::vector<StoredPartVerdict> StoredVerdictsFromJson(const nlohmann::json& value);
 std::string EncodeCommandReply(const CommandReply& reply);
 Result<CommandReply> DecodeCommandReply(const std::string& bytes);
 
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "corneltray/booking.h"
+#include "corneltray/part_verdict_store.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
 
@@ -162,6 +163,7 @@
   const ConfigurationStore& GetConfiguration() const { return m_configuration; }
   const BookingTable& GetBookings() const { return m_bookings; }
   const RouteTableStore& GetRouteTable() const { return m_route_table; }
+  const PartVerdictStore& GetPartVerdicts() const { return m_part_verdicts; }
   // Returns the latest leader timestamp of any applied command.
   UnixMs LogTime() const { return m_log_time; }
 
@@ -174,6 +176,7 @@
   BookingTable m_bookings;
   ConfigurationStore m_configuration;
   RouteTableStore m_route_table;
+  PartVerdictStore m_part_verdicts;
   UnixMs m_log_time = 0;
 };
 
--- a/src/include/corneltray/crash_attribution.h
+++ b/src/include/corneltray/crash_attribution.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "corneltray/enum_names.h"
+#include "corneltray/part_state.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
 
@@ -70,21 +71,6 @@
   std::vector<std::string> parts;  // of the request's prompt, shared with other requests
 };
 
-enum class PartState {
-  kSound,        // an answer began after the last crash
-  kSuspected,    // present in a crash; hosts report whether an answer with it begins
-  kQuarantined,  // requests with it are refused
-};
-
-template <>
-struct EnumNames<PartState> {
-  static constexpr EnumName<PartState> kTable[] = {
-      {PartState::kSound, "sound"},
-      {PartState::kSuspected, "suspected"},
-      {PartState::kQuarantined, "quarantined"},
-  };
-};
-
 // Why a trial of a quarantined part is asked for.
 enum class TrialReason {
   kDelayElapsed,
@@ -99,13 +85,21 @@
   };
 };
 
+// Crashes that count against a prompt part, those with a common cause counted once.
+struct CrashCounts {
+  std::uint32_t begun = 0;  // just after an answer to a request with the part had begun
+  std::uint32_t all = 0;    // with those for which no request is known whose answer had begun
+
+  bool operator==(const CrashCounts& o) const { return begun == o.begun && all == o.all; }
+};
+
 // What one process tells others about a prompt part.
 struct PartVerdict {
   std::string part;
   PartState state = PartState::kSound;
   // Number of changes into and out of quarantine; of two verdicts the one with more is newer.
   std::uint64_t generation = 0;
-  std::uint32_t crashes = 0;
+  CrashCounts crashes;
   std::chrono::milliseconds trial_in{0};  // until a trial may be granted
   // Parts that were present whenever this one was, so that either may be the cause.
   std::vector<std::string> companions;
@@ -135,6 +129,8 @@
   // Returns the quarantined parts for which a request with these parts is refused.
   std::vector<std::string> FindQuarantined(TimePoint now,
                                            const std::vector<std::string>& parts) const;
+  // Whether anything is held of a part, also that it is sound.
+  bool IsKnown(const std::string& part) const { return m_parts.count(part) > 0; }
   // Returns the verdict about a part; an unknown one is sound.
   PartVerdict VerdictOn(TimePoint now, const std::string& part) const;
   // Whether a part has entered or left quarantine here since the last call of TakeChanges. Other
@@ -157,7 +153,9 @@
     PartState state = PartState::kSound;
     std::uint64_t generation = 0;
     std::map<Incarnation, Crash> crashes;
-    std::uint32_t crashes_told = 0;  // by other processes, at least
+    // Crashes that others have counted beyond those known here, as a process did before its
+    // restart.
+    CrashCounts crashes_elsewhere;
     TimePoint trial_at{};
     TimePoint next_grant_at{};
     TimePoint expires_at{};
@@ -170,8 +168,11 @@
   };
 
   void Expire(TimePoint now);
-  // Number of crashes that count against a part, those with a common cause counted once.
+  // Number of crashes known here from this phase on that count against a part.
   std::uint32_t CountCrashes(const Part& part, CrashPhase from) const;
+  CrashCounts CountKnown(const Part& part) const;
+  // The same, with the crashes that only others have counted.
+  CrashCounts CountAll(const Part& part) const;
   bool IsCause(const Part& part) const;
   static void SetCompanions(const CrashReport& report, bool is_first, Part* part);
   static void Suspect(TimePoint now, Part* part);
@@ -179,7 +180,9 @@
   static void Clear(TimePoint now, Part* part);
   // Forgets all crashes.
   static void Reset(TimePoint now, Part* part);
-  static void MergeOne(TimePoint now, const PartVerdict& verdict, Part* part);
+  void MergeOne(TimePoint now, const PartVerdict& verdict, Part* part) const;
+  // Takes over the crashes of a verdict that are not known here.
+  void MergeCrashes(const PartVerdict& verdict, Part* part) const;
   PartVerdict MakeVerdict(TimePoint now, const std::string& name, const Part& part) const;
 
   std::map<std::string, Part> m_parts;
--- a/src/libcorneltray/booking.cc
+++ b/src/libcorneltray/booking.cc
@@ -1,5 +1,6 @@
 #include "corneltray/booking.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <tuple>
 #include <utility>
@@ -12,6 +13,9 @@
 
 using nlohmann::json;
 
+// The year 2200. Keeps the sums of a received time and a delay in range.
+constexpr UnixMs kLatestTrialAt = 7'258'118'400'000;
+
 std::string ToCbor(const json& value) {
   std::string bytes;
   json::to_cbor(value, bytes);
@@ -54,6 +58,10 @@
           {"text", ToBinary(c.compressed_text)}};
 }
 
+json Encode(const RecordPartVerdicts& c) {
+  return {{"command", "record_part_verdicts"}, {"verdicts", StoredVerdictsToJson(c.verdicts)}};
+}
+
 Command DecodeClaim(const json& v) {
   return ClaimBooking{BookingKeyFromJson(v.at("key")), v.at("attempt"), v.at("entry_host"),
                       v.at("request_hash"), v.at("resolve_at")};
@@ -87,6 +95,10 @@
   return ReplaceRouteTable{v.at("version"), FromBinary(v.at("text"))};
 }
 
+Command DecodeRecordPartVerdicts(const json& v) {
+  return RecordPartVerdicts{StoredVerdictsFromJson(v.at("verdicts"))};
+}
+
 struct CommandDecoder {
   std::string_view name;
   Command (*decode)(const json&);
@@ -98,6 +110,7 @@
     {"refuse_booking", DecodeRefuse},
     {"apply_configuration", DecodeApply},
     {"replace_route_table", DecodeReplaceRouteTable},
+    {"record_part_verdicts", DecodeRecordPartVerdicts},
 };
 
 json EncodeReply(const BookingReply& r) {
@@ -120,6 +133,10 @@
   return {{"reply", "route_table"}, {"verdict", NameOf(r.verdict)}, {"version", r.version}};
 }
 
+json EncodeReply(const PartVerdictsReply& r) {
+  return {{"reply", "part_verdicts"}, {"version", r.version}};
+}
+
 BookingReply DecodeBookingReply(const json& v) {
   BookingReply reply;
   reply.verdict = EnumFromJson<BookingVerdict>(v.at("verdict"));
@@ -192,6 +209,36 @@
   return document;
 }
 
+json StoredVerdictsToJson(const std::vector<StoredPartVerdict>& verdicts) {
+  json list = json::array();
+  for (const StoredPartVerdict& verdict : verdicts) {
+    list.push_back({{"part", verdict.part},
+                    {"state", NameOf(verdict.state)},
+                    {"generation", verdict.generation},
+                    {"begun_crashes", verdict.begun_crashes},
+                    {"crashes", verdict.crashes},
+                    {"trial_at", verdict.trial_at},
+                    {"companions", verdict.companions}});
+  }
+  return list;
+}
+
+std::vector<StoredPartVerdict> StoredVerdictsFromJson(const json& value) {
+  std::vector<StoredPartVerdict> verdicts;
+  for (const json& item : value) {
+    StoredPartVerdict verdict;
+    verdict.part = item.at("part");
+    verdict.state = EnumFromJson<PartState>(item.at("state"));
+    verdict.generation = item.at("generation");
+    verdict.begun_crashes = item.at("begun_crashes");
+    verdict.crashes = item.at("crashes");
+    verdict.trial_at = std::clamp<UnixMs>(item.at("trial_at"), 0, kLatestTrialAt);
+    verdict.companions = item.at("companions").get<std::vector<std::string>>();
+    verdicts.push_back(std::move(verdict));
+  }
+  return verdicts;
+}
+
 std::string EncodeCommand(const Command& command) {
   return ToCbor(std::visit([](const auto& c) { return Encode(c); }, command));
 }
@@ -220,6 +267,7 @@
     if (kind == "booking") return CommandReply(DecodeBookingReply(value));
     if (kind == "configuration") return CommandReply(DecodeConfigurationReply(value));
     if (kind == "route_table") return CommandReply(DecodeRouteTableReply(value));
+    if (kind == "part_verdicts") return CommandReply(PartVerdictsReply{value.at("version")});
     return Malformed("unknown reply " + kind);
   } catch (const json::exception& failure) {
     return Malformed(failure.what());
--- a/src/libcorneltray/control_state.cc
+++ b/src/libcorneltray/control_state.cc
@@ -79,6 +79,9 @@
     CommandReply operator()(const ReplaceRouteTable& c) const {
       return state.m_route_table.Apply(c);
     }
+    CommandReply operator()(const RecordPartVerdicts& c) const {
+      return state.m_part_verdicts.Apply(c, state.m_log_time);
+    }
   };
   return std::visit(Visitor{*this}, command);
 }
@@ -91,7 +94,8 @@
   const json header = {{"version", kSnapshotVersion},
                        {"log_time", m_log_time},
                        {"configuration", m_configuration.Snapshot()},
-                       {"route_table", m_route_table.Snapshot()}};
+                       {"route_table", m_route_table.Snapshot()},
+                       {"part_verdicts", m_part_verdicts.Snapshot()}};
   // Only a decoder can find the end of the CBOR header, so its size comes first.
   std::string header_bytes;
   json::to_cbor(header, header_bytes);
@@ -120,8 +124,11 @@
     ControlState restored;
     restored.m_log_time = header.at("log_time");
     restored.m_configuration.Restore(header.at("configuration"));
-    // Absent in snapshots written by versions without a route table.
+    // Absent in snapshots written by versions without a route table or without verdicts.
     if (header.contains("route_table")) restored.m_route_table.Restore(header.at("route_table"));
+    if (header.contains("part_verdicts")) {
+      restored.m_part_verdicts.Restore(header.at("part_verdicts"));
+    }
     const std::string_view all = bytes;
     if (!restored.m_bookings.Restore(all.substr(header_offset + header_size))) {
       return malformed("malformed bookings");
--- a/src/libcorneltray/control_state_test.cc
+++ b/src/libcorneltray/control_state_test.cc
@@ -350,7 +350,8 @@
         [](const auto& c) {
           using C = std::decay_t<decltype(c)>;
           if constexpr (std::is_same_v<C, ApplyConfiguration> ||
-                        std::is_same_v<C, ReplaceRouteTable>) {
+                        std::is_same_v<C, ReplaceRouteTable> ||
+                        std::is_same_v<C, RecordPartVerdicts>) {
             return BookingKey{};
           } else {
             return c.key;
--- a/src/libcorneltray/decoder_fuzz_test.cc
+++ b/src/libcorneltray/decoder_fuzz_test.cc
@@ -130,6 +130,8 @@
   return {ClaimBooking{key, "attempt", "entry-1", "hash", 5},
           FinishBooking{key, "attempt", BookingState::kDone, {201, "text", "body", true}, false},
           RefuseBooking{key, "hash"},
+          RecordPartVerdicts{
+              {{"part", PartState::kQuarantined, 1, 2, 3, 1'700'000'000'000, {"companion"}}}},
           PrepareChange({"change", 1, "operator", {"[limits]\n", {{"dkr", ""}}}, "", 0})};
 }
 
@@ -233,8 +235,8 @@
       if (decoded) EncodePromptParts(decoded.value());
     });
     Fuzz<json>({EncodeTrialReply(true)}, tree, [](const json& input) { IsTrialGranted(input); });
-    const PartVerdict verdict{"a", PartState::kQuarantined,         3,
-                              2,   std::chrono::milliseconds(5000), {"b"}};
+    const PartVerdict verdict{"a",    PartState::kQuarantined,         3,
+                              {1, 2}, std::chrono::milliseconds(5000), {"b"}};
     Fuzz<json>({EncodeTrialRequest({verdict, TrialReason::kBegunBefore})}, tree,
                [](const json& input) {
                  const auto decoded = DecodeTrialRequest(input);
--- a/src/libfleet/prompt_messages.cc
+++ b/src/libfleet/prompt_messages.cc
@@ -70,7 +70,8 @@
     list.push_back({{"part", verdict.part},
                     {"state", NameOf(verdict.state)},
                     {"generation", verdict.generation},
-                    {"crashes", verdict.crashes},
+                    {"crashes", verdict.crashes.all},
+                    {"begun_crashes", verdict.crashes.begun},
                     {"trial_in_ms", verdict.trial_in.count()},
                     {"companions", verdict.companions}});
   }
@@ -88,7 +89,9 @@
       verdict.part = item.at("part").get<std::string>();
       verdict.state = *state;
       verdict.generation = item.at("generation").get<std::uint64_t>();
-      verdict.crashes = item.at("crashes").get<std::uint32_t>();
+      verdict.crashes.all = item.at("crashes").get<std::uint32_t>();
+      // Absent in messages of older versions.
+      verdict.crashes.begun = item.value("begun_crashes", std::uint32_t{0});
       verdict.trial_in = std::clamp(trial_in, std::chrono::milliseconds(0), kMaxReceivedDelay);
       verdict.companions = ReadParts(item.at("companions"));
       verdicts.push_back(std::move(verdict));
--- a/src/libserving/crash_attribution.cc
+++ b/src/libserving/crash_attribution.cc
@@ -44,11 +44,21 @@
   return count;
 }
 
+CrashCounts CrashAttribution::CountKnown(const Part& part) const {
+  return {CountCrashes(part, CrashPhase::kBeforeFirstEvent),
+          CountCrashes(part, CrashPhase::kBeforeHead)};
+}
+
+CrashCounts CrashAttribution::CountAll(const Part& part) const {
+  const CrashCounts known = CountKnown(part);
+  return {known.begun + part.crashes_elsewhere.begun, known.all + part.crashes_elsewhere.all};
+}
+
 bool CrashAttribution::IsCause(const Part& part) const {
   const std::uint32_t clearances = std::min(part.clearances, kMaxClearances);
-  return CountCrashes(part, CrashPhase::kBeforeFirstEvent) >=
-             kCrashesBeforeQuarantine + clearances ||
-         CountCrashes(part, CrashPhase::kBeforeHead) >= kEarlyCrashesBeforeQuarantine + clearances;
+  const CrashCounts crashes = CountAll(part);
+  return crashes.begun >= kCrashesBeforeQuarantine + clearances ||
+         crashes.all >= kEarlyCrashesBeforeQuarantine + clearances;
 }
 
 void CrashAttribution::OnCrash(TimePoint now, const CrashReport& report) {
@@ -62,7 +72,7 @@
     Part& part = m_parts[name];
     const auto known = part.crashes.find(incarnation);
     if (known != part.crashes.end() && known->second.phase >= report.phase) continue;
-    const bool had_begun = CountCrashes(part, CrashPhase::kBeforeFirstEvent) > 0;
+    const bool had_begun = CountAll(part).begun > 0;
     part.crashes[incarnation] = {now, report.sequence, report.phase};
     // A request in the queue says nothing about a part that was present in answers that had begun.
     if (report.phase == CrashPhase::kBeforeHead && had_begun) continue;
@@ -92,9 +102,7 @@
     part->is_tried_early = false;
   }
   part->state = PartState::kQuarantined;
-  const std::uint32_t crashes =
-      std::max(part->crashes_told, CountCrashes(*part, CrashPhase::kBeforeHead));
-  part->trial_at = std::max(part->trial_at, now + TrialDelay(crashes));
+  part->trial_at = std::max(part->trial_at, now + TrialDelay(CountAll(*part).all));
   part->next_grant_at = part->trial_at;
   part->expires_at = part->trial_at + kMaxTrialDelay;
   part->is_urgent = true;
@@ -151,7 +159,17 @@
   }
 }
 
-void CrashAttribution::MergeOne(TimePoint now, const PartVerdict& verdict, Part* part) {
+void CrashAttribution::MergeCrashes(const PartVerdict& verdict, Part* part) const {
+  const auto beyond = [](std::uint32_t told, std::uint32_t known) {
+    return told > known ? told - known : 0;
+  };
+  const CrashCounts known = CountKnown(*part);
+  CrashCounts& elsewhere = part->crashes_elsewhere;
+  elsewhere.begun = std::max(elsewhere.begun, beyond(verdict.crashes.begun, known.begun));
+  elsewhere.all = std::max(elsewhere.all, beyond(verdict.crashes.all, known.all));
+}
+
+void CrashAttribution::MergeOne(TimePoint now, const PartVerdict& verdict, Part* part) const {
   if (verdict.generation < part->generation) return;
   const bool is_newer = verdict.generation > part->generation;
   part->generation = verdict.generation;
@@ -161,7 +179,7 @@
       const bool is_known = part->state != PartState::kSound && !is_newer;
       part->companions = is_known ? Intersection(part->companions, told) : told;
       part->state = PartState::kQuarantined;
-      part->crashes_told = std::max(part->crashes_told, verdict.crashes);
+      MergeCrashes(verdict, part);
       part->trial_at = std::max(part->trial_at, now + verdict.trial_in);
       part->next_grant_at = std::max(part->next_grant_at, part->trial_at);
       part->expires_at = part->trial_at + kMaxTrialDelay;
@@ -172,6 +190,7 @@
         part->state = PartState::kSuspected;
         part->companions = {verdict.companions.begin(), verdict.companions.end()};
       }
+      MergeCrashes(verdict, part);
       part->expires_at = std::max(part->expires_at, now + kEvidenceLifetime);
       return;
     case PartState::kSound: {
@@ -221,7 +240,7 @@
 
 PartVerdict CrashAttribution::VerdictOn(TimePoint now, const std::string& name) const {
   const auto part = m_parts.find(name);
-  if (part == m_parts.end()) return {name, PartState::kSound, 0, 0, milliseconds(0), {}};
+  if (part == m_parts.end()) return {name, PartState::kSound, 0, {}, milliseconds(0), {}};
   return MakeVerdict(now, name, part->second);
 }
 
@@ -231,7 +250,7 @@
   verdict.part = name;
   verdict.state = part.state;
   verdict.generation = part.generation;
-  verdict.crashes = std::max(part.crashes_told, CountCrashes(part, CrashPhase::kBeforeHead));
+  verdict.crashes = CountAll(part);
   if (part.state == PartState::kQuarantined && part.trial_at > now) {
     verdict.trial_in = std::chrono::duration_cast<milliseconds>(part.trial_at - now);
   }
--- a/src/libserving/crash_attribution_test.cc
+++ b/src/libserving/crash_attribution_test.cc
@@ -235,10 +235,33 @@
     host.Merge(now, quarantined);
     CHECK(host.StateOf(now, "part") == PartState::kSound);
   }
+  SUBCASE("a crash that follows makes the refusal longer, as if all had been seen here") {
+    const TimePoint failed = now + kTrialDelay;
+    host.OnCrash(failed, Crash("c", {"part"}));
+    const milliseconds wait = kTrialDelay * kTrialDelayGrowth;
+    CHECK_FALSE(host.GrantTrial(failed + wait - milliseconds(1), "part", kDue));
+    CHECK(host.GrantTrial(failed + wait, "part", kDue));
+  }
+  SUBCASE("a crash that both have seen counts once") {
+    CrashAttribution witness;
+    witness.OnCrash(kStart, Crash("a", {"part"}));
+    witness.OnCrash(kStart + seconds(1), Crash("b", {"part"}));
+    witness.Merge(now, quarantined);
+    CHECK(witness.VerdictOn(now, "part").crashes.all == 2);
+  }
+  SUBCASE("a crash that others have seen counts together with one seen here") {
+    CrashAttribution first;
+    first.OnCrash(kStart, Crash("a", {"part"}));
+    CrashAttribution other;
+    other.Merge(kStart, first.TakeChanges(kStart));
+    CHECK(other.StateOf(kStart, "part") == PartState::kSuspected);
+    other.OnCrash(now, Crash("b", {"part"}));
+    CHECK(other.StateOf(now, "part") == PartState::kQuarantined);
+  }
   SUBCASE("a suspicion of this process outlives a verdict from before it") {
     CrashAttribution other;
     other.OnCrash(now, Crash("c", {"part"}));
-    other.Merge(now, {{"part", PartState::kSound, 0, 0, milliseconds(0), {}}});
+    other.Merge(now, {{"part", PartState::kSound, 0, {}, milliseconds(0), {}}});
     CHECK(other.StateOf(now, "part") == PartState::kSuspected);
   }
 }
--- a/src/libserving/prompt_quarantine_test.cc
+++ b/src/libserving/prompt_quarantine_test.cc
@@ -19,7 +19,7 @@
 const TimePoint kStart{std::chrono::hours(1)};
 
 std::vector<PartVerdict> Quarantined(const std::string& part, milliseconds trial_in) {
-  return {{part, PartState::kQuarantined, 1, 2, trial_in, {}}};
+  return {{part, PartState::kQuarantined, 1, {2, 2}, trial_in, {}}};
 }
 
 // Guards against a deadly request that is sent by a host that has not seen a crash itself.
@@ -108,7 +108,7 @@
 // Guards against a part that was only present in crashes and stays refused on all hosts.
 TEST_CASE("a host reports that an answer with a suspected part has begun") {
   PromptQuarantine quarantine;
-  quarantine.Merge(kStart, {{"part", PartState::kSuspected, 0, 1, milliseconds(0), {}}});
+  quarantine.Merge(kStart, {{"part", PartState::kSuspected, 0, {1, 1}, milliseconds(0), {}}});
   CHECK(quarantine.Admit(kStart, {"part"}).admission == PromptAdmission::kAllowed);
   quarantine.OnAnswerBegun(kStart, {"part", "other"});
   const std::vector<QuarantineAction> actions = quarantine.TakeActions();
