Count a leaving upstream among those that a request has run at

Cause: RunHistory took an upstream that has left for one that has ended, and one that announces that it is leaving for a silent one. Both go on running what they have.

Ruled out: retries as such; without the departure a lost answer is not repeated on such a route.

Change: only a new incarnation, another upstream at the address, an expired record, or a closed connection together with missing announcements show that an upstream has ended.

--- a/src/include/corneltray/attempt_rules.h
+++ b/src/include/corneltray/attempt_rules.h
@@ -111,6 +111,10 @@
     bool connection_ended = false;
   };
 
+  // Whether the process that ran the request has ended since.
+  static bool HasEnded(TimePoint now, const UpstreamTable& upstreams, const std::string& upstream,
+                       const Run& run);
+
   std::map<std::string, Run> m_runs;  // by upstream name
 };
 
--- a/src/include/corneltray/upstream_table.h
+++ b/src/include/corneltray/upstream_table.h
@@ -55,10 +55,12 @@
   bool is_suspected = false;  // a host got no response, and no announcement has arrived since
 
   bool IsReady() const { return !has_left && announcement.state == UpstreamState::kReady; }
-  // Whether it is ready and its announcements have not timed out.
-  bool IsAlive(TimePoint now) const {
-    return IsReady() && now - heard_at < (is_suspected ? kSuspectSilenceTimeout : kSilenceTimeout);
+  // Whether its announcements have not timed out. An upstream that has left sends none.
+  bool IsHeard(TimePoint now) const {
+    return now - heard_at < (is_suspected ? kSuspectSilenceTimeout : kSilenceTimeout);
   }
+  // Whether it is ready and its announcements have not timed out.
+  bool IsAlive(TimePoint now) const { return IsReady() && IsHeard(now); }
 };
 
 // The latest announcements of all upstreams. Updates may arrive out of order, late and more than
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -63,17 +63,22 @@
 }
 
 // Missing announcements alone do not show that a process has ended: it may be suspended or
-// unreachable from this host. If its connection was closed as well, it has most likely ended.
+// unreachable from this host. If its connection was closed as well, it has most likely ended. An
+// upstream that is leaving or has left goes on running what it has, so its departure shows nothing,
+// and after it missing announcements do not either.
+bool RunHistory::HasEnded(TimePoint now, const UpstreamTable& upstreams,
+                          const std::string& upstream, const Run& run) {
+  const UpstreamTableEntry* record = upstreams.Find(upstream);
+  if (record == nullptr || record->announcement.incarnation != run.incarnation) return true;
+  const UpstreamTableEntry* holder = upstreams.FindAddress(record->announcement.address);
+  if (holder != nullptr && holder != record) return true;
+  return run.connection_ended && !record->has_left && !record->IsHeard(now);
+}
+
 std::uint32_t RunHistory::Count(TimePoint now, const UpstreamTable& upstreams) const {
-  std::uint32_t count = 0;
-  for (const auto& [upstream, run] : m_runs) {
-    const UpstreamTableEntry* record = upstreams.Find(upstream);
-    const bool is_replaced = record == nullptr || record->has_left ||
-                             record->announcement.incarnation != run.incarnation;
-    const bool has_ended = is_replaced || (run.connection_ended && !record->IsAlive(now));
-    count += has_ended ? 0 : 1;
-  }
-  return count;
+  return static_cast<std::uint32_t>(std::count_if(
+      m_runs.begin(), m_runs.end(),
+      [&](const auto& run) { return !HasEnded(now, upstreams, run.first, run.second); }));
 }
 
 }  // namespace corneltray
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -92,10 +92,31 @@
     upstreams.Apply(now, update);
     CHECK(runs.Count(now, upstreams) == 0);
   }
-  SUBCASE("one that has left does not count") {
-    runs.Add(upstreams, "one", AttemptEvidence::kStageLost);
+  // Guards against a request that runs at more upstreams than its route allows: one that leaves
+  // goes on running what it has for many seconds.
+  SUBCASE("one that has left counts, also if it lost the answer") {
+    runs.Add(upstreams, "one", AttemptEvidence::kNoAnswer);
     upstreams.MarkLeft(now, "one", 1);
-    CHECK(runs.Count(now, upstreams) == 0);
+    CHECK(runs.Count(now, upstreams) == 1);
+    CHECK(runs.Count(later, upstreams) == 1);
+
+    SUBCASE("until another upstream holds its address") {
+      UpstreamUpdate update = TestEngine("three", "a", "fast", 0, 80);
+      update.announcement.address = upstreams.Find("one")->announcement.address;
+      update.announcement.incarnation = 9;
+      upstreams.Apply(now, update);
+      CHECK(runs.Count(now, upstreams) == 0);
+    }
+  }
+  SUBCASE("one that announces that it is leaving counts, also if it lost the answer") {
+    runs.Add(upstreams, "one", AttemptEvidence::kNoAnswer);
+    UpstreamUpdate update = TestEngine("one", "a", "fast", 0, 80);
+    update.announcement.incarnation = upstreams.Find("one")->announcement.incarnation;
+    update.announcement.sequence = 100;
+    update.announcement.state = UpstreamState::kLeaving;
+    upstreams.Apply(now, update);
+    CHECK(runs.Count(now, upstreams) == 1);
+    CHECK(runs.Count(later, upstreams) == 0);
   }
 }
 
