Log why a replica grants no vote, and tell which founding hosts are missing

Change: Replica emits VoteRefused with the reason, which the control process logs as vote_refused; ReplicaStatus names the founding hosts whose vote is missing. No decision changes.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -39,6 +39,15 @@
          std::holds_alternative<PersistSnapshot>(action);
 }
 
+void LogRefusal(const VoteRefused& refused) {
+  LogEvent(LogLevel::kInfo, "vote_refused",
+           {{"candidate", refused.candidate.host},
+            {"disk_identity", refused.candidate.disk_identity},
+            {"term", refused.term},
+            {"pre_vote", refused.pre_vote},
+            {"reason", NameOf(refused.reason)}});
+}
+
 // Wraps a responder so that only the first call has an effect. A proposal is answered by its commit
 // or by its deadline, whichever comes first.
 ControlNode::Responder RespondOnce(ControlNode::Responder respond) {
@@ -133,6 +142,7 @@
     void operator()(ReadBarrierConfirmed& read) const { node.FinishRead(read.id, read.index); }
     void operator()(ReadBarrierFailed& read) const { node.FinishRead(read.id, std::nullopt); }
     void operator()(RoleChanged& change) const { node.OnRoleChanged(change); }
+    void operator()(VoteRefused& refused) const { LogRefusal(refused); }
   };
   for (Action& action : other_actions) std::visit(Visitor{*this}, action);
 }
--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -325,9 +325,35 @@
   std::optional<ReplicaId> leader;
 };
 
-using Action =
-    std::variant<PersistHardState, PersistEntries, PersistSnapshot, SendMessage, ApplyEntries,
-                 RestoreSnapshot, ReadBarrierConfirmed, ReadBarrierFailed, RoleChanged>;
+enum class VoteRefusal {
+  kNotAMember,    // this disk was not formatted for the first start, and its log does not list it
+  kOtherDisk,     // the request is addressed to another disk of this host
+  kOldTerm,       // this replica is in a newer term
+  kVotedAlready,  // for another candidate of the term
+  kLeaderKnown,   // this replica hears from a leader
+  kLogBehind,     // the log of the candidate lacks entries that this replica holds
+};
+
+template <>
+struct EnumNames<VoteRefusal> {
+  static constexpr EnumName<VoteRefusal> kTable[] = {
+      {VoteRefusal::kNotAMember, "not_a_member"},  {VoteRefusal::kOtherDisk, "other_disk"},
+      {VoteRefusal::kOldTerm, "old_term"},         {VoteRefusal::kVotedAlready, "voted_already"},
+      {VoteRefusal::kLeaderKnown, "leader_known"}, {VoteRefusal::kLogBehind, "log_behind"},
+  };
+};
+
+// This replica granted no vote. Emitted for the log of the process only.
+struct VoteRefused {
+  ReplicaId candidate;
+  std::uint64_t term = 0;  // that the candidate stands for
+  bool pre_vote = false;
+  VoteRefusal reason = VoteRefusal::kNotAMember;
+};
+
+using Action = std::variant<PersistHardState, PersistEntries, PersistSnapshot, SendMessage,
+                            ApplyEntries, RestoreSnapshot, ReadBarrierConfirmed, ReadBarrierFailed,
+                            RoleChanged, VoteRefused>;
 
 // Actions, to be executed in order.
 struct ActionBatch {
@@ -367,6 +393,8 @@
   MemberSet members;
   bool accepts_proposals = false;
   bool storage_failed = false;
+  // While the log is empty: the founding hosts whose vote this replica lacks to create it.
+  std::vector<std::string> missing_founding_hosts;
   // Leader only: last index acknowledged by each other member.
   std::map<ReplicaId, std::uint64_t> match_index;
 };
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -144,6 +144,9 @@
         std::holds_alternative<SnapshotPart>(message.body)) {
       SendWithTerm(message.from, message.term, IdentityNotice{message.to}, true);
     }
+    if (const auto* request = std::get_if<VoteRequest>(&message.body)) {
+      RefuseVote(message, request->pre_vote, VoteRefusal::kOtherDisk);
+    }
     return;
   }
   if (const auto* notice = std::get_if<IdentityNotice>(&message.body)) {
@@ -169,7 +172,10 @@
     if (request != nullptr && request->pre_vote) return true;
     if (reply != nullptr && reply->pre_vote && reply->granted) return true;
     // Ignoring this request keeps a candidate that lost contact with the leader from deposing it.
-    if (request != nullptr && !request->transfer && HasCurrentLeader(now)) return false;
+    if (request != nullptr && !request->transfer && HasCurrentLeader(now)) {
+      RefuseVote(message, request->pre_vote, VoteRefusal::kLeaderKnown);
+      return false;
+    }
     BecomeFollower(now, message.term,
                    from_leader ? std::optional<ReplicaId>(message.from) : std::nullopt,
                    RoleReason::kNewerTerm);
@@ -178,7 +184,10 @@
   if (message.term < m_hard_state.term) {
     // The reply carries the newer term, so that a leader or candidate of an old term steps down.
     if (from_leader) Send(message.from, AppendReply{});
-    if (request != nullptr) Send(message.from, VoteReply{request->pre_vote, false});
+    if (request != nullptr) {
+      RefuseVote(message, request->pre_vote, VoteRefusal::kOldTerm);
+      Send(message.from, VoteReply{request->pre_vote, false});
+    }
     return false;
   }
   return true;
@@ -272,6 +281,7 @@
   status.members = m_log.Members();
   status.accepts_proposals = IsLeader() && !m_transfer;
   status.storage_failed = m_storage_failed;
+  status.missing_founding_hosts = MissingFoundingHosts();
   if (IsLeader()) {
     for (const auto& [id, progress] : m_progress) status.match_index[id] = progress.match;
   }
--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -87,20 +87,38 @@
   m_heartbeat_due = true;
 }
 
-void Replica::Impl::OnVoteRequest(TimePoint now, const ReplicaMessage& message,
-                                  const VoteRequest& request) {
+std::optional<VoteRefusal> Replica::Impl::RefusalOf(TimePoint now, const ReplicaMessage& message,
+                                                    const VoteRequest& request) const {
   const LogPosition last = m_log.Last();
   const bool log_is_current = request.last.term > last.term ||
                               (request.last.term == last.term && request.last.index >= last.index);
+  if (!CanVote()) return VoteRefusal::kNotAMember;
+  if (request.pre_vote) {
+    if (message.term <= m_hard_state.term) return VoteRefusal::kOldTerm;
+    if (HasCurrentLeader(now)) return VoteRefusal::kLeaderKnown;
+  } else {
+    const bool free = !m_hard_state.voted_for || *m_hard_state.voted_for == message.from;
+    if (!free) return VoteRefusal::kVotedAlready;
+    if (m_leader) return VoteRefusal::kLeaderKnown;
+  }
+  if (!log_is_current) return VoteRefusal::kLogBehind;
+  return std::nullopt;
+}
+
+void Replica::Impl::RefuseVote(const ReplicaMessage& message, bool pre_vote, VoteRefusal reason) {
+  Emit(VoteRefused{message.from, message.term, pre_vote, reason});
+}
+
+void Replica::Impl::OnVoteRequest(TimePoint now, const ReplicaMessage& message,
+                                  const VoteRequest& request) {
+  const auto refusal = RefusalOf(now, message, request);
+  if (refusal) RefuseVote(message, request.pre_vote, *refusal);
+  const bool granted = !refusal;
   if (request.pre_vote) {
-    const bool granted =
-        CanVote() && message.term > m_hard_state.term && log_is_current && !HasCurrentLeader(now);
     SendWithTerm(message.from, granted ? message.term : m_hard_state.term, VoteReply{true, granted},
                  true);
     return;
   }
-  const bool free = !m_hard_state.voted_for || *m_hard_state.voted_for == message.from;
-  const bool granted = CanVote() && free && !m_leader && log_is_current;
   if (granted) {
     if (!m_hard_state.voted_for) {
       m_hard_state.voted_for = message.from;
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -102,6 +102,10 @@
   void Campaign(TimePoint now, bool pre_vote, bool transfer);
   void CountVote(TimePoint now, const ReplicaId& voter);
   void BecomeLeader(TimePoint now);
+  // Returns why this replica grants no vote, or nullopt if it grants one.
+  std::optional<VoteRefusal> RefusalOf(TimePoint now, const ReplicaMessage& message,
+                                       const VoteRequest& request) const;
+  void RefuseVote(const ReplicaMessage& message, bool pre_vote, VoteRefusal reason);
   void OnVoteRequest(TimePoint now, const ReplicaMessage& message, const VoteRequest& request);
   void OnVoteReply(TimePoint now, const ReplicaMessage& message, const VoteReply& reply);
   void OnTimeoutNow(TimePoint now, const ReplicaMessage& message);
@@ -135,6 +139,7 @@
   // consensus_members.cc
   void StartFounding();
   bool IsFounding() const;
+  std::vector<std::string> MissingFoundingHosts() const;
   void ContinueFounding(TimePoint now);
   void OnFoundingRequest(TimePoint now, const ReplicaMessage& message);
   void OnFoundingReply(TimePoint now, const ReplicaMessage& message, const FoundingReply& reply);
--- a/src/libcorneltray/consensus_members.cc
+++ b/src/libcorneltray/consensus_members.cc
@@ -41,11 +41,17 @@
          m_log.Empty() && m_hard_state.term == kFoundingTerm && m_hard_state.voted_for == m_self;
 }
 
-void Replica::Impl::ContinueFounding(TimePoint now) {
-  std::set<std::string> missing;
+std::vector<std::string> Replica::Impl::MissingFoundingHosts() const {
+  std::vector<std::string> missing;
+  if (!IsFounding()) return missing;
   for (const std::string& host : m_founding_hosts) {
-    if (host != m_self.host && m_founding_replies.count(host) == 0) missing.insert(host);
+    if (host != m_self.host && m_founding_replies.count(host) == 0) missing.push_back(host);
   }
+  return missing;
+}
+
+void Replica::Impl::ContinueFounding(TimePoint now) {
+  const std::vector<std::string> missing = MissingFoundingHosts();
   if (missing.empty()) {
     MemberSet members;
     members.members[m_self] = MemberRole::kVoter;
@@ -63,7 +69,11 @@
 }
 
 void Replica::Impl::OnFoundingRequest(TimePoint now, const ReplicaMessage& message) {
-  if (m_founding_hosts.empty() || !m_log.Empty() || message.term != kFoundingTerm) return;
+  if (m_founding_hosts.empty()) {
+    RefuseVote(message, false, VoteRefusal::kNotAMember);
+    return;
+  }
+  if (!m_log.Empty() || message.term != kFoundingTerm) return;
   if (message.from.host != FounderHost(m_founding_hosts)) return;
   if (m_hard_state.term == 0) {
     m_hard_state = {kFoundingTerm, message.from};
