Let a majority of the first control hosts create the log

What callers saw: on a new region no configuration was ever acknowledged, every read got 503 and no route was served, for ever, after one of three control hosts had been lost, had lost its disk or had been replaced before the first entry of the log. Cause: the log was created by one fixed founder, the host with the lowest name, which waited for a durable vote of every founding host in the only founding term. A host that comes back empty has no founding hosts and never votes; one that is gone does not either; and if it is the founder, nobody else may create the log. Class of fault: a step of the start needs all of a group whose every later step needs a majority. Change: the founding hosts are the voters of the empty log and elect the first leader as any other, term by term; it writes the member set as the first entry. A host whose disk is not known yet is listed with an empty disk identity, to which only the disk formatted for the first start answers, and is named when it has answered; an empty disk is replaced like any other lost one. The founding messages are gone. The property test plays half of its schedules with each quorum, loses founding disks before the first commit, and checks the member set of the first entry. Ruled out: a fallback to a majority after a timeout within the old protocol, which has one founding term: a founder that was lost after its vote would still block the others.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -27,8 +27,9 @@
 constexpr std::chrono::milliseconds kLeadershipPollInterval{10};
 constexpr std::size_t kMaxHistoryRows = 1000;
 
-ReplicaOptions MakeReplicaOptions() {
+ReplicaOptions MakeReplicaOptions(FoundingQuorum founding_quorum) {
   ReplicaOptions options;
+  options.founding_quorum = founding_quorum;
   options.seed = std::random_device{}();
   return options;
 }
@@ -63,7 +64,8 @@
 ControlNode::ControlNode(ControlNodeOptions options, std::unique_ptr<LogStorage> storage)
     : m_options(std::move(options)),
       m_node(m_options.node),
-      m_replica(MakeReplicaOptions(), std::move(storage->Recovered()), Clock::now()),
+      m_replica(MakeReplicaOptions(m_options.founding_quorum), std::move(storage->Recovered()),
+                Clock::now()),
       m_storage(std::move(storage),
                 [this](std::uint64_t sequence, const corneltray::Status& status) {
                   m_node->Post([this, sequence, status] { OnPersisted(sequence, status); });
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -27,6 +27,7 @@
 struct ControlNodeOptions {
   std::string host;
   std::string availability_zone;
+  FoundingQuorum founding_quorum = FoundingQuorum::kAll;
   PeerNode* node = nullptr;           // must outlive the ControlNode and be stopped before it
   ConfigurationFeed* feed = nullptr;  // receives every committed document
   // The callbacks below run on the I/O thread.
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -311,8 +311,9 @@
 
 void FleetService::UpdateMembership() {
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
-  ConnectMembers(status.members);
-  if (status.members.members.empty()) ExcludeOtherPrograms();
+  const bool log_exists = status.last.index > 0;
+  if (log_exists) ConnectMembers(status.members);
+  if (!log_exists) ExcludeOtherPrograms();
   const bool is_member = status.members.members.count(status.self) > 0;
   // A replica that was removed while it was disconnected gets no notice and knows no leader.
   if (!is_member || !status.leader) SendJoinRequests(status);
@@ -336,7 +337,6 @@
 
 // Connects to each member, whose host name is its IP address, and disconnects from removed members.
 void FleetService::ConnectMembers(const MemberSet& members) {
-  if (members.members.empty()) return;
   std::set<std::string> wanted;
   for (const auto& [id, role] : members.members) {
     if (id.host != m_options.host) wanted.insert(id.host + ":" + m_options.peer_port);
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -61,6 +61,12 @@
   return kExitOk;
 }
 
+// The operator may run --format again by mistake. control.first_start, which formats the hosts of
+// the seeds, is set only while the whole region starts for the first time.
+FoundingQuorum FoundingQuorumOf(const HostSettings& settings) {
+  return settings.control_found_from_seeds ? FoundingQuorum::kMajority : FoundingQuorum::kAll;
+}
+
 // Owns the components of a running control process. Members are destroyed in the reverse order of
 // their declaration.
 class Program {
@@ -152,6 +158,7 @@
     ControlNodeOptions options;
     options.host = m_settings.peer_name;
     options.availability_zone = m_settings.availability_zone;
+    options.founding_quorum = FoundingQuorumOf(m_settings);
     options.node = m_node.get();
     options.feed = m_feed.get();
     options.on_revision = [this](std::uint64_t revision) {
--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -39,6 +39,7 @@
 
 // Identifies one replica. The disk identity is random and stored when the data folder is created.
 // A host that lost its disk returns with another ReplicaId and cannot vote without the lost state.
+// An empty disk identity stands for the disk of a founding host until the member set states it.
 struct ReplicaId {
   std::string host;
   std::string disk_identity;
@@ -148,8 +149,8 @@
 // State of a replica that is stored on disk.
 struct PersistentState {
   ReplicaId self;
-  // Hosts that create the log together, as passed to LogStorage::Format. Empty if the folder was
-  // created by a start without Format: the replica is then a learner until the leader promotes it.
+  // The initial voters of the log, as passed to LogStorage::Format. Empty if the folder was created
+  // by a start without Format: the replica is then a learner until the leader promotes it.
   std::vector<std::string> founding_hosts;
   HardState hard_state;
   std::optional<Snapshot> snapshot;
@@ -160,13 +161,6 @@
 
 // --- Messages between replicas -------------------------------------------------------------------
 
-// Bootstrap: the founding host with the lowest name asks every founding host for its disk identity.
-// A reply is a durable vote for this founder in term 1, so two founders can never both succeed.
-struct FoundingRequest {};
-struct FoundingReply {
-  bool granted = false;
-};
-
 struct VoteRequest {
   bool pre_vote = false;
   bool transfer = false;  // requested by the old leader; voters need not wait for its timeout
@@ -216,16 +210,16 @@
   ReplicaId addressed;
 };
 
-using MessageBody =
-    std::variant<FoundingRequest, FoundingReply, VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotPart, SnapshotReply, TimeoutNow, IdentityNotice>;
+using MessageBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotPart,
+                                 SnapshotReply, TimeoutNow, IdentityNotice>;
 
 // Message between two replicas, sent to the host `to.host`.
 struct ReplicaMessage {
   ReplicaId from;
-  ReplicaId to;  // an empty disk identity matches any (FoundingRequest only)
+  ReplicaId to;
   std::uint64_t term = 0;
   MessageBody body;
+  bool from_founding_disk = false;  // the sender's folder was formatted for the first start
 };
 
 // Wire formats: a JSON value for the body of a peer message, with binary values that become CBOR
@@ -365,6 +359,14 @@
 
 // --- Replica -------------------------------------------------------------------------------------
 
+// Founding hosts whose vote the first leader needs, which creates the log.
+enum class FoundingQuorum {
+  // Tolerates that a host is formatted a second time after the loss of its disk.
+  kAll,
+  // Tolerates the loss of a minority. Requires that each host is formatted at most once.
+  kMajority,
+};
+
 struct ReplicaOptions {
   Duration election_timeout_min = std::chrono::milliseconds(600);
   Duration election_timeout_max = std::chrono::milliseconds(1200);
@@ -380,6 +382,7 @@
   std::uint64_t trailing_entries = 1024;
   // A joining learner is promoted when it lacks at most this many entries.
   std::uint64_t max_promotion_lag = 64;
+  FoundingQuorum founding_quorum = FoundingQuorum::kAll;
 };
 
 struct ReplicaStatus {
@@ -393,7 +396,7 @@
   MemberSet members;
   bool accepts_proposals = false;
   bool storage_failed = false;
-  // While the log is empty: the founding hosts whose vote this replica lacks to create it.
+  // While the log is empty: the founding hosts that have not granted this replica a vote.
   std::vector<std::string> missing_founding_hosts;
   // Leader only: last index acknowledged by each other member.
   std::map<ReplicaId, std::uint64_t> match_index;
@@ -423,8 +426,8 @@
   // Appends one member change at the leader. Fails with kChangeInProgress until the previous change
   // and the first entry of the leader's term are committed.
   Result<LogPosition> ProposeMembers(TimePoint now, const MemberChange& change);
-  // Removes a founding host that runs no replica, so that the others create the log without it.
-  // Must be called at each of them before it grants its vote. No effect once the log has an entry.
+  // Removes a founding host that runs no replica, so that the others create the log without it. No
+  // effect once the log has an entry.
   void ExcludeFoundingHost(const std::string& host);
 
   // Requests a linearizable read point. Completes with ReadBarrierConfirmed or ReadBarrierFailed
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -28,6 +28,7 @@
   std::string operator_key;
   std::string data_folder;                 // empty on a host without a disk
   std::vector<std::string> control_hosts;  // names of the control replicas, for the first start
+  bool control_found_from_seeds = false;   // control_hosts are the hosts of the seeds
   bool control_first_start = false;        // the region starts for the first time
   std::uint32_t control_voters = 0;  // replicas that vote, when members are kept by themselves
   std::string fleet_address;  // IP:PORT for upstreams and operators in the installation's dialect
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -49,20 +49,19 @@
             SnapshotMembers(recovered)),
       m_snapshot(recovered.snapshot),
       m_commit_index(SnapshotIndex(recovered)),
-      m_now(now),
-      m_next_founding_request_at(now) {
+      m_now(now) {
   if (m_snapshot) {
     m_log.SetMinTimestamp(m_snapshot->timestamp);
     Emit(RestoreSnapshot{*m_snapshot});
   }
+  if (!m_snapshot) m_log.SetInitialMembers(InitialMembers());
   ResetElectionDeadline(now);
-  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  m_role = IsVoter() ? ReplicaRole::kFollower : ReplicaRole::kLearner;
   AnnounceRole(RoleReason::kStart);
-  StartFounding();
 }
 
 bool Replica::Impl::CanVote() const {
-  return !m_founding_hosts.empty() || m_log.Members().members.count(m_self) > 0;
+  return HasFoundingDisk() || m_log.Members().members.count(m_self) > 0;
 }
 
 void Replica::Impl::Emit(Action action) { m_actions.push_back(std::move(action)); }
@@ -73,7 +72,7 @@
 
 void Replica::Impl::SendWithTerm(const ReplicaId& to, std::uint64_t term, MessageBody body,
                                  bool after_persist) {
-  Emit(SendMessage{{m_self, to, term, std::move(body)}, after_persist});
+  Emit(SendMessage{{m_self, to, term, std::move(body), HasFoundingDisk()}, after_persist});
 }
 
 void Replica::Impl::EmitHardState() { Emit(PersistHardState{m_hard_state}); }
@@ -109,11 +108,10 @@
     if (now >= m_heartbeat_at) m_heartbeat_due = true;
     return;
   }
-  if (IsFounding()) ContinueFounding(now);
   if (now < m_election_at) return;
   // A voter whose removal is in its log but not known to be committed still campaigns: it may have
   // the longest log, and then no other voter can win the election.
-  if (m_log.IsVoterAtOrAfter(m_commit_index, m_self)) {
+  if (m_log.IsVoterAtOrAfter(m_commit_index, m_self) || IsVoter()) {
     Campaign(now, true, false);
   } else {
     ResetElectionDeadline(now);
@@ -123,7 +121,6 @@
 TimePoint Replica::Impl::NextDeadline() const {
   if (m_storage_failed) return m_now + m_options.election_timeout_max;
   if (IsLeader()) return m_heartbeat_at;
-  if (IsFounding()) return std::min(m_next_founding_request_at, m_election_at);
   return m_election_at;
 }
 
@@ -133,11 +130,7 @@
   if (message.from.host != from_host || message.to.host != m_self.host || message.from == m_self) {
     return;
   }
-  if (std::holds_alternative<FoundingRequest>(message.body)) {
-    OnFoundingRequest(now, message);
-    return;
-  }
-  if (message.to != m_self) {
+  if (!IsSelf(message.to)) {
     // A new disk must not vote or acknowledge in place of a lost one. The leader is notified, so
     // that it replaces the member.
     if (std::holds_alternative<AppendRequest>(message.body) ||
@@ -154,10 +147,6 @@
     MaintainMembers(now);
     return;
   }
-  if (const auto* reply = std::get_if<FoundingReply>(&message.body)) {
-    OnFoundingReply(now, message, *reply);
-    return;
-  }
   if (HandleTerm(now, message)) Dispatch(now, message);
   if (IsLeader()) MaintainMembers(now);
 }
@@ -217,7 +206,7 @@
   }
   if (!last || last->term != m_hard_state.term) return;
   if (m_role == ReplicaRole::kCandidate && !m_pre_vote && m_hard_state.voted_for == m_self) {
-    CountVote(now, m_self);
+    CountVote(now, MemberIdOf(m_self, HasFoundingDisk()));
   } else if (IsLeader()) {
     m_persisted_index = std::max(m_persisted_index, last->last_index);
     AdvanceCommit(now);
@@ -238,7 +227,7 @@
   m_heartbeat_due = false;
   m_votes.clear();
   m_pre_vote = false;
-  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  m_role = IsVoter() ? ReplicaRole::kFollower : ReplicaRole::kLearner;
   m_leader.reset();
   AnnounceRole(RoleReason::kStorageFailed);
 }
--- a/src/libcorneltray/consensus_codec.cc
+++ b/src/libcorneltray/consensus_codec.cc
@@ -100,16 +100,14 @@
 }
 
 // Wire names of the message types, in the order of MessageBody.
-constexpr const char* kBodyNames[] = {
-    "found_request", "found_reply",      "request_vote",   "vote_reply",  "append_entries",
-    "append_reply",  "install_snapshot", "snapshot_reply", "timeout_now", "identity_notice"};
+constexpr const char* kBodyNames[] = {"request_vote", "vote_reply",       "append_entries",
+                                      "append_reply", "install_snapshot", "snapshot_reply",
+                                      "timeout_now",  "identity_notice"};
 static_assert(std::variant_size_v<MessageBody> == std::size(kBodyNames));
 
 struct BodyWriter {
   Json& out;
 
-  void operator()(const FoundingRequest&) const {}
-  void operator()(const FoundingReply& body) const { out["granted"] = body.granted; }
   void operator()(const VoteRequest& body) const {
     out["pre_vote"] = body.pre_vote;
     out["transfer"] = body.transfer;
@@ -157,8 +155,6 @@
 struct BodyReader {
   const Json& in;
 
-  void operator()(FoundingRequest&) const {}
-  void operator()(FoundingReply& body) const { in.at("granted").get_to(body.granted); }
   void operator()(VoteRequest& body) const {
     in.at("pre_vote").get_to(body.pre_vote);
     in.at("transfer").get_to(body.transfer);
@@ -210,7 +206,7 @@
     if (index == kIndex) return MessageBody(std::in_place_index<kIndex>);
     return MakeBody<kIndex + 1>(index);
   } else {
-    return FoundingRequest{};
+    return VoteRequest{};
   }
 }
 
@@ -256,7 +252,8 @@
   Json value = {{"kind", kBodyNames[message.body.index()]},
                 {"from", ToJson(message.from)},
                 {"to", ToJson(message.to)},
-                {"term", message.term}};
+                {"term", message.term},
+                {"founding_disk", message.from_founding_disk}};
   Json body = Json::object();
   std::visit(BodyWriter{body}, message.body);
   value["data"] = std::move(body);
@@ -269,6 +266,7 @@
     message.from = ReplicaIdFromJson(value.at("from"));
     message.to = ReplicaIdFromJson(value.at("to"));
     value.at("term").get_to(message.term);
+    value.at("founding_disk").get_to(message.from_founding_disk);
     const auto& kind = value.at("kind").get_ref<const std::string&>();
     for (std::size_t index = 0; index < std::size(kBodyNames); ++index) {
       if (kind != kBodyNames[index]) continue;
--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -25,7 +25,7 @@
     m_hard_state = {term, std::nullopt};
     EmitHardState();
   }
-  m_role = m_log.Members().IsVoter(m_self) ? ReplicaRole::kFollower : ReplicaRole::kLearner;
+  m_role = IsVoter() ? ReplicaRole::kFollower : ReplicaRole::kLearner;
   m_leader = std::move(leader);
   ResetElectionDeadline(now);
   AnnounceRole(reason);
@@ -48,18 +48,18 @@
   }
   AnnounceRole(transfer ? RoleReason::kTransferred : RoleReason::kElectionTimeout);
   for (const auto& [id, role] : m_log.Members().members) {
-    if (role != MemberRole::kVoter || id == m_self) continue;
+    if (role != MemberRole::kVoter || IsSelf(id)) continue;
     SendWithTerm(id, requested_term, VoteRequest{pre_vote, transfer, m_log.Last()}, true);
   }
   // The candidate's own vote in a real election counts once it is on disk; see Persisted.
-  if (pre_vote) CountVote(now, m_self);
+  if (pre_vote) CountVote(now, MemberIdOf(m_self, HasFoundingDisk()));
 }
 
 void Replica::Impl::CountVote(TimePoint now, const ReplicaId& voter) {
   const MemberSet& members = m_log.Members();
   if (!members.IsVoter(voter)) return;
   m_votes.insert(voter);
-  if (m_votes.size() < members.Quorum()) return;
+  if (m_votes.size() < VotesToWin()) return;
   if (m_pre_vote) {
     Campaign(now, false, false);
   } else {
@@ -80,6 +80,7 @@
   m_persisted_index = 0;
   m_uncommitted_bytes = 0;
   m_progress.clear();
+  if (m_log.Empty()) CreateLog();
   RefreshProgress(now);
   AnnounceRole(RoleReason::kElected);
   // Entries of earlier terms are committed only together with an entry of this term.
@@ -134,11 +135,11 @@
   if (m_role != ReplicaRole::kCandidate || !reply.granted || reply.pre_vote != m_pre_vote) return;
   const std::uint64_t requested_term = m_pre_vote ? m_hard_state.term + 1 : m_hard_state.term;
   if (message.term != requested_term) return;
-  CountVote(now, message.from);
+  CountVote(now, SenderOf(message));
 }
 
 void Replica::Impl::OnTimeoutNow(TimePoint now, const ReplicaMessage& message) {
-  if (IsLeader() || m_leader != message.from || !m_log.Members().IsVoter(m_self)) return;
+  if (IsLeader() || m_leader != message.from || !IsVoter()) return;
   if (m_storage_failed) return;
   Campaign(now, false, true);
 }
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -37,7 +37,8 @@
 };
 
 // Implementation of Replica. Its methods are spread over consensus.cc (time, messages, actions),
-// consensus_election.cc, consensus_replication.cc, consensus_snapshot.cc and consensus_members.cc.
+// consensus_election.cc, consensus_founding.cc, consensus_replication.cc, consensus_snapshot.cc and
+// consensus_members.cc.
 class Replica::Impl {
  public:
   Impl(ReplicaOptions options, PersistentState recovered, TimePoint now);
@@ -136,13 +137,27 @@
   void OnSnapshotReply(TimePoint now, const ReplicaMessage& message, const SnapshotReply& reply);
   void InstallSnapshot(const SnapshotPart& header, std::string data);
 
-  // consensus_members.cc
-  void StartFounding();
-  bool IsFounding() const;
+  // consensus_founding.cc
+  bool HasFoundingDisk() const { return !m_founding_hosts.empty(); }
+  // The voters of the empty log.
+  MemberSet InitialMembers() const;
   std::vector<std::string> MissingFoundingHosts() const;
-  void ContinueFounding(TimePoint now);
-  void OnFoundingRequest(TimePoint now, const ReplicaMessage& message);
-  void OnFoundingReply(TimePoint now, const ReplicaMessage& message, const FoundingReply& reply);
+  // Whether an id in a message or in a member set stands for this replica.
+  bool IsSelf(const ReplicaId& id) const;
+  // Returns the id under which the member set lists a replica: its own, or the empty identity if
+  // its disk is the founding disk of the host and the set does not state its identity yet.
+  ReplicaId MemberIdOf(const ReplicaId& replica, bool has_founding_disk) const;
+  // Returns the member that sent a reply, and notes the identity of a founding disk.
+  ReplicaId SenderOf(const ReplicaMessage& message);
+  bool IsVoter() const;
+  std::size_t VotesToWin() const;
+  MemberSet WithKnownDisks(const MemberSet& members) const;
+  void CreateLog();
+  // Proposes a member set with the identities of founding disks that have become known. Returns
+  // whether there are any.
+  bool NameFoundingDisks(TimePoint now);
+
+  // consensus_members.cc
   void OnIdentityNotice(const ReplicaMessage& message, const IdentityNotice& notice);
   bool ChangeInProgress() const;
   LogPosition AppendMembers(TimePoint now, const MemberSet& members);
@@ -175,9 +190,8 @@
   bool m_pre_vote = false;
   std::set<ReplicaId> m_votes;
 
-  // State of the founder, while the log is bootstrapped.
-  std::map<std::string, ReplicaId> m_founding_replies;
-  TimePoint m_next_founding_request_at;
+  // Identities of founding disks that have answered to the empty identity, by host.
+  std::map<std::string, ReplicaId> m_founding_disks;
 
   // State of the leader.
   std::map<ReplicaId, MemberProgress> m_progress;
--- a/src/libcorneltray/consensus_log.cc
+++ b/src/libcorneltray/consensus_log.cc
@@ -73,6 +73,8 @@
   m_last_timestamp = std::max(m_last_timestamp, timestamp);
 }
 
+void ReplicaLog::SetInitialMembers(MemberSet members) { m_members[0] = std::move(members); }
+
 const MemberSet& ReplicaLog::MembersAt(std::uint64_t index) const {
   auto after = m_members.upper_bound(index);
   assert(after != m_members.begin());
--- a/src/libcorneltray/consensus_log.h
+++ b/src/libcorneltray/consensus_log.h
@@ -19,7 +19,8 @@
 // index. Owned by Replica::Impl.
 class ReplicaLog {
  public:
-  // `members_base` is the member set at `members_index`, the snapshot; empty at index 0.
+  // `members_base` is the member set at `members_index`, the snapshot; empty at index 0, unless
+  // SetInitialMembers is called.
   ReplicaLog(LogPosition base, std::vector<LogEntry> entries, std::uint64_t members_index,
              MemberSet members_base);
 
@@ -45,6 +46,8 @@
   // Discards all entries and starts after a snapshot.
   void Reset(const Snapshot& snapshot);
   void SetMinTimestamp(UnixMs timestamp);
+  // Sets the members in effect while the log is empty.
+  void SetInitialMembers(MemberSet members);
 
   const MemberSet& Members() const { return m_members.rbegin()->second; }
   // Index of the entry that set the current members.
--- a/src/libcorneltray/consensus_property_test.cc
+++ b/src/libcorneltray/consensus_property_test.cc
@@ -98,6 +98,7 @@
     {"snapshots installed", &SimulatorCounts::snapshots_installed},
     {"entries overwritten", &SimulatorCounts::entries_overwritten},
     {"disks lost", &SimulatorCounts::disks_lost},
+    {"founding disks lost", &SimulatorCounts::founding_disks_lost},
     {"members changed", &SimulatorCounts::members_changed},
     {"transfers", &SimulatorCounts::transfers},
     {"storage failures", &SimulatorCounts::storage_failures},
@@ -111,6 +112,7 @@
   options.seed = seed;
   options.hosts = 3 + random() % 3;
   options.founders = options.hosts == 4 ? 3 : options.hosts;
+  options.founding_quorum = seed % 2 == 0 ? FoundingQuorum::kAll : FoundingQuorum::kMajority;
   try {
     ConsensusSimulator sim(options);
     sim.loss = static_cast<double>(random() % 4) * 0.05;
@@ -150,8 +152,8 @@
 
 // Guards against a second leader in a term, a committed entry that changes, disappears or is not on
 // a majority of disks, diverging logs, a vote from a lost disk, a stale read, and a group that does
-// not recover once a majority is healthy again. CORNELTRAY_SCHEDULES sets the number of schedules,
-// CORNELTRAY_SEED the first seed.
+// not recover once a majority is healthy again, at its first start or later. CORNELTRAY_SCHEDULES
+// sets the number of schedules, CORNELTRAY_SEED the first seed.
 TEST_CASE("random fault schedules violate no invariant of the replicated log") {
   const ScheduleRange range = ScheduleRangeFromEnvironment(kDefaultSchedules);
   std::mutex mutex;
--- a/src/libcorneltray/consensus_replication.cc
+++ b/src/libcorneltray/consensus_replication.cc
@@ -176,7 +176,7 @@
 
 void Replica::Impl::OnAppendReply(TimePoint now, const ReplicaMessage& message,
                                   const AppendReply& reply) {
-  const auto found = m_progress.find(message.from);
+  const auto found = m_progress.find(SenderOf(message));
   if (!IsLeader() || found == m_progress.end()) return;
   MemberProgress& progress = found->second;
   progress.last_heard_at = now;
--- a/src/libcorneltray/consensus_simulator_test.h
+++ b/src/libcorneltray/consensus_simulator_test.h
@@ -28,6 +28,7 @@
   std::uint64_t seed = 0;
   std::size_t hosts = 3;
   std::size_t founders = 3;  // number of founding hosts; the others start as unformatted learners
+  FoundingQuorum founding_quorum = FoundingQuorum::kAll;
 };
 
 // Number of times that a run reached the situations that the invariants are about. The test checks
@@ -39,6 +40,7 @@
   std::uint64_t snapshots_installed = 0;
   std::uint64_t entries_overwritten = 0;
   std::uint64_t disks_lost = 0;
+  std::uint64_t founding_disks_lost = 0;  // before the first commit
   std::uint64_t members_changed = 0;
   std::uint64_t transfers = 0;
   std::uint64_t storage_failures = 0;
@@ -66,7 +68,9 @@
   void FillDisk(std::size_t host);
   void FreeDisk(std::size_t host);
   // Crashes the host and gives it an empty folder, formatted again by mistake or unformatted.
-  // Returns false without any effect if some member set would lose its majority with this disk.
+  // Returns false without any effect if some member set would lose its majority with this disk, or
+  // if the log does not exist yet and needs every founding host. With FoundingQuorum::kMajority no
+  // host is formatted again.
   bool LoseDisk(std::size_t host, bool formatted_again);
   void Partition(const std::set<std::size_t>& side);
   void Heal();
@@ -149,12 +153,17 @@
   void CheckVote(std::size_t host, const ReplicaMessage& message);
   bool KeepsMajorities(const ReplicaId& lost) const;
   bool KeepsMajority(const MemberSet& set, const ReplicaId& lost) const;
+  // The set with the identities of the disks that were formatted for the first start, in place of
+  // the empty ones.
+  MemberSet Named(const MemberSet& set) const;
   std::optional<std::size_t> RandomLeader();
   std::size_t Random(std::size_t bound);
   bool Chance(double probability);
   Duration RandomUpTo(Duration bound);
   [[noreturn]] void Fail(const std::string& what) const;
 
+  SimulatorOptions m_options;
+  MemberSet m_founders;  // the disks that were formatted for the first start
   std::mt19937_64 m_random;
   TimePoint m_now;
   std::uint64_t m_event_order = 0;
--- a/src/libcorneltray/consensus_snapshot.cc
+++ b/src/libcorneltray/consensus_snapshot.cc
@@ -117,7 +117,7 @@
 
 void Replica::Impl::OnSnapshotReply(TimePoint now, const ReplicaMessage& message,
                                     const SnapshotReply& reply) {
-  const auto found = m_progress.find(message.from);
+  const auto found = m_progress.find(SenderOf(message));
   if (!IsLeader() || found == m_progress.end()) return;
   MemberProgress& progress = found->second;
   progress.last_heard_at = now;
@@ -135,7 +135,7 @@
     } else if (reply.received_bytes != progress.sent_offset) {
       progress.sent_offset =
           reply.received_bytes < progress.sending->data->size() ? reply.received_bytes : 0;
-      SendPart(now, message.from, progress);
+      SendPart(now, found->first, progress);
     }
   }
   AdvanceCommit(now);
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -146,7 +146,8 @@
   settings.shared_key = v["peer"]["shared_key"];
   settings.operator_key = v["operator"]["key"];
   settings.control_hosts = v["control"]["hosts"].get<std::vector<std::string>>();
-  if (v["control"]["found_from_seeds"].get<bool>()) {
+  settings.control_found_from_seeds = v["control"]["found_from_seeds"];
+  if (settings.control_found_from_seeds) {
     settings.control_hosts.clear();
     for (const std::string& seed : settings.seeds) {
       settings.control_hosts.push_back(IpOf(seed));
