Complete a format that was interrupted, and repeat one that the disk refused

What callers see: nothing by itself; with a second loss, a region without a log. Cause: a first start that was killed while it created its files left a folder that the next start took for formatted, although it had no identity; that start then created a learner's identity in it. The same happened in a folder with any other file in it, and after a failed write of the format. A founding host was lost that way without any lost disk. While the disk refuses writes, the process tries again instead of going on as a learner. Measured: the new test case fails on the code before at every operation after the first and passes now.

--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSignalPoll{100};
+constexpr std::chrono::milliseconds kFormatRetryInterval{250};
 // A leadership transfer takes one election. A longer timeout would delay the shutdown of a host
 // without another voter.
 constexpr std::chrono::milliseconds kLeadershipTransferTimeout{2000};
@@ -89,7 +90,10 @@
 
     StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
                  m_settings.log_level);
-    FormatAtFirstStart();
+    if (!FormatAtFirstStart(signals)) {
+      StopLogging(kExitOk);
+      return kExitOk;
+    }
     auto storage = LogStorage::Open(m_settings.data_folder, m_settings.peer_name);
     if (!storage) return Fail(kExitDataFolder, storage.error().ToString());
     LogRecoveryReport(storage.value()->Report());
@@ -115,16 +119,24 @@
 
  private:
   // Formats the data folder, which makes this replica a voter, when the region starts for the first
-  // time and this host is an initial member. A folder that already contains files is left
-  // unchanged.
-  void FormatAtFirstStart() const {
+  // time and this host is an initial member. A folder that is formatted is left unchanged. While
+  // the disk refuses writes it tries again: the next start may not be a first one any more, and
+  // would create a learner. Returns false if the process was told to stop meanwhile.
+  bool FormatAtFirstStart(const sigset_t& signals) const {
     const auto& hosts = m_settings.control_hosts;
     const bool is_initial_member =
         std::find(hosts.begin(), hosts.end(), m_settings.peer_name) != hosts.end();
-    if (!m_settings.control_first_start || !is_initial_member) return;
-    const auto identity = LogStorage::Format(m_settings.data_folder, m_settings.peer_name, hosts);
-    if (!identity && identity.error().code != StorageErrc::kAlreadyFormatted) {
+    if (!m_settings.control_first_start || !is_initial_member) return true;
+    while (true) {
+      const auto identity = LogStorage::Format(m_settings.data_folder, m_settings.peer_name, hosts);
+      if (identity || identity.error().code == StorageErrc::kAlreadyFormatted) return true;
       LogEvent(LogLevel::kError, "format_failed", {{"error", identity.error().ToString()}});
+      const bool may_recover = identity.error().code == StorageErrc::kDiskFull ||
+                               identity.error().code == StorageErrc::kWriteFailed;
+      if (!may_recover) return true;  // opening the folder fails in the same way
+      const timespec pause{0, std::chrono::nanoseconds(kFormatRetryInterval).count()};
+      const int signal = sigtimedwait(&signals, nullptr, &pause);
+      if (signal == SIGTERM || signal == SIGINT) return false;
     }
   }
 
--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -44,8 +44,6 @@
   virtual int SyncFolder(const std::string& folder) = 0;
   // Creates a folder and its parents; no error if it exists.
   virtual int CreateFolder(const std::string& folder) = 0;
-  // Names of the files in a folder, in any order.
-  virtual int List(const std::string& folder, std::vector<std::string>* names) = 0;
   // Reads a whole file. Returns ENOENT if it does not exist.
   virtual int Read(const std::string& path, std::string* bytes) = 0;
 };
@@ -70,9 +68,10 @@
 // is unknown, until Rewind or a new Open restores it. Not thread-safe.
 class LogStorage {
  public:
-  // Creates the files of a founding voter in an empty or absent folder, with a new random disk
-  // identity. All founding hosts are formatted with the same list. Returns the identity. Fails with
-  // kAlreadyFormatted if the folder holds files.
+  // Creates the files of a founding voter, with a new random disk identity, or completes a creation
+  // that was interrupted. All founding hosts are formatted with the same list. Returns the
+  // identity. Fails with kAlreadyFormatted if the folder has one, and with kCorrupt if it has none
+  // but holds a log, a snapshot or a vote.
   static Result<ReplicaId> Format(const std::string& folder, const std::string& host,
                                   const std::vector<std::string>& founding_hosts,
                                   FileOperations& files = PosixFileOperations());
--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -32,7 +32,7 @@
       case StorageErrc::kCorrupt:
         return "corrupt file";
       case StorageErrc::kAlreadyFormatted:
-        return "the folder already holds files";
+        return "the folder is formatted already";
       case StorageErrc::kWrongHost:
         return "the folder belongs to another host";
       case StorageErrc::kInUse:
@@ -107,6 +107,26 @@
   return ReplaceFile(files, folder, kIdentityName, EncodeIdentityFile(identity));
 }
 
+// A folder without an identity is new, or its creation was interrupted before anything was stored.
+// Records or a vote without an identity are corruption: a new identity would hide the loss.
+Status CheckIncompleteCreation(FileOperations& files, const std::string& folder) {
+  const std::string identity = folder + '/' + kIdentityName;
+  std::string bytes;
+  if (files.Read(folder + '/' + kLogName, &bytes) == 0 && bytes.size() > kLogHeaderBytes) {
+    return CorruptError(identity, 0, "file is missing, but the log has records");
+  }
+  if (files.Read(folder + '/' + kSnapshotName, &bytes) == 0) {
+    return CorruptError(identity, 0, "file is missing, but there is a snapshot");
+  }
+  if (files.Read(folder + '/' + kHardStateName, &bytes) == 0) {
+    const auto hard_state = DecodeHardStateFile(bytes);
+    if (hard_state && hard_state->term > 0) {
+      return CorruptError(identity, 0, "file is missing, but there is a term");
+    }
+  }
+  return {};
+}
+
 class FileLogStorage : public LogStorage {
  public:
   FileLogStorage(std::string folder, FileOperations& files)
@@ -130,7 +150,6 @@
  private:
   std::string PathOf(const std::string& name) const { return m_folder + '/' + name; }
   Status OpenIdentity(const std::string& host);
-  Status CheckIncompleteCreation();
   Status RecoverHardStateAndSnapshot();
   Status RecoverLog();
   Status ReadRecords(const std::string& bytes);
@@ -173,7 +192,7 @@
   const std::string path = PathOf(kIdentityName);
   int error = m_files.Read(path, &bytes);
   if (error == ENOENT) {
-    if (Status s = CheckIncompleteCreation(); !s) return s;
+    if (Status s = CheckIncompleteCreation(m_files, m_folder); !s) return s;
     const IdentityFile fresh{{host, NewDiskIdentity()}, {}};
     if (Status s = CreateFiles(m_files, m_folder, fresh); !s) return s;
     m_report.created = true;
@@ -193,19 +212,6 @@
   return {};
 }
 
-// A folder without an identity is new, or its creation was interrupted before anything was stored.
-// A log with records but no identity is corruption: a new identity would hide the loss.
-Status FileLogStorage::CheckIncompleteCreation() {
-  std::string bytes;
-  if (m_files.Read(PathOf(kLogName), &bytes) == 0 && bytes.size() > kLogHeaderBytes) {
-    return CorruptError(PathOf(kIdentityName), 0, "file is missing, but the log has records");
-  }
-  if (m_files.Read(PathOf(kSnapshotName), &bytes) == 0) {
-    return CorruptError(PathOf(kIdentityName), 0, "file is missing, but there is a snapshot");
-  }
-  return {};
-}
-
 Status FileLogStorage::RecoverHardStateAndSnapshot() {
   std::string bytes;
   if (const int error = m_files.Read(PathOf(kHardStateName), &bytes)) {
@@ -444,10 +450,11 @@
 Result<ReplicaId> LogStorage::Format(const std::string& folder, const std::string& host,
                                      const std::vector<std::string>& founding_hosts,
                                      FileOperations& files) {
-  std::vector<std::string> names;
-  const int error = files.List(folder, &names);
-  if (error != 0 && error != ENOENT) return ReadError(folder, error);
-  if (!names.empty()) return Error{StorageErrc::kAlreadyFormatted, folder};
+  std::string bytes;
+  const int error = files.Read(folder + '/' + kIdentityName, &bytes);
+  if (error == 0) return Error{StorageErrc::kAlreadyFormatted, folder};
+  if (error != ENOENT) return ReadError(folder, error);
+  if (Status s = CheckIncompleteCreation(files, folder); !s) return s.error();
   const IdentityFile identity{{host, NewDiskIdentity()}, founding_hosts};
   if (Status s = CreateFiles(files, folder, identity); !s) return s.error();
   return identity.self;
--- a/src/libcorneltray/log_storage_posix.cc
+++ b/src/libcorneltray/log_storage_posix.cc
@@ -57,15 +57,6 @@
     const auto parent = std::filesystem::absolute(folder).lexically_normal().parent_path();
     return SyncFolder(parent.string());
   }
-  int List(const std::string& folder, std::vector<std::string>* names) override {
-    std::error_code error;
-    names->clear();
-    for (auto it = std::filesystem::directory_iterator(folder, error);
-         !error && it != std::filesystem::directory_iterator(); it.increment(error)) {
-      names->push_back(it->path().filename().string());
-    }
-    return error.value();
-  }
   int Read(const std::string& path, std::string* bytes) override {
     constexpr std::size_t kChunkBytes = 1 << 20;
     const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
--- a/src/libcorneltray/log_storage_test.cc
+++ b/src/libcorneltray/log_storage_test.cc
@@ -83,9 +83,6 @@
     return HasCrashed(true) ? EIO : m_files.SyncFolder(folder);
   }
   int CreateFolder(const std::string& folder) override { return m_files.CreateFolder(folder); }
-  int List(const std::string& folder, std::vector<std::string>* names) override {
-    return m_files.List(folder, names);
-  }
   int Read(const std::string& path, std::string* bytes) override {
     return m_files.Read(path, bytes);
   }
@@ -202,6 +199,43 @@
   }
 }
 
+// Guards against a founding host that becomes a learner for good because its first start was
+// interrupted, so that the group may never create its log.
+TEST_CASE("a format that was interrupted is completed by the next one") {
+  const std::vector<std::string> hosts{"a", "b", "c"};
+
+  SUBCASE("after a crash at any operation") {
+    bool succeeded = false;
+    for (int operations = 0; !succeeded; ++operations) {
+      CAPTURE(operations);
+      const TemporaryFolder folder;
+      FaultyFiles files;
+      files.operations_left = operations;
+      succeeded = LogStorage::Format(folder.Data(), "a", hosts, files).Ok();
+      const auto again = LogStorage::Format(folder.Data(), "a", hosts);
+      const bool is_formatted = again || again.error().code == StorageErrc::kAlreadyFormatted;
+      CHECK(is_formatted);
+      CHECK(MustOpen(folder)->Recovered().founding_hosts == hosts);
+    }
+  }
+  SUBCASE("in a folder that holds a file of another program") {
+    const TemporaryFolder folder;
+    fs::create_directories(folder.Data());
+    WriteFile(folder.File("lost+found"), "");
+    REQUIRE(LogStorage::Format(folder.Data(), "a", hosts).Ok());
+    CHECK(MustOpen(folder)->Recovered().founding_hosts == hosts);
+  }
+  SUBCASE("but not if the identity is missing beside a vote") {
+    const TemporaryFolder folder;
+    REQUIRE(LogStorage::Format(folder.Data(), "a", hosts).Ok());
+    MustCommit(*MustOpen(folder), {PersistHardState{{1, ReplicaId{"a", "1"}}}});
+    fs::remove(folder.File("identity"));
+    const auto again = LogStorage::Format(folder.Data(), "a", hosts);
+    REQUIRE_FALSE(again.Ok());
+    CHECK(again.error().code == StorageErrc::kCorrupt);
+  }
+}
+
 // Guards against acknowledged state that is lost in a restart.
 TEST_CASE("all synced state survives a restart") {
   const TemporaryFolder folder;
