Do not let a host that was formatted again campaign as a learner

What callers see: nothing but needless elections. Cause: a replica that does not know the commit index yet looks for itself in every member set of its log, and put the initial members at index 0, where each formatted host is a voter, also one that was formatted again and is only joining. Change: the initial members count only while the log is empty. 'a host that was formatted again does not campaign before it is a voter' checks it without a schedule.

--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -109,9 +109,7 @@
     return;
   }
   if (now < m_election_at) return;
-  // A voter whose removal is in its log but not known to be committed still campaigns: it may have
-  // the longest log, and then no other voter can win the election.
-  if (m_log.IsVoterAtOrAfter(m_commit_index, m_self) || IsVoter()) {
+  if (MayCampaign()) {
     Campaign(now, true, false);
   } else {
     ResetElectionDeadline(now);
--- a/src/libcorneltray/consensus_election.cc
+++ b/src/libcorneltray/consensus_election.cc
@@ -31,6 +31,15 @@
   AnnounceRole(reason);
 }
 
+// A voter whose removal is in its log but not known to be committed still campaigns: it may have
+// the longest log, and then no other voter can win the election.
+bool Replica::Impl::MayCampaign() const {
+  // Index 0 holds the initial members, which any formatted host has, also one formatted again.
+  const std::uint64_t since = m_log.Empty() ? 0 : std::max<std::uint64_t>(m_commit_index, 1);
+  if (m_log.IsVoterAtOrAfter(since, m_self)) return true;
+  return HasFoundingDisk() && m_log.IsVoterAtOrAfter(since, FoundingDiskOf(m_self.host));
+}
+
 // Requests votes from the other voters. A pre-vote changes no persistent state: it only checks
 // whether an election could be won, so a replica that returns from a partition does not raise the
 // term.
--- a/src/libcorneltray/consensus_founding.cc
+++ b/src/libcorneltray/consensus_founding.cc
@@ -12,11 +12,6 @@
 #include "consensus_impl.h"
 
 namespace corneltray {
-namespace {
-
-ReplicaId FoundingDiskOf(const std::string& host) { return {host, ""}; }
-
-}  // namespace
 
 MemberSet Replica::Impl::InitialMembers() const {
   MemberSet members;
--- a/src/libcorneltray/consensus_founding_test.cc
+++ b/src/libcorneltray/consensus_founding_test.cc
@@ -119,6 +119,21 @@
   }
 }
 
+// Guards against a joining learner that campaigns because it was formatted, although the log lists
+// another disk of its host.
+TEST_CASE("a host that was formatted again does not campaign before it is a voter") {
+  PersistentState state = FormattedState({"c", "c2"});
+  MemberSet joining = Voters({kA, kB});
+  joining.members[state.self] = MemberRole::kJoining;
+  state.hard_state.term = 1;
+  state.entries = {MembersEntry(Voters({kA, kB, kC})),
+                   {2, 1, EntryKind::kMembers, 0, EncodeMemberSet(joining)}};
+  ReplicaHarness harness(state);
+  harness.Advance(std::chrono::seconds(5));
+  CHECK(harness.Status().role == ReplicaRole::kLearner);
+  CHECK(harness.LastSent<VoteRequest>() == nullptr);
+}
+
 // Guards against a founding host that is not named yet and can neither vote for itself nor lead,
 // although it may have the longest log.
 TEST_CASE("a founding host leads under the empty identity and then names itself") {
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -36,6 +36,9 @@
   TimePoint resend_part_at;
 };
 
+// The id under which a member set lists the founding disk of a host until it states its identity.
+inline ReplicaId FoundingDiskOf(const std::string& host) { return {host, ""}; }
+
 // Implementation of Replica. Its methods are spread over consensus.cc (time, messages, actions),
 // consensus_election.cc, consensus_founding.cc, consensus_replication.cc, consensus_snapshot.cc and
 // consensus_members.cc.
@@ -100,6 +103,7 @@
   bool HasCurrentLeader(TimePoint now) const;
   void BecomeFollower(TimePoint now, std::uint64_t term, std::optional<ReplicaId> leader,
                       RoleReason reason);
+  bool MayCampaign() const;
   void Campaign(TimePoint now, bool pre_vote, bool transfer);
   void CountVote(TimePoint now, const ReplicaId& voter);
   void BecomeLeader(TimePoint now);
