Log what the disk of a control process holds at its start

What callers see: nothing.

LogStorage::IsCreationInterrupted looks for files without an identity before the folder is changed. No decision changes.

--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -68,6 +68,27 @@
   return settings.control_found_from_seeds ? FoundingQuorum::kMajority : FoundingQuorum::kAll;
 }
 
+nlohmann::json ReplicaFields(const ReplicaId& id) {
+  return {{"host", id.host}, {"disk_identity", id.disk_identity}};
+}
+
+// What the disk holds, before the replica changes anything of it.
+void LogDataFolder(const PersistentState& state, FolderOrigin origin, bool is_first_start) {
+  const auto& vote = state.hard_state.voted_for;
+  const bool has_entries = !state.entries.empty();
+  LogEvent(LogLevel::kInfo, "data_folder_opened",
+           {{"replica", state.self.host},
+            {"disk_identity", state.self.disk_identity},
+            {"origin", NameOf(origin)},
+            {"first_start", is_first_start},
+            {"founding_hosts", state.founding_hosts},
+            {"term", state.hard_state.term},
+            {"vote", vote ? ReplicaFields(*vote) : nlohmann::json()},
+            {"first_index", has_entries ? state.entries.front().index : 0},
+            {"last_index", has_entries ? state.entries.back().index : state.log_base.index},
+            {"snapshot_index", state.snapshot ? state.snapshot->last.index : 0}});
+}
+
 // Owns the components of a running control process. Members are destroyed in the reverse order of
 // their declaration.
 class Program {
@@ -90,6 +111,8 @@
 
     StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
                  m_settings.log_level);
+    m_folder_history.creation_was_interrupted =
+        LogStorage::IsCreationInterrupted(m_settings.data_folder);
     if (!FormatAtFirstStart(signals)) {
       StopLogging(kExitOk);
       return kExitOk;
@@ -97,6 +120,10 @@
     auto storage = LogStorage::Open(m_settings.data_folder, m_settings.peer_name);
     if (!storage) return Fail(kExitDataFolder, storage.error().ToString());
     LogRecoveryReport(storage.value()->Report());
+    m_folder_history.created = storage.value()->Report().created;
+    m_folder_history.has_founding_hosts = !storage.value()->Recovered().founding_hosts.empty();
+    LogDataFolder(storage.value()->Recovered(), OriginOf(m_folder_history),
+                  m_settings.control_first_start);
     if (const int code = Start(std::move(storage).value()); code != kExitOk) return code;
     std::thread fleet;
     if (m_fleet) fleet = std::thread([this] { m_io.run(); });
@@ -122,13 +149,14 @@
   // time and this host is an initial member. A folder that is formatted is left unchanged. While
   // the disk refuses writes it tries again: the next start may not be a first one any more, and
   // would create a learner. Returns false if the process was told to stop meanwhile.
-  bool FormatAtFirstStart(const sigset_t& signals) const {
+  bool FormatAtFirstStart(const sigset_t& signals) {
     const auto& hosts = m_settings.control_hosts;
     const bool is_initial_member =
         std::find(hosts.begin(), hosts.end(), m_settings.peer_name) != hosts.end();
     if (!m_settings.control_first_start || !is_initial_member) return true;
     while (true) {
       const auto identity = LogStorage::Format(m_settings.data_folder, m_settings.peer_name, hosts);
+      m_folder_history.formatted = identity.Ok();
       if (identity || identity.error().code == StorageErrc::kAlreadyFormatted) return true;
       LogEvent(LogLevel::kError, "format_failed", {{"error", identity.error().ToString()}});
       const bool may_recover = identity.error().code == StorageErrc::kDiskFull ||
@@ -270,6 +298,7 @@
   using json = nlohmann::json;
 
   HostSettings m_settings;
+  FolderHistory m_folder_history;
   std::atomic<bool> m_stop{false};
   std::atomic<bool> m_draining{false};
   std::atomic<int> m_exit_code{kExitOk};
--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "corneltray/consensus.h"
+#include "corneltray/enum_names.h"
 #include "corneltray/result.h"
 
 namespace corneltray {
@@ -51,6 +52,39 @@
 // Returns the operations on the real file system.
 FileOperations& PosixFileOperations();
 
+// How the data folder of a process came about. An interrupted creation leaves files without an
+// identity.
+enum class FolderOrigin {
+  kFormattedNow,      // by this process
+  kFormatCompleted,   // by this process, after an interrupted creation
+  kFormattedEarlier,  // by an earlier process
+  kLearnerCreated,    // by this process, without founding hosts
+  kLearnerCompleted,  // as kLearnerCreated, after an interrupted creation
+  kLearnerEarlier,    // by an earlier process, without founding hosts
+};
+
+template <>
+struct EnumNames<FolderOrigin> {
+  static constexpr EnumName<FolderOrigin> kTable[] = {
+      {FolderOrigin::kFormattedNow, "formatted_now"},
+      {FolderOrigin::kFormatCompleted, "format_completed"},
+      {FolderOrigin::kFormattedEarlier, "formatted_earlier"},
+      {FolderOrigin::kLearnerCreated, "learner_created"},
+      {FolderOrigin::kLearnerCompleted, "learner_completed"},
+      {FolderOrigin::kLearnerEarlier, "learner_earlier"},
+  };
+};
+
+// What a process found and did on the way to an open data folder.
+struct FolderHistory {
+  bool creation_was_interrupted = false;  // LogStorage::IsCreationInterrupted before the first call
+  bool formatted = false;                 // LogStorage::Format succeeded
+  bool created = false;                   // StorageReport::created
+  bool has_founding_hosts = false;
+};
+
+FolderOrigin OriginOf(const FolderHistory& history);
+
 // Repairs made by Open, for the log of the program.
 struct StorageReport {
   bool created = false;  // the folder was empty and got a new disk identity
@@ -76,6 +110,10 @@
                                   const std::vector<std::string>& founding_hosts,
                                   FileOperations& files = PosixFileOperations());
 
+  // Returns whether the folder has no identity, but a file that its creation writes before.
+  static bool IsCreationInterrupted(const std::string& folder,
+                                    FileOperations& files = PosixFileOperations());
+
   // Opens the folder and recovers its state. An empty or absent folder gets a new disk identity
   // without founding hosts, so the replica starts as a learner. A torn last record is truncated
   // and reported. Fails with kCorrupt, kInUse, kWrongHost, kReadFailed, kWriteFailed or kDiskFull.
--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -447,6 +447,30 @@
   return {static_cast<int>(errc), category};
 }
 
+FolderOrigin OriginOf(const FolderHistory& history) {
+  const bool interrupted = history.creation_was_interrupted;
+  if (history.formatted) {
+    return interrupted ? FolderOrigin::kFormatCompleted : FolderOrigin::kFormattedNow;
+  }
+  if (history.created) {
+    return interrupted ? FolderOrigin::kLearnerCompleted : FolderOrigin::kLearnerCreated;
+  }
+  return history.has_founding_hosts ? FolderOrigin::kFormattedEarlier
+                                    : FolderOrigin::kLearnerEarlier;
+}
+
+bool LogStorage::IsCreationInterrupted(const std::string& folder, FileOperations& files) {
+  std::string bytes;
+  const auto is_absent = [&](const std::string& name) {
+    return files.Read(folder + '/' + name, &bytes) == ENOENT;
+  };
+  if (!is_absent(kIdentityName)) return false;
+  for (const std::string name : {kLogName, kHardStateName, kIdentityName}) {
+    if (!is_absent(name) || !is_absent(name + kTemporarySuffix)) return true;
+  }
+  return false;
+}
+
 Result<ReplicaId> LogStorage::Format(const std::string& folder, const std::string& host,
                                      const std::vector<std::string>& founding_hosts,
                                      FileOperations& files) {
--- a/src/libcorneltray/log_storage_test.cc
+++ b/src/libcorneltray/log_storage_test.cc
@@ -236,6 +236,69 @@
   }
 }
 
+// Guards against a host without a vote whose log does not tell whether its disk was lost or its
+// first start was interrupted.
+TEST_CASE("the origin of a data folder is known when it is opened") {
+  const std::vector<std::string> hosts{"a", "b", "c"};
+  const TemporaryFolder folder;
+  const auto origin = [&folder](FolderHistory history) {
+    auto storage = MustOpen(folder);
+    history.created = storage->Report().created;
+    history.has_founding_hosts = !storage->Recovered().founding_hosts.empty();
+    return OriginOf(history);
+  };
+  const auto format = [&folder, &hosts] {
+    FolderHistory history;
+    history.creation_was_interrupted = LogStorage::IsCreationInterrupted(folder.Data());
+    history.formatted = LogStorage::Format(folder.Data(), "a", hosts).Ok();
+    return history;
+  };
+
+  SUBCASE("no folder") {
+    CHECK_FALSE(LogStorage::IsCreationInterrupted(folder.Data()));
+    SUBCASE("is formatted") {
+      CHECK(origin(format()) == FolderOrigin::kFormattedNow);
+      CHECK_FALSE(LogStorage::IsCreationInterrupted(folder.Data()));
+      CHECK(origin(format()) == FolderOrigin::kFormattedEarlier);
+      CHECK(origin({}) == FolderOrigin::kFormattedEarlier);
+    }
+    SUBCASE("is created for a learner") {
+      CHECK(origin({}) == FolderOrigin::kLearnerCreated);
+      CHECK_FALSE(LogStorage::IsCreationInterrupted(folder.Data()));
+      CHECK(origin(format()) == FolderOrigin::kLearnerEarlier);
+    }
+  }
+  SUBCASE("an empty folder, or one with a file of another program, is as none") {
+    fs::create_directories(folder.Data());
+    CHECK_FALSE(LogStorage::IsCreationInterrupted(folder.Data()));
+    WriteFile(folder.File("lost+found"), "");
+    CHECK_FALSE(LogStorage::IsCreationInterrupted(folder.Data()));
+  }
+  SUBCASE("a creation that was interrupted after any operation") {
+    FaultyFiles files;
+    bool succeeded = false;
+    // The first operation creates the first file.
+    for (int operations = 1; !succeeded; ++operations) {
+      CAPTURE(operations);
+      fs::remove_all(folder.Data());
+      files.operations_left = operations;
+      succeeded = LogStorage::Format(folder.Data(), "a", hosts, files).Ok();
+      const bool has_identity = fs::exists(folder.File("identity"));
+      CHECK(LogStorage::IsCreationInterrupted(folder.Data()) == !has_identity);
+    }
+    fs::remove(folder.File("identity"));
+    REQUIRE(LogStorage::IsCreationInterrupted(folder.Data()));
+    SUBCASE("is completed by a format") {
+      CHECK(origin(format()) == FolderOrigin::kFormatCompleted);
+    }
+    SUBCASE("is completed for a learner") {
+      FolderHistory history;
+      history.creation_was_interrupted = true;
+      CHECK(origin(history) == FolderOrigin::kLearnerCompleted);
+    }
+  }
+}
+
 // Guards against acknowledged state that is lost in a restart.
 TEST_CASE("all synced state survives a restart") {
   const TemporaryFolder folder;
