Log every 5 s while a control process knows no leader

What callers see: nothing. Change: no_leader, a warning every 5 s, with the time without a leader, role, term, last index, the founding hosts missing, and for each member its disk identity and whether a link to it is up; leader_known, once when that ends. LeaderWatch decides when a line is due. An election ends long before 5 s (600 to 1200 ms of timeout), so it writes leader_known only. No decision changes.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -16,6 +16,7 @@
 #include "corneltray/consensus.h"
 #include "corneltray/control_client.h"
 #include "corneltray/control_state.h"
+#include "corneltray/leader_watch.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/peer.h"
 #include "corneltray/read_batcher.h"
@@ -141,6 +142,8 @@
   void Apply(const std::vector<LogEntry>& entries);
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
+  void ScheduleNoLeaderReport();
+  void ReportNoLeader();
   void FinishRead(std::uint64_t id, std::optional<std::uint64_t> index);
   void CheckCaughtUp();
   void PublishConfiguration();
@@ -184,6 +187,8 @@
   std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
   std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
   bool m_leader_reported = false;
+  LeaderWatch m_leader_watch;
+  std::optional<TimePoint> m_scheduled_no_leader_report;
   std::atomic<bool> m_has_leader{false};
   std::atomic<bool> m_storage_failed{false};
   bool m_caught_up = false;
