Add metrics of the leader, the voters and refused votes to control processes

What callers see: nothing. Cause: an alert could not tell a control process that knows no leader, nor count the votes that it refuses. Change: gauges control_leader_known, control_voters and control_members_without_disk_identity, and the counter control_vote_refusals_total by reason. Term, last index and commit index had metrics already. No decision changes.

--- a/src/corneltray-control/control_http.cc
+++ b/src/corneltray-control/control_http.cc
@@ -55,6 +55,31 @@
   return JsonResponse(200, {{"ready", true}});
 }
 
+// Metrics that tell why no leader is known.
+std::string LeadershipMetricsText(const json& status) {
+  std::uint64_t voters = 0;
+  std::uint64_t unnamed_disks = 0;
+  for (const json& member : status["members"]) {
+    if (member["voter"].get<bool>()) ++voters;
+    if (member["disk_identity"].get<std::string>().empty()) ++unnamed_disks;
+  }
+  std::string text;
+  const auto add_gauge = [&text](const std::string& name, std::uint64_t value) {
+    const std::string metric = "corneltray_control_" + name;
+    text += "# TYPE " + metric + " gauge\n" + metric + " " + std::to_string(value) + "\n";
+  };
+  add_gauge("leader_known", status["leader"].get<std::string>().empty() ? 0 : 1);
+  add_gauge("voters", voters);
+  add_gauge("members_without_disk_identity", unnamed_disks);
+  const std::string refusals = "corneltray_control_vote_refusals_total";
+  text += "# TYPE " + refusals + " counter\n";
+  for (const auto& [reason, number] : status["vote_refusals"].items()) {
+    text += refusals + "{reason=\"" + reason + "\"} " +
+            std::to_string(number.get<std::uint64_t>()) + "\n";
+  }
+  return text;
+}
+
 HttpResponse MetricsResponse(const ControlHttpOptions& options) {
   const json status = options.control->Status();
   std::string text;
@@ -70,6 +95,7 @@
     add("control_commit_index", "gauge", status["commit_index"]);
     add("control_bookings", "gauge", status["bookings"]);
     add("control_log_syncs_total", "counter", status["syncs"]);
+    text += LeadershipMetricsText(status);
   }
   add("configuration_revision", "gauge", options.feed->Document().revision);
   text += PeerMetricsText(options.node->Counters());
--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -41,15 +41,6 @@
          std::holds_alternative<PersistSnapshot>(action);
 }
 
-void LogRefusal(const VoteRefused& refused) {
-  LogEvent(LogLevel::kInfo, "vote_refused",
-           {{"candidate", refused.candidate.host},
-            {"disk_identity", refused.candidate.disk_identity},
-            {"term", refused.term},
-            {"pre_vote", refused.pre_vote},
-            {"reason", NameOf(refused.reason)}});
-}
-
 // Whether this process has a link to the process of a member.
 enum class MemberLink { kSelf, kUp, kDown };
 
@@ -183,7 +174,7 @@
     void operator()(ReadBarrierConfirmed& read) const { node.FinishRead(read.id, read.index); }
     void operator()(ReadBarrierFailed& read) const { node.FinishRead(read.id, std::nullopt); }
     void operator()(RoleChanged& change) const { node.OnRoleChanged(change); }
-    void operator()(VoteRefused& refused) const { LogRefusal(refused); }
+    void operator()(VoteRefused& refused) const { node.OnVoteRefused(refused); }
   };
   for (Action& action : other_actions) std::visit(Visitor{*this}, action);
 }
@@ -301,6 +292,16 @@
   if (m_has_leader && !std::exchange(m_leader_reported, true)) m_options.on_leader_known();
 }
 
+void ControlNode::OnVoteRefused(const VoteRefused& refused) {
+  ++m_vote_refusals[refused.reason];
+  LogEvent(LogLevel::kInfo, "vote_refused",
+           {{"candidate", refused.candidate.host},
+            {"disk_identity", refused.candidate.disk_identity},
+            {"term", refused.term},
+            {"pre_vote", refused.pre_vote},
+            {"reason", NameOf(refused.reason)}});
+}
+
 void ControlNode::ScheduleNoLeaderReport() {
   const auto next = m_leader_watch.NextReport();
   if (!next || m_scheduled_no_leader_report == next) return;
@@ -543,6 +544,12 @@
                        {"role", NameOf(role)},
                        {"voter", role == MemberRole::kVoter}});
   }
+  json vote_refusals = json::object();
+  for (const auto& reason : EnumNames<VoteRefusal>::kTable) {
+    const auto counted = m_vote_refusals.find(reason.value);
+    vote_refusals[std::string(reason.name)] =
+        counted == m_vote_refusals.end() ? 0 : counted->second;
+  }
   return {{"role", NameOf(status.role)},
           {"term", status.term},
           {"leader", status.leader ? status.leader->host : ""},
@@ -552,6 +559,7 @@
           {"snapshot_index", status.snapshot_index},
           {"storage_failed", status.storage_failed},
           {"members", std::move(members)},
+          {"vote_refusals", std::move(vote_refusals)},
           {"log_time_ms", m_state.LogTime()},
           {"bookings", m_state.GetBookings().Size()},
           {"syncs", m_storage.SyncCount()}};
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -142,6 +142,7 @@
   void Apply(const std::vector<LogEntry>& entries);
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
+  void OnVoteRefused(const VoteRefused& refused);
   void ScheduleNoLeaderReport();
   void ReportNoLeader();
   void FinishRead(std::uint64_t id, std::optional<std::uint64_t> index);
@@ -186,6 +187,7 @@
   nlohmann::json m_unsent_retry_reports = nlohmann::json::object();  // for the leader
   std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
   std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
+  std::map<VoteRefusal, std::uint64_t> m_vote_refusals;      // since the start
   bool m_leader_reported = false;
   LeaderWatch m_leader_watch;
   std::optional<TimePoint> m_scheduled_no_leader_report;
