Add the failing case of unsynced writes stored out of order

After a loss of power each unsynced write may be present, missing or torn. If a later one is present and an earlier one is not, FileLogStorage::TruncateTornTail takes the damage for corruption, and the control host refuses every start with "damaged record before a valid record", although nothing of it was acknowledged.

--- a/src/libcorneltray/log_storage_power_loss_test.cc
+++ b/src/libcorneltray/log_storage_power_loss_test.cc
@@ -335,6 +335,16 @@
   }
 }
 
+// Guards against a host that no longer starts because the disk stored unsynced writes in another
+// order: a later record is valid and an earlier one is damaged, and none of them was acknowledged.
+TEST_CASE("acknowledged state survives a loss of power that keeps any subset of unsynced writes") {
+  SUBCASE("in whole writes") { CheckLossAtAnyOperation(Survival::kAnyWrites, 0); }
+  SUBCASE("in sectors of a write") { CheckLossAtAnyOperation(Survival::kAnySectors, 0); }
+  SUBCASE("and again twice during the recovery") {
+    CheckLossAtAnyOperation(Survival::kAnyWrites, 2);
+  }
+}
+
 // Guards against a founding host that becomes a learner, or no longer starts, because it lost power
 // during its first start, and against a second identity of a disk that already has one.
 TEST_CASE("a format survives a loss of power at any file operation") {
