Add the failing case of a restart after the clock was stepped back

PeerLoop::OnEstablished closes every link of a process whose incarnation, the time of its start, is below the one known of its host, also while no link of the other process is open, until the peer is forgotten after kForgetPeerAfter (60 s). All peers refuse a host meanwhile whose time of day was stepped back by more than the age of the process before.

--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -375,6 +375,25 @@
   CHECK(restarted.requests == 1);
 }
 
+// Guards against a host that its peers refuse for a minute, because its time of day was stepped
+// back between two starts of its process.
+TEST_CASE("a process that was restarted after its clock was stepped back is reachable") {
+  Echo a(OptionsFor("a"));
+  REQUIRE(a.node.Start().Ok());
+  {
+    Echo old(OptionsFor("b", 2000));
+    REQUIRE(old.node.Start().Ok());
+    old.node.Connect(a.node.ListenAddress());
+    REQUIRE(Eventually([&] { return IsConnected(a.node, "b"); }));
+  }
+  REQUIRE(Eventually([&] { return !IsConnected(a.node, "b"); }));
+  Echo restarted(OptionsFor("b", 1000));
+  REQUIRE(restarted.node.Start().Ok());
+  restarted.node.Connect(a.node.ListenAddress());
+  REQUIRE(Eventually([&] { return IsConnected(a.node, "b") && IsConnected(restarted.node, "a"); }));
+  CHECK(Ask(&a.node, "b", {{"number", 1}}).Ok());
+}
+
 // Guards against open connections that go silent for good while new ones work: in both directions
 // or in one, the request is answered over a new link and runs once.
 TEST_CASE("a request survives a silent link") {
