Start after a loss of power that kept a later unsynced record without an earlier one

What callers see: after a loss of power a control host refuses every start with 'damaged record before a valid record', although nothing of the damage was acknowledged. Together with one lost disk the region has no majority. Cause: recovery took any damage before a valid record for corruption of synced data. The disk may store unsynced writes in any order, and several share a sync. Change: a record says whether everything before it had been synced when it was written, in the highest bit of its kind. Damage is corruption if such a record follows it, else an unsynced end, which is truncated and reported. Older logs are read as before; older programs do not read new logs.

--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -262,12 +262,15 @@
   return {};
 }
 
-// A damaged end of the file is a write that a crash interrupted; it was never acknowledged. Damage
-// that is followed by a valid record is corruption of stored data and must not be truncated.
+// A damaged record that was not synced is a write that a loss of power interrupted; it was never
+// acknowledged. The disk may have stored later writes without it. Damage before a record that was
+// written after a sync is corruption of stored data and must not be truncated.
 Status FileLogStorage::TruncateTornTail(const std::string& bytes, std::uint64_t offset) {
-  if (const auto valid = FindRecordAfter(bytes, offset)) {
+  for (auto at = FindRecordAfter(bytes, offset); at; at = FindRecordAfter(bytes, *at)) {
+    if (!DecodeLogRecord(bytes, *at)->follows_sync) continue;
     return CorruptError(PathOf(kLogName), offset,
-                        "damaged record before a valid record at offset " + std::to_string(*valid));
+                        "damaged record before the one at offset " + std::to_string(*at) +
+                            ", which was written after a sync of it");
   }
   m_report.truncated_bytes = bytes.size() - offset;
   m_report.truncated_at = offset;
@@ -358,7 +361,8 @@
   std::vector<std::uint64_t> offsets;
   for (auto entry = begin; entry != entries.end(); ++entry) {
     offsets.push_back(m_log_bytes + bytes.size());
-    bytes += EncodeLogRecord(*entry);
+    const bool follows_sync = !m_unsynced && entry == begin;
+    bytes += EncodeLogRecord(*entry, follows_sync);
   }
   if (const int error = m_files.WriteAt(m_log_descriptor, m_log_bytes, bytes)) {
     return WriteError(path, error);
--- a/src/libcorneltray/log_storage_codec.cc
+++ b/src/libcorneltray/log_storage_codec.cc
@@ -18,6 +18,7 @@
 // Payloads are at most kMaxEntryBytes; a record with a greater length is damaged and not hashed.
 constexpr std::size_t kMaxRecordBodyBytes = kMaxEntryBytes + kRecordFixedBytes + 4096;
 constexpr std::size_t kChecksumBytes = 8;
+constexpr std::uint8_t kFollowsSyncFlag = 0x80;  // in the byte of the kind
 
 template <class T>
 void PutNumber(std::string* out, T value) {
@@ -80,12 +81,13 @@
   return LogPosition{GetNumber<std::uint64_t>(bytes, 8), GetNumber<std::uint64_t>(bytes, 16)};
 }
 
-std::string EncodeLogRecord(const LogEntry& entry) {
+std::string EncodeLogRecord(const LogEntry& entry, bool follows_sync) {
   std::string body;
   body.reserve(kRecordFixedBytes + entry.payload.size());
   PutNumber(&body, entry.index);
   PutNumber(&body, entry.term);
-  PutNumber(&body, static_cast<std::uint8_t>(entry.kind));
+  const auto kind = static_cast<std::uint8_t>(entry.kind);
+  PutNumber(&body, static_cast<std::uint8_t>(follows_sync ? kind | kFollowsSyncFlag : kind));
   PutNumber(&body, entry.timestamp);
   body += entry.payload;
   std::string record;
@@ -105,9 +107,11 @@
   if (GetNumber<std::uint64_t>(bytes, offset + 4) != Checksum(bytes.substr(offset, 4), body)) {
     return std::nullopt;
   }
-  const auto kind = GetNumber<std::uint8_t>(body, 16);
+  const auto flagged_kind = GetNumber<std::uint8_t>(body, 16);
+  const auto kind = static_cast<std::uint8_t>(flagged_kind & ~kFollowsSyncFlag);
   if (kind > static_cast<std::uint8_t>(EntryKind::kMembers)) return std::nullopt;
   DecodedRecord record;
+  record.follows_sync = (flagged_kind & kFollowsSyncFlag) != 0;
   record.entry.index = GetNumber<std::uint64_t>(body, 0);
   record.entry.term = GetNumber<std::uint64_t>(body, 8);
   record.entry.kind = static_cast<EntryKind>(kind);
--- a/src/libcorneltray/log_storage_codec.h
+++ b/src/libcorneltray/log_storage_codec.h
@@ -22,11 +22,13 @@
 std::optional<LogPosition> DecodeLogHeader(std::string_view bytes);
 
 // A record: length (4 bytes, of what follows the checksum), xxh64 checksum (8 bytes, over the
-// length and what follows), index, term, kind, timestamp, payload.
-std::string EncodeLogRecord(const LogEntry& entry);
+// length and what follows), index, term, kind, timestamp, payload. The highest bit of the kind is
+// set if everything before the record had been synced when it was written.
+std::string EncodeLogRecord(const LogEntry& entry, bool follows_sync);
 
 struct DecodedRecord {
   LogEntry entry;
+  bool follows_sync = false;
   std::size_t size = 0;  // of the whole record
 };
 // Returns nullopt if no complete record with a valid checksum starts at the offset.
