Sync what a start has recovered before the replica acts on it

What callers see: an acknowledged change may be lost, or two leaders elected in a term, when processes are killed and then all lose power. Cause: a start read the records and the vote that the killed process had written, but not synced, and went on from them: it acknowledged them to a leader or refused another candidate. A loss of power then took them back. Change: Open syncs the log and the folder after it has recovered them.

--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -155,6 +155,7 @@
   Status ReadRecords(const std::string& bytes);
   Status TruncateTornTail(const std::string& bytes, std::uint64_t offset);
   Status ReconcileLogWithSnapshot();
+  Status SyncRecovered();
 
   Status WriteEntries(const std::vector<LogEntry>& entries);
   Status WriteSnapshot(const PersistSnapshot& action);
@@ -184,7 +185,8 @@
   if (Status s = OpenIdentity(host); !s) return s;
   if (Status s = RecoverHardStateAndSnapshot(); !s) return s;
   if (Status s = RecoverLog(); !s) return s;
-  return ReconcileLogWithSnapshot();
+  if (Status s = ReconcileLogWithSnapshot(); !s) return s;
+  return SyncRecovered();
 }
 
 Status FileLogStorage::OpenIdentity(const std::string& host) {
@@ -307,6 +309,14 @@
   return ReplaceLog(last, "");
 }
 
+// A process that was killed may have left writes that no sync covers. The replica acts on what was
+// recovered, so a later loss of power must not take it back.
+Status FileLogStorage::SyncRecovered() {
+  if (const int error = m_files.Sync(m_log_descriptor)) return WriteError(PathOf(kLogName), error);
+  if (const int error = m_files.SyncFolder(m_folder)) return WriteError(m_folder, error);
+  return {};
+}
+
 Status FileLogStorage::RecordFailure(Status status) {
   if (!status) m_write_error = status.error();
   return status;
--- a/src/libcorneltray/log_storage_power_loss_test.cc
+++ b/src/libcorneltray/log_storage_power_loss_test.cc
@@ -88,6 +88,13 @@
     return 0;
   }
 
+  // Lets later calls succeed, as after a restart of the process alone.
+  void Resume() {
+    m_open.clear();
+    operations_left = -1;
+    m_interrupted = false;
+  }
+
   // Drops unsynced changes of files and of names, and lets later calls succeed.
   void LosePower(Survival survival, std::mt19937* random) {
     std::map<std::string, std::shared_ptr<File>> names = m_synced_names;
@@ -99,9 +106,7 @@
     m_names = m_synced_names = std::move(names);
     m_name_changes.clear();
     for (const auto& [name, file] : m_names) RevertFile(file.get(), survival, random);
-    m_open.clear();
-    operations_left = -1;
-    m_interrupted = false;
+    Resume();
   }
 
  private:
@@ -345,6 +350,31 @@
   }
 }
 
+// Guards against a vote or an entry that a replica acts on after its process was killed, and that a
+// later loss of power takes back, because the killed process had not synced it.
+TEST_CASE("what a start has recovered survives a loss of power") {
+  bool interrupted = true;
+  for (int operations = 0; interrupted; ++operations) {
+    CAPTURE(operations);
+    std::mt19937 random(1);
+    PowerLossFiles files;
+    Acknowledged acknowledged;
+    interrupted = RunSteps(&files, operations, &acknowledged);
+    files.Resume();
+    auto opened = LogStorage::Open(kFolder, "a", files);
+    REQUIRE(opened.Ok());
+    const PersistentState recovered = opened.value()->Recovered();
+    files.LosePower(Survival::kNone, &random);
+    opened = LogStorage::Open(kFolder, "a", files);
+    REQUIRE(opened.Ok());
+    const PersistentState& after = opened.value()->Recovered();
+    CHECK(after.hard_state == recovered.hard_state);
+    CHECK(after.entries == recovered.entries);
+    CHECK(after.snapshot.has_value() == recovered.snapshot.has_value());
+    if (after.snapshot) CHECK(after.snapshot->last == recovered.snapshot->last);
+  }
+}
+
 // Guards against a founding host that becomes a learner, or no longer starts, because it lost power
 // during its first start, and against a second identity of a disk that already has one.
 TEST_CASE("a format survives a loss of power at any file operation") {
