Accept a process that was restarted after its clock was stepped back

What callers see: for a minute no link to the host; with a second loss no majority. Cause: peers close each link of a process whose time of start lies before the one known of its host, without a log line, until they forget the host after 60 s, also while no link to the known process is open. Change: such a process is refused, with a line, only while the later one is linked; otherwise it replaces it like any restarted process.

--- a/src/libcorneltray/peer_links.cc
+++ b/src/libcorneltray/peer_links.cc
@@ -107,11 +107,19 @@
     target->second.delay = kMinRedialDelay;
   }
   Peer& peer = m_peers[host];
-  if (hello.identity.incarnation < peer.identity.incarnation) {
-    CloseLink(link->id, false);  // a process that was replaced since
+  const std::uint64_t known_incarnation = peer.identity.incarnation;
+  // An incarnation is a time of start. Without a link to the known process, a lower one may be that
+  // of a restart after the clock was stepped back.
+  if (hello.identity.incarnation < known_incarnation && FindLink(peer.active) != nullptr) {
+    LogEvent(LogLevel::kWarning, "peer_refused",
+             {{"reason", "a later process of the host is linked"},
+              {"peer_address", hello.address},
+              {"incarnation", hello.identity.incarnation},
+              {"linked_incarnation", known_incarnation}});
+    CloseLink(link->id, false);
     return;
   }
-  if (hello.identity.incarnation > peer.identity.incarnation) {
+  if (hello.identity.incarnation != known_incarnation) {
     std::vector<LinkId> older;
     for (const auto& [id, other] : m_links) {
       if (id != link->id && other.Established() && other.session->Peer().identity.host == host) {
