Record a format first, so that any later start completes it

What callers see: nothing by itself; a region without a log, when the control processes are all killed while they format their disks and the next start is told that it is no first one. Cause: found in the review. An interrupted format left no trace of the founding hosts, so a start with first_start false made a learner of the host; two of three are too many. Change: Format writes the identity to the file 'format' first; a start that finds it without an identity completes the format. A folder without an identity has never voted, so nothing is voted twice. A host killed before that first file still looks like a lost disk.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -322,7 +322,7 @@
             {"role", NameOf(status.role)},
             {"term", status.term},
             {"last_index", status.last.index},
-            {"missing_founding_hosts", status.missing_founding_hosts},
+            {"unanswered_founding_hosts", status.unanswered_founding_hosts},
             {"members", MembersWithLinks(status, m_node->ConnectedPeers(kControlProgram))}});
   ScheduleNoLeaderReport();
 }
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -312,8 +312,11 @@
 void FleetService::UpdateMembership() {
   const ReplicaStatus status = m_options.control->GetReplicaStatus();
   const bool log_exists = status.last.index > 0;
-  if (log_exists) ConnectMembers(status.members);
-  if (!log_exists) ExcludeOtherPrograms();
+  if (log_exists) {
+    ConnectMembers(status.members);
+  } else {
+    ExcludeOtherPrograms();
+  }
   const bool is_member = status.members.members.count(status.self) > 0;
   // A replica that was removed while it was disconnected gets no notice and knows no leader.
   if (!is_member || !status.leader) SendJoinRequests(status);
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -27,7 +27,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSignalPoll{100};
-constexpr std::chrono::milliseconds kFormatRetryInterval{250};
+constexpr std::chrono::milliseconds kFormatRetryInterval{1000};
 // A leadership transfer takes one election. A longer timeout would delay the shutdown of a host
 // without another voter.
 constexpr std::chrono::milliseconds kLeadershipTransferTimeout{2000};
@@ -47,6 +47,10 @@
 }
 
 int FormatDataFolder(const HostSettings& settings) {
+  if (settings.control_found_from_seeds) {
+    return Fail(kExitUsage,
+                "control.found_from_seeds is set, so the first start formats the data folder");
+  }
   bool is_initial_member = false;
   for (const std::string& host : settings.control_hosts) is_initial_member |= host == settings.name;
   if (!is_initial_member) {
--- a/src/include/corneltray/consensus.h
+++ b/src/include/corneltray/consensus.h
@@ -396,8 +396,9 @@
   MemberSet members;
   bool accepts_proposals = false;
   bool storage_failed = false;
-  // While the log is empty: the founding hosts that have not granted this replica a vote.
-  std::vector<std::string> missing_founding_hosts;
+  // While the log is empty: the founding hosts that have granted no vote to this replica since its
+  // start, also because it has not campaigned.
+  std::vector<std::string> unanswered_founding_hosts;
   // Leader only: last index acknowledged by each other member.
   std::map<ReplicaId, std::uint64_t> match_index;
 };
--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -56,7 +56,7 @@
 // identity.
 enum class FolderOrigin {
   kFormattedNow,      // by this process
-  kFormatCompleted,   // by this process, after an interrupted creation
+  kFormatCompleted,   // by this process, after an interrupted format
   kFormattedEarlier,  // by an earlier process
   kLearnerCreated,    // by this process, without founding hosts
   kLearnerCompleted,  // as kLearnerCreated, after an interrupted creation
@@ -95,6 +95,7 @@
 
 // The files of one replica in its data folder:
 //   identity    host name, disk identity and founding hosts
+//   format      the same, written first by Format, so that any later start completes it
 //   hard_state  term and vote
 //   snapshot    latest snapshot
 //   log         records: length, xxh64 checksum, index, term, payload
@@ -114,9 +115,10 @@
   static bool IsCreationInterrupted(const std::string& folder,
                                     FileOperations& files = PosixFileOperations());
 
-  // Opens the folder and recovers its state. An empty or absent folder gets a new disk identity
-  // without founding hosts, so the replica starts as a learner. A torn last record is truncated
-  // and reported. Fails with kCorrupt, kInUse, kWrongHost, kReadFailed, kWriteFailed or kDiskFull.
+  // Opens the folder and recovers its state. An interrupted format is completed. Any other folder
+  // without an identity gets a new one without founding hosts, so the replica starts as a learner.
+  // A torn last record is truncated and reported. Fails with kCorrupt, kInUse, kWrongHost,
+  // kReadFailed, kWriteFailed or kDiskFull.
   static Result<std::unique_ptr<LogStorage>> Open(const std::string& folder,
                                                   const std::string& host,
                                                   FileOperations& files = PosixFileOperations());
--- a/src/libcorneltray/consensus.cc
+++ b/src/libcorneltray/consensus.cc
@@ -268,7 +268,7 @@
   status.members = m_log.Members();
   status.accepts_proposals = IsLeader() && !m_transfer;
   status.storage_failed = m_storage_failed;
-  status.missing_founding_hosts = MissingFoundingHosts();
+  status.unanswered_founding_hosts = UnansweredFoundingHosts();
   if (IsLeader()) {
     for (const auto& [id, progress] : m_progress) status.match_index[id] = progress.match;
   }
--- a/src/libcorneltray/consensus_founding.cc
+++ b/src/libcorneltray/consensus_founding.cc
@@ -30,7 +30,7 @@
   m_log.SetInitialMembers(InitialMembers());
 }
 
-std::vector<std::string> Replica::Impl::MissingFoundingHosts() const {
+std::vector<std::string> Replica::Impl::UnansweredFoundingHosts() const {
   std::vector<std::string> missing;
   if (!m_log.Empty()) return missing;
   for (const std::string& host : m_founding_hosts) {
@@ -88,8 +88,8 @@
 }
 
 // A founding disk is the same voter under its identity as under the empty one, so this changes no
-// majority, and several may be named at once.
-bool Replica::Impl::NameFoundingDisks(TimePoint now) {
+// majority, and several may be recorded at once.
+bool Replica::Impl::RecordFoundingDisks(TimePoint now) {
   MemberSet named = WithKnownDisks(m_log.Members());
   if (named == m_log.Members()) return false;
   AppendMembers(now, named);
--- a/src/libcorneltray/consensus_impl.h
+++ b/src/libcorneltray/consensus_impl.h
@@ -145,7 +145,7 @@
   bool HasFoundingDisk() const { return !m_founding_hosts.empty(); }
   // The voters of the empty log.
   MemberSet InitialMembers() const;
-  std::vector<std::string> MissingFoundingHosts() const;
+  std::vector<std::string> UnansweredFoundingHosts() const;
   // Whether an id in a message or in a member set stands for this replica.
   bool IsSelf(const ReplicaId& id) const;
   // Returns the id under which the member set lists a replica: its own, or the empty identity if
@@ -159,7 +159,7 @@
   void CreateLog();
   // Proposes a member set with the identities of founding disks that have become known. Returns
   // whether there are any.
-  bool NameFoundingDisks(TimePoint now);
+  bool RecordFoundingDisks(TimePoint now);
 
   // consensus_members.cc
   void OnIdentityNotice(const ReplicaMessage& message, const IdentityNotice& notice);
--- a/src/libcorneltray/consensus_members.cc
+++ b/src/libcorneltray/consensus_members.cc
@@ -101,11 +101,13 @@
   m_replaced_identities[notice.addressed] = message.from;
 }
 
-// Proposes the next automatic member change: a lost disk identity is replaced with the current
+// Proposes the next automatic member change: the identity of a founding disk is recorded once that
+// disk has answered; a lost disk identity is replaced with the current
 // identity of its host, as a joining learner; a joining learner that has caught up is promoted to
 // voter. Each step changes at most one voter and waits for the commit of the previous one.
 void Replica::Impl::MaintainMembers(TimePoint now) {
-  if (!IsLeader() || m_transfer || ChangeInProgress() || NameFoundingDisks(now)) return;
+  if (!IsLeader() || m_transfer || ChangeInProgress()) return;
+  if (RecordFoundingDisks(now)) return;
   MemberSet members = m_log.Members();
   for (auto it = m_replaced_identities.begin(); it != m_replaced_identities.end();) {
     const auto [lost, current] = *it;
--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr char kIdentityName[] = "identity";
+constexpr char kFormatName[] = "format";
 constexpr char kHardStateName[] = "hard_state";
 constexpr char kSnapshotName[] = "snapshot";
 constexpr char kLogName[] = "log";
@@ -107,6 +108,17 @@
   return ReplaceFile(files, folder, kIdentityName, EncodeIdentityFile(identity));
 }
 
+// Returns the identity that an interrupted format of this host was to create, if any. A later start
+// completes it, also one that is no first start any more.
+std::optional<IdentityFile> BegunFormat(FileOperations& files, const std::string& folder,
+                                        const std::string& host) {
+  std::string bytes;
+  if (files.Read(folder + '/' + kFormatName, &bytes) != 0) return std::nullopt;
+  auto identity = DecodeIdentityFile(bytes);
+  if (!identity || identity->self.host != host) return std::nullopt;
+  return identity;
+}
+
 // A folder without an identity is new, or its creation was interrupted before anything was stored.
 // Records or a vote without an identity are corruption: a new identity would hide the loss.
 Status CheckIncompleteCreation(FileOperations& files, const std::string& folder) {
@@ -195,9 +207,10 @@
   int error = m_files.Read(path, &bytes);
   if (error == ENOENT) {
     if (Status s = CheckIncompleteCreation(m_files, m_folder); !s) return s;
+    const auto begun = BegunFormat(m_files, m_folder, host);
     const IdentityFile fresh{{host, NewDiskIdentity()}, {}};
-    if (Status s = CreateFiles(m_files, m_folder, fresh); !s) return s;
-    m_report.created = true;
+    if (Status s = CreateFiles(m_files, m_folder, begun.value_or(fresh)); !s) return s;
+    m_report.created = !begun;
     error = m_files.Read(path, &bytes);
   }
   if (error != 0) return ReadError(path, error);
@@ -469,6 +482,7 @@
   if (history.created) {
     return interrupted ? FolderOrigin::kLearnerCompleted : FolderOrigin::kLearnerCreated;
   }
+  if (interrupted && history.has_founding_hosts) return FolderOrigin::kFormatCompleted;
   return history.has_founding_hosts ? FolderOrigin::kFormattedEarlier
                                     : FolderOrigin::kLearnerEarlier;
 }
@@ -479,7 +493,7 @@
     return files.Read(folder + '/' + name, &bytes) == ENOENT;
   };
   if (!is_absent(kIdentityName)) return false;
-  for (const std::string name : {kLogName, kHardStateName, kIdentityName}) {
+  for (const std::string name : {kFormatName, kLogName, kHardStateName, kIdentityName}) {
     if (!is_absent(name) || !is_absent(name + kTemporarySuffix)) return true;
   }
   return false;
@@ -493,7 +507,13 @@
   if (error == 0) return Error{StorageErrc::kAlreadyFormatted, folder};
   if (error != ENOENT) return ReadError(folder, error);
   if (Status s = CheckIncompleteCreation(files, folder); !s) return s.error();
-  const IdentityFile identity{{host, NewDiskIdentity()}, founding_hosts};
+  const auto begun = BegunFormat(files, folder, host);
+  const IdentityFile fresh{{host, NewDiskIdentity()}, founding_hosts};
+  const IdentityFile& identity = begun ? *begun : fresh;
+  if (const int failed = files.CreateFolder(folder)) return WriteError(folder, failed);
+  if (Status s = ReplaceFile(files, folder, kFormatName, EncodeIdentityFile(identity)); !s) {
+    return s.error();
+  }
   if (Status s = CreateFiles(files, folder, identity); !s) return s.error();
   return identity.self;
 }
--- a/testsuite/no-leader/run.py
+++ b/testsuite/no-leader/run.py
@@ -128,7 +128,7 @@
     first = platform.control(1)
     report = first.wait_event("no_leader", REPORTED_WITHIN_S)
     c.check(report["without_leader_ms"] >= REPORT_INTERVAL_S * 1000, f"{what}: time", str(report))
-    c.equal(report["missing_founding_hosts"], [replica(2), replica(3)], f"{what}: missing")
+    c.equal(report["unanswered_founding_hosts"], [replica(2), replica(3)], f"{what}: missing")
     c.equal(links(report), {replica(1): "self", replica(2): "down", replica(3): "down"},
             f"{what}: links")
     c.equal(Lines(platform).causes(), {(replica(2), NOT_RUNNING), (replica(3), NOT_RUNNING)},
@@ -173,7 +173,7 @@
     lines = Lines(platform)
     c.equal(lines.causes(), {(replica(1), DISK_LOST), (replica(2), DISK_LOST)}, what)
     c.equal(lines.had_log(), False, f"{what}: no log")
-    c.equal(reports[2]["missing_founding_hosts"], [replica(1), replica(2)], f"{what}: missing")
+    c.equal(reports[2]["unanswered_founding_hosts"], [replica(1), replica(2)], f"{what}: missing")
     c.equal(links(reports[2]), {replica(1): "up", replica(2): "up", replica(3): "self"},
             f"{what}: links")
     for control in controls[:2]:
@@ -202,7 +202,7 @@
     lines = Lines(platform)
     c.equal(lines.causes(), {(replica(1), DISK_LOST), (replica(2), DISK_LOST)}, what)
     c.equal(lines.had_log(), True, f"{what}: there was a log")
-    c.equal(report["missing_founding_hosts"], [], f"{what}: missing founding hosts")
+    c.equal(report["unanswered_founding_hosts"], [], f"{what}: missing founding hosts")
     c.equal(links(report), {replica(1): "up", replica(2): "up", replica(3): "self"},
             f"{what}: links")
     reported = [line for line in list(last.events) if line["event"] == "no_leader"]
