--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -41,44 +41,6 @@
          std::holds_alternative<PersistSnapshot>(action);
 }
 
-// Whether this process has a link to the process of a member.
-enum class MemberLink { kSelf, kUp, kDown };
-
-}  // namespace
-
-template <>
-struct EnumNames<MemberLink> {
-  static constexpr EnumName<MemberLink> kTable[] = {
-      {MemberLink::kSelf, "self"},
-      {MemberLink::kUp, "up"},
-      {MemberLink::kDown, "down"},
-  };
-};
-
-namespace {
-
-json MembersWithLinks(const ReplicaStatus& status, const std::vector<PeerStatus>& linked) {
-  json members = json::array();
-  for (const auto& [id, role] : status.members.members) {
-    const std::string& host = id.host;
-    const bool is_linked = std::any_of(linked.begin(), linked.end(), [&](const PeerStatus& peer) {
-      return peer.identity.host == host;
-    });
-    const MemberLink link = host == status.self.host ? MemberLink::kSelf
-                            : is_linked              ? MemberLink::kUp
-                                                     : MemberLink::kDown;
-    members.push_back({{"host", host},
-                       {"disk_identity", id.disk_identity},
-                       {"role", NameOf(role)},
-                       {"link", NameOf(link)}});
-  }
-  return members;
-}
-
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // Wraps a responder so that only the first call has an effect. A proposal is answered by its commit
 // or by its deadline, whichever comes first.
 ControlNode::Responder RespondOnce(ControlNode::Responder respond) {
@@ -274,59 +236,6 @@
   m_proposals.erase(m_proposals.begin(), end);
 }
 
-void ControlNode::OnRoleChanged(const RoleChanged& change) {
-  LogEvent(LogLevel::kInfo, "role_changed",
-           {{"role", NameOf(change.role)},
-            {"reason", NameOf(change.reason)},
-            {"term", change.term},
-            {"leader", change.leader ? change.leader->host : ""}});
-  m_has_leader = change.leader.has_value();
-  const auto without_leader = m_leader_watch.Update(Clock::now(), m_has_leader);
-  if (without_leader) {
-    LogEvent(LogLevel::kInfo, "leader_known",
-             {{"leader", change.leader->host},
-              {"term", change.term},
-              {"without_leader_ms", Milliseconds(*without_leader)}});
-  }
-  if (!m_has_leader) ScheduleNoLeaderReport();
-  if (m_has_leader && !std::exchange(m_leader_reported, true)) m_options.on_leader_known();
-}
-
-void ControlNode::OnVoteRefused(const VoteRefused& refused) {
-  ++m_vote_refusals[refused.reason];
-  LogEvent(LogLevel::kInfo, "vote_refused",
-           {{"candidate", refused.candidate.host},
-            {"disk_identity", refused.candidate.disk_identity},
-            {"term", refused.term},
-            {"pre_vote", refused.pre_vote},
-            {"reason", NameOf(refused.reason)}});
-}
-
-void ControlNode::ScheduleNoLeaderReport() {
-  const auto next = m_leader_watch.NextReport();
-  if (!next || m_scheduled_no_leader_report == next) return;
-  m_scheduled_no_leader_report = next;
-  m_node->RunAt(*next, [this] { ReportNoLeader(); });
-}
-
-void ControlNode::ReportNoLeader() {
-  const auto without_leader = m_leader_watch.TakeReport(Clock::now());
-  if (!without_leader) return;
-  const ReplicaStatus status = m_replica.GetStatus();
-  const std::int64_t without_leader_ms = Milliseconds(*without_leader);
-  LogEvent(LogLevel::kWarning, "no_leader",
-           {{"replica", status.self.host},
-            {"disk_identity", status.self.disk_identity},
-            {"since_ms", UnixNow() - without_leader_ms},
-            {"without_leader_ms", without_leader_ms},
-            {"role", NameOf(status.role)},
-            {"term", status.term},
-            {"last_index", status.last.index},
-            {"unanswered_founding_hosts", status.unanswered_founding_hosts},
-            {"members", MembersWithLinks(status, m_node->ConnectedPeers(kControlProgram))}});
-  ScheduleNoLeaderReport();
-}
-
 void ControlNode::FinishRead(std::uint64_t id, std::optional<std::uint64_t> index) {
   const auto read = m_reads.extract(id);
   if (read.empty()) return;
--- a/src/libcorneltray/consensus_founding.cc
+++ b/src/libcorneltray/consensus_founding.cc
@@ -52,7 +52,7 @@
 }
 
 ReplicaId Replica::Impl::SenderOf(const ReplicaMessage& message) {
-  const ReplicaId member = MemberIdOf(message.from, message.from_founding_disk);
+  ReplicaId member = MemberIdOf(message.from, message.from_founding_disk);
   if (member != message.from) m_founding_disks[message.from.host] = message.from;
   return member;
 }
@@ -69,18 +69,18 @@
 
 // Returns the members with the identities of the founding disks that have answered.
 MemberSet Replica::Impl::WithKnownDisks(const MemberSet& members) const {
-  MemberSet named;
+  MemberSet known;
   for (const auto& [id, role] : members.members) {
     const auto answered = m_founding_disks.find(id.host);
     if (IsSelf(id)) {
-      named.members[m_self] = role;
+      known.members[m_self] = role;
     } else if (id.disk_identity.empty() && answered != m_founding_disks.end()) {
-      named.members[answered->second] = role;
+      known.members[answered->second] = role;
     } else {
-      named.members[id] = role;
+      known.members[id] = role;
     }
   }
-  return named;
+  return known;
 }
 
 void Replica::Impl::CreateLog() {
@@ -90,9 +90,9 @@
 // A founding disk is the same voter under its identity as under the empty one, so this changes no
 // majority, and several may be recorded at once.
 bool Replica::Impl::RecordFoundingDisks(TimePoint now) {
-  MemberSet named = WithKnownDisks(m_log.Members());
-  if (named == m_log.Members()) return false;
-  AppendMembers(now, named);
+  const MemberSet known = WithKnownDisks(m_log.Members());
+  if (known == m_log.Members()) return false;
+  AppendMembers(now, known);
   return true;
 }
 
