Read the lines of an interrupted format that a later start completes

Cause: lets a start with first_start false complete a format whose identity is missing; testsuite/no-leader still expected a learner there and failed. Change: the case removes the identity alone, which is completed with either setting, and the identity with the record of the format, which still makes a learner.

--- a/testsuite/no-leader/run.py
+++ b/testsuite/no-leader/run.py
@@ -148,12 +148,13 @@
     check_folder_is_told_first(c, platform, what)
 
 
-def interrupted_creation(c, platform, bootstrap, origin):
-    what = f"an interrupted creation, bootstrap {bootstrap}"
-    # Without another host the replica changes nothing on its disk, and the identity is the last file
-    # of a creation.
+def interrupted_creation(c, platform, bootstrap, missing, origin):
+    what = f"an interrupted creation without {' and '.join(missing)}, bootstrap {bootstrap}"
+    # Without another host the replica changes nothing on its disk. The record of the format is the
+    # first file of a creation and the identity is the last one.
     platform.control(1).kill()
-    (platform.folder / "core-1" / "data" / "identity").unlink()
+    for name in missing:
+        (platform.folder / "core-1" / "data" / name).unlink()
     controls = [platform.control(number, bootstrap=bootstrap if number == 1 else "true")
                 for number in CONTROLS]
     wait_leader_known(controls)
@@ -214,8 +215,10 @@
 def run(c, build):
     cases = [one_lost_disk, host_never_starts, two_lost_disks_before_the_log,
              two_lost_disks_after_the_log,
-             lambda c, p: interrupted_creation(c, p, "true", "format_completed"),
-             lambda c, p: interrupted_creation(c, p, "false", "learner_completed")]
+             lambda c, p: interrupted_creation(c, p, "true", ["identity"], "format_completed"),
+             lambda c, p: interrupted_creation(c, p, "false", ["identity"], "format_completed"),
+             lambda c, p: interrupted_creation(c, p, "false", ["identity", "format"],
+                                               "learner_completed")]
     for case in cases:
         with Platform(build) as platform:
             case(c, platform)
