Make the power-loss test clean for clang-tidy

Cause: clang refuses a structured binding in a capture, and an if had no braces. Measured: clang-tidy reported two errors in the file before and none after; the test passes.

--- a/src/libcorneltray/log_storage_power_loss_test.cc
+++ b/src/libcorneltray/log_storage_power_loss_test.cc
@@ -151,8 +151,9 @@
       } else if (survival != Survival::kNone) {
         const auto fate = (*random)() % 3;
         if (fate == 1) Apply(change, &file->content);
-        if (fate == 2 && survival == Survival::kAnyWrites)
+        if (fate == 2 && survival == Survival::kAnyWrites) {
           ApplyStart(change, random, &file->content);
+        }
         if (fate == 2 && survival == Survival::kAnySectors) {
           ApplySectors(change, random, &file->content);
         }
@@ -267,11 +268,12 @@
   const std::uint64_t snapshot_index = state.snapshot ? state.snapshot->last.index : 0;
   CHECK(snapshot_index >= acknowledged.snapshot_index);
   CHECK(state.log_base.index <= snapshot_index);
-  for (const auto& [index, entry] : acknowledged.entries) {
+  for (const auto& row : acknowledged.entries) {
+    const std::uint64_t index = row.first;
     CAPTURE(index);
     if (index <= state.log_base.index) continue;  // covered by the snapshot
     REQUIRE(index - state.log_base.index <= state.entries.size());
-    CHECK(state.entries[index - state.log_base.index - 1] == entry);
+    CHECK(state.entries[index - state.log_base.index - 1] == row.second);
   }
   // Nothing is recovered that was not written.
   for (const LogEntry& entry : state.entries) {
