Check the number of stored votes and the first entry of the log exactly

Cause: replaced the check that a founding host stores exactly one vote by 'at least one', and dropped the term of the first entry: less strict than before. Change: two writes, the term and the vote in it, and none for repeated or refused requests; the first entry is the member set of term 1.

--- a/src/libcorneltray/consensus_founding_test.cc
+++ b/src/libcorneltray/consensus_founding_test.cc
@@ -37,6 +37,10 @@
     harness.Grant(kC, false);
     CHECK(harness.Status().members == Voters({kA, kB, kC}));
     CHECK(harness.Status().role == ReplicaRole::kLeader);
+    const auto first = harness.Get().EntryAt(1);
+    REQUIRE(first);
+    CHECK(first->term == 1);
+    CHECK(first->kind == EntryKind::kMembers);
   }
   SUBCASE("without a host that is known to run no replica") {
     ReplicaHarness harness(FormattedState(kB));
@@ -61,10 +65,12 @@
       return reply != nullptr && reply->granted;
     };
     CHECK(request_vote(kA));
-    CHECK(harness.Count<PersistHardState>() >= 1);
+    // The term, then the vote in it.
+    CHECK(harness.Count<PersistHardState>() == 2);
     CHECK(request_vote(kA));
     CHECK_FALSE(request_vote({"a", "a2"}));
     CHECK_FALSE(request_vote(kC));
+    CHECK(harness.Count<PersistHardState>() == 2);
   }
   SUBCASE("and a host with a log grants no vote to a host without one") {
     ReplicaHarness harness(VoterState(kB));
