--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -17,7 +17,7 @@
 #include "corneltray/control_links.h"
 #include "corneltray/dialect.h"
 #include "corneltray/fleet_messages.h"
-#include "corneltray/layer_placement.h"
+#include "corneltray/layer_controller.h"
 #include "corneltray/leadership_view.h"
 #include "corneltray/member_set_controller.h"
 #include "corneltray/metrics.h"
--- a/src/include/corneltray/layer_placement.h
+++ b/src/include/corneltray/layer_controller.h
@@ -1,6 +1,7 @@
-#ifndef CORNELTRAY_LAYER_PLACEMENT_H_
-#define CORNELTRAY_LAYER_PLACEMENT_H_
+#ifndef CORNELTRAY_LAYER_CONTROLLER_H_
+#define CORNELTRAY_LAYER_CONTROLLER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -8,83 +9,17 @@
 #include <vector>
 
 #include "corneltray/enum_names.h"
+#include "corneltray/placed_engine.h"
 #include "corneltray/route_table.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
+#include "corneltray/zone_repair.h"
 
 namespace corneltray {
 
-// Half-open range of layers from `first` up to but not including `end`.
-struct LayerRange {
-  std::uint32_t first = 0;
-  std::uint32_t end = 0;
-
-  std::uint32_t Size() const { return end - first; }
-  bool operator==(const LayerRange& o) const { return first == o.first && end == o.end; }
-  bool operator!=(const LayerRange& o) const { return !(*this == o); }
-};
-
-// One engine of an availability zone, with the state that placement depends on.
-struct PlacedEngine {
-  std::string name;
-  AcceleratorKind kind;
-  LayerRange range;       // held, or ordered and not yet announced
-  bool is_usable = true;  // ready, with a recent announcement
-  // First announced at least kSpareDuration ago. A newer engine without layers is reserved for the
-  // layers of an engine that leaves, as in a release, where the replacement starts first.
-  bool is_settled = true;
-};
-
 // An engine that joins a zone in which all layers are held gets no layers for this long.
 constexpr std::chrono::milliseconds kSpareDuration{5000};
 
-// Returns how many layers fit into an engine beside a KV cache for `kv_tokens` tokens.
-std::uint32_t LayersThatFit(const AcceleratorKind& kind, const EngineProfile& profile,
-                            double kv_tokens);
-
-// Plans a zone without existing placement. If its memory allows two or more complete copies of the
-// model with a sufficient KV cache each, the engines are divided into balanced copies. Otherwise
-// the fastest engines hold one copy, with a KV cache as large as the memory of the zone allows, up
-// to a fraction of the capacity in the profile. The remaining engines hold part of a further copy.
-// Returns the range of each engine.
-std::map<std::string, LayerRange> PlanZone(const std::vector<PlacedEngine>& engines,
-                                           const EngineProfile& profile);
-
-// Plans one complete copy over all usable engines of a zone that permanently lost engines. The
-// engines keep their order, so that each keeps most of its layers and serves them during the
-// change.
-std::map<std::string, LayerRange> ReplanZone(const std::vector<PlacedEngine>& engines,
-                                             const EngineProfile& profile);
-
-// Returns new ranges for engines of a zone that is in use, without moving layers that no other
-// engine holds. An empty engine takes the layers of a lost one (`vacancies`), which completes a
-// copy again. Layers that no usable engine holds go to an empty engine, else to one whose layers
-// are held elsewhere too, else to the engines with adjacent ranges while they keep a minimum KV
-// cache. The remaining empty engines take the layers with the fewest holders. Engines that are not
-// in the result keep their range.
-std::map<std::string, LayerRange> RepairZone(const std::vector<PlacedEngine>& engines,
-                                             const EngineProfile& profile,
-                                             const std::vector<LayerRange>& vacancies = {});
-
-// Tracks the layers of lost engines that no other engine has taken over since. Needed when an
-// engine crashes whose layers others hold as well: its copy stays incomplete until one engine takes
-// exactly these layers. Not thread safe.
-class VacancyTracker {
- public:
-  // Records which engines are usable now.
-  void Update(const std::vector<PlacedEngine>& engines);
-  // Removes a vacancy that an engine takes over.
-  void Fill(LayerRange range);
-  std::vector<LayerRange> Open() const;
-
- private:
-  std::map<std::string, LayerRange> m_held;  // by usable engine
-  std::map<std::string, LayerRange> m_open;  // by lost engine
-};
-
-// Returns whether every layer is held by a usable engine.
-bool HasAllLayers(const std::vector<PlacedEngine>& engines, const EngineProfile& profile);
-
 // Layers without a holder for this long trigger a replan over the remaining engines. A replan takes
 // seconds, since an engine releases layers only after its requests in progress have ended.
 constexpr std::chrono::milliseconds kReplanDelay{6000};
@@ -155,7 +90,8 @@
                                            const UpstreamTable& upstreams);
   bool IsSettled(TimePoint now, const Announcement& engine);
   void PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
-                 const UpstreamTable& upstreams, std::vector<PlacementDecision>* decisions);
+                 const RouteTable& routes, const UpstreamTable& upstreams,
+                 std::vector<PlacementDecision>* decisions);
   void Order(TimePoint now, const UpstreamTableEntry& record, LayerRange range,
              PlacementReason reason, const RouteService& service,
              std::vector<PlacementDecision>* decisions);
@@ -173,4 +109,4 @@
 
 }  // namespace corneltray
 
-#endif  // CORNELTRAY_LAYER_PLACEMENT_H_
+#endif  // CORNELTRAY_LAYER_CONTROLLER_H_
