--- a/src/include/corneltray/layer_controller.h
+++ b/src/include/corneltray/layer_controller.h
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "corneltray/enum_names.h"
+#include "corneltray/loss_tracker.h"
 #include "corneltray/placed_engine.h"
 #include "corneltray/route_table.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
-#include "corneltray/zone_repair.h"
 
 namespace corneltray {
 
@@ -79,7 +79,9 @@
     TimePoint settled_at{};  // earliest first plan; postponed while engines arrive
     std::size_t engines = 0;
     std::optional<TimePoint> replan_at;  // set while layers have no holder
-    VacancyTracker vacancies;
+    LossTracker losses;
+    std::optional<TimePoint> recut_at;           // earliest time to plan broken copies again
+    std::vector<std::string> planned_situation;  // for which broken copies were last planned
   };
 
   PlacementReason ChooseReason(TimePoint now, const std::vector<PlacedEngine>& engines,
@@ -92,6 +94,9 @@
   void PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
                  const RouteTable& routes, const UpstreamTable& upstreams,
                  std::vector<PlacementDecision>* decisions);
+  // Plans broken copies again over the engines that remain, once no lost engine is expected back.
+  LayerRanges Recut(TimePoint now, const std::vector<PlacedEngine>& engines,
+                    const RouteService& service, const RouteTable& routes, Zone* zone) const;
   void Order(TimePoint now, const UpstreamTableEntry& record, LayerRange range,
              PlacementReason reason, const RouteService& service,
              std::vector<PlacementDecision>* decisions);
--- a/src/include/corneltray/placed_engine.h
+++ b/src/include/corneltray/placed_engine.h
@@ -29,6 +29,7 @@
   // First announced at least kSpareDuration ago. A newer engine without layers is reserved for the
   // layers of an engine that leaves, as in a release, where the replacement starts first.
   bool is_settled = true;
+  bool is_leaving = false;  // announced its departure
 };
 
 // Ranges by engine. An engine without an entry keeps what it holds.
--- a/src/libfleet/layer_controller.cc
+++ b/src/libfleet/layer_controller.cc
@@ -6,6 +6,7 @@
 
 #include "corneltray/layout_estimate.h"
 #include "corneltray/zone_layout.h"
+#include "corneltray/zone_repair.h"
 
 namespace corneltray {
 namespace {
@@ -66,6 +67,7 @@
     engine.kind = kind->second;
     engine.is_usable = record.IsAlive(now);
     engine.is_settled = IsSettled(now, info);
+    engine.is_leaving = info.state != UpstreamState::kReady;
     if (!info.holdings.empty()) {
       engine.range = {info.holdings.front().first_layer, info.holdings.front().last_layer + 1};
     }
@@ -106,24 +108,59 @@
   // A zone without any usable engine is assumed to be partitioned rather than lost.
   if (usable == 0) return;
   const std::string key = zone + "/" + service.name;
-  const PlacementReason reason = ChooseReason(now, engines, *service.engine, &m_zones[key]);
+  Zone& state = m_zones[key];
+  PlacementReason reason = ChooseReason(now, engines, *service.engine, &state);
   if (reason == PlacementReason::kFirstPlan && !HasSettled(now, key, usable)) return;
-  m_zones[key].vacancies.Update(engines);
-  const LayerRanges ranges =
-      reason == PlacementReason::kRepair
-          ? RepairZone(engines, *service.engine, m_zones[key].vacancies.Open())
-      : reason == PlacementReason::kReplan
-          ? ReplanZone(engines, *service.engine)
-          : PlanZone(engines, *service.engine, LatencyTargetOf(service.name, routes));
+  state.losses.Update(now, engines);
+  LayerRanges ranges;
+  switch (reason) {
+    case PlacementReason::kFirstPlan:
+      ranges = PlanZone(engines, *service.engine, LatencyTargetOf(service.name, routes));
+      state.recut_at = now + kRestartWait;
+      break;
+    case PlacementReason::kReplan:
+      ranges = ReplanZone(engines, *service.engine);
+      break;
+    default:
+      ranges = RepairZone(engines, *service.engine, state.losses.Open());
+      if (!ranges.empty()) break;
+      ranges = Recut(now, engines, service, routes, &state);
+      if (!ranges.empty()) reason = PlacementReason::kReplan;
+  }
   for (const PlacedEngine& engine : engines) {
     const auto range = ranges.find(engine.name);
     if (range == ranges.end() || range->second == engine.range) continue;
     const UpstreamTableEntry* record = upstreams.Find(engine.name);
-    m_zones[key].vacancies.Fill(range->second);
+    state.losses.Fill(range->second);
     Order(now, *record, range->second, reason, service, decisions);
   }
 }
 
+LayerRanges LayerController::Recut(TimePoint now, const std::vector<PlacedEngine>& engines,
+                                   const RouteService& service, const RouteTable& routes,
+                                   Zone* zone) const {
+  // A new leader does not know which engines were lost just before.
+  if (!zone->recut_at) zone->recut_at = now + kRestartWait;
+  if (now < *zone->recut_at) return {};
+  const std::vector<LayerRange> awaited = zone->losses.Awaited(now);
+  // The result depends only on the engines and the awaited ranges. Planning is repeated when these
+  // change.
+  std::vector<std::string> situation;
+  for (const PlacedEngine& engine : engines) {
+    if (!engine.is_usable) continue;
+    situation.push_back(engine.name + (engine.is_settled ? "" : "?"));
+  }
+  for (const LayerRange& range : awaited) {
+    situation.push_back(std::to_string(range.first) + "-" + std::to_string(range.end));
+  }
+  if (situation == zone->planned_situation) return {};
+  zone->planned_situation = std::move(situation);
+  const LatencyTarget target = LatencyTargetOf(service.name, routes);
+  LayerRanges ranges = RecutBrokenCopies(engines, *service.engine, target, awaited);
+  if (!ranges.empty() && awaited.empty()) zone->losses.Clear();
+  return ranges;
+}
+
 PlacementReason LayerController::ChooseReason(TimePoint now,
                                               const std::vector<PlacedEngine>& engines,
                                               const EngineProfile& profile, Zone* zone) const {
--- a/src/libfleet/layer_controller_test.cc
+++ b/src/libfleet/layer_controller_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "../libserving/engine_fleet_test.h"
+#include "corneltray/layout_estimate.h"
 
 namespace corneltray {
 namespace {
@@ -65,6 +66,21 @@
     return std::find(held.begin(), held.end(), false) == held.end();
   }
 
+  std::size_t CompleteCopies() const {
+    const EngineProfile& profile = *routes.services.at("s").engine;
+    std::vector<PlacedEngine> engines;
+    for (const auto& [name, record] : table.Records()) {
+      if (unreachable.count(name) > 0 || record.announcement.holdings.empty()) continue;
+      const Holding& holding = record.announcement.holdings.front();
+      PlacedEngine engine;
+      engine.name = name;
+      engine.kind = profile.accelerators.at(record.announcement.accelerator);
+      engine.range = {holding.first_layer, holding.last_layer + 1};
+      engines.push_back(engine);
+    }
+    return FindCompleteCopies(engines, profile).size();
+  }
+
   TimePoint now{std::chrono::hours(1)};
   std::optional<std::uint64_t> term = 2;
   RouteTable routes;
@@ -160,5 +176,48 @@
   CHECK(taken.last_layer == lost.last_layer);
 }
 
+// Simulates the permanent loss of one engine in a zone with two copies and no spare. Guards against
+// a copy that stays incomplete for good because the other copy still holds every layer.
+TEST_CASE("the remaining engines of a broken copy share the layers of a lost engine") {
+  ControllerFixture fixture;
+  // Six engines a copy, of which five could hold the model.
+  for (int i = 0; i < 12; ++i) {
+    fixture.Announce(TestEngine("s" + std::to_string(i), "z", "slow", 0, 0));
+  }
+  fixture.Run(milliseconds(12000));
+  REQUIRE(fixture.CompleteCopies() == 2);
+
+  SUBCASE("after the time in which it may restart, if it became silent") {
+    fixture.unreachable.insert("s3");
+    // The last announcement may be a second old.
+    CHECK(fixture.Run(kSilenceTimeout + kRestartWait - milliseconds(1500)) == 0);
+    CHECK(fixture.CompleteCopies() == 1);
+    CHECK(fixture.Run(milliseconds(2000)) > 0);
+    CHECK(fixture.CompleteCopies() == 2);
+    CHECK(fixture.Run(milliseconds(20000)) == 0);
+  }
+  SUBCASE("soon, if it announced its departure") {
+    fixture.table.MarkLeft(fixture.now, "s3", 0);
+    fixture.unreachable.insert("s3");
+    CHECK(fixture.Run(kDepartureWait + milliseconds(500)) > 0);
+    CHECK(fixture.CompleteCopies() == 2);
+  }
+  SUBCASE("but not if its replacement has started before") {
+    fixture.Announce(TestEngine("fresh", "z", "slow", 0, 0));
+    fixture.Run(milliseconds(1000));
+    fixture.table.MarkLeft(fixture.now, "s3", 0);
+    fixture.unreachable.insert("s3");
+    CHECK(fixture.Run(milliseconds(10000)) == 1);
+    CHECK(fixture.CompleteCopies() == 2);
+  }
+  SUBCASE("also under a new leader, which does not know of the loss") {
+    fixture.unreachable.insert("s3");
+    fixture.Run(milliseconds(5000));
+    fixture.term = 3;
+    fixture.Run(milliseconds(8000));
+    CHECK(fixture.CompleteCopies() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libfleet/zone_layout_test.cc
+++ b/src/libfleet/zone_layout_test.cc
@@ -2,8 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <string>
-#include <utility>
 #include <vector>
 
 #include "corneltray/chain_search.h"
@@ -86,44 +84,6 @@
   }
 }
 
-AcceleratorKind Kind(const std::string& name, double memory_mb, double step, double read) {
-  return {name, memory_mb, step, read};
-}
-
-// A zone with three kinds of accelerators, as plain numbers.
-struct MixedZone {
-  std::vector<std::pair<AcceleratorKind, int>> kinds;  // with the number of engines
-
-  std::vector<PlacedEngine> Engines() const {
-    std::vector<PlacedEngine> engines;
-    for (const auto& [kind, count] : kinds) {
-      for (int i = 0; i < count; ++i) {
-        engines.push_back({kind.name + std::to_string(i), kind, {}, true});
-      }
-    }
-    return engines;
-  }
-};
-
-EngineProfile MixedProfile() {
-  EngineProfile profile = TestProfile();
-  profile.layer_mb = 1750.0;
-  profile.slots = 192;
-  profile.kv_token_bytes = 492'000.0;
-  profile.kv_capacity_tokens = 100'000.0;
-  profile.step_ms = 1.02;
-  profile.step_ms_per_request = 0.00382;
-  profile.read_tokens_per_s = 196'000.0;
-  profile.tokens_per_event = 4.0;
-  profile.usual_prompt_tokens = 775.0;
-  profile.usual_answer_tokens = 212.0;
-  return profile;
-}
-
-const AcceleratorKind kLargeFast = Kind("large", 72'000.0, 2.4, 3.2);
-const AcceleratorKind kSmallFast = Kind("small", 14'400.0, 5.3, 7.9);
-const AcceleratorKind kSlow = Kind("slow", 21'600.0, 16.0, 8.2);
-
 // Guards against the collapse of a zone with fast and slow accelerators: balanced copies keep a
 // request in the memory of the fast ones for as long as the slow ones take, so that the KV cache of
 // all copies filled up at half of the rate that the same engines can serve.
--- a/src/libfleet/zone_repair.cc
+++ b/src/libfleet/zone_repair.cc
@@ -1,8 +1,12 @@
 #include "corneltray/zone_repair.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "corneltray/broken_copies.h"
+#include "corneltray/zone_layout.h"
+
 namespace corneltray {
 namespace {
 
@@ -21,29 +25,87 @@
   }
 
   LayerRanges Run(const std::vector<LayerRange>& vacancies) {
-    for (const LayerRange& vacancy : vacancies) FillVacancy(vacancy);
+    const ZoneState zone = FindCopies(m_engines, m_profile);
+    m_idle = zone.idle;
+    for (const BrokenCopy& copy : zone.broken) {
+      for (const LayerRange gap : copy.gaps) CloseGap(gap, copy.kv_tokens, vacancies);
+    }
     for (LayerRange gap = FirstGap(m_held); gap.Size() > 0; gap = FirstGap(m_held)) {
       if (!FillGap(gap)) break;
     }
     for (PlacedEngine& engine : m_engines) {
       const bool is_free = engine.is_usable && engine.range.Size() == 0;
-      if (is_free && engine.is_settled) Assign(&engine, LeastHeld(engine));
+      if (is_free && engine.is_settled) Duplicate(zone.complete, &engine);
     }
     return m_changes;
   }
 
  private:
-  // Assigns exactly the layers of a lost engine to an empty one, which completes its copy again.
-  void FillVacancy(LayerRange vacancy) {
-    const double min_kv_tokens = m_profile.kv_capacity_tokens * kMinKvShare;
-    PlacedEngine* best = nullptr;
-    for (PlacedEngine& engine : m_engines) {
-      if (!engine.is_usable || engine.range.Size() > 0) continue;
-      const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, min_kv_tokens);
-      if (fits < vacancy.Size()) continue;
-      if (best == nullptr || engine.kind.memory_mb < best->kind.memory_mb) best = &engine;
+  // Assigns the layers that a copy lacks to idle engines: to one if possible, else to several.
+  // Nothing is assigned if they cannot close the gap, since a part of it would not help.
+  void CloseGap(LayerRange gap, double kv_tokens, const std::vector<LayerRange>& vacancies) {
+    const bool is_loss =
+        std::any_of(vacancies.begin(), vacancies.end(), [&](const LayerRange& vacancy) {
+          return vacancy.first < gap.end && gap.first < vacancy.end;
+        });
+    std::vector<std::pair<PlacedEngine*, LayerRange>> parts;
+    std::vector<std::size_t> idle = m_idle;
+    const double least = m_profile.kv_capacity_tokens * kMinKvShare;
+    while (gap.Size() > 0) {
+      // As large a KV cache as that of the other stages, if an engine has the memory for it.
+      auto best = SmallestThatFits(idle, gap.Size(), kv_tokens, is_loss);
+      if (best == idle.end()) best = SmallestThatFits(idle, gap.Size(), least, is_loss);
+      if (best == idle.end()) best = Largest(idle, kv_tokens, is_loss);
+      if (best == idle.end()) return;
+      PlacedEngine* engine = &m_engines[*best];
+      const bool fits_whole = LayersThatFit(engine->kind, m_profile, least) >= gap.Size();
+      const std::uint32_t size =
+          fits_whole ? gap.Size() : LayersThatFit(engine->kind, m_profile, kv_tokens);
+      if (size == 0) return;
+      parts.emplace_back(engine, LayerRange{gap.first, gap.first + size});
+      gap.first += size;
+      idle.erase(best);
     }
-    if (best != nullptr) Assign(best, vacancy);
+    m_idle = std::move(idle);
+    for (const auto& [engine, range] : parts) Assign(engine, range);
+  }
+
+  // Whether an idle engine may take layers that a copy lacks. A newcomer is reserved for the layers
+  // of lost engines, and layers without another holder are not given up.
+  bool IsAvailable(const PlacedEngine& engine, bool is_loss) const {
+    if (engine.range.Size() == 0) return engine.is_settled || is_loss;
+    return IsRedundant(engine);
+  }
+
+  using IdlePosition = std::vector<std::size_t>::iterator;
+
+  IdlePosition SmallestThatFits(std::vector<std::size_t>& idle, std::uint32_t layers,
+                                double kv_tokens, bool is_loss) const {
+    auto best = idle.end();
+    for (auto it = idle.begin(); it != idle.end(); ++it) {
+      const PlacedEngine& engine = m_engines[*it];
+      if (!IsAvailable(engine, is_loss)) continue;
+      if (LayersThatFit(engine.kind, m_profile, kv_tokens) < layers) continue;
+      const bool is_better = best == idle.end() ||
+                             engine.kind.memory_mb < m_engines[*best].kind.memory_mb ||
+                             (engine.kind.memory_mb == m_engines[*best].kind.memory_mb &&
+                              engine.range.Size() < m_engines[*best].range.Size());
+      if (is_better) best = it;
+    }
+    return best;
+  }
+
+  IdlePosition Largest(std::vector<std::size_t>& idle, double kv_tokens, bool is_loss) const {
+    auto best = idle.end();
+    std::uint32_t most = 0;
+    for (auto it = idle.begin(); it != idle.end(); ++it) {
+      const PlacedEngine& engine = m_engines[*it];
+      const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, kv_tokens);
+      if (!IsAvailable(engine, is_loss) || fits <= most) continue;
+      best = it;
+      most = fits;
+    }
+    return best;
   }
 
   // Returns false if no engine can take layers of the gap.
@@ -69,6 +131,12 @@
     return best;
   }
 
+  // Whether all layers of an engine are held by others too.
+  bool IsRedundant(const PlacedEngine& engine) const {
+    return std::all_of(m_held.begin() + engine.range.first, m_held.begin() + engine.range.end,
+                       [](std::uint32_t count) { return count > 1; });
+  }
+
   // Returns an engine whose layers are all held by others too. Picks the one with the fewest
   // layers, since it has to load new layers.
   PlacedEngine* FindRedundant() {
@@ -77,10 +145,7 @@
       if (!engine.is_usable || engine.range.Size() == 0 || m_changes.count(engine.name) > 0) {
         continue;
       }
-      const bool redundant =
-          std::all_of(m_held.begin() + engine.range.first, m_held.begin() + engine.range.end,
-                      [](std::uint32_t count) { return count > 1; });
-      if (redundant && (best == nullptr || engine.range.Size() < best->range.Size())) {
+      if (IsRedundant(engine) && (best == nullptr || engine.range.Size() < best->range.Size())) {
         best = &engine;
       }
     }
@@ -107,22 +172,41 @@
     return true;
   }
 
-  // Returns the range of the size of this engine with the fewest holders; the first one among
-  // equals.
-  LayerRange LeastHeld(const PlacedEngine& engine) const {
-    const std::uint32_t size =
-        std::min(m_profile.layers, LayersThatFit(engine.kind, m_profile, m_kv_tokens));
-    LayerRange best{0, size};
-    std::uint64_t best_sum = UINT64_MAX;
-    for (std::uint32_t first = 0; first + size <= m_profile.layers; ++first) {
-      std::uint64_t sum = 0;
-      for (std::uint32_t layer = first; layer < first + size; ++layer) sum += m_held[layer];
-      if (sum < best_sum) {
-        best_sum = sum;
-        best = {first, first + size};
+  // Assigns the range of a stage to a spare engine, so that the loss of that stage breaks no copy.
+  // Picks the range that most complete copies share for each engine that holds it as a spare; the
+  // largest among equals, since it takes longest to load.
+  void Duplicate(const std::vector<std::vector<std::size_t>>& copies, PlacedEngine* spare) {
+    const double least = m_profile.kv_capacity_tokens * kMinKvShare;
+    const std::uint32_t fits = LayersThatFit(spare->kind, m_profile, least);
+    const PlacedEngine* best = nullptr;
+    double best_need = 0.0;
+    for (const std::vector<std::size_t>& copy : copies) {
+      for (const std::size_t stage : copy) {
+        const LayerRange range = m_engines[stage].range;
+        if (range.Size() > fits) continue;
+        const double need = Need(copies, range);
+        const bool is_better = need > best_need || (best != nullptr && need == best_need &&
+                                                    range.Size() > best->range.Size());
+        if (!is_better) continue;
+        best = &m_engines[stage];
+        best_need = need;
       }
     }
-    return best;
+    if (best != nullptr) Assign(spare, best->range);
+  }
+
+  // Number of complete copies that use a range over the number of spare engines that hold it.
+  double Need(const std::vector<std::vector<std::size_t>>& copies, LayerRange range) const {
+    std::size_t in_use = 0;
+    for (const std::vector<std::size_t>& copy : copies) {
+      for (const std::size_t stage : copy) in_use += m_engines[stage].range == range ? 1 : 0;
+    }
+    std::size_t holders = 0;
+    for (const PlacedEngine& engine : m_engines) {
+      if (engine.is_usable && engine.range == range) ++holders;
+    }
+    const std::size_t spares = holders - std::min(holders, in_use);
+    return static_cast<double>(in_use) / static_cast<double>(1 + spares);
   }
 
   // An engine may be assigned several times; only the last range is ordered.
@@ -136,39 +220,74 @@
   std::vector<PlacedEngine> m_engines;
   const EngineProfile& m_profile;
   std::vector<std::uint32_t> m_held;
+  std::vector<std::size_t> m_idle;  // indexes of engines outside all copies
   double m_kv_tokens = 0.0;
   LayerRanges m_changes;
 };
 
-}  // namespace
+bool IsAwaited(const BrokenCopy& copy, const std::vector<LayerRange>& awaited) {
+  return std::any_of(copy.gaps.begin(), copy.gaps.end(), [&](const LayerRange& gap) {
+    return std::any_of(awaited.begin(), awaited.end(), [&](const LayerRange& range) {
+      return range.first < gap.end && gap.first < range.end;
+    });
+  });
+}
 
-LayerRanges RepairZone(const std::vector<PlacedEngine>& engines, const EngineProfile& profile,
-                       const std::vector<LayerRange>& vacancies) {
-  return ZoneRepair(engines, profile).Run(vacancies);
+std::uint32_t Overlap(LayerRange a, LayerRange b) {
+  const std::uint32_t first = std::max(a.first, b.first);
+  const std::uint32_t end = std::min(a.end, b.end);
+  return end > first ? end - first : 0;
 }
 
-void VacancyTracker::Update(const std::vector<PlacedEngine>& engines) {
-  std::map<std::string, LayerRange> held;
-  for (const PlacedEngine& engine : engines) {
-    if (engine.is_usable && engine.range.Size() > 0) held[engine.name] = engine.range;
+// Exchanges planned ranges among engines of the same kind so that they load as few layers as
+// possible: pairs of an engine and a range with the largest overlap first.
+LayerRanges KeepLoadedLayers(const LayerRanges& plan, const std::vector<PlacedEngine>& engines) {
+  struct Pair {
+    std::uint32_t overlap = 0;
+    const PlacedEngine* engine = nullptr;
+    const PlacedEngine* planned = nullptr;  // the engine to which the plan gives the range
+  };
+  std::vector<Pair> pairs;
+  for (const PlacedEngine& planned : engines) {
+    const auto range = plan.find(planned.name);
+    if (range == plan.end()) continue;
+    for (const PlacedEngine& engine : engines) {
+      if (engine.kind.name != planned.kind.name) continue;
+      pairs.push_back({Overlap(engine.range, range->second), &engine, &planned});
+    }
   }
-  for (const auto& [name, range] : m_held) {
-    if (held.count(name) == 0) m_open[name] = range;
+  std::stable_sort(pairs.begin(), pairs.end(),
+                   [](const Pair& a, const Pair& b) { return a.overlap > b.overlap; });
+  LayerRanges ranges;
+  std::set<const PlacedEngine*> assigned;
+  for (const Pair& pair : pairs) {
+    if (ranges.count(pair.engine->name) > 0 || !assigned.insert(pair.planned).second) continue;
+    ranges[pair.engine->name] = plan.at(pair.planned->name);
   }
-  for (const auto& [name, range] : held) m_open.erase(name);
-  m_held = std::move(held);
+  return ranges;
 }
 
-void VacancyTracker::Fill(LayerRange range) {
-  const auto open = std::find_if(m_open.begin(), m_open.end(),
-                                 [&](const auto& vacancy) { return vacancy.second == range; });
-  if (open != m_open.end()) m_open.erase(open);
+}  // namespace
+
+LayerRanges RepairZone(const std::vector<PlacedEngine>& engines, const EngineProfile& profile,
+                       const std::vector<LayerRange>& vacancies) {
+  return ZoneRepair(engines, profile).Run(vacancies);
 }
 
-std::vector<LayerRange> VacancyTracker::Open() const {
-  std::vector<LayerRange> ranges;
-  for (const auto& [name, range] : m_open) ranges.push_back(range);
-  return ranges;
+LayerRanges RecutBrokenCopies(const std::vector<PlacedEngine>& engines,
+                              const EngineProfile& profile, const LatencyTarget& target,
+                              const std::vector<LayerRange>& awaited) {
+  const ZoneState zone = FindCopies(engines, profile);
+  std::vector<PlacedEngine> loose;
+  for (const BrokenCopy& copy : zone.broken) {
+    if (IsAwaited(copy, awaited)) continue;
+    for (const std::size_t stage : copy.stages) loose.push_back(engines[stage]);
+  }
+  for (const std::size_t index : zone.idle) {
+    const PlacedEngine& engine = engines[index];
+    if (engine.is_settled || engine.range.Size() > 0) loose.push_back(engine);
+  }
+  return KeepLoadedLayers(PlanUniformCopies(loose, profile, target), loose);
 }
 
 }  // namespace corneltray
--- a/src/libfleet/zone_repair_test.cc
+++ b/src/libfleet/zone_repair_test.cc
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "corneltray/zone_layout.h"
 #include "test_zone.h"
@@ -74,5 +77,184 @@
   }
 }
 
+const LatencyTarget kTarget{std::chrono::milliseconds(500), std::chrono::milliseconds(250)};
+
+std::vector<PlacedEngine> PlannedZone(const MixedZone& zone) {
+  std::vector<PlacedEngine> engines = zone.Engines();
+  ApplyRanges(PlanZone(engines, MixedProfile(), kTarget), &engines);
+  return engines;
+}
+
+PlacedEngine Newcomer(const std::string& name, const AcceleratorKind& kind) {
+  PlacedEngine engine;
+  engine.name = name;
+  engine.kind = kind;
+  engine.is_settled = false;
+  return engine;
+}
+
+// Loses the engine at this index and returns the layers that it held.
+LayerRange Lose(std::size_t index, std::vector<PlacedEngine>* engines) {
+  PlacedEngine& engine = (*engines)[index];
+  engine.is_usable = false;
+  return engine.range;
+}
+
+double RateOf(const std::vector<PlacedEngine>& engines) {
+  return EstimateLayout(engines, MixedProfile(), kTarget).RequestsPerSecond();
+}
+
+std::size_t CopiesOf(const std::vector<PlacedEngine>& engines) {
+  return FindCompleteCopies(engines, MixedProfile()).size();
+}
+
+std::uint32_t LayersToLoad(const LayerRanges& changes, const std::vector<PlacedEngine>& engines) {
+  std::uint32_t layers = 0;
+  for (const PlacedEngine& engine : engines) {
+    const auto change = changes.find(engine.name);
+    if (change == changes.end()) continue;
+    for (std::uint32_t l = change->second.first; l < change->second.end; ++l) {
+      if (l < engine.range.first || l >= engine.range.end) ++layers;
+    }
+  }
+  return layers;
+}
+
+// Simulates a newcomer after several losses. The earlier rule filled the lost ranges in the order
+// of engine names, which left both copies incomplete.
+TEST_CASE("a newcomer completes the copy with the smallest gap") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSmallFast, 32}}});
+  const auto copies = FindCompleteCopies(engines, profile);
+  REQUIRE(copies.size() == 2);
+  std::vector<LayerRange> losses;
+  losses.push_back(Lose(copies[0][3], &engines));
+  losses.push_back(Lose(copies[0][7], &engines));
+  losses.push_back(Lose(copies[0][9], &engines));
+  losses.push_back(Lose(copies[1][5], &engines));
+  REQUIRE(CopiesOf(engines) == 1);  // the rest of both copies holds one complete copy
+  losses.push_back(Lose(copies[1][6], &engines));
+  losses.push_back(Lose(copies[0][5], &engines));
+  REQUIRE(CopiesOf(engines) == 0);
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  const LayerRanges changes = RepairZone(engines, profile, losses);
+  CHECK(changes.size() == 1);
+  ApplyRanges(changes, &engines);
+  CHECK(CopiesOf(engines) == 1);
+}
+
+// Guards against orders that cannot help, each of which costs a load and slows the others.
+TEST_CASE("a newcomer that cannot complete a copy gets no layers") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines =
+      PlannedZone({{{kLargeFast, 4}, {kSmallFast, 10}, {kSlow, 11}}});
+  const auto copies = FindCompleteCopies(engines, profile);
+  REQUIRE(copies.size() == 3);
+  const LayerRange lost = Lose(copies[0][1], &engines);
+  REQUIRE(lost.Size() > 20);
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  CHECK(RepairZone(engines, profile, {lost}).empty());
+  // Once several have come, they share the layers.
+  for (int i = 0; i < 5; ++i) engines.push_back(Newcomer("more" + std::to_string(i), kSmallFast));
+  const LayerRanges changes = RepairZone(engines, profile, {lost});
+  ApplyRanges(changes, &engines);
+  CHECK(CopiesOf(engines) == 3);
+}
+
+// Simulates a release, where each replacement starts before the engine that it replaces departs.
+TEST_CASE("a newcomer waits for the layers of an engine that departs") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSmallFast, 16}, {kSlow, 10}}});
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  CHECK(RepairZone(engines, profile).empty());
+  const LayerRange lost = Lose(4, &engines);
+  const LayerRanges changes = RepairZone(engines, profile, {lost});
+  CHECK(changes == LayerRanges{{"fresh", lost}});
+}
+
+// Guards against spare engines that hold layers of no use: a spare shares the range of a stage, so
+// that the loss of this stage breaks no copy.
+TEST_CASE("a spare engine duplicates a stage") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSmallFast, 16}}});
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  engines.back().is_settled = true;
+  const LayerRanges changes = RepairZone(engines, profile);
+  REQUIRE(changes.size() == 1);
+  ApplyRanges(changes, &engines);
+  std::size_t stage = 0;
+  while (engines[stage].range != engines.back().range) ++stage;
+  REQUIRE(stage + 1 < engines.size());
+  Lose(stage, &engines);
+  CHECK(CopiesOf(engines) == 1);
+  SUBCASE("and moves to another stage that is lost") {
+    engines[stage].is_usable = true;
+    const std::size_t other = stage == 0 ? 1 : 0;
+    const LayerRange lost = Lose(other, &engines);
+    // Either of the two engines with the same range may move.
+    const LayerRanges moved = RepairZone(engines, profile, {lost});
+    REQUIRE(moved.size() == 1);
+    CHECK(moved.begin()->second == lost);
+    ApplyRanges(moved, &engines);
+    CHECK(CopiesOf(engines) == 1);
+  }
+}
+
+// Simulates engines that are taken away for good under load. The earlier rule left each copy that
+// had lost an engine incomplete, until layers had no holder at all.
+TEST_CASE("broken copies are planned again over their remaining engines") {
+  const EngineProfile profile = MixedProfile();
+  const MixedZone zone{{{kLargeFast, 2}, {kSmallFast, 24}, {kSlow, 9}}};
+  const std::vector<PlacedEngine> planned = PlannedZone(zone);
+  const auto copies = FindCompleteCopies(planned, profile);
+  REQUIRE(copies.size() == 3);
+
+  SUBCASE("one copy, without a change to the others") {
+    std::vector<PlacedEngine> engines = planned;
+    Lose(copies[1][2], &engines);
+    const double broken = RateOf(engines);
+    REQUIRE(CopiesOf(engines) == 2);
+    const LayerRanges changes = RecutBrokenCopies(engines, profile, kTarget);
+    for (const std::vector<std::size_t>& copy : FindCompleteCopies(engines, profile)) {
+      for (const std::size_t stage : copy) CHECK(changes.count(engines[stage].name) == 0);
+    }
+    CHECK(LayersToLoad(changes, engines) < profile.layers / 2);
+    ApplyRanges(changes, &engines);
+    CHECK(CopiesOf(engines) == 3);
+    CHECK(RateOf(engines) > 1.2 * broken);
+  }
+  SUBCASE("all copies, after losses in each") {
+    for (std::uint32_t seed = 0; seed < 20; ++seed) {
+      CAPTURE(seed);
+      std::mt19937 random(seed);
+      std::vector<PlacedEngine> engines = planned;
+      for (int i = 0; i < 5; ++i) Lose(random() % engines.size(), &engines);
+      const std::size_t left = CopiesOf(engines);
+      const double broken = RateOf(engines);
+      ApplyRanges(RecutBrokenCopies(engines, profile, kTarget), &engines);
+      CHECK(CopiesOf(engines) >= left);
+      CHECK(RateOf(engines) >= broken);
+      CHECK(RateOf(engines) > 0.5 * RateOf(planned));
+      for (const PlacedEngine& engine : engines) {
+        CHECK(engine.range.Size() <= LayersThatFit(engine.kind, profile, 0.0));
+      }
+    }
+  }
+  SUBCASE("but not a copy whose engine may restart") {
+    std::vector<PlacedEngine> engines = planned;
+    const LayerRange lost = Lose(copies[1][2], &engines);
+    CHECK(RecutBrokenCopies(engines, profile, kTarget, {lost}).empty());
+  }
+  SUBCASE("and spare engines form a copy of their own if they can") {
+    std::vector<PlacedEngine> engines = planned;
+    for (int i = 0; i < 3; ++i) {
+      engines.push_back(Newcomer("fresh" + std::to_string(i), kLargeFast));
+      engines.back().is_settled = true;
+    }
+    ApplyRanges(RecutBrokenCopies(engines, profile, kTarget), &engines);
+    CHECK(CopiesOf(engines) == 4);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
