--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -1,15 +1,9 @@
 #include <algorithm>
 #include <chrono>
-#if __has_include(<coin/ClpSimplex.hpp>)
-#include <coin/ClpSimplex.hpp>
-#include <coin/CoinPackedMatrix.hpp>
-#else
-#include <ClpSimplex.hpp>
-#include <CoinPackedMatrix.hpp>
-#endif
 #include <limits>
 
 #include "fleet.h"
+#include "linear_program.h"
 #include "report.h"
 
 namespace corneltray::bench {
@@ -22,43 +16,6 @@
       std::min<std::uint64_t>(engine.memory_bytes / model.bytes_per_layer, model.layers));
 }
 
-// A linear program in the form that CLP loads.
-struct LinearProgram {
-  explicit LinearProgram(int columns)
-      : lower(columns, 0.0), upper(columns, COIN_DBL_MAX), objective(columns, 0.0) {}
-
-  void AddRow(double row_low, double row_high) {
-    row_lower.push_back(row_low);
-    row_upper.push_back(row_high);
-  }
-  // Adds an entry to the row that was added last.
-  void AddEntry(int column, double value) {
-    entry_rows.push_back(static_cast<int>(row_lower.size()) - 1);
-    entry_columns.push_back(column);
-    entry_values.push_back(value);
-  }
-  double Minimum() const {
-    const CoinPackedMatrix matrix(true, entry_rows.data(), entry_columns.data(),
-                                  entry_values.data(),
-                                  static_cast<CoinBigIndex>(entry_values.size()));
-    ClpSimplex solver;
-    solver.setLogLevel(0);
-    solver.loadProblem(matrix, lower.data(), upper.data(), objective.data(), row_lower.data(),
-                       row_upper.data());
-    solver.dual();
-    return solver.objectiveValue();
-  }
-
-  std::vector<double> lower;
-  std::vector<double> upper;
-  std::vector<double> objective;
-  std::vector<double> row_lower;
-  std::vector<double> row_upper;
-  std::vector<int> entry_rows;
-  std::vector<int> entry_columns;
-  std::vector<double> entry_values;
-};
-
 // Upper bound on T, where each model runs share x T tokens a second, over every placement and every
 // division of the work. Variables: the layer executions a second of each engine for each model, and
 // T. An engine cannot exceed its speed, its link for each layer that it holds, nor run a layer more
@@ -228,6 +185,7 @@
   report->Section("placement (100 MB a layer, weight store 250 MB/s)");
   BenchForty(report);
   BenchZone(report);
+  BenchLayouts(report);
 }
 
 }  // namespace corneltray::bench
--- a/bench/report.h
+++ b/bench/report.h
@@ -42,6 +42,7 @@
 std::string Number(double value);
 
 void RunPlacementBench(Report* report);
+void BenchLayouts(Report* report);
 void RunRoutingBench(Report* report);
 void RunOverloadBench(Report* report);
 void RunMembershipBench(Report* report);
--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -375,8 +375,19 @@
 }
 
 void FleetService::PlaceLayers(TimePoint now) {
-  for (const PlacementDecision& decision :
-       m_layers.Tick(now, m_leadership.LeadingTerm(BootTimeNow()), m_routes, m_table)) {
+  const std::vector<PlacementDecision> decisions =
+      m_layers.Tick(now, m_leadership.LeadingTerm(BootTimeNow()), m_routes, m_table);
+  for (const PlannedLayout& layout : m_layers.TakePlannedLayouts()) {
+    LogEvent(LogLevel::kInfo, "layout_planned",
+             {{"service", layout.service},
+              {"availability_zone", layout.zone},
+              {"reason", NameOf(layout.reason)},
+              {"engines", layout.engines},
+              {"copies", layout.copies},
+              {"requests_per_s", layout.requests_per_s},
+              {"kv_tokens", layout.kv_tokens}});
+  }
+  for (const PlacementDecision& decision : decisions) {
     LogEvent(LogLevel::kInfo, "layers_ordered",
              {{"service", decision.service},
               {"upstream", decision.upstream},
--- a/src/include/corneltray/layer_controller.h
+++ b/src/include/corneltray/layer_controller.h
@@ -50,6 +50,17 @@
   PlacementReason reason = PlacementReason::kRepair;
 };
 
+// A layout that was planned for a zone, for the log.
+struct PlannedLayout {
+  std::string service;
+  std::string zone;
+  PlacementReason reason = PlacementReason::kFirstPlan;
+  std::size_t engines = 0;
+  std::size_t copies = 0;
+  double requests_per_s = 0.0;  // usual requests that the copies carry by estimate
+  double kv_tokens = 0.0;
+};
+
 // Decides at the leader of the replicated log which layers the engines of all availability zones
 // hold. Compares the announced layers with the ordered ones. Handles the loss, the arrival and the
 // replacement of engines, and lost or delayed orders: each order has a higher fencing number than
@@ -61,6 +72,9 @@
   std::vector<PlacementDecision> Tick(TimePoint now, std::optional<std::uint64_t> term,
                                       const RouteTable& routes, const UpstreamTable& upstreams);
 
+  // Returns the layouts planned since the last call. Repairs of single copies are not included.
+  std::vector<PlannedLayout> TakePlannedLayouts();
+
   // An engine refused the order with this fencing number, or the order was not delivered.
   void OrderFailed(const std::string& upstream, std::uint64_t fence);
 
@@ -103,11 +117,16 @@
   void RepeatOrders(TimePoint now, const RouteService& service, const UpstreamTable& upstreams,
                     std::vector<PlacementDecision>* decisions);
 
+  void RecordLayout(const std::string& zone, const RouteService& service, const RouteTable& routes,
+                    PlacementReason reason, std::vector<PlacedEngine> engines,
+                    const LayerRanges& ranges);
+
   std::optional<std::uint64_t> m_term;
   std::uint64_t m_order_count = 0;  // in this term
   TimePoint m_last_tick{};
   TimePoint m_ready_at{};  // no orders before this time
   std::map<std::string, Zone> m_zones;
+  std::vector<PlannedLayout> m_planned_layouts;       // not yet taken
   std::map<std::string, OutstandingOrder> m_ordered;  // by engine
   std::map<std::string, Arrival> m_arrivals;          // by engine
 };
--- a/src/libfleet/layer_controller.cc
+++ b/src/libfleet/layer_controller.cc
@@ -127,6 +127,9 @@
       ranges = Recut(now, engines, service, routes, &state);
       if (!ranges.empty()) reason = PlacementReason::kReplan;
   }
+  if (reason != PlacementReason::kRepair) {
+    RecordLayout(zone, service, routes, reason, engines, ranges);
+  }
   for (const PlacedEngine& engine : engines) {
     const auto range = ranges.find(engine.name);
     if (range == ranges.end() || range->second == engine.range) continue;
@@ -136,6 +139,20 @@
   }
 }
 
+void LayerController::RecordLayout(const std::string& zone, const RouteService& service,
+                                   const RouteTable& routes, PlacementReason reason,
+                                   std::vector<PlacedEngine> engines, const LayerRanges& ranges) {
+  ApplyRanges(ranges, &engines);
+  const LayoutEstimate estimate =
+      EstimateLayout(engines, *service.engine, LatencyTargetOf(service.name, routes));
+  m_planned_layouts.push_back({service.name, zone, reason, engines.size(), estimate.copies.size(),
+                               estimate.RequestsPerSecond(), estimate.KvTokens()});
+}
+
+std::vector<PlannedLayout> LayerController::TakePlannedLayouts() {
+  return std::exchange(m_planned_layouts, {});
+}
+
 LayerRanges LayerController::Recut(TimePoint now, const std::vector<PlacedEngine>& engines,
                                    const RouteService& service, const RouteTable& routes,
                                    Zone* zone) const {
