--- a/src/include/corneltray/layer_controller.h
+++ b/src/include/corneltray/layer_controller.h
@@ -94,6 +94,7 @@
     std::size_t engines = 0;
     std::optional<TimePoint> replan_at;  // set while layers have no holder
     LossTracker losses;
+    std::optional<TimePoint> partitioned_until;  // set while many engines are silent
     std::optional<TimePoint> recut_at;           // earliest time to plan broken copies again
     std::vector<std::string> planned_situation;  // for which broken copies were last planned
   };
@@ -108,6 +109,8 @@
   void PlaceZone(TimePoint now, const std::string& zone, const RouteService& service,
                  const RouteTable& routes, const UpstreamTable& upstreams,
                  std::vector<PlacementDecision>* decisions);
+  // Whether so many engines are silent that the zone is probably cut off, not lost.
+  static bool IsPartitioned(TimePoint now, const std::vector<PlacedEngine>& engines, Zone* zone);
   // Plans broken copies again over the engines that remain, once no lost engine is expected back.
   LayerRanges Recut(TimePoint now, const std::vector<PlacedEngine>& engines,
                     const RouteService& service, const RouteTable& routes, Zone* zone) const;
--- a/src/libfleet/layer_controller.cc
+++ b/src/libfleet/layer_controller.cc
@@ -17,6 +17,13 @@
 constexpr std::chrono::milliseconds kMaxTickGap{1500};
 // An order that the announcements do not confirm is repeated after this time plus the load time.
 constexpr std::chrono::milliseconds kOrderConfirmTimeout{4000};
+// If more engines of a zone than this number and this share are silent, the zone is assumed to be
+// partitioned. Orders would move layers of engines that still hold them, and take effect after the
+// partition.
+constexpr std::size_t kMaxSilentEngines = 4;
+constexpr double kMaxSilentShare = 0.25;
+// Engines that are silent for longer are assumed to be lost.
+constexpr std::chrono::milliseconds kPartitionWait{10'000};
 // Low bits of the fencing number, which hold the order count of one term.
 constexpr unsigned kOrderBits = 24;
 
@@ -109,6 +116,7 @@
   if (usable == 0) return;
   const std::string key = zone + "/" + service.name;
   Zone& state = m_zones[key];
+  if (IsPartitioned(now, engines, &state)) return;
   PlacementReason reason = ChooseReason(now, engines, *service.engine, &state);
   if (reason == PlacementReason::kFirstPlan && !HasSettled(now, key, usable)) return;
   state.losses.Update(now, engines);
@@ -122,7 +130,7 @@
       ranges = ReplanZone(engines, *service.engine);
       break;
     default:
-      ranges = RepairZone(engines, *service.engine, state.losses.Open());
+      ranges = RepairZone(engines, *service.engine, state.losses.Open(), state.losses.Awaited(now));
       if (!ranges.empty()) break;
       ranges = Recut(now, engines, service, routes, &state);
       if (!ranges.empty()) reason = PlacementReason::kReplan;
@@ -153,6 +161,19 @@
   return std::exchange(m_planned_layouts, {});
 }
 
+bool LayerController::IsPartitioned(TimePoint now, const std::vector<PlacedEngine>& engines,
+                                    Zone* zone) {
+  const auto silent = static_cast<std::size_t>(std::count_if(
+      engines.begin(), engines.end(),
+      [](const PlacedEngine& engine) { return !engine.is_usable && !engine.is_leaving; }));
+  if (silent <= kMaxSilentEngines || silent <= kMaxSilentShare * engines.size()) {
+    zone->partitioned_until.reset();
+    return false;
+  }
+  if (!zone->partitioned_until) zone->partitioned_until = now + kPartitionWait;
+  return now < *zone->partitioned_until;
+}
+
 LayerRanges LayerController::Recut(TimePoint now, const std::vector<PlacedEngine>& engines,
                                    const RouteService& service, const RouteTable& routes,
                                    Zone* zone) const {
--- a/src/libfleet/layer_controller_test.cc
+++ b/src/libfleet/layer_controller_test.cc
@@ -219,5 +219,31 @@
   }
 }
 
+// Simulates a zone that is cut off for some seconds, whose engines become silent and are heard
+// again one after the other. Guards against orders that move the layers of engines that work, and
+// that are repeated when the zone is reachable again.
+TEST_CASE("a zone that is cut off keeps its layers") {
+  ControllerFixture fixture;
+  for (int i = 0; i < 24; ++i) {
+    fixture.Announce(TestEngine("s" + std::to_string(i), "z", "slow", 0, 0));
+  }
+  fixture.Run(milliseconds(12000));
+  const std::size_t copies = fixture.CompleteCopies();
+  REQUIRE(copies == 4);
+  std::size_t orders = 0;
+  for (int i = 0; i < 24; ++i) {
+    fixture.unreachable.insert("s" + std::to_string(i));
+    if (i % 6 == 5) orders += fixture.Run(milliseconds(250));
+  }
+  orders += fixture.Run(milliseconds(6000));
+  for (int i = 0; i < 24; ++i) {
+    fixture.unreachable.erase("s" + std::to_string(i));
+    if (i % 6 == 5) orders += fixture.Run(milliseconds(250));
+  }
+  orders += fixture.Run(milliseconds(12000));
+  CHECK(orders == 0);
+  CHECK(fixture.CompleteCopies() == copies);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libfleet/zone_repair.cc
+++ b/src/libfleet/zone_repair.cc
@@ -24,9 +24,11 @@
     m_kv_tokens = MaxKvTokens(m_engines, m_profile);
   }
 
-  LayerRanges Run(const std::vector<LayerRange>& vacancies) {
+  LayerRanges Run(const std::vector<LayerRange>& vacancies,
+                  const std::vector<LayerRange>& awaited) {
+    if (m_engines.empty()) return {};
     const ZoneState zone = FindCopies(m_engines, m_profile);
-    m_idle = zone.idle;
+    m_spares = SpareEngines(zone.idle, awaited);
     for (const BrokenCopy& copy : zone.broken) {
       for (const LayerRange gap : copy.gaps) CloseGap(gap, copy.kv_tokens, vacancies);
     }
@@ -49,7 +51,7 @@
           return vacancy.first < gap.end && gap.first < vacancy.end;
         });
     std::vector<std::pair<PlacedEngine*, LayerRange>> parts;
-    std::vector<std::size_t> idle = m_idle;
+    std::vector<std::size_t> idle = m_spares;
     const double least = m_profile.kv_capacity_tokens * kMinKvShare;
     while (gap.Size() > 0) {
       // As large a KV cache as that of the other stages, if an engine has the memory for it.
@@ -66,11 +68,30 @@
       gap.first += size;
       idle.erase(best);
     }
-    m_idle = std::move(idle);
+    m_spares = std::move(idle);
     for (const auto& [engine, range] : parts) Assign(engine, range);
   }
 
-  // Whether an idle engine may take layers that a copy lacks. A newcomer is reserved for the layers
+  // Returns those idle engines that stay idle when the awaited engines have returned. The rest of a
+  // broken copy may be idle now, but its copy is complete again after their restart.
+  std::vector<std::size_t> SpareEngines(const std::vector<std::size_t>& idle,
+                                        const std::vector<LayerRange>& awaited) const {
+    std::vector<PlacedEngine> restored = m_engines;
+    for (const LayerRange range : awaited) {
+      PlacedEngine& returned = restored.emplace_back();
+      returned.kind = m_engines.front().kind;
+      returned.range = range;
+    }
+    const std::vector<std::size_t> still_idle = FindCopies(restored, m_profile).idle;
+    std::vector<std::size_t> spares;
+    for (const std::size_t index : idle) {
+      const bool stays = std::find(still_idle.begin(), still_idle.end(), index) != still_idle.end();
+      if (stays) spares.push_back(index);
+    }
+    return spares;
+  }
+
+  // Whether a spare engine may take layers that a copy lacks. A newcomer is reserved for the layers
   // of lost engines, and layers without another holder are not given up.
   bool IsAvailable(const PlacedEngine& engine, bool is_loss) const {
     if (engine.range.Size() == 0) return engine.is_settled || is_loss;
@@ -220,7 +241,7 @@
   std::vector<PlacedEngine> m_engines;
   const EngineProfile& m_profile;
   std::vector<std::uint32_t> m_held;
-  std::vector<std::size_t> m_idle;  // indexes of engines outside all copies
+  std::vector<std::size_t> m_spares;  // indexes of spare engines
   double m_kv_tokens = 0.0;
   LayerRanges m_changes;
 };
@@ -270,8 +291,9 @@
 }  // namespace
 
 LayerRanges RepairZone(const std::vector<PlacedEngine>& engines, const EngineProfile& profile,
-                       const std::vector<LayerRange>& vacancies) {
-  return ZoneRepair(engines, profile).Run(vacancies);
+                       const std::vector<LayerRange>& vacancies,
+                       const std::vector<LayerRange>& awaited) {
+  return ZoneRepair(engines, profile).Run(vacancies, awaited);
 }
 
 LayerRanges RecutBrokenCopies(const std::vector<PlacedEngine>& engines,
