--- a/src/include/corneltray/engine_monitor.h
+++ b/src/include/corneltray/engine_monitor.h
@@ -20,12 +20,13 @@
 // Probe interval for an engine with a load of kBusyLoad or more, since the hosts together can fill
 // the rest of its memory within a second.
 constexpr std::chrono::milliseconds kBusyProbeInterval{500};
-constexpr double kBusyLoad = 0.6;
-// Probe interval for an engine with a load below kIdleLoad, because each probe has a cost.
+constexpr double kBusyLoad = 0.45;
+// Probe interval for an engine with a load below kIdleLoad, because each probe has a cost. A load
+// of 0.3 can become a full engine within this time, so only nearly unused engines are idle.
 constexpr std::chrono::milliseconds kIdleProbeInterval{2500};
-constexpr double kIdleLoad = 0.3;
+constexpr double kIdleLoad = 0.15;
 // Probe results are batched for this long before they are sent to all hosts in one message.
-constexpr std::chrono::milliseconds kPublishInterval{500};
+constexpr std::chrono::milliseconds kPublishInterval{250};
 // An engine that a host suspects, or that did not respond, is probed again after this time.
 constexpr std::chrono::milliseconds kSuspectProbeInterval{200};
 // Consecutive failed probes after which an engine is considered lost. A single lost packet must not
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -162,6 +162,8 @@
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
   double AllowedRetries(const RetryCounts& fleet) const;
+  // Part of the requests of all hosts for a service that arrive at this host.
+  double HostShare(const std::string& service) const;
   void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -75,6 +75,11 @@
 // left; what all hosts have used is told to each other within a second or so.
 double ShareOfRetries(double allowed, const RetryCounts& used_by_all, double used_here);
 
+// Part of the requests of all hosts that arrive at one host, from the counts of the same window.
+// Each host counts as if one more request had arrived at it, so that a host that has just started
+// gets a share before its first request.
+double ShareOfRequests(const RetryCounts& fleet, const RetryCounts& own);
+
 // Says when an idempotent lookup is sent a second time: after the p95 of recent latencies. The
 // caller also asks the RetryBudget. Not thread safe.
 class HedgePolicy {
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -37,6 +37,13 @@
   return used_here + std::min(kMostOfRest, kEqualShares / hosts) * rest;
 }
 
+double ShareOfRequests(const RetryCounts& fleet, const RetryCounts& own) {
+  const double hosts = std::max<double>(fleet.hosts, 1.0);
+  // The counts of this host may be newer than those of all hosts.
+  const double requests = std::max<double>(fleet.requests, own.requests);
+  return (own.requests + 1.0) / (requests + hosts);
+}
+
 RetryBudget::Second* RetryBudget::SecondOf(TimePoint now) {
   const std::int64_t second =
       std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
--- a/src/libcorneltray/retry_test.cc
+++ b/src/libcorneltray/retry_test.cc
@@ -152,5 +152,22 @@
   CHECK(finished == kAnswersInProgress);
 }
 
+// Guards against a host that takes more or less than its part of what all hosts may send.
+TEST_CASE("a host knows its part of the requests of all hosts") {
+  const RetryCounts fleet{300, 0, 100};
+  SUBCASE("it is the part that arrived at it") {
+    CHECK(ShareOfRequests(fleet, {39, 0, 0}) == doctest::Approx(0.1));
+    CHECK(ShareOfRequests(fleet, {3, 0, 0}) == doctest::Approx(0.01));
+  }
+  SUBCASE("a host that has just started has a part before its first request") {
+    CHECK(ShareOfRequests(fleet, {0, 0, 0}) > 0.0);
+    CHECK(ShareOfRequests(fleet, {0, 0, 0}) < 0.01);
+  }
+  SUBCASE("a host that knows of no other takes everything") {
+    CHECK(ShareOfRequests({}, {0, 0, 0}) == doctest::Approx(1.0));
+    CHECK(ShareOfRequests({}, {50, 0, 0}) == doctest::Approx(1.0));
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -146,6 +146,13 @@
   return kRetryBudgetShare * (m_options.retry_ratio * fleet.requests + fixed_allowance);
 }
 
+double Gateway::HostShare(const std::string& service) const {
+  const auto fleet = m_fleet_retries.find(service);
+  const auto own = m_budgets.find(service);
+  return ShareOfRequests(fleet == m_fleet_retries.end() ? RetryCounts{} : fleet->second,
+                         own == m_budgets.end() ? RetryCounts{} : own->second.Counts(Clock::now()));
+}
+
 bool Gateway::IsReady() const {
   if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
   return !m_routes->RequiresKeys() || !m_key_lease.IsHalfElapsed(BootTimeNow());
