--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -15,6 +15,7 @@
 #include "corneltray/enum_names.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/route_table.h"
+#include "corneltray/service_room.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
 
@@ -69,9 +70,15 @@
   // Updates the set of engines. Must be called after the table has changed.
   void SetEngines(const std::string& service, const UpstreamTable& upstreams);
 
-  // `excluded` lists addresses that have already failed this request.
+  // `excluded` lists addresses that have already failed this request. `first_event_by` is when its
+  // caller expects the first event; copies that are unlikely to write it by then are avoided.
   ChainChoice Choose(TimePoint now, const UpstreamTable& upstreams,
-                     const std::set<std::string>& excluded);
+                     const std::set<std::string>& excluded,
+                     std::optional<TimePoint> first_event_by = std::nullopt);
+
+  // Returns how much work all usable copies can take. `host_share` is the part of the demand of all
+  // hosts that arrives at this host.
+  ServiceRoom Room(TimePoint now, const UpstreamTable& upstreams, double host_share);
 
   // Count the start and the end of a request that holds `tokens` tokens in the KV cache of each
   // stage of a chain.
@@ -98,8 +105,9 @@
     std::string zone;
     std::uint32_t first = 0;  // layers [first, end) that it holds
     std::uint32_t end = 0;
-    double capacity_tokens = 1.0;  // KV cache capacity in the memory that its layers leave free
-    double layer_cost_s = 0.0;
+    double capacity_tokens = 1.0;      // KV cache capacity in the memory that its layers leave free
+    double layer_cost_s = 0.0;         // of a usual request
+    double layer_first_event_s = 0.0;  // of it, until the first event
   };
   // Observed state of the engine at an address; retained when the table changes.
   struct EngineState {
@@ -125,7 +133,12 @@
     std::vector<std::uint32_t> slots;  // indices into the slots of the pool
     // Lowest capacity of its stages.
     double capacity_tokens = std::numeric_limits<double>::infinity();
-    bool is_full = false;  // a stage recently refused a prompt, or all report and one is full
+    // The same, but at most what the slots of its first stage hold of usual requests.
+    double room_tokens = 0.0;
+    bool is_whole = true;        // each stage runs all layers that it holds, as they were placed
+    bool is_full = false;        // a stage recently refused a prompt, or all report and one is full
+    bool is_observed = false;    // the control processes report the load of all stages
+    double first_event_s = 0.0;  // usual time to the first event without other requests
   };
   // A set of engines in which chains are searched.
   struct Pool {
@@ -139,13 +152,26 @@
   // Whether each engine of a chain runs all layers that it holds or any part of them.
   enum class SearchKind { kWholeRanges, kAnyRanges };
 
+  double UsualTokens() const;
   Pool MakePool(const std::string& zone, PoolScope scope) const;
   double HopCost(const Engine& engine, const std::string& home_zone) const;
+  // Marks the engines that may get requests, except those at the excluded addresses.
+  std::vector<bool> UsableEngines(TimePoint now, const UpstreamTable& upstreams,
+                                  const std::set<std::string>& excluded);
+  // Marks those of the usable engines that are not lost.
+  std::vector<bool> LiveEngines(TimePoint now, const UpstreamTable& upstreams,
+                                const std::vector<bool>& usable) const;
   // Selects a chain among the engines that are marked in `usable`.
-  ChainChoice ChooseAmong(TimePoint now, const std::vector<bool>& usable);
+  ChainChoice ChooseAmong(TimePoint now, const std::vector<bool>& usable,
+                          std::optional<TimePoint> first_event_by);
   bool IsUsable(TimePoint now, const Engine& engine, const UpstreamTable& upstreams);
-  // Whether its announcements have timed out or it does not respond to the control processes.
-  bool IsLost(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) const;
+  // Whether its announcements have not timed out.
+  bool IsHeard(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) const;
+  // Whether so many engines of the own zone are silent that the path of their announcements is
+  // broken rather than the engines.
+  bool IsOwnZoneUnheard(TimePoint now, const UpstreamTable& upstreams) const;
+  // Whether the control processes report that it does not respond.
+  bool IsReportedLost(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) const;
   // Returns the latest health report for the address, or null if there is none or it has expired.
   const EngineHealth* HealthOf(TimePoint now, const std::string& address) const;
   std::optional<double> ObservedLoad(TimePoint now, const Engine& engine) const;
@@ -157,7 +183,8 @@
   // Returns the lowest-cost chain of a pool at its current costs.
   ModelCopy Find(TimePoint now, Pool* pool, SearchKind kind);
   std::vector<ModelCopy> FindCopies(TimePoint now, const std::vector<bool>& usable, Pool* pool);
-  ChainChoice SelectRandomCopy(const std::vector<ModelCopy>& copies);
+  ChainChoice SelectRandomCopy(TimePoint now, const std::vector<ModelCopy>& copies,
+                               std::optional<TimePoint> first_event_by);
   ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
 
   std::string m_own_zone;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -23,10 +23,30 @@
 // A copy whose known load is at least this high is used only if all others are full too.
 constexpr double kFullLoad = 0.95;
 // Minimum share of free capacity assumed for a copy in the random selection.
-constexpr double kMinFreeShare = 0.1;
+constexpr double kMinFreeShare = 0.05;
 // Added to the cost of a stage that reported being full, so that it is used only as a last resort.
 constexpr double kFullPenaltySeconds = 5.0;
 constexpr std::chrono::milliseconds kReportLifetime{2000};
+// A prompt is read in one pass through the stages or more, and the next one writes the first event.
+constexpr double kPassesToFirstEvent = 2.0;
+// A copy whose expected time to the first event is at most this part of the time that is left gets
+// requests by its room and speed alone.
+constexpr double kSafePart = 0.5;
+// Weight of a copy that is expected to be late. It is not 0, since the estimate may be wrong.
+constexpr double kLateWeight = 0.05;
+// While more than this part of the engines of the own zone is silent, their announcements are
+// assumed to be lost on the way, as when the control processes are cut off from each other.
+constexpr double kUnheardShare = 1.0 / 3.0;
+// Least time that a request is expected to stay, which bounds the pace that is derived from it.
+constexpr double kMinStaySeconds = 0.05;
+// The load of a service is known if the copies with a report hold this part of the capacity.
+constexpr double kMinReportedShare = 0.5;
+
+// Weight of a copy whose expected time to the first event is this part of the time that is left.
+double InTimeWeight(double part) {
+  const double lateness = std::clamp((part - kSafePart) / (1.0 - kSafePart), 0.0, 1.0);
+  return 1.0 - (1.0 - kLateWeight) * lateness;
+}
 
 // Factor by which the time of a stage grows at this load.
 double Slowdown(double load) {
@@ -44,6 +64,7 @@
   const double answer = std::max(1.0, m_profile.usual_answer_tokens);
   const double step_s = m_profile.step_ms / kMillisecondsPerSecond;
   const double read_s = m_profile.usual_prompt_tokens / std::max(1.0, m_profile.read_tokens_per_s);
+  const double first_event_steps = kPassesToFirstEvent * m_profile.tokens_per_event;
   m_engines.clear();
   std::set<std::string> zones;
   for (const auto& [name, record] : upstreams.Records()) {
@@ -58,7 +79,10 @@
     engine.zone = announced.availability_zone;
     engine.first = announced.holdings.front().first_layer;
     engine.end = announced.holdings.front().last_layer + 1;
-    engine.layer_cost_s = (answer * step_s * kind.step_factor + read_s * kind.read_factor) / layers;
+    const double read_layer_s = read_s * kind.read_factor / layers;
+    const double step_layer_s = step_s * kind.step_factor / layers;
+    engine.layer_first_event_s = read_layer_s + first_event_steps * step_layer_s;
+    engine.layer_cost_s = read_layer_s + answer * step_layer_s;
     const double held = engine.end - engine.first;
     const double free_mb = std::max(0.0, kind.memory_mb - held * m_profile.layer_mb);
     const double token_mb = m_profile.kv_token_bytes / layers * held / kBytesPerMegabyte;
@@ -90,6 +114,11 @@
   return pool;
 }
 
+// Tokens that a usual request holds on average while it runs.
+double EngineRouter::UsualTokens() const {
+  return std::max(1.0, m_profile.usual_prompt_tokens + m_profile.usual_answer_tokens / 2.0);
+}
+
 // Time that a typical request spends on transfers into a stage, in a chain that begins and ends in
 // `home_zone`.
 double EngineRouter::HopCost(const Engine& engine, const std::string& home_zone) const {
@@ -104,23 +133,86 @@
 }
 
 ChainChoice EngineRouter::Choose(TimePoint now, const UpstreamTable& upstreams,
-                                 const std::set<std::string>& excluded) {
+                                 const std::set<std::string>& excluded,
+                                 std::optional<TimePoint> first_event_by) {
   if (m_zones.empty()) return {};
   UpdateZoneLoads(now);
+  const std::vector<bool> usable = UsableEngines(now, upstreams, excluded);
+  const std::vector<bool> live = LiveEngines(now, upstreams, usable);
+  ChainChoice choice = ChooseAmong(now, live, first_event_by);
+  // If this leaves no chain, the control processes may be unreachable rather than the engines lost.
+  if (choice.stages.empty() && live != usable) choice = ChooseAmong(now, usable, first_event_by);
+  return choice;
+}
+
+std::vector<bool> EngineRouter::UsableEngines(TimePoint now, const UpstreamTable& upstreams,
+                                              const std::set<std::string>& excluded) {
   std::vector<bool> usable(m_engines.size());
-  std::vector<bool> alive(m_engines.size());
   for (std::size_t i = 0; i < m_engines.size(); ++i) {
     usable[i] = excluded.count(m_engines[i].address) == 0 && IsUsable(now, m_engines[i], upstreams);
-    alive[i] = usable[i] && !IsLost(now, m_engines[i], upstreams);
   }
-  ChainChoice choice = ChooseAmong(now, alive);
-  // If this leaves no chain, the control processes may be unreachable rather than the engines lost.
-  if (choice.stages.empty() && alive != usable) choice = ChooseAmong(now, usable);
-  return choice;
+  return usable;
+}
+
+std::vector<bool> EngineRouter::LiveEngines(TimePoint now, const UpstreamTable& upstreams,
+                                            const std::vector<bool>& usable) const {
+  const bool ignores_silence = IsOwnZoneUnheard(now, upstreams);
+  std::vector<bool> live(m_engines.size());
+  for (std::size_t i = 0; i < m_engines.size(); ++i) {
+    const Engine& engine = m_engines[i];
+    const bool is_silent =
+        !IsHeard(now, engine, upstreams) && !(ignores_silence && engine.zone == m_own_zone);
+    live[i] = usable[i] && !is_silent && !IsReportedLost(now, engine, upstreams);
+  }
+  return live;
+}
+
+bool EngineRouter::IsOwnZoneUnheard(TimePoint now, const UpstreamTable& upstreams) const {
+  std::size_t engines = 0;
+  std::size_t silent = 0;
+  for (const Engine& engine : m_engines) {
+    if (engine.zone != m_own_zone) continue;
+    ++engines;
+    if (!IsHeard(now, engine, upstreams)) ++silent;
+  }
+  return static_cast<double>(silent) > kUnheardShare * static_cast<double>(engines);
+}
+
+ServiceRoom EngineRouter::Room(TimePoint now, const UpstreamTable& upstreams, double host_share) {
+  ServiceRoom room;
+  room.host_share = host_share;
+  room.usual_tokens = UsualTokens();
+  if (m_zones.empty()) return room;
+  UpdateZoneLoads(now);
+  const std::vector<bool> live = LiveEngines(now, upstreams, UsableEngines(now, upstreams, {}));
+  double used_tokens = 0.0;
+  double reported_tokens = 0.0;     // capacity of the copies whose load is known
+  double tokens_per_s = 0.0;        // that the copies release when they are full
+  double first_event_weight = 0.0;  // times to the first event, weighted by capacity
+  for (Pool& zone : m_zones) {
+    for (const ModelCopy& copy : FindCopies(now, live, &zone)) {
+      const double stay_s = std::max(kMinStaySeconds, copy.choice.cost_s);
+      room.capacity_tokens += copy.room_tokens;
+      tokens_per_s += copy.room_tokens / stay_s;
+      first_event_weight += copy.room_tokens * copy.first_event_s;
+      if (!copy.is_observed) continue;
+      reported_tokens += copy.room_tokens;
+      used_tokens += std::min(copy.room_tokens, copy.capacity_tokens * copy.choice.load);
+    }
+  }
+  if (room.capacity_tokens <= 0.0) return room;
+  room.usual_stay_s = room.capacity_tokens / tokens_per_s;
+  room.is_known = reported_tokens >= kMinReportedShare * room.capacity_tokens;
+  if (!room.is_known) return room;
+  room.load = used_tokens / reported_tokens;
+  room.first_event_s = first_event_weight / room.capacity_tokens * Slowdown(room.load);
+  return room;
 }
 
-ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable) {
-  ChainChoice best = SelectRandomCopy(FindCopies(now, usable, &m_zones.front()));
+ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable,
+                                      std::optional<TimePoint> first_event_by) {
+  ChainChoice best =
+      SelectRandomCopy(now, FindCopies(now, usable, &m_zones.front()), first_event_by);
   if (!best.stages.empty() && best.load < kHighLoad) return best;
   const auto take_cheaper = [&best](ChainChoice choice) {
     if (choice.stages.empty()) return;
@@ -130,13 +222,11 @@
   for (std::size_t i = 1; i < m_zones.size(); ++i) {
     for (ModelCopy& copy : FindCopies(now, usable, &m_zones[i])) others.push_back(std::move(copy));
   }
-  take_cheaper(SelectRandomCopy(others));
-  if (!best.stages.empty() && best.load < kFullLoad) return best;
-  ChainChoice cheapest = FindCheapest(now, usable);
-  // In the own zone the random selection is kept, because all hosts find the same cheapest chain.
-  if (best.stages.empty() || cheapest.scope != ChainScope::kOwnZone) {
-    take_cheaper(std::move(cheapest));
-  }
+  take_cheaper(SelectRandomCopy(now, others, first_event_by));
+  // A chain across zones holds memory of several copies and sends every prompt through the links
+  // between zones, so it is used only if no zone has a whole copy. Full copies are no reason for
+  // it.
+  if (best.stages.empty()) best = FindCheapest(now, usable);
   return best;
 }
 
@@ -167,12 +257,19 @@
     const Engine& engine = m_engines[pool->engines[part.slot]];
     choice.stages.push_back({engine.name, engine.address, part.first, part.end});
     choice.load = std::max(choice.load, LoadOf(now, engine));
+    const EngineHealth* health = HealthOf(now, engine.address);
+    copy.first_event_s += engine.layer_first_event_s * (part.end - part.first) *
+                          (health == nullptr ? 1.0 : health->slowness);
     copy.slots.push_back(part.slot);
     copy.capacity_tokens = std::min(copy.capacity_tokens, engine.capacity_tokens);
     own = own && engine.zone == m_own_zone;
     one_zone = one_zone && engine.zone == pool->zone;
   }
   if (choice.stages.empty()) return copy;
+  copy.room_tokens = copy.capacity_tokens;
+  if (m_profile.slots > 0) {
+    copy.room_tokens = std::min(copy.room_tokens, m_profile.slots * UsualTokens());
+  }
   choice.scope = own        ? ChainScope::kOwnZone
                  : one_zone ? ChainScope::kOtherZone
                             : ChainScope::kAcrossZones;
@@ -205,6 +302,7 @@
       continue;
     }
     for (const std::uint32_t slot : copy.slots) pool->slots[slot].usable = false;
+    copy.is_whole = kind == SearchKind::kWholeRanges;
     SetLoad(now, &copy);
     copies.push_back(std::move(copy));
   }
@@ -213,16 +311,30 @@
 // Selects one of the copies at random; returns an empty choice if there is none. The cost of the
 // result includes the load and the penalty of another zone. A full copy is selected only if all are
 // full.
-ChainChoice EngineRouter::SelectRandomCopy(const std::vector<ModelCopy>& copies) {
+ChainChoice EngineRouter::SelectRandomCopy(TimePoint now, const std::vector<ModelCopy>& copies,
+                                           std::optional<TimePoint> first_event_by) {
   if (copies.empty()) return {};
-  const bool all_full =
-      std::all_of(copies.begin(), copies.end(), [](const ModelCopy& copy) { return copy.is_full; });
+  const auto has_room = [](const ModelCopy& copy) { return !copy.is_full; };
+  const bool all_full = std::none_of(copies.begin(), copies.end(), has_room);
+  // What is left of broken copies forms chains too, but its engines may be about to give up layers.
+  const bool use_whole_only = std::any_of(copies.begin(), copies.end(), [&](const ModelCopy& copy) {
+    return copy.is_whole && has_room(copy);
+  });
+  const bool is_in_time = first_event_by && *first_event_by > now;
   std::vector<double> weights;
   for (const ModelCopy& copy : copies) {
-    const double free_tokens =
-        copy.capacity_tokens * std::max(kMinFreeShare, 1.0 - copy.choice.load);
-    const double weight = free_tokens / (copy.choice.cost_s * copy.choice.cost_s);
-    weights.push_back(copy.is_full && !all_full ? 0.0 : weight);
+    // Proportional to the rate at which the copy takes requests: what it holds over the time that
+    // a request stays. The square of the free share fills copies of different speed alike, although
+    // reports of their load are old and fast copies get more requests meanwhile.
+    const double free_share = std::max(kMinFreeShare, 1.0 - copy.choice.load);
+    double weight =
+        copy.room_tokens * free_share * free_share / std::max(kMinStaySeconds, copy.choice.cost_s);
+    if (is_in_time) {
+      const double left_s = std::chrono::duration<double>(*first_event_by - now).count();
+      weight *= InTimeWeight(copy.first_event_s * (1.0 + copy.choice.load) / left_s);
+    }
+    const bool is_avoided = (copy.is_full && !all_full) || (use_whole_only && !copy.is_whole);
+    weights.push_back(is_avoided ? 0.0 : weight);
   }
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
   ChainChoice choice = copies[draw(m_random)].choice;
@@ -242,12 +354,17 @@
   return true;
 }
 
-bool EngineRouter::IsLost(TimePoint now, const Engine& engine,
-                          const UpstreamTable& upstreams) const {
+bool EngineRouter::IsHeard(TimePoint now, const Engine& engine,
+                           const UpstreamTable& upstreams) const {
+  const UpstreamTableEntry* record = upstreams.Find(engine.name);
+  return record != nullptr && record->IsAlive(now);
+}
+
+bool EngineRouter::IsReportedLost(TimePoint now, const Engine& engine,
+                                  const UpstreamTable& upstreams) const {
   const UpstreamTableEntry* record = upstreams.Find(engine.name);
-  if (record == nullptr || !record->IsAlive(now)) return true;
   const EngineHealth* health = HealthOf(now, engine.address);
-  return health != nullptr && !health->answers &&
+  return record != nullptr && health != nullptr && !health->answers &&
          health->incarnation == record->announcement.incarnation;
 }
 
@@ -289,8 +406,7 @@
 std::optional<double> EngineRouter::TokensAt(TimePoint now, const std::string& first_stage) const {
   const auto load = m_first_loads.find(first_stage);
   if (load == m_first_loads.end() || now >= load->second.expires_at) return std::nullopt;
-  const double typical = m_profile.usual_prompt_tokens + m_profile.usual_answer_tokens / 2.0;
-  return typical * (load->second.running + load->second.started_since_report);
+  return UsualTokens() * (load->second.running + load->second.started_since_report);
 }
 
 // Sets m_zone_loads: tokens over capacity, summed over the first stages of a zone with a recent
@@ -336,6 +452,7 @@
   const bool is_observed =
       std::all_of(choice.stages.begin(), choice.stages.end(),
                   [&](const ChainStage& stage) { return HealthOf(now, stage.address) != nullptr; });
+  copy->is_observed = is_observed;
   copy->is_full = has_refused || (is_observed && choice.load >= kFullLoad);
   if (has_refused) {
     choice.load = 1.0;
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -17,7 +17,7 @@
 // Two zones with one complete copy of the model each, on two fast and four slow engines.
 class RouterFixture {
  public:
-  RouterFixture() : router("a", TestProfile(), 1) {
+  explicit RouterFixture(const EngineProfile& profile = TestProfile()) : router("a", profile, 1) {
     for (const char* zone : {"a", "b"}) {
       const std::string z = zone;
       Add(TestEngine(z + "-f1", z, "fast", 0, 20));
@@ -119,6 +119,21 @@
   }
 }
 
+// Guards against chains across zones while the control processes are cut off from each other: a
+// host then hears from half of the engines of each zone, and no copy is complete among these.
+TEST_CASE("silent engines are used while many of the own zone are silent") {
+  RouterFixture fixture;
+  fixture.now += kSilenceTimeout;
+  for (const char* name : {"a-f1", "a-f2", "a-s1", "b-s1", "b-s2", "b-s3", "b-s4"}) {
+    fixture.table.Refresh(fixture.now, name, 1, 2);
+  }
+  CHECK(fixture.Choose().scope == ChainScope::kOwnZone);
+  SUBCASE("but not one that is reported as lost") {
+    fixture.ReportLost("a-s2");
+    CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
+  }
+}
+
 // Guards against a zone that is avoided for long because one of its engines was briefly full. Its
 // requests then filled the engines of the next zone, which was avoided in turn.
 TEST_CASE("a full engine is avoided for a short time and used only as a last resort") {
@@ -219,6 +234,42 @@
   }
 }
 
+// Guards against a decision about admission that is based on one zone, or on nothing at all.
+TEST_CASE("the room of a service is that of all copies") {
+  EngineProfile profile = TestProfile();
+  profile.slots = 0;  // the KV cache is the only limit
+  RouterFixture fixture(profile);
+  const UpstreamTable known = fixture.table;
+  const auto room = [&fixture] { return fixture.router.Room(fixture.now, fixture.table, 0.1); };
+  SUBCASE("it is unknown without reports") { CHECK_FALSE(room().is_known); }
+  SUBCASE("the slots of the first stages limit it if they hold less than the KV cache") {
+    profile.slots = 100;
+    RouterFixture with_slots(profile);
+    const ServiceRoom limited = with_slots.router.Room(kNow, with_slots.table, 0.1);
+    CHECK(limited.capacity_tokens < room().capacity_tokens);
+    CHECK(limited.capacity_tokens == doctest::Approx(2 * 100 * limited.usual_tokens));
+  }
+  SUBCASE("it is the mean load of the copies, each at its fullest stage") {
+    for (const auto& [name, record] : known.Records()) fixture.ReportHealth(name, 0.2);
+    CHECK(room().is_known);
+    CHECK(room().load == doctest::Approx(0.2));
+    CHECK(room().host_share == doctest::Approx(0.1));
+    fixture.ReportHealth("a-s3", 0.8);
+    CHECK(room().load == doctest::Approx(0.5));
+    SUBCASE("a lost copy leaves the capacity and the load of the others") {
+      const double before = room().capacity_tokens;
+      fixture.ReportLost("a-s2");
+      CHECK(room().capacity_tokens == doctest::Approx(before / 2.0));
+      CHECK(room().load == doctest::Approx(0.2));
+    }
+    SUBCASE("the first event comes later on loaded copies") {
+      const double before = room().first_event_s;
+      for (const auto& [name, record] : known.Records()) fixture.ReportHealth(name, 0.95);
+      CHECK(room().first_event_s > before);
+    }
+  }
+}
+
 // Guards against a search that combines the best engines of several copies and leaves no complete
 // chain among the others, so that half of a zone is idle.
 TEST_CASE("all copies of a zone are used even if their layer boundaries differ") {
