--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -79,6 +79,7 @@
   // exchange_attempt.cc
   void SendAttempt();
   void WaitForChain(TimePoint now);
+  bool WaitForRoom(TimePoint now);
   bool ChooseUpstream(TimePoint now, Attempt* attempt);
   std::string FormatAttempt(TimePoint now) const;
   UpstreamCallbacks Callbacks();
@@ -125,12 +126,15 @@
   HasRun m_has_run = HasRun::kNo;
   AttemptEvidence m_last_evidence = AttemptEvidence::kNotConnected;
   std::set<std::string> m_excluded;  // addresses at which this request failed
+  std::set<std::string> m_full;      // addresses that refused it
   ChainScope m_scope = ChainScope::kNone;
   std::optional<TimePoint> m_first_event_at;
   TimePoint m_last_event_at{};                     // of the last event
   Duration m_longest_gap{};                        // between two events
   std::optional<TimePoint> m_chain_wait_deadline;  // for a request that has started
-  std::uint64_t m_bytes = 0;                       // of the response body
+  TimePoint m_chain_wait_until{};                  // no attempt before this time
+  std::uint32_t m_room_waits = 0;
+  std::uint64_t m_bytes = 0;  // of the response body
   bool m_finished = false;
 };
 
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -34,6 +34,11 @@
 constexpr std::chrono::milliseconds kChainWait{1600};
 // Attempts beyond the limit of the route, because refused attempts do not run the request.
 constexpr std::uint32_t kExtraAttempts = 1;
+// An answer that its caller has in part is not given up because the engines are full for a moment:
+// it is offered again after this pause, up to this number of times. Callers leave a stream that is
+// silent for two seconds.
+constexpr std::chrono::milliseconds kRoomPause{150};
+constexpr std::uint32_t kMaxRoomWaits = 4;
 constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{16} * 1024 * 1024;
 
 AttemptEvidence EvidenceOf(UpstreamFailure failure) {
@@ -116,17 +121,36 @@
 }
 
 void Exchange::WaitForChain(TimePoint now) {
-  if (now < *m_chain_wait_deadline) return SendAttempt();
+  if (now < *m_chain_wait_deadline) {
+    if (now >= m_chain_wait_until) SendAttempt();
+    return;
+  }
   m_chain_wait_deadline.reset();
   Fail(ClassifyAttempt(m_last_evidence, IsRetrySafe(*m_request.route)).status);
 }
 
+// Offers an answer in progress again later, because all engines that it was offered to are full.
+// Returns false if this was done often enough.
+bool Exchange::WaitForRoom(TimePoint now) {
+  const bool has_tries = HasBegun() && m_room_waits < kMaxRoomWaits;
+  if (!has_tries || m_last_evidence != AttemptEvidence::kRefused) return false;
+  if (m_runs.Count(now, m_gateway->Upstreams()) >= m_request.route->max_upstreams) return false;
+  ++m_room_waits;
+  m_full.clear();
+  m_chain_wait_deadline = now + kChainWait;
+  m_chain_wait_until = now + kRoomPause;
+  return true;
+}
+
 bool Exchange::ChooseUpstream(TimePoint now, Attempt* attempt) {
   const UpstreamTable& upstreams = m_gateway->Upstreams();
   std::set<std::string> excluded = m_excluded;
+  excluded.insert(m_full.begin(), m_full.end());
   m_gateway->AddBlocked(now, &excluded);
   if (EngineRouter* router = Router()) {
-    ChainChoice choice = router->Choose(now, upstreams, excluded);
+    std::optional<TimePoint> first_event_by;
+    if (!HasBegun()) first_event_by = m_request.read_at + m_request.route->objective;
+    ChainChoice choice = router->Choose(now, upstreams, excluded, first_event_by);
     m_scope = choice.scope;
     if (choice.stages.empty()) return false;
     attempt->upstream = choice.stages.front().upstream;
@@ -244,7 +268,7 @@
   // In a chain, a later stage than the first one may have refused.
   const std::string faulty =
       metadata.faulty_address.empty() ? m_attempt->address : metadata.faulty_address;
-  m_excluded.insert(faulty);
+  m_full.insert(faulty);
   const TimePoint now = Clock::now();
   if (Router() != nullptr && now - m_attempt->started_at >= kStallBeforeRefusal) {
     return EndAttemptOnLostEngine(AttemptEvidence::kRefused,
@@ -320,10 +344,15 @@
     m_excluded.insert(loss->address);
     m_gateway->ReportSuspectedEngine(*loss);
   }
-  if (now < m_request.deadline && CanRetry(now, outcome)) {
+  const bool has_time = now < m_request.deadline;
+  const bool may_try_now = has_time && CanRetry(now, outcome);
+  if (may_try_now || (has_time && outcome.may_try_another && WaitForRoom(now))) {
     const bool is_untouched = m_has_run == HasRun::kNo && !HasBegun();
     const RetryPurpose purpose = is_untouched ? RetryPurpose::kRefused : RetryPurpose::kFinish;
-    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) return SendAttempt();
+    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) {
+      return may_try_now ? SendAttempt() : void();
+    }
+    m_chain_wait_deadline.reset();
     m_gateway->GetMetrics().Count("retries_refused", "budget");
     LogEvent(LogLevel::kWarning, "retry_refused",
              {{"request_id", m_request.metadata.request_id},
