--- a/src/libfleet/copy_planner.cc
+++ b/src/libfleet/copy_planner.cc
@@ -64,6 +64,7 @@
     std::vector<CopyPlan::Stages> stages = Divide(counts, kv_tokens);
     if (stages.empty()) break;  // nor does it fit beside a larger KV cache
     std::vector<StageGroup> groups;
+    groups.reserve(stages.size());
     for (const CopyPlan::Stages& s : stages) groups.push_back({m_kinds[s.kind], s.layers, s.count});
     const CopyEstimate estimate = EstimateCopy(groups, m_profile, m_target);
     if (estimate.requests_per_s <= best.estimate.requests_per_s) continue;
--- a/src/libfleet/layout_estimate.cc
+++ b/src/libfleet/layout_estimate.cc
@@ -174,6 +174,7 @@
   LayoutEstimate layout;
   for (const std::vector<std::size_t>& copy : FindCompleteCopies(engines, profile)) {
     std::vector<StageGroup> stages;
+    stages.reserve(copy.size());
     for (const std::size_t index : copy) {
       stages.push_back({engines[index].kind, engines[index].range.Size(), 1});
     }
