--- a/src/libfleet/zone_layout_test.cc
+++ b/src/libfleet/zone_layout_test.cc
@@ -66,7 +66,7 @@
 
 // Guards against a large zone with the throughput of a small one: its engines held one copy and
 // parts of others, and requests were refused for lack of memory while half of it was idle.
-TEST_CASE("a zone with enough memory holds several complete balanced copies") {
+TEST_CASE("a zone with enough memory holds several complete copies") {
   const EngineProfile profile = TestProfile();
   struct Case {
     ZoneSize size;
--- a/src/libfleet/zone_repair.cc
+++ b/src/libfleet/zone_repair.cc
@@ -10,9 +10,19 @@
 namespace corneltray {
 namespace {
 
+// Minimum rate of planned copies, as a fraction of that of the complete ones. The engines need
+// seconds to drain and load, in which they refuse requests, so a small gain is not worth it.
+constexpr double kMinRecutGain = 0.2;
 // Minimum KV cache, as a fraction of the capacity, of an engine that takes over layers of another.
 constexpr double kMinKvShare = 0.25;
 
+// Whether any of the ranges has layers of the gap.
+bool IsAnyIn(LayerRange gap, const std::vector<LayerRange>& ranges) {
+  return std::any_of(ranges.begin(), ranges.end(), [&](const LayerRange& range) {
+    return range.first < gap.end && gap.first < range.end;
+  });
+}
+
 // Computes one repair of a zone.
 class ZoneRepair {
  public:
@@ -29,9 +39,7 @@
     if (m_engines.empty()) return {};
     const ZoneState zone = FindCopies(m_engines, m_profile);
     m_spares = SpareEngines(zone.idle, awaited);
-    for (const BrokenCopy& copy : zone.broken) {
-      for (const LayerRange gap : copy.gaps) CloseGap(gap, copy.kv_tokens, vacancies);
-    }
+    for (const BrokenCopy& copy : zone.broken) CloseGaps(copy, vacancies, awaited);
     for (LayerRange gap = FirstGap(m_held); gap.Size() > 0; gap = FirstGap(m_held)) {
       if (!FillGap(gap)) break;
     }
@@ -43,33 +51,51 @@
   }
 
  private:
-  // Assigns the layers that a copy lacks to idle engines: to one if possible, else to several.
-  // Nothing is assigned if they cannot close the gap, since a part of it would not help.
-  void CloseGap(LayerRange gap, double kv_tokens, const std::vector<LayerRange>& vacancies) {
-    const bool is_loss =
-        std::any_of(vacancies.begin(), vacancies.end(), [&](const LayerRange& vacancy) {
-          return vacancy.first < gap.end && gap.first < vacancy.end;
-        });
-    std::vector<std::pair<PlacedEngine*, LayerRange>> parts;
-    std::vector<std::size_t> idle = m_spares;
+  // Part of a gap that an engine takes over.
+  struct GapPart {
+    PlacedEngine* engine = nullptr;
+    LayerRange range;
+  };
+
+  // Assigns the layers that a copy lacks to spare engines. Nothing is assigned if a gap stays open
+  // for which no engine is expected to return, since the copy would stay incomplete.
+  void CloseGaps(const BrokenCopy& copy, const std::vector<LayerRange>& vacancies,
+                 const std::vector<LayerRange>& awaited) {
+    std::vector<std::size_t> spares = m_spares;
+    std::vector<GapPart> parts;
+    for (const LayerRange gap : copy.gaps) {
+      const bool is_loss = IsAnyIn(gap, vacancies);
+      if (DivideGap(gap, copy.kv_tokens, is_loss, &spares, &parts)) continue;
+      if (!IsAnyIn(gap, awaited)) return;
+    }
+    m_spares = std::move(spares);
+    for (const GapPart& part : parts) Assign(part.engine, part.range);
+  }
+
+  // Divides a gap among spare engines: one if possible, else several. Returns false, without a
+  // change, if they cannot close it.
+  bool DivideGap(LayerRange gap, double kv_tokens, bool is_loss, std::vector<std::size_t>* spares,
+                 std::vector<GapPart>* parts) {
+    std::vector<std::size_t> left = *spares;
+    std::vector<GapPart> added;
     const double least = m_profile.kv_capacity_tokens * kMinKvShare;
     while (gap.Size() > 0) {
       // As large a KV cache as that of the other stages, if an engine has the memory for it.
-      auto best = SmallestThatFits(idle, gap.Size(), kv_tokens, is_loss);
-      if (best == idle.end()) best = SmallestThatFits(idle, gap.Size(), least, is_loss);
-      if (best == idle.end()) best = Largest(idle, kv_tokens, is_loss);
-      if (best == idle.end()) return;
+      auto best = SmallestThatFits(left, gap.Size(), kv_tokens, is_loss);
+      if (best == left.end()) best = SmallestThatFits(left, gap.Size(), least, is_loss);
+      if (best == left.end()) best = Largest(left, kv_tokens, is_loss);
+      if (best == left.end()) return false;
       PlacedEngine* engine = &m_engines[*best];
       const bool fits_whole = LayersThatFit(engine->kind, m_profile, least) >= gap.Size();
       const std::uint32_t size =
           fits_whole ? gap.Size() : LayersThatFit(engine->kind, m_profile, kv_tokens);
-      if (size == 0) return;
-      parts.emplace_back(engine, LayerRange{gap.first, gap.first + size});
+      added.push_back({engine, {gap.first, gap.first + size}});
       gap.first += size;
-      idle.erase(best);
+      left.erase(best);
     }
-    m_spares = std::move(idle);
-    for (const auto& [engine, range] : parts) Assign(engine, range);
+    *spares = std::move(left);
+    parts->insert(parts->end(), added.begin(), added.end());
+    return true;
   }
 
   // Returns those idle engines that stay idle when the awaited engines have returned. The rest of a
@@ -247,11 +273,8 @@
 };
 
 bool IsAwaited(const BrokenCopy& copy, const std::vector<LayerRange>& awaited) {
-  return std::any_of(copy.gaps.begin(), copy.gaps.end(), [&](const LayerRange& gap) {
-    return std::any_of(awaited.begin(), awaited.end(), [&](const LayerRange& range) {
-      return range.first < gap.end && gap.first < range.end;
-    });
-  });
+  return std::any_of(copy.gaps.begin(), copy.gaps.end(),
+                     [&](const LayerRange& gap) { return IsAnyIn(gap, awaited); });
 }
 
 std::uint32_t Overlap(LayerRange a, LayerRange b) {
@@ -309,7 +332,13 @@
     const PlacedEngine& engine = engines[index];
     if (engine.is_settled || engine.range.Size() > 0) loose.push_back(engine);
   }
-  return KeepLoadedLayers(PlanUniformCopies(loose, profile, target), loose);
+  const LayerRanges plan = PlanUniformCopies(loose, profile, target);
+  std::vector<PlacedEngine> planned = loose;
+  ApplyRanges(plan, &planned);
+  const double gained = EstimateLayout(planned, profile, target).RequestsPerSecond();
+  const double working = EstimateLayout(engines, profile, target).RequestsPerSecond();
+  if (gained <= kMinRecutGain * working) return {};
+  return KeepLoadedLayers(plan, loose);
 }
 
 }  // namespace corneltray
--- a/src/libfleet/zone_repair_test.cc
+++ b/src/libfleet/zone_repair_test.cc
@@ -161,6 +161,26 @@
   CHECK(CopiesOf(engines) == 3);
 }
 
+// Simulates three engines of one copy that crash together and restart one after the other.
+TEST_CASE("engines that restart take over their layers without waiting for the others") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSmallFast, 16}, {kSlow, 10}}});
+  const auto copies = FindCompleteCopies(engines, profile);
+  std::vector<LayerRange> losses;
+  for (const std::size_t stage : {1, 4, 9}) losses.push_back(Lose(copies[0][stage], &engines));
+  engines.push_back(Newcomer("first", kSmallFast));
+  SUBCASE("if the others are expected to return") {
+    CHECK(RepairZone(engines, profile, losses, losses).size() == 1);
+  }
+  SUBCASE("but not if the copy would stay incomplete") {
+    CHECK(RepairZone(engines, profile, losses).empty());
+    engines.push_back(Newcomer("second", kSmallFast));
+    CHECK(RepairZone(engines, profile, losses).empty());
+    engines.push_back(Newcomer("third", kSmallFast));
+    CHECK(RepairZone(engines, profile, losses).size() == 3);
+  }
+}
+
 // Simulates a release, where each replacement starts before the engine that it replaces departs.
 TEST_CASE("a newcomer waits for the layers of an engine that departs") {
   const EngineProfile profile = MixedProfile();
@@ -245,6 +265,13 @@
     const LayerRange lost = Lose(copies[1][2], &engines);
     CHECK(RecutBrokenCopies(engines, profile, kTarget, {lost}).empty());
   }
+  SUBCASE("but not a slow copy beside much faster ones") {
+    std::vector<PlacedEngine> engines = planned;
+    const std::vector<std::size_t>& slowest = copies.back();
+    Lose(slowest.back(), &engines);
+    REQUIRE(CopiesOf(engines) == 2);
+    CHECK(RecutBrokenCopies(engines, profile, kTarget).empty());
+  }
   SUBCASE("and spare engines form a copy of their own if they can") {
     std::vector<PlacedEngine> engines = planned;
     for (int i = 0; i < 3; ++i) {
