--- a/src/include/corneltray/loss_tracker.h
+++ b/src/include/corneltray/loss_tracker.h
@@ -25,8 +25,6 @@
   void Update(TimePoint now, const std::vector<PlacedEngine>& engines);
   // Removes a loss whose layers an engine takes over.
   void Fill(LayerRange range);
-  // Removes all losses, after the ranges of the remaining engines were planned again.
-  void Clear() { m_open.clear(); }
 
   std::vector<LayerRange> Open() const;
   // The open losses whose engine may still return.
--- a/src/libfleet/layer_controller.cc
+++ b/src/libfleet/layer_controller.cc
@@ -194,9 +194,7 @@
   if (situation == zone->planned_situation) return {};
   zone->planned_situation = std::move(situation);
   const LatencyTarget target = LatencyTargetOf(service.name, routes);
-  LayerRanges ranges = RecutBrokenCopies(engines, *service.engine, target, awaited);
-  if (!ranges.empty() && awaited.empty()) zone->losses.Clear();
-  return ranges;
+  return RecutBrokenCopies(engines, *service.engine, target, awaited);
 }
 
 PlacementReason LayerController::ChooseReason(TimePoint now,
