--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -74,6 +74,7 @@
     options.key_lease = std::chrono::milliseconds(m_settings.key_lease_ms);
     options.retry_ratio = m_settings.retry_ratio;
     options.retry_allowance = m_settings.retry_allowance;
+    options.admission = m_settings.admission;
     options.retry_window = std::chrono::milliseconds(m_settings.retry_window_ms);
     m_gateway = std::make_unique<Gateway>(&m_io, std::move(options));
     PeerOptions peer;
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/admission_mode.h"
 #include "corneltray/attempt_rules.h"
 #include "corneltray/dialect.h"
 #include "corneltray/engine_router.h"
@@ -24,6 +25,7 @@
 #include "corneltray/retry.h"
 #include "corneltray/route_table.h"
 #include "corneltray/service_picker.h"
+#include "corneltray/service_room.h"
 #include "corneltray/upstream_backoff.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
@@ -31,6 +33,7 @@
 namespace corneltray {
 
 class Exchange;
+class GatewayAdmission;
 
 using ServiceRetryCounts = std::map<std::string, RetryCounts>;
 
@@ -42,6 +45,7 @@
   double retry_allowance = 100.0;  // retries per window beyond the ratio, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
+  AdmissionMode admission = AdmissionMode::kAuto;
 };
 
 // The data path of one entry host: accepts requests of callers, sends them to upstreams and
@@ -78,6 +82,11 @@
   using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
   void SetSuspectHandler(SuspectHandler handler) { m_suspect_handler = std::move(handler); }
 
+  // The source tells how much work the engines of a service can take. It is asked for each request
+  // and each tick while requests wait.
+  using RoomSource = std::function<ServiceRoom(TimePoint now, const std::string& service)>;
+  void SetRoomSource(RoomSource source) { m_room_source = std::move(source); }
+
   // Applies verdicts of the control processes about prompt parts.
   void UpdatePromptVerdicts(const std::vector<PartVerdict>& verdicts);
   // The handler sends evidence and trial requests to the control processes. It returns whether it
@@ -97,7 +106,8 @@
   // Refuses new connections and requests; requests in progress continue.
   void StopAccepting();
   void CloseAll();
-  std::size_t InFlight() const { return m_exchanges.size(); }
+  // Requests that run at upstreams or wait for the engines.
+  std::size_t InFlight() const;
   // Whether no request is in progress or on a connection, and every answer is sent.
   bool IsFinished() const { return m_exchanges.empty() && m_listener.Counters().unfinished == 0; }
   std::string MetricsText() const;
@@ -114,6 +124,8 @@
   EngineRouter* RouterOf(const RouteService& service);
   ServicePicker& PickerOf(const std::string& service);
   RetryBudget& BudgetOf(const std::string& service);
+  // Counts an attempt after the first one of a request in what the engines of a service were sent.
+  void ChargeRepeat(const std::string& service, double tokens);
   Metrics& GetMetrics() { return m_metrics; }
   // Requests the report of the first stage of a chain, which names the stages that block its
   // requests. Concurrent calls for one address share one request; `done` gets null if there is no
@@ -159,6 +171,8 @@
   // refused or waits for the decision about a trial.
   bool AdmitPrompt(const HttpCall& call, const GatewayRequest& request);
   void SendQuarantineActions();
+  std::unique_ptr<GatewayAdmission> MakeAdmission();
+  void StartExchange(const HttpCall& call, GatewayRequest request);
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
   double AllowedRetries(const RetryCounts& fleet) const;
@@ -204,6 +218,8 @@
   bool m_draining = false;
   bool m_stopping = false;
   Metrics m_metrics;
+  RoomSource m_room_source;
+  std::unique_ptr<GatewayAdmission> m_admission;
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/gateway_request.h
+++ b/src/include/corneltray/gateway_request.h
@@ -72,6 +72,10 @@
   std::uint32_t priority = 0;
 };
 
+// Tokens that the request holds on average, while it runs, in the KV cache of each stage of its
+// chain; 0 if its service has no engines.
+double HeldTokens(const GatewayRequest& request);
+
 // State of the gateway that the filters read.
 struct FilterContext {
   const Dialect* dialect = nullptr;
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/admission_mode.h"
 #include "corneltray/log.h"
 #include "corneltray/schema.h"
 
@@ -42,6 +43,7 @@
   double retry_ratio = 0.0;       // second attempts for each request, over all entry hosts
   double retry_allowance = 0.0;   // second attempts in a window that need no requests
   std::int64_t retry_window_ms = 0;
+  AdmissionMode admission = AdmissionMode::kAuto;
 };
 
 const std::vector<KeySpec>& HostSettingsSchema();
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -103,6 +103,9 @@
        "second attempts in a window that are allowed beside the ratio, over all entry hosts"},
       {"entry.retry_window_ms", T::kInteger, false, "10000", 1000, kHourMs, "ms",
        "window in which second attempts are counted"},
+      {"admission.mode", T::kString, false, "\"auto\"", 1, 16, "",
+       "requests for engines that are held back under load: of services whose routes or customers "
+       "have several priorities (auto), of all (on) or of none (off)"},
       {"placement.lease_voters", T::kStringList, false, "[]", 0, 7, "",
        "names of the placement processes of this zone"},
       {"placement.weight_store", T::kString, false, "\"\"", 0, kMaxText, "",
@@ -171,6 +174,12 @@
     return settings;
   }
   settings.log_level = *level;
+  const auto admission = ParseEnum<AdmissionMode>(v["admission"]["mode"].get<std::string>());
+  if (!admission) {
+    issues->push_back({source.file, 0, "admission.mode", "must be auto, on or off"});
+    return settings;
+  }
+  settings.admission = *admission;
   return settings;
 }
 
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -92,9 +92,9 @@
   attempt.check_at = now + kSilenceBeforeFirstCheck;
   m_attempt = std::move(attempt);
   if (EngineRouter* router = Router()) {
-    m_attempt->tokens =
-        m_request.metadata.prompt_tokens + router->Profile().usual_answer_tokens / 2.0;
+    m_attempt->tokens = HeldTokens(m_request);
     router->Begin(m_attempt->chain, m_attempt->tokens);
+    if (m_attempts > 1) m_gateway->ChargeRepeat(m_request.service->name, m_attempt->tokens);
   } else {
     m_gateway->PickerOf(m_request.service->name).Begin(m_attempt->address);
   }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -7,6 +7,7 @@
 #include "corneltray/engine_call.h"
 #include "corneltray/log.h"
 #include "exchange.h"
+#include "gateway_admission.h"
 
 namespace corneltray {
 namespace {
@@ -39,7 +40,8 @@
       m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
-      m_tick_timer(*io) {}
+      m_tick_timer(*io),
+      m_admission(MakeAdmission()) {}
 
 Gateway::~Gateway() { CloseAll(); }
 
@@ -72,6 +74,7 @@
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
+  m_admission->SetRouteTable(table);
   if (!m_warm_up_end) m_warm_up_end = Clock::now() + kAnnouncementInterval;
   m_routes = std::make_shared<const RouteIndex>(std::move(table));
 }
@@ -153,6 +156,7 @@
 
 void Gateway::BeginDrain() {
   m_draining = true;
+  m_admission->StartAll();
   m_listener.BeginDrain();
 }
 
@@ -166,6 +170,7 @@
 void Gateway::CloseAll() {
   m_tick_timer.cancel();
   m_deferred.clear();
+  m_admission->Clear();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) exchange->Abandon();
   m_listener.CloseAll();
@@ -269,6 +274,41 @@
   const auto refusal = FilterRequest(MakeFilterContext(Clock::now()), &request);
   if (refusal) return Refuse(call, request, *refusal);
   if (!AdmitPrompt(call, request)) return;
+  // A prompt part in quarantine is admitted only as a trial, which many hosts wait for.
+  const bool is_trial = IsQuarantined(request.metadata.shared_prompt_parts);
+  if (m_draining || is_trial || !m_admission->Controls(request.service->name)) {
+    return StartExchange(call, std::move(request));
+  }
+  m_admission->Offer(Clock::now(), call, std::move(request));
+  ScheduleTick();
+}
+
+std::unique_ptr<GatewayAdmission> Gateway::MakeAdmission() {
+  GatewayAdmission::Handlers handlers;
+  handlers.room = [this](TimePoint now, const std::string& service) {
+    return m_room_source ? m_room_source(now, service) : ServiceRoom{};
+  };
+  handlers.start = [this](const HttpCall& call, GatewayRequest request) {
+    if (IsQuarantined(request.metadata.shared_prompt_parts)) {
+      return Refuse(call, request, GatewayRefusal::kQuarantinedPart);
+    }
+    StartExchange(call, std::move(request));
+  };
+  handlers.refuse = [this](const HttpCall& call, const GatewayRequest& request,
+                           std::chrono::milliseconds retry_after) {
+    Refuse(call, request, GatewayRefusal::kOverloaded, retry_after);
+  };
+  return std::make_unique<GatewayAdmission>(m_options.admission, m_options.random_seed, &m_metrics,
+                                            std::move(handlers));
+}
+
+void Gateway::ChargeRepeat(const std::string& service, double tokens) {
+  m_admission->ChargeRepeat(service, tokens);
+}
+
+std::size_t Gateway::InFlight() const { return m_exchanges.size() + m_admission->WaitingCount(); }
+
+void Gateway::StartExchange(const HttpCall& call, GatewayRequest request) {
   const auto exchange = std::make_shared<Exchange>(this, call, std::move(request));
   m_exchanges.insert(exchange);
   ScheduleTick();
@@ -378,9 +418,10 @@
 void Gateway::Tick() {
   const TimePoint now = Clock::now();
   if (!m_deferred.empty()) AdmitDeferred();
+  m_admission->Tick(now);
   const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
   for (const auto& exchange : exchanges) exchange->Tick(now);
-  if (!m_exchanges.empty() || !m_deferred.empty()) ScheduleTick();
+  if (InFlight() > 0 || !m_deferred.empty()) ScheduleTick();
 }
 
 void Gateway::RequestReport(const std::string& address, EngineReportCallback done) {
@@ -466,7 +507,7 @@
 std::string Gateway::MetricsText() const {
   const HttpListenerCounters callers = m_listener.Counters();
   const UpstreamPoolCounters pool = m_pool.Counters();
-  return m_metrics.Text({
+  std::map<std::string, double> gauges = {
       {"requests_in_progress", static_cast<double>(m_exchanges.size())},
       {"caller_connections", static_cast<double>(callers.open)},
       {"upstream_connections", static_cast<double>(pool.open)},
@@ -476,7 +517,9 @@
       {"prompt_parts_quarantined",
        static_cast<double>(m_quarantine.QuarantinedCount(Clock::now()))},
       {"ready", IsReady() ? 1.0 : 0.0},
-  });
+  };
+  m_admission->AddGauges(Clock::now(), &gauges);
+  return m_metrics.Text(gauges);
 }
 
 }  // namespace corneltray
--- a/src/libserving/gateway_request.cc
+++ b/src/libserving/gateway_request.cc
@@ -119,6 +119,11 @@
   return head;
 }
 
+double HeldTokens(const GatewayRequest& request) {
+  if (!request.service->engine) return 0.0;
+  return request.metadata.prompt_tokens + request.service->engine->usual_answer_tokens / 2.0;
+}
+
 std::optional<GatewayRefusal> FilterRequest(const FilterContext& context, GatewayRequest* request) {
   for (const Filter filter : kFilters) {
     if (const auto refusal = filter(context, request)) return refusal;
