--- a/src/include/corneltray/admission_bucket.h
+++ b/src/include/corneltray/admission_bucket.h
@@ -13,6 +13,14 @@
 // serves a returned caller within its deadline also while new requests alone exceed the pace.
 constexpr double kLatePart = 0.1;
 
+// What flows into a bucket.
+struct BucketInflow {
+  double tokens_per_s = 0.0;         // now
+  double steady_tokens_per_s = 0.0;  // expected over longer times
+  double usual_tokens = 1.0;         // of a request
+  bool is_late_waiting = false;      // a request whose objective is lost waits
+};
+
 // Token bucket of one host for the requests of a service. A rank may only use what lies above a
 // level of its own, so that more urgent ranks find tokens when less urgent ones press. Each rank
 // earns credit at a part of the pace in proportion to its requests; with credit it goes ahead of
@@ -20,8 +28,8 @@
 // large ones are not held back longer than small ones. Not thread safe.
 class AdmissionBucket {
  public:
-  // Adds what has flowed in since the last call. `usual_tokens` are those of a usual request.
-  void Fill(TimePoint now, double tokens_per_s, double usual_tokens, bool is_late_waiting);
+  // Adds what has flowed in since the last call.
+  void Fill(TimePoint now, const BucketInflow& inflow);
   // Counts a request that arrived and can meet its objective.
   void RecordOffered(std::uint32_t rank, double tokens);
 
@@ -30,7 +38,9 @@
   bool Allows(std::uint32_t rank, bool is_over_share) const;
   // Whether the rank may be sent ahead of more urgent ranks.
   bool AllowsByCredit(std::uint32_t rank) const;
-  // Whether a request whose objective is lost may be sent.
+  // Whether a request whose objective is lost may be sent, from the part of the pace that is
+  // reserved for it or from what other requests leave.
+  bool AllowsLateByCredit() const { return m_late_credit > 0.0 && m_level > 0.0; }
   bool AllowsLate() const;
 
   // Takes the tokens of a request that is sent. `is_free`: nothing is held back, so that the level
@@ -58,14 +68,14 @@
 
   double RankStep() const;
   double RequiredLevel(std::uint32_t rank, bool is_over_share) const;
-  void AddCredit(double tokens, double usual_tokens, bool is_late_waiting);
+  void AddCredit(double tokens, const BucketInflow& inflow);
 
   std::map<std::uint32_t, Rank> m_ranks;
   double m_depth = 0.0;
   double m_level = 0.0;
   bool m_is_filled = false;
   TimePoint m_filled_at{};
-  double m_tokens_per_s = 0.0;
+  double m_steady_tokens_per_s = 0.0;
   double m_late_credit = 0.0;
   double m_late_sent = 0.0;  // tokens of the last seconds, decayed
 };
--- a/src/include/corneltray/admission_pace.h
+++ b/src/include/corneltray/admission_pace.h
@@ -18,22 +18,33 @@
 // requests a second of many hundred, so it cannot infer the room from its own requests: it takes
 // its share of a rate that all hosts derive from the same reports. The rate is what the engines
 // release at the target load, raised or lowered in proportion to the distance of the reported load
-// from the target; a slow correction removes the error of the usual stay. Not thread safe.
+// from the target; a slow correction removes the error of the usual stay. Reports are late, so the
+// load is extrapolated: a host expects the others to have sent in proportion to what it sent
+// itself. Not thread safe.
 class AdmissionPace {
  public:
   // Applies the present room. Called several times a second. `is_binding` says whether requests
   // wait for the pace: only then does a load below the target mean that the pace is too low.
   void SetRoom(TimePoint now, const ServiceRoom& room, bool is_binding);
+  // Counts what this host sent to the engines.
+  void RecordSent(double tokens) { m_recently_sent += tokens; }
   // Tokens of KV cache a second; meaningless while the room is unknown.
   double TokensPerSecond() const { return m_tokens_per_s; }
-  double Correction() const { return m_correction; }
+  // The same at the target load, for estimates over longer times.
+  double SteadyTokensPerSecond() const { return m_steady_tokens_per_s; }
+  // The load that the engines probably have by now.
+  double ExpectedLoad() const { return m_expected_load; }
 
  private:
-  void Correct(TimePoint now, double load, bool is_binding);
+  void Extrapolate(const ServiceRoom& room, double passed_s);
+  void Correct(double load, bool is_binding, double passed_s);
 
   double m_tokens_per_s = 0.0;
+  double m_steady_tokens_per_s = 0.0;
   double m_correction = 1.0;  // factor for the error of the usual stay
-  TimePoint m_corrected_at{};
+  double m_expected_load = 0.0;
+  double m_recently_sent = 0.0;  // tokens, decayed
+  TimePoint m_updated_at{};
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/admission_queue.h
+++ b/src/include/corneltray/admission_queue.h
@@ -108,6 +108,7 @@
   bool IsOverShare(const AdmissionRequest& request) const;
   // Whether a request that can meet its objective may be sent now.
   bool MayBeSent(TimePoint now, const AdmissionRequest& request) const;
+  bool MayLateBeSent() const;
   TimePoint LatestStart(TimePoint now, const AdmissionRequest& request) const;
   TimePoint LatestLateStart(const AdmissionRequest& request) const;
   Duration ExpectedWait(const AdmissionRequest& request) const;
--- a/src/libadmission/admission_bucket.cc
+++ b/src/libadmission/admission_bucket.cc
@@ -10,7 +10,7 @@
 // Depth of the bucket: a few requests, so that random arrivals at a host with few requests are not
 // held back, and the tokens of a short time at a host with many.
 constexpr double kDepthRequests = 4.0;
-constexpr double kDepthSeconds = 0.25;
+constexpr double kDepthSeconds = 0.5;
 // Parts of the mean share that the most and the least urgent rank get at least. The more urgent
 // rank has the higher one, so that ranks that live on it are not served alike.
 constexpr double kMostUrgentFloor = 0.5;
@@ -27,26 +27,26 @@
 
 }  // namespace
 
-void AdmissionBucket::Fill(TimePoint now, double tokens_per_s, double usual_tokens,
-                           bool is_late_waiting) {
+void AdmissionBucket::Fill(TimePoint now, const BucketInflow& inflow) {
   const std::chrono::duration<double> since = now - m_filled_at;
   const double passed_s = std::clamp(since.count(), 0.0, kMaxFillSeconds);
   m_filled_at = now;
-  m_tokens_per_s = tokens_per_s;
-  m_depth = std::max(kDepthRequests * usual_tokens, kDepthSeconds * tokens_per_s);
+  m_steady_tokens_per_s = inflow.steady_tokens_per_s;
+  m_depth =
+      std::max(kDepthRequests * inflow.usual_tokens, kDepthSeconds * inflow.steady_tokens_per_s);
   if (!m_is_filled) m_level = m_depth;
   m_is_filled = true;
-  const double tokens = tokens_per_s * passed_s;
+  const double tokens = inflow.tokens_per_s * passed_s;
   m_level = std::min(m_depth, m_level + tokens);
-  AddCredit(tokens, usual_tokens, is_late_waiting);
+  AddCredit(tokens, inflow);
   const double kept = std::exp(-passed_s / kMemorySeconds);
   m_late_sent *= kept;
   for (auto& [rank, state] : m_ranks) state.offered *= kept;
 }
 
-void AdmissionBucket::AddCredit(double tokens, double usual_tokens, bool is_late_waiting) {
-  const double max_credit = kMaxCreditRequests * usual_tokens;
-  const double late_part = is_late_waiting ? kLatePart : 0.0;
+void AdmissionBucket::AddCredit(double tokens, const BucketInflow& inflow) {
+  const double max_credit = kMaxCreditRequests * inflow.usual_tokens;
+  const double late_part = inflow.is_late_waiting ? kLatePart : 0.0;
   m_late_credit = std::min(max_credit, m_late_credit + late_part * tokens);
   double offered = 0.0;
   for (const auto& [rank, state] : m_ranks) offered += state.offered;
@@ -88,10 +88,7 @@
   return known != m_ranks.end() && known->second.credit > 0.0 && m_level > 0.0;
 }
 
-bool AdmissionBucket::AllowsLate() const {
-  if (m_late_credit > 0.0 && m_level > 0.0) return true;
-  return m_level > static_cast<double>(m_ranks.size()) * RankStep();
-}
+bool AdmissionBucket::AllowsLate() const { return m_level > m_depth - RankStep() / 2.0; }
 
 void AdmissionBucket::Spend(const AdmissionRequest& request, ObjectiveState objective,
                             bool is_free) {
@@ -118,7 +115,7 @@
 }
 
 double AdmissionBucket::LateTokensPerSecond() const {
-  return std::max(kLatePart * m_tokens_per_s, m_late_sent / kMemorySeconds);
+  return std::max(kLatePart * m_steady_tokens_per_s, m_late_sent / kMemorySeconds);
 }
 
 }  // namespace corneltray
--- a/src/libadmission/admission_queue.cc
+++ b/src/libadmission/admission_queue.cc
@@ -12,6 +12,9 @@
 // whatever arrives as soon as the load is a little lower, and overfill the engines before the next
 // report.
 constexpr double kUnpacedLoad = 0.5;
+// Requests whose objective is lost use what others leave only below this load. Engines that they
+// fill further would delay the requests that can meet their objective.
+constexpr double kLateLoad = 0.6;
 // A customer may exceed its share by this many usual requests before it is held back more than
 // others. Shares are counted over few requests at each host.
 constexpr double kShareToleranceRequests = 2.0;
@@ -46,7 +49,12 @@
   m_room = room;
   if (!IsHeldBack()) return;
   m_pace.SetRoom(now, room, now < m_binding_until);
-  m_bucket.Fill(now, m_pace.TokensPerSecond(), room.usual_tokens, !m_late.IsEmpty());
+  BucketInflow inflow;
+  inflow.tokens_per_s = m_pace.TokensPerSecond();
+  inflow.steady_tokens_per_s = m_pace.SteadyTokensPerSecond();
+  inflow.usual_tokens = room.usual_tokens;
+  inflow.is_late_waiting = !m_late.IsEmpty();
+  m_bucket.Fill(now, inflow);
 }
 
 // Without a known room, or without any engine, requests are sent and answered by the router.
@@ -59,7 +67,9 @@
   const double ranks = static_cast<double>(std::max<std::size_t>(1, m_bucket.RankCount()));
   const double more_urgent = static_cast<double>(m_bucket.RankIndex(rank));
   const double part = (ranks - 1.0 - more_urgent) / ranks;
-  return m_room.load < kHoldLoad + (kTargetLoad - kHoldLoad) * part;
+  // A host that has sent little expects a low load, which the report contradicts.
+  const double load = std::max(m_room.load, m_pace.ExpectedLoad());
+  return load < kHoldLoad + (kTargetLoad - kHoldLoad) * part;
 }
 
 bool AdmissionQueue::IsOverShare(const AdmissionRequest& request) const {
@@ -70,6 +80,11 @@
   return IsFree(now, request.rank) || m_bucket.Allows(request.rank, IsOverShare(request));
 }
 
+bool AdmissionQueue::MayLateBeSent() const {
+  if (!IsHeldBack() || m_bucket.AllowsLateByCredit()) return true;
+  return m_bucket.AllowsLate() && m_pace.ExpectedLoad() < kLateLoad;
+}
+
 TimePoint AdmissionQueue::LatestStart(TimePoint now, const AdmissionRequest& request) const {
   const TimePoint part_of_objective = now + (request.objective_at - now) / kObjectivePartsOfWait;
   return std::min(part_of_objective, request.objective_at - Seconds(m_room.first_event_s));
@@ -83,7 +98,7 @@
   const double ahead = m_waiting.TokensUpTo(request.rank) +
                        m_bucket.MissingTokens(request.rank, IsOverShare(request));
   const double part = m_late.IsEmpty() ? 1.0 : 1.0 - kLatePart;
-  return TimeFor(ahead, part * m_pace.TokensPerSecond());
+  return TimeFor(ahead, part * m_pace.SteadyTokensPerSecond());
 }
 
 Duration AdmissionQueue::ExpectedLateWait() const {
@@ -99,6 +114,7 @@
 void AdmissionQueue::Spend(TimePoint now, const AdmissionRequest& request,
                            ObjectiveState objective) {
   m_shares.RecordSent(now, request.customer, request.tokens);
+  m_pace.RecordSent(request.tokens);
   m_bucket.Spend(request, objective, IsFree(now, request.rank));
 }
 
@@ -119,7 +135,7 @@
 }
 
 AdmissionDecision AdmissionQueue::OfferLate(TimePoint now, const AdmissionRequest& request) {
-  if (!IsHeldBack() || (m_late.IsEmpty() && m_bucket.AllowsLate())) {
+  if (m_late.IsEmpty() && MayLateBeSent()) {
     Spend(now, request, ObjectiveState::kLost);
     return SendNow{};
   }
@@ -199,7 +215,7 @@
 }
 
 const AdmissionRequest* AdmissionQueue::NextLate() const {
-  if (IsHeldBack() && !m_bucket.AllowsLate()) return nullptr;
+  if (!MayLateBeSent()) return nullptr;
   return m_late.Oldest(kLateHeadStart);
 }
 
