--- a/src/corneltray-control/fleet_service.cc
+++ b/src/corneltray-control/fleet_service.cc
@@ -99,6 +99,7 @@
 }
 
 Status FleetService::Start() {
+  m_endpoint.SetBudget(m_options.budget);
   if (corneltray::Status listening = m_endpoint.Listen(m_options.address); !listening) {
     return listening;
   }
--- a/src/corneltray-control/fleet_service.h
+++ b/src/corneltray-control/fleet_service.h
@@ -41,6 +41,7 @@
   std::size_t target_voters = 3;
   std::string peer_port;           // peer port of every control process
   std::vector<std::string> seeds;  // peer addresses of the initial members
+  std::shared_ptr<DoorBudget> budget = MakeDefaultDoorBudget();  // of the interface
 };
 
 // Serves the calls of upstreams and operators at a control process. Distributes announcements to
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -18,6 +18,7 @@
 #include "corneltray/address.h"
 #include "corneltray/log.h"
 #include "corneltray/log_storage.h"
+#include "corneltray/memory_budget.h"
 #include "corneltray/program.h"
 #include "corneltray/settings_watcher.h"
 #include "fleet_service.h"
@@ -99,6 +100,8 @@
  public:
   Program(HostSettings settings, std::string settings_path)
       : m_settings(std::move(settings)),
+        m_budget(ReadProcessLimits(m_settings.memory_mb, m_settings.open_files),
+                 {Door::kOperators}),
         m_watcher(&m_io, std::move(settings_path),
                   [this](const HostSettings& changed) { Reload(changed); }) {}
 
@@ -111,6 +114,7 @@
     sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    ReturnFreedMemory();
     signal(SIGXFSZ, SIG_IGN);  // the file size limit is reported like a full disk
 
     StartLogging({kControlProgram, m_settings.name, m_settings.availability_zone},
@@ -240,7 +244,9 @@
     http.client = m_client.get();
     http.draining = &m_draining;
     http.drain = [this] { m_stop = true; };
-    if (m_fleet) http.fleet_metrics = [this] { return m_fleet->MetricsText(); };
+    if (m_fleet) {
+      http.fleet_metrics = [this] { return m_fleet->MetricsText() + m_budget.MetricsText(); };
+    }
     m_http = MakeControlHttpServer(http);
     if (const corneltray::Status started = m_http->Start(); !started) {
       m_node->Stop();
@@ -284,6 +290,7 @@
     options.target_voters = m_settings.control_voters;
     options.peer_port = PortOf(m_settings.peer_address);
     options.seeds = m_settings.seeds;
+    options.budget = m_budget.Part(Door::kOperators);
     m_fleet = std::make_unique<FleetService>(&m_io, std::move(options));
     m_fleet->Register();
   }
@@ -302,6 +309,7 @@
   using json = nlohmann::json;
 
   HostSettings m_settings;
+  MemoryBudget m_budget;
   FolderHistory m_folder_history;
   std::atomic<bool> m_stop{false};
   std::atomic<bool> m_draining{false};
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -15,6 +15,7 @@
 #include "corneltray/control_relay.h"
 #include "corneltray/gateway.h"
 #include "corneltray/log.h"
+#include "corneltray/memory_budget.h"
 #include "corneltray/metrics_server.h"
 #include "corneltray/peer.h"
 #include "corneltray/program.h"
@@ -43,6 +44,8 @@
  public:
   Program(HostSettings settings, std::string settings_path)
       : m_settings(std::move(settings)),
+        m_budget(ReadProcessLimits(m_settings.memory_mb, m_settings.open_files),
+                 {Door::kCallers, Door::kReadiness, Door::kMetrics, Door::kOperators}),
         m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
         m_drain_timer(m_io),
         m_watcher(&m_io, std::move(settings_path),
@@ -50,6 +53,7 @@
 
   int Run() {
     std::signal(SIGPIPE, SIG_IGN);
+    ReturnFreedMemory();
     StartLogging({kProgram, m_settings.name, m_settings.availability_zone}, m_settings.log_level);
     if (const int code = Start(); code != kExitOk) {
       StopLogging(code);
@@ -75,6 +79,9 @@
     options.retry_ratio = m_settings.retry_ratio;
     options.retry_allowance = m_settings.retry_allowance;
     options.retry_window = std::chrono::milliseconds(m_settings.retry_window_ms);
+    options.caller_budget = m_budget.Part(Door::kCallers);
+    options.readiness_budget = m_budget.Part(Door::kReadiness);
+    options.max_upstream_connections = m_budget.MaxUpstreamConnections();
     m_gateway = std::make_unique<Gateway>(&m_io, std::move(options));
     PeerOptions peer;
     peer.identity = {m_settings.peer_name, kProgram, m_settings.region,
@@ -100,10 +107,13 @@
       return Fail(kExitAddress, listening.error().ToString());
     }
     if (!m_settings.metrics_address.empty()) {
-      m_metrics = std::make_unique<MetricsServer>(&m_io, m_settings.metrics_address, [this] {
-        return m_gateway->MetricsText() + PeerMetricsText(m_node->Counters()) +
+      const auto text = [this] {
+        return m_gateway->MetricsText() + m_budget.MetricsText() +
+               PeerMetricsText(m_node->Counters()) +
                PeerMessageMetricsText(m_node->MessageCounters());
-      });
+      };
+      m_metrics = std::make_unique<MetricsServer>(&m_io, m_settings.metrics_address, text,
+                                                  m_budget.Part(Door::kMetrics));
     }
     LogEvent(LogLevel::kInfo, "listening",
              {{"http_address", m_gateway->Address()},
@@ -118,6 +128,7 @@
     m_relay = std::make_unique<ControlRelay>(&m_io, m_node.get(), platform::MakePlatformDialect(),
                                              &m_gateway->GetMetrics(), m_settings.name,
                                              m_settings.availability_zone);
+    m_relay->SetBudget(m_budget.Part(Door::kOperators));
     return m_relay->Listen(m_settings.fleet_address);
   }
 
@@ -170,6 +181,7 @@
   }
 
   HostSettings m_settings;
+  MemoryBudget m_budget;
   asio::io_context m_io{1};
   asio::signal_set m_signals;
   asio::steady_timer m_drain_timer;
--- a/src/include/corneltray/control_endpoint.h
+++ b/src/include/corneltray/control_endpoint.h
@@ -46,6 +46,10 @@
   ControlEndpoint(asio::io_context* io, std::shared_ptr<const Dialect> dialect, Metrics* metrics,
                   Handler handler);
 
+  // The part of this interface in the budget of the process. Call before Listen.
+  void SetBudget(std::shared_ptr<DoorBudget> budget) {
+    m_listener.SetBudget(Door::kOperators, std::move(budget));
+  }
   // Fails when the address IP:PORT cannot be bound.
   Status Listen(const std::string& address);
   std::string Address() const { return m_listener.Address(); }
--- a/src/include/corneltray/control_relay.h
+++ b/src/include/corneltray/control_relay.h
@@ -26,6 +26,7 @@
   ControlRelay& operator=(const ControlRelay&) = delete;
 
   // Fails when the address IP:PORT cannot be bound.
+  void SetBudget(std::shared_ptr<DoorBudget> budget) { m_endpoint.SetBudget(std::move(budget)); }
   Status Listen(const std::string& address) { return m_endpoint.Listen(address); }
   std::string Address() const { return m_endpoint.Address(); }
 
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -42,6 +43,10 @@
   double retry_allowance = 100.0;  // retries per window beyond the ratio, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
+  // Parts of the memory of the process, for callers and for the readiness check.
+  std::shared_ptr<DoorBudget> caller_budget = MakeDefaultDoorBudget();
+  std::shared_ptr<DoorBudget> readiness_budget = MakeDefaultDoorBudget();
+  std::size_t max_upstream_connections = std::numeric_limits<std::size_t>::max();
 };
 
 // The data path of one entry host: accepts requests of callers, sends them to upstreams and
@@ -148,7 +153,10 @@
   // Reserve memory for response bodies that are buffered until they are complete. The limit applies
   // to the sum over all requests; returns false if it would be exceeded.
   bool ReserveResponseBytes(std::size_t bytes);
-  void ReleaseResponseBytes(std::size_t bytes) { m_reserved_response_bytes -= bytes; }
+  void ReleaseResponseBytes(std::size_t bytes) {
+    m_reserved_response_bytes -= bytes;
+    m_response_charge.Update(m_reserved_response_bytes);
+  }
 
  private:
   void OnCall(const HttpCall& call);
@@ -193,6 +201,7 @@
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
+  MemoryCharge m_response_charge;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
   // Expires with this object. A timer handler may run after destruction, so it checks this first.
--- a/src/include/corneltray/http_head.h
+++ b/src/include/corneltray/http_head.h
@@ -40,6 +40,9 @@
   std::string_view Path() const;
 };
 
+// Returns the memory that a head takes: a field of a few bytes takes many times its length.
+std::size_t HeldBytes(const HttpHead& head);
+
 // Removes the fields that concern a single connection: Connection and those that it names,
 // Keep-Alive, Proxy-Connection, TE, Trailer, Transfer-Encoding, Upgrade and Expect.
 void RemoveConnectionFields(HttpHead* head);
--- a/src/include/corneltray/http_listener.h
+++ b/src/include/corneltray/http_listener.h
@@ -10,6 +10,7 @@
 #include <system_error>
 
 #include "corneltray/http_head.h"
+#include "corneltray/memory_budget.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
 
@@ -21,9 +22,8 @@
   std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   Duration head_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
-  std::size_t max_connections = 2000;
-  // Bodies of all requests that are being read or served; a request beyond it is refused.
-  std::size_t max_buffered_bytes = std::size_t{48} * 1024 * 1024;
+  // Whether the handler uses bodies. If not, they are read and dropped.
+  bool keeps_bodies = true;
 };
 
 class HttpCallerConnection;
@@ -77,7 +77,9 @@
 };
 
 // Accepts connections of callers and reads their requests, without a thread for each. Requests on
-// one connection are answered one after the other. Not thread safe: lives on one io_context.
+// one connection are answered one after the other. Counts what its connections hold, and when that
+// is too much closes those that hold most for the least progress. Not thread safe: lives on one
+// io_context.
 class HttpListener {
  public:
   using Handler = std::function<void(const HttpCall& call)>;
@@ -92,6 +94,8 @@
   // The bound address IP:PORT.
   std::string Address() const;
   void SetLimits(const HttpListenerLimits& limits);
+  // The part of this listener in the budget of the process. Call before Listen.
+  void SetBudget(Door door, std::shared_ptr<DoorBudget> budget);
 
   // From now on every answer ends its connection.
   void BeginDrain();
--- a/src/include/corneltray/http_reader.h
+++ b/src/include/corneltray/http_reader.h
@@ -54,6 +54,8 @@
   bool KeepsConnection() const;
   const HttpHead& Head() const;
   HttpHead TakeHead();
+  // Memory of the head, as far as it was read and not taken.
+  std::size_t HeldBytes() const;
 
  private:
   class Impl;
--- a/src/include/corneltray/metrics_server.h
+++ b/src/include/corneltray/metrics_server.h
@@ -13,9 +13,9 @@
 class MetricsServer {
  public:
   // `text` is called for each request. If the address cannot be bound, the error is logged and the
-  // process runs without metrics.
-  MetricsServer(asio::io_context* io, const std::string& address,
-                std::function<std::string()> text);
+  // process runs without metrics. `budget` is the part of this server in that of the process.
+  MetricsServer(asio::io_context* io, const std::string& address, std::function<std::string()> text,
+                std::shared_ptr<DoorBudget> budget = MakeDefaultDoorBudget());
 
   std::string Address() const { return m_listener.Address(); }
 
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -34,6 +34,8 @@
   std::string fleet_address;  // IP:PORT for upstreams and operators in the installation's dialect
   std::vector<std::string> lease_voters;  // names of the placement processes of this zone
   std::uint32_t http_threads = 0;
+  std::size_t memory_mb = 0;   // that this process may use; 0: that of the machine
+  std::size_t open_files = 0;  // that this process may have; 0: by its limit in the system
   std::int64_t drain_grace_ms = 0;
   std::int64_t drain_deadline_ms = 0;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/include/corneltray/upstream_pool.h
+++ b/src/include/corneltray/upstream_pool.h
@@ -12,6 +12,7 @@
 
 #include "corneltray/enum_names.h"
 #include "corneltray/http_head.h"
+#include "corneltray/memory_budget.h"
 #include "corneltray/time.h"
 
 namespace corneltray {
@@ -98,6 +99,10 @@
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
+  // The door at which the memory of these connections is counted, and how many there may be before
+  // idle ones are closed. Call before Send.
+  void SetBudget(std::shared_ptr<DoorBudget> door, std::size_t max_connections);
+
   UpstreamCall Send(UpstreamRequest request, UpstreamCallbacks callbacks);
 
   // Closes the idle connections to an address.
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -111,6 +111,13 @@
        "time for the balancer to see that this host is not ready"},
       {"drain.deadline_ms", T::kInteger, false, "60000", 0, kHourMs, "ms",
        "time for requests in progress to finish after a stop signal"},
+      {"limits.memory_mb", T::kInteger, false, "0", 0, 1'000'000, "MB",
+       "memory that this process may use; half of it is for connections; 0: that of the machine; "
+       "less than 64 counts as 64"},
+      {"limits.open_files", T::kInteger, false, "0", 0, 10'000'000, "descriptors",
+       "descriptors that this process may open, which bound its connections; 0: by its limit in "
+       "the "
+       "system"},
       {"log.level", T::kString, false, "\"info\"", 1, 16, "", "debug, info, warning or error"},
   };
   return schema;
@@ -165,6 +172,8 @@
   settings.drain_grace_ms = v["drain"]["grace_ms"];
   settings.drain_deadline_ms = v["drain"]["deadline_ms"];
   CheckAddresses(settings, document, issues);
+  settings.memory_mb = v["limits"]["memory_mb"];
+  settings.open_files = v["limits"]["open_files"];
   const auto level = ParseEnum<LogLevel>(v["log"]["level"].get<std::string>());
   if (!level) {
     issues->push_back({source.file, 0, "log.level", "must be debug, info, warning or error"});
--- a/src/libfleet/control_endpoint.cc
+++ b/src/libfleet/control_endpoint.cc
@@ -13,9 +13,6 @@
 
 constexpr std::chrono::seconds kHeadTimeout{10};
 constexpr std::chrono::seconds kIdleTimeout{30};
-// Limit for the bodies of all concurrent calls: two of the maximum size, since an entry host has
-// 112 MB of memory in total.
-constexpr std::size_t kMaxBufferedBytes = 2 * kMaxRouteTableBytes;
 constexpr int kFirstNonSuccessStatus = 300;
 // Status that metrics record for a call whose caller disconnected before the response.
 constexpr int kCallerLeftStatus = 0;
@@ -93,7 +90,6 @@
       m_listener(io, [this](const HttpCall& http) { OnCall(http); }) {
   HttpListenerLimits limits;
   limits.max_body_bytes = kMaxRouteTableBytes;
-  limits.max_buffered_bytes = kMaxBufferedBytes;
   limits.head_timeout = kHeadTimeout;
   limits.idle_timeout = kIdleTimeout;
   m_listener.SetLimits(limits);
--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -12,13 +12,29 @@
 
 // Bytes read ahead of the request in progress; beyond it the caller is not read until its answer
 // is complete.
-constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
+constexpr std::size_t kMaxReadAhead = std::size_t{16} * 1024;
+// The next request of a caller waits until fewer bytes of earlier answers wait for it.
+constexpr std::size_t kMaxUnsentBefore = std::size_t{64} * 1024;
 // Time in which a caller reads the last bytes of an answer that ends its connection.
 constexpr std::chrono::seconds kLingerTimeout{2};
 // A slower caller is taken for stalled. Far below the slowest link that requests come from.
-constexpr std::size_t kMinBodyBytesPerSecond = 512;
+constexpr std::size_t kMinBytesPerSecond = 512;
 // A new connection without a request is not closed as idle before this time.
 constexpr std::chrono::milliseconds kFirstRequestDelay{300};
+// A connection that holds no more than this is read also under pressure, so that small requests
+// are still served.
+constexpr std::size_t kAlwaysReadBytes = std::size_t{24} * 1024;
+// Memory of a connection that holds nothing: the object, its reader and its pending operations.
+constexpr std::size_t kConnectionBytes = std::size_t{3} * 1024;
+// Buffers up to this size are kept for the next request.
+constexpr std::size_t kKeptBufferBytes = std::size_t{4} * 1024;
+// Sent bytes are removed from the front of an answer in steps of this size.
+constexpr std::size_t kSentStepBytes = std::size_t{64} * 1024;
+
+void Release(std::string* buffer) {
+  buffer->clear();
+  if (buffer->capacity() > kKeptBufferBytes) buffer->shrink_to_fit();
+}
 
 }  // namespace
 
@@ -33,7 +49,10 @@
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
   m_opened_at = Clock::now();
+  m_last_progress_at = m_opened_at;
   m_deadline = m_opened_at + m_listener->limits.idle_timeout;
+  m_charge.SetDoor(m_listener->budget);
+  Account();
   Read();
 }
 
@@ -51,15 +70,76 @@
   return m_state == State::kReading && !is_new && Unsent() == 0 && IsQuiet();
 }
 
-bool HttpCallerConnection::Expired(TimePoint now) const {
-  return (m_state == State::kReading || m_state == State::kClosing) && now >= m_deadline;
+std::optional<CloseReason> HttpCallerConnection::Overdue(TimePoint now) {
+  if (m_state == State::kClosed) return std::nullopt;
+  if (Unsent() > 0) return OverdueReader(now);
+  m_answer_window.reset();
+  if (m_state == State::kServing) return std::nullopt;
+  if (m_state == State::kClosing) {
+    return now >= m_deadline ? std::optional(CloseReason::kIdle) : std::nullopt;
+  }
+  if (m_paused) return std::nullopt;
+  if (m_reader.HeadComplete() && IsBodySlow(now)) return CloseReason::kSlowBody;
+  if (now < m_deadline) return std::nullopt;
+  if (m_reader.HeadComplete()) return CloseReason::kSlowBody;
+  return m_reader.Started() ? CloseReason::kSlowHead : CloseReason::kIdle;
+}
+
+std::size_t HttpCallerConnection::MinWindowBytes() const {
+  const auto window = std::chrono::duration<double>(m_listener->limits.idle_timeout);
+  return static_cast<std::size_t>(static_cast<double>(kMinBytesPerSecond) * window.count());
+}
+
+// An answer that the caller stopped reading would otherwise be held for as long as it likes.
+std::optional<CloseReason> HttpCallerConnection::OverdueReader(TimePoint now) {
+  const Duration window = m_listener->limits.idle_timeout;
+  if (!m_answer_window) m_answer_window = ProgressWindow{now + window, 0};
+  if (now < m_answer_window->ends_at) return std::nullopt;
+  if (m_answer_window->bytes < MinWindowBytes()) return CloseReason::kSlowReader;
+  m_answer_window = ProgressWindow{now + window, 0};
+  return std::nullopt;
+}
+
+// A body that has almost arrived would otherwise be held for the time that its length allows.
+bool HttpCallerConnection::IsBodySlow(TimePoint now) {
+  if (now < m_body_window.ends_at) return false;
+  if (m_body_window.bytes < MinWindowBytes()) return true;
+  m_body_window = {now + 2 * m_listener->limits.idle_timeout, 0};
+  return false;
+}
+
+HeldConnection HttpCallerConnection::Held() const {
+  HeldConnection held;
+  held.bytes = m_charge.Bytes();
+  held.progress_bytes = m_progress_bytes;
+  // A request in progress may have been sent on to an upstream. Once much of its answer waits for
+  // the caller, it is the caller who keeps it.
+  held.is_protected = m_state == State::kServing && Unsent() <= kMaxUnsentBefore;
+  return held;
+}
+
+std::size_t HttpCallerConnection::HeldBytes() const {
+  // Whoever serves a request has a copy of its head.
+  const std::size_t heads = m_state == State::kServing ? 2 * m_head_bytes : m_head_bytes;
+  return kConnectionBytes + m_input.capacity() + m_body.capacity() + m_output.capacity() +
+         m_reader.HeldBytes() + heads;
+}
+
+void HttpCallerConnection::Relieve() {
+  const bool is_partly_read = m_state == State::kReading && m_reader.Started() && Unsent() == 0;
+  if (!is_partly_read) return Close();
+  Refuse(503);
 }
 
 void HttpCallerConnection::Close() {
   if (m_state == State::kClosed) return;
   const bool was_serving = m_state == State::kServing;
   m_state = State::kClosed;
-  ReleaseBody();
+  m_body = std::string();
+  m_input = std::string();
+  m_output = std::string();
+  m_output_at = 0;
+  m_charge.Update(0);
   asio::error_code ignored;  // the connection is given up either way
   m_socket.close(ignored);
   const auto self = shared_from_this();
@@ -70,42 +150,82 @@
   if (was_serving && gone) gone();
 }
 
+bool HttpCallerConnection::MustPause() const {
+  return m_state != State::kClosing && m_charge.Bytes() > kAlwaysReadBytes &&
+         m_listener->budget->Pressure() != MemoryPressure::kNone;
+}
+
+void HttpCallerConnection::ResumeReading() {
+  if (!m_paused || MustPause()) return;
+  m_paused = false;
+  // The caller was not late while it was not read.
+  const TimePoint now = Clock::now();
+  m_deadline = now + m_listener->limits.idle_timeout;
+  m_body_window = {now + 2 * m_listener->limits.idle_timeout, 0};
+  Read();
+}
+
 void HttpCallerConnection::Read() {
   if (m_read_pending || m_state == State::kClosed || m_input.size() > kMaxReadAhead) return;
+  m_paused = MustPause();
+  if (m_paused) return;
   m_read_pending = true;
-  m_socket.async_read_some(
-      asio::buffer(m_chunk),
-      [self = shared_from_this()](const asio::error_code& error, std::size_t bytes) {
-        self->m_read_pending = false;
-        if (self->m_state == State::kClosed) return;
-        if (error) {
-          self->Close();
-        } else {
-          self->OnRead(bytes);
-        }
-      });
-}
-
-void HttpCallerConnection::OnRead(std::size_t bytes) {
-  if (m_state == State::kClosing) return Read();  // what comes after the last answer is dropped
-  m_input.append(m_chunk.data(), bytes);
-  if (m_state == State::kReading) ReadRequest();
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [self = shared_from_this()](const asio::error_code& error) {
+                        self->m_read_pending = false;
+                        if (self->m_state == State::kClosed) return;
+                        if (error) return self->Close();
+                        self->OnReadable();
+                      });
+}
+
+void HttpCallerConnection::OnReadable() {
+  auto& buffer = m_listener->read_buffer;
+  const bool is_body = m_state == State::kReading && m_reader.HeadComplete();
+  const std::size_t size = is_body ? buffer.size() : kMaxReadAhead;
+  asio::error_code error;
+  const std::size_t bytes = m_socket.read_some(asio::buffer(buffer.data(), size), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) return Read();
+  if (error) return Close();
+  m_progress_bytes += bytes;
+  m_last_progress_at = Clock::now();
+  OnRead({buffer.data(), bytes});
+  Account();
+  m_listener->RelievePressure();
   Read();
 }
 
-void HttpCallerConnection::ReadRequest() {
-  if (m_input.empty()) return;
-  if (!m_reader.Started()) {
-    m_deadline = Clock::now() + m_listener->limits.head_timeout;
-    m_body_deadline.reset();
+void HttpCallerConnection::OnRead(std::string_view bytes) {
+  if (m_state == State::kClosing) {
+    // What comes after the last answer is dropped.
+    m_lingered_bytes += bytes.size();
+    if (m_lingered_bytes > 2 * m_listener->limits.max_body_bytes) Close();
+    return;
+  }
+  if (m_state == State::kReading && (m_reader.Started() || Unsent() <= kMaxUnsentBefore)) {
+    return ReadRequest(bytes);
+  }
+  m_input.append(bytes);
+}
+
+void HttpCallerConnection::ReadRequest(std::string_view bytes) {
+  if (!m_input.empty()) {
+    m_input.append(bytes);
+    bytes = m_input;
   }
-  const Result<std::size_t> taken = m_reader.Read(m_input, &m_body);
+  if (bytes.empty()) return;
+  const Result<std::size_t> taken = Consume(bytes);
   if (!taken) {
     const bool large = taken.error().code == HttpReaderErrc::kHeadTooLarge;
     ++(large ? m_listener->counters.refused : m_listener->counters.malformed);
     return Refuse(large ? 431 : 400);
   }
-  m_input.erase(0, taken.value());
+  if (!m_input.empty()) {
+    m_input.erase(0, taken.value());
+    if (m_input.empty()) Release(&m_input);
+  } else {
+    m_input.append(bytes.substr(taken.value()));
+  }
   if (!m_reader.HeadComplete() || !CheckSizes()) return;
   if (m_reader.MessageComplete()) return StartServing();
   m_deadline = std::min(Clock::now() + m_listener->limits.idle_timeout, BodyDeadline());
@@ -115,6 +235,37 @@
   }
 }
 
+Result<std::size_t> HttpCallerConnection::Consume(std::string_view bytes) {
+  const TimePoint now = Clock::now();
+  if (!m_reader.Started()) {
+    m_deadline = now + m_listener->limits.head_timeout;
+    m_body_deadline.reset();
+    m_body_window = {now + 2 * m_listener->limits.idle_timeout, 0};
+  }
+  if (m_reader.HeadComplete()) GrowBody(bytes.size());
+  Result<std::size_t> taken = m_reader.Read(bytes, &m_body);
+  if (!taken) return taken;
+  m_body_window.bytes += taken.value();
+  if (!m_listener->limits.keeps_bodies) {
+    m_dropped_bytes += m_body.size();
+    m_body.clear();
+  }
+  return taken;
+}
+
+// Makes room for bytes of a body: twice as much as there is, but not more than may come.
+void HttpCallerConnection::GrowBody(std::size_t bytes) {
+  const std::size_t needed = m_body.size() + bytes;
+  if (needed <= m_body.capacity()) return;
+  const bool has_length = m_reader.Head().Find("Content-Length") != nullptr;
+  const std::size_t most = has_length ? AnnouncedLength() : m_listener->limits.max_body_bytes;
+  // A string that holds something grows to twice its size at least, so a new one is made.
+  std::string grown;
+  grown.reserve(std::max(std::min(2 * m_body.capacity(), most), std::min(needed, most)));
+  grown.append(m_body);
+  m_body.swap(grown);
+}
+
 std::size_t HttpCallerConnection::AnnouncedLength() const {
   const std::string announced(m_reader.Head().Value("Content-Length"));
   return std::strtoull(announced.c_str(), nullptr, 10);
@@ -127,42 +278,41 @@
   if (!m_body_deadline) {
     const bool has_length = m_reader.Head().Find("Content-Length") != nullptr;
     const std::size_t bytes = has_length ? AnnouncedLength() : limits.max_body_bytes;
-    m_body_deadline = Clock::now() + 2 * limits.idle_timeout +
-                      std::chrono::seconds(bytes / kMinBodyBytesPerSecond);
+    m_body_deadline =
+        Clock::now() + 2 * limits.idle_timeout + std::chrono::seconds(bytes / kMinBytesPerSecond);
   }
   return *m_body_deadline;
 }
 
 // Refuses a body that is too large, from its announced length where there is one.
 bool HttpCallerConnection::CheckSizes() {
-  const HttpListenerLimits& limits = m_listener->limits;
-  const std::size_t length = std::max(m_body.size(), AnnouncedLength());
-  if (length > limits.max_body_bytes) {
-    ++m_listener->counters.refused;
-    Refuse(413);
-    return false;
-  }
-  m_listener->buffered_bytes += m_body.size() - m_counted_body;
-  m_counted_body = m_body.size();
-  if (m_listener->buffered_bytes > limits.max_buffered_bytes) {
-    ++m_listener->counters.refused;
-    Refuse(503);
-    return false;
-  }
-  return true;
+  const std::size_t length = std::max(m_body.size() + m_dropped_bytes, AnnouncedLength());
+  if (length <= m_listener->limits.max_body_bytes) return true;
+  ++m_listener->counters.refused;
+  Refuse(413);
+  return false;
 }
 
 void HttpCallerConnection::StartServing() {
+  // Whoever serves the request holds it once more. Nothing has been sent on yet, so this is the
+  // last moment to refuse it as not run.
+  const std::size_t copy_bytes = m_body.size() + m_reader.HeldBytes();
+  if (copy_bytes > kAlwaysReadBytes && !m_listener->budget->Fits(copy_bytes)) {
+    m_listener->RecordClosed(CloseReason::kMemory, HeldBytes());
+    return Refuse(503);
+  }
   m_state = State::kServing;
   ++m_number;
   m_read_at = Clock::now();
   m_keep_alive = m_reader.KeepsConnection();
   m_head = m_reader.TakeHead();
+  m_head_bytes = corneltray::HeldBytes(m_head);
   m_no_body = m_head.method == "HEAD";
   m_begun = false;
   m_chunked = false;
   m_on_gone = nullptr;
   m_on_drained = nullptr;
+  Account();
   m_listener->handler(HttpCall(shared_from_this(), m_number));
 }
 
@@ -172,6 +322,10 @@
   m_state = State::kServing;
   m_begun = false;
   m_no_body = false;
+  m_on_gone = nullptr;
+  m_on_drained = nullptr;
+  m_reader.Restart();
+  Release(&m_input);
   Respond(MakeResponse(status), "");
 }
 
@@ -235,13 +389,8 @@
   if (m_state == State::kReading) {
     m_reader.Restart();
     m_continue_sent = false;
-    m_body.clear();
     // Not from here: the handler of the answered request is still on the stack.
-    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-      if (self->m_state != State::kReading) return;
-      self->ReadRequest();
-      self->Read();
-    });
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->NextRequest(); });
     return;
   }
   if (m_state != State::kClosing || Unsent() > 0) return;
@@ -253,11 +402,21 @@
   Read();
 }
 
+void HttpCallerConnection::NextRequest() {
+  if (m_state != State::kReading) return;
+  if (!m_reader.Started()) {
+    m_head = {};
+    m_head_bytes = 0;
+    if (Unsent() > kMaxUnsentBefore) return Account();  // goes on once the caller has read
+    ReadRequest({});
+  }
+  Account();
+  Read();
+}
+
 void HttpCallerConnection::ReleaseBody() {
-  m_listener->buffered_bytes -= m_counted_body;
-  m_counted_body = 0;
-  m_body.clear();
-  m_body.shrink_to_fit();
+  m_body = std::string();
+  m_dropped_bytes = 0;
 }
 
 void HttpCallerConnection::Send(std::string_view bytes) {
@@ -270,7 +429,10 @@
     asio::error_code error;
     const std::size_t written =
         m_socket.write_some(asio::buffer(m_output.data() + m_output_at, Unsent()), error);
-    if (error == asio::error::would_block || error == asio::error::try_again) return WaitWritable();
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+      WaitWritable();
+      break;
+    }
     if (error) {
       // Not from here: the handler that wrote is still on the stack.
       asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->Close(); });
@@ -278,9 +440,19 @@
       return;
     }
     m_output_at += written;
+    m_progress_bytes += written;
+    if (m_answer_window) m_answer_window->bytes += written;
   }
+  ReleaseSent();
+  Account();
+}
+
+void HttpCallerConnection::ReleaseSent() {
   if (Unsent() == 0) {
-    m_output.clear();
+    Release(&m_output);
+    m_output_at = 0;
+  } else if (m_output_at >= kSentStepBytes && m_output_at >= Unsent()) {
+    m_output = m_output.substr(m_output_at);
     m_output_at = 0;
   }
 }
@@ -293,10 +465,27 @@
                         if (self->m_state == State::kClosed) return;
                         if (error) return self->Close();
                         self->Flush();
-                        if (self->Unsent() > 0) return;
-                        if (self->m_state == State::kClosing) return self->FinishServing();
-                        if (self->m_on_drained) self->m_on_drained();
+                        self->m_last_progress_at = Clock::now();
+                        if (self->Unsent() == 0) self->OnDrained();
                       });
 }
 
+// The caller has read what waited for it.
+void HttpCallerConnection::OnDrained() {
+  m_answer_window.reset();
+  switch (m_state) {
+    case State::kClosing:
+      m_deadline = Clock::now() + kLingerTimeout;
+      return FinishServing();
+    case State::kReading:
+      if (!m_reader.Started()) m_deadline = Clock::now() + m_listener->limits.idle_timeout;
+      return NextRequest();
+    case State::kServing:
+      if (m_on_drained) m_on_drained();
+      return;
+    case State::kClosed:
+      return;
+  }
+}
+
 }  // namespace corneltray
--- a/src/libhttp/http_head.cc
+++ b/src/libhttp/http_head.cc
@@ -88,6 +88,17 @@
   return whole.substr(0, whole.find('?'));
 }
 
+std::size_t HeldBytes(const HttpHead& head) {
+  // A short text is stored in the string itself.
+  const std::size_t inside = std::string().capacity();
+  const auto on_heap = [inside](const std::string& text) {
+    return text.capacity() <= inside ? 0 : text.capacity() + 1;
+  };
+  std::size_t bytes = head.fields.capacity() * sizeof(HttpField);
+  for (const HttpField& field : head.fields) bytes += on_heap(field.name) + on_heap(field.value);
+  return bytes + on_heap(head.method) + on_heap(head.target) + on_heap(head.reason);
+}
+
 void RemoveConnectionFields(HttpHead* head) {
   std::vector<std::string> named;
   for (const HttpField& field : head->fields) {
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -1,11 +1,13 @@
 #include "corneltray/http_listener.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <charconv>
 #include <utility>
 #include <vector>
 
+#include "corneltray/log.h"
 #include "http_caller_connection.h"
 
 namespace corneltray {
@@ -14,6 +16,12 @@
 constexpr std::chrono::milliseconds kSweepInterval{500};
 // After an accept failed for want of descriptors or memory.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+// Bytes that the kernel keeps for a caller that is not read, or that does not read.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+constexpr int kSendBufferBytes = 128 * 1024;
+// Connections closed at once when there are too many: this share of them, so that a flood of new
+// ones does not scan the others each time.
+constexpr std::size_t kStalePart = 16;
 
 }  // namespace
 
@@ -47,6 +55,10 @@
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ip), port);
   m_acceptor.open(endpoint.protocol(), error);
   if (!error) m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  // Accepted connections inherit the sizes.
+  asio::error_code ignored;  // larger buffers only cost memory of the kernel
+  m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+  m_acceptor.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
   if (!error) m_acceptor.bind(endpoint, error);
   if (!error) m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return Error{error, address};
@@ -75,8 +87,9 @@
 
 void HttpListener::Impl::AddConnection(asio::ip::tcp::socket socket) {
   ++counters.accepted;
-  if (connections.size() >= limits.max_connections) {
+  if (connections.size() >= budget->MaxConnections() && !CloseStalest()) {
     ++counters.refused;
+    RecordClosed(CloseReason::kConnections, 0);
     return;
   }
   auto connection = std::make_shared<HttpCallerConnection>(shared_from_this(), std::move(socket));
@@ -115,12 +128,85 @@
 
 void HttpListener::Impl::Sweep() {
   const TimePoint now = Clock::now();
-  std::vector<std::shared_ptr<HttpCallerConnection>> expired;
-  for (const auto& connection : connections) {
-    if (connection->Expired(now)) expired.push_back(connection);
+  const std::vector<std::shared_ptr<HttpCallerConnection>> all(connections.begin(),
+                                                               connections.end());
+  for (const auto& connection : all) {
+    if (const auto reason = connection->Overdue(now)) {
+      RecordClosed(*reason, connection->Held().bytes);
+      connection->Close();
+    }
+    connection->AgeProgress();
   }
-  for (const auto& connection : expired) connection->Close();
   if (m_closes_idle) CloseIdle();
+  // Connections that are not read for the pressure of others do not get room by themselves.
+  const bool is_high = budget->Pressure() != MemoryPressure::kNone;
+  if (is_high && m_is_high_since_sweep) CloseHeaviest(budget->Excess());
+  m_is_high_since_sweep = is_high;
+  for (const auto& connection : all) connection->ResumeReading();
+  LogClosings();
+}
+
+void HttpListener::Impl::SetBudget(Door door, std::shared_ptr<DoorBudget> part) {
+  m_door = door;
+  budget = std::move(part);
+}
+
+void HttpListener::Impl::RecordClosed(CloseReason reason, std::size_t held_bytes) {
+  budget->RecordClosed(reason);
+  Closings& closings = m_closings[reason];
+  ++closings.connections;
+  closings.held_bytes += held_bytes;
+}
+
+void HttpListener::Impl::RelievePressure() {
+  if (budget->Pressure() != MemoryPressure::kCritical) return;
+  CloseHeaviest(budget->Excess());
+}
+
+void HttpListener::Impl::CloseHeaviest(std::size_t excess) {
+  const std::vector<std::shared_ptr<HttpCallerConnection>> all(connections.begin(),
+                                                               connections.end());
+  std::vector<HeldConnection> held;
+  held.reserve(all.size());
+  for (const auto& connection : all) held.push_back(connection->Held());
+  for (const std::size_t i : ChooseToClose(held, excess)) {
+    RecordClosed(CloseReason::kMemory, held[i].bytes);
+    all[i]->Relieve();
+  }
+}
+
+// Idle connections are the first to go: a caller opens another one. Connections with a request in
+// progress stay.
+bool HttpListener::Impl::CloseStalest() {
+  std::vector<std::shared_ptr<HttpCallerConnection>> candidates;
+  for (const auto& connection : connections) {
+    if (!connection->Busy()) candidates.push_back(connection);
+  }
+  const std::size_t count = std::min(candidates.size(), connections.size() / kStalePart + 1);
+  std::partial_sort(
+      candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
+      [](const auto& a, const auto& b) { return a->LastProgressAt() < b->LastProgressAt(); });
+  for (std::size_t i = 0; i < count; ++i) {
+    RecordClosed(CloseReason::kConnections, candidates[i]->Held().bytes);
+    candidates[i]->Close();
+  }
+  return count > 0;
+}
+
+// One line for each reason and sweep, however many connections were closed.
+void HttpListener::Impl::LogClosings() {
+  for (const auto& [reason, closings] : m_closings) {
+    if (reason == CloseReason::kIdle) continue;  // the usual end of a connection
+    LogEvent(LogLevel::kWarning, "connections_closed",
+             {{"door", NameOf(m_door)},
+              {"reason", NameOf(reason)},
+              {"connections", closings.connections},
+              {"held_bytes", closings.held_bytes},
+              {"open", connections.size()},
+              {"memory_bytes", budget->UsedBytes()},
+              {"memory_limit_bytes", budget->MaxBytes()}});
+  }
+  m_closings.clear();
 }
 
 void HttpListener::Impl::CloseIdle() {
@@ -163,6 +249,9 @@
 Status HttpListener::Listen(const std::string& address) { return m_impl->Listen(address); }
 std::string HttpListener::Address() const { return m_impl->Address(); }
 void HttpListener::SetLimits(const HttpListenerLimits& limits) { m_impl->limits = limits; }
+void HttpListener::SetBudget(Door door, std::shared_ptr<DoorBudget> budget) {
+  m_impl->SetBudget(door, std::move(budget));
+}
 void HttpListener::BeginDrain() { m_impl->BeginDrain(); }
 void HttpListener::CloseIdle() { m_impl->CloseIdle(); }
 void HttpListener::CloseListener() { m_impl->CloseListener(); }
--- a/src/libhttp/http_listener_test.cc
+++ b/src/libhttp/http_listener_test.cc
@@ -2,10 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
+#include <vector>
 
 #include "../libcorneltray/test_socket.h"
 #include "event_loop_test.h"
@@ -246,5 +248,136 @@
   }
 }
 
+// Load: bodies that stop just short of their end, more than the listener may hold. Guards against
+// a process that runs out of memory, and against one that serves nobody else meanwhile.
+TEST_CASE("a listener holds no more than its part of the memory") {
+  constexpr std::size_t kBodyBytes = 200'000;
+  constexpr std::size_t kMaxBytes = 1'000'000;
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "done"); });
+  const auto budget = std::make_shared<DoorBudget>(kMaxBytes, 100);
+  fixture.loop.Run([&] { fixture.Listener().SetBudget(Door::kCallers, budget); });
+  const std::string head =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  std::vector<std::unique_ptr<TestSocket>> crowd;
+  for (int i = 0; i < 20; ++i) {
+    crowd.push_back(std::make_unique<TestSocket>(fixture.Address()));
+    REQUIRE(crowd.back()->Send(head + std::string(10'000, 'x')));
+  }
+  std::vector<std::thread> senders;
+  for (const auto& caller : crowd) {
+    senders.emplace_back([&caller] { (void)caller->Send(std::string(kBodyBytes - 10'010, 'x')); });
+  }
+  // A sender whose connection is not read ends once that is refused.
+  for (std::thread& sender : senders) sender.join();
+  CHECK(budget->UsedBytes() <= kMaxBytes);
+  CHECK(fixture.loop.WaitFor([&] { return budget->Closed(CloseReason::kMemory) > 0; }));
+
+  SUBCASE("refuses what it cannot hold as not run") {
+    std::size_t refused = 0;
+    for (const auto& caller : crowd) {
+      const std::string answer = caller->ReadWhile([&](const std::string& read) {
+        return read.empty() &&
+               fixture.loop.Run([&] { return budget->Pressure(); }) != MemoryPressure::kNone;
+      });
+      if (answer.find("HTTP/1.1 503") == 0) ++refused;
+    }
+    CHECK(refused > 0);
+  }
+  SUBCASE("and serves others") {
+    TestSocket caller(fixture.Address());
+    REQUIRE(caller.Send(kGet));
+    CHECK(EndsWith(
+        caller.ReadWhile([](const std::string& read) { return !EndsWith(read, "done"); }), "done"));
+  }
+}
+
+// Load: many requests ahead on one connection, whose answers nobody reads.
+TEST_CASE("a caller that does not read its answers gets no further ones") {
+  const auto budget = std::make_shared<DoorBudget>(std::size_t{10'000'000}, 100);
+  std::size_t most_held = 0;  // changed on the loop
+  ListenerFixture fixture([&](const HttpCall& call) {
+    call.Respond(MakeResponse(200), std::string(10'000, 'x'));
+    most_held = std::max(most_held, budget->UsedBytes());
+  });
+  fixture.loop.Run([&] { fixture.Listener().SetBudget(Door::kCallers, budget); });
+  TestSocket caller(fixture.Address());
+  constexpr int kRequests = 2000;
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) requests += kGet;
+  std::thread sender([&] { (void)caller.Send(requests); });
+  REQUIRE(fixture.loop.WaitFor([&] { return most_held > 64'000; }));
+  // Each answer is sent once the caller has read the ones before.
+  std::size_t read_bytes = 0;
+  constexpr std::size_t kAnswerBytes = 10'000;
+  while (read_bytes < kRequests * kAnswerBytes) {
+    const std::size_t wanted = std::min(100 * kAnswerBytes, kRequests * kAnswerBytes - read_bytes);
+    const std::size_t got =
+        caller.ReadWhile([&](const std::string& read) { return read.size() < wanted; }).size();
+    if (got == 0) break;
+    read_bytes += got;
+  }
+  sender.join();
+  CHECK(read_bytes >= kRequests * kAnswerBytes);
+  CHECK(fixture.loop.Run([&] { return most_held; }) < 1'000'000);
+}
+
+TEST_CASE("a listener with too many connections closes the stalest") {
+  ListenerFixture fixture([](const HttpCall& call) { call.Respond(MakeResponse(200), "done"); });
+  const auto budget = std::make_shared<DoorBudget>(std::size_t{1'000'000}, 4);
+  fixture.loop.Run([&] { fixture.Listener().SetBudget(Door::kCallers, budget); });
+  std::vector<std::unique_ptr<TestSocket>> idle;
+  for (std::size_t i = 0; i < 4; ++i) {
+    idle.push_back(std::make_unique<TestSocket>(fixture.Address()));
+    REQUIRE(fixture.loop.WaitFor([&] { return fixture.Listener().Counters().open == i + 1; }));
+  }
+  TestSocket caller(fixture.Address());
+  REQUIRE(caller.Send(kGet));
+  CHECK(EndsWith(caller.ReadWhile([](const std::string& read) { return !EndsWith(read, "done"); }),
+                 "done"));
+  CHECK(idle.front()->ReadAll().empty());
+  CHECK(idle.front()->PeerClosed());
+  CHECK(budget->Closed(CloseReason::kConnections) == 1);
+}
+
+// Guards against memory for bodies that no handler looks at.
+TEST_CASE("a listener whose handler uses no bodies drops them") {
+  ListenerFixture fixture([](const HttpCall& call) {
+    call.Respond(MakeResponse(200), std::to_string(call.Body().size()) + " bytes");
+  });
+  HttpListenerLimits limits;
+  limits.keeps_bodies = false;
+  limits.max_body_bytes = 1'000'000;
+  fixture.loop.Run([&] { fixture.Listener().SetLimits(limits); });
+  TestSocket caller(fixture.Address());
+
+  SUBCASE("up to the largest size") {
+    REQUIRE(caller.Send("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n"));
+    REQUIRE(caller.Send(std::string(1'000'000, 'x')));
+    CHECK(EndsWith(caller.ReadUntil("bytes"), "\r\n0 bytes"));
+  }
+  SUBCASE("and refuses longer ones") {
+    REQUIRE(caller.Send("POST / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n"));
+    CHECK(caller.ReadAll().find("HTTP/1.1 413") == 0);
+  }
+}
+
+// Guards against an answer that is held for as long as its caller likes.
+TEST_CASE("an answer has to be read at a minimum rate") {
+  ListenerFixture fixture([](const HttpCall& call) {
+    call.Respond(MakeResponse(200), std::string(std::size_t{8} * 1024 * 1024, 'x'));
+  });
+  const auto budget = std::make_shared<DoorBudget>(std::size_t{100'000'000}, 100);
+  HttpListenerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(200);
+  fixture.loop.Run([&] {
+    fixture.Listener().SetBudget(Door::kCallers, budget);
+    fixture.Listener().SetLimits(limits);
+  });
+  TestSocket caller(fixture.Address());
+  REQUIRE(caller.Send(kGet));
+  CHECK(fixture.loop.WaitFor([&] { return budget->Closed(CloseReason::kSlowReader) == 1; }));
+  CHECK(budget->UsedBytes() == 0);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace corneltray {
@@ -31,6 +32,13 @@
   return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
 }
 
+// Returns how many fields a complete head has, a line each after the start line.
+std::size_t CountFields(std::string_view head) {
+  constexpr std::size_t kOtherLines = 2;
+  const auto lines = static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n'));
+  return lines - std::min(lines, kOtherLines);
+}
+
 }  // namespace
 
 std::error_code make_error_code(HttpReaderErrc errc) {
@@ -76,7 +84,9 @@
     http_parser_init(&m_parser, m_kind == HttpMessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = {};
-    m_head_bytes.clear();
+    m_held_bytes = 0;
+    m_started = false;
+    ReleaseHeadBytes();
     m_head_complete = false;
     m_message_complete = false;
     m_expect_no_body = false;
@@ -91,7 +101,8 @@
     if (!m_head_complete) {
       // The whole head is collected first, so that it can be checked as text.
       const std::size_t before = m_head_bytes.size();
-      m_head_bytes.append(bytes);
+      m_started = m_started || !bytes.empty();
+      m_head_bytes.append(bytes.substr(0, BytesOfHead(bytes, before)));
       const std::size_t scan_from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
       const std::size_t end = m_head_bytes.find(kHeadEnd, scan_from);
       if (end == std::string::npos) {
@@ -103,8 +114,10 @@
       taken = head_size - before;
       m_head_bytes.resize(head_size);
       if (HasFoldedField(m_head_bytes)) return Fail(HttpReaderErrc::kMalformed, "folded field");
+      m_head.fields.reserve(CountFields(m_head_bytes));
       Result<std::size_t> parsed = Parse(m_head_bytes, body);
       if (!parsed) return parsed;
+      ReleaseHeadBytes();
       if (!m_head_complete) return Fail(HttpReaderErrc::kMalformed, "incomplete head");
     }
     if (m_message_complete || taken == bytes.size()) return taken;
@@ -127,9 +140,15 @@
   void ExpectNoBody() { m_expect_no_body = true; }
   bool HeadComplete() const { return m_head_complete; }
   bool MessageComplete() const { return m_message_complete; }
-  bool Started() const { return !m_head_bytes.empty(); }
+  bool Started() const { return m_started; }
   bool KeepsConnection() const { return m_keeps_connection; }
   HttpHead& Head() { return m_head; }
+  std::size_t HeldBytes() const { return m_head_bytes.capacity() + m_held_bytes; }
+
+  HttpHead TakeHead() {
+    m_held_bytes = 0;
+    return std::move(m_head);
+  }
 
  private:
   static Impl* Self(http_parser* parser) { return static_cast<Impl*>(parser->data); }
@@ -150,6 +169,21 @@
     return {errc, detail};
   }
 
+  // Returns how many bytes to add to those of the head. More than a head may have are not needed to
+  // refuse it, and those after its end belong to a body or to another request.
+  std::size_t BytesOfHead(std::string_view bytes, std::size_t before) const {
+    const std::size_t end = before == 0 ? bytes.find(kHeadEnd) : std::string_view::npos;
+    if (end != std::string_view::npos) return end + kHeadEnd.size();
+    return m_max_head_bytes + 1 - before;
+  }
+
+  // A long head is not kept beside its parsed form, nor on an idle connection.
+  void ReleaseHeadBytes() {
+    constexpr std::size_t kKeptBytes = 2048;
+    m_head_bytes.clear();
+    if (m_head_bytes.capacity() > kKeptBytes) m_head_bytes.shrink_to_fit();
+  }
+
   void AppendName(const char* at, std::size_t n) {
     if (m_head_complete) return;  // a trailer concerns one connection only
     if (m_head.fields.empty() || m_in_value) {
@@ -186,6 +220,7 @@
     if (coding != nullptr && (!EqualFieldNames(*coding, "chunked") || m_parser.http_minor == 0)) {
       return kRefuse;
     }
+    m_held_bytes = corneltray::HeldBytes(m_head);
     // A body that ends with the connection leaves none to keep; the parser knows of these.
     m_keeps_connection = http_should_keep_alive(&m_parser) != 0;
     return m_expect_no_body ? kNoBody : 0;
@@ -196,7 +231,9 @@
   http_parser m_parser{};
   http_parser_settings m_settings{};
   HttpHead m_head;
-  std::string m_head_bytes;
+  std::string m_head_bytes;      // until the head is parsed
+  std::size_t m_held_bytes = 0;  // of the parsed head
+  bool m_started = false;
   std::string* m_body = nullptr;
   bool m_in_value = false;
   bool m_head_complete = false;
@@ -221,6 +258,7 @@
 bool HttpReader::Started() const { return m_impl->Started(); }
 bool HttpReader::KeepsConnection() const { return m_impl->KeepsConnection(); }
 const HttpHead& HttpReader::Head() const { return m_impl->Head(); }
-HttpHead HttpReader::TakeHead() { return std::move(m_impl->Head()); }
+HttpHead HttpReader::TakeHead() { return m_impl->TakeHead(); }
+std::size_t HttpReader::HeldBytes() const { return m_impl->HeldBytes(); }
 
 }  // namespace corneltray
--- a/src/libhttp/upstream_pool.cc
+++ b/src/libhttp/upstream_pool.cc
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds kDefaultKeepAlive{500};
 constexpr std::chrono::milliseconds kSweepInterval{1000};
 constexpr std::size_t kMaxIdlePerAddress = 64;
+// Memory of a connection beside the request that it sends.
+constexpr std::size_t kConnectionBytes = std::size_t{8} * 1024;
 
 // Reads "timeout=N" of a Keep-Alive field, in seconds.
 std::chrono::milliseconds KeepAliveTime(std::string_view field) {
@@ -53,6 +55,8 @@
   void CloseAll();
 
   UpstreamPoolCounters counters;
+  std::shared_ptr<DoorBudget> budget;  // null: not counted
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 
  private:
   struct Idle {
@@ -79,7 +83,10 @@
         m_socket(*io),
         m_timer(*io),
         m_address(std::move(address)),
-        m_reader(HttpMessageKind::kResponse, kMaxAnswerHeadBytes) {}
+        m_reader(HttpMessageKind::kResponse, kMaxAnswerHeadBytes),
+        m_charge(m_pool->budget) {
+    Account();
+  }
 
   const std::string& Address() const { return m_address; }
 
@@ -91,6 +98,7 @@
     m_busy = true;
     ++m_number;
     m_request = std::move(request);
+    Account();
     m_callbacks = std::move(callbacks);
     m_reader.Restart();
     if (m_request.without_body) m_reader.ExpectNoBody();
@@ -122,6 +130,8 @@
   }
 
  private:
+  void Account() { m_charge.Update(kConnectionBytes + m_request.bytes.capacity()); }
+
   void Connect() {
     std::string ip;
     std::uint16_t port = 0;
@@ -172,6 +182,8 @@
     asio::async_write(m_socket, asio::buffer(m_request.bytes),
                       [self](const asio::error_code& error, std::size_t) {
                         self->m_writing = false;
+                        self->m_request.bytes = std::string();
+                        self->Account();
                         // A failed write shows as the end of the answer, which may be there
                         // already.
                         if (error && !self->m_closed) self->m_write_failed = true;
@@ -295,6 +307,7 @@
   asio::steady_timer m_timer;  // of the connection until it is open, then of the answer
   std::string m_address;
   HttpReader m_reader;
+  MemoryCharge m_charge;
   UpstreamRequest m_request;
   UpstreamCallbacks m_callbacks;
   std::array<char, 4096> m_chunk;
@@ -345,7 +358,8 @@
 void UpstreamPool::Impl::Release(const std::shared_ptr<UpstreamConnection>& connection,
                                  TimePoint expires_at) {
   std::vector<Idle>& idle = m_idle[connection->Address()];
-  if (idle.size() >= kMaxIdlePerAddress) return connection->Close();
+  const bool is_full = idle.size() >= kMaxIdlePerAddress || counters.open > max_connections;
+  if (is_full) return connection->Close();
   idle.push_back({connection, expires_at});
   PlanSweep();
 }
@@ -405,6 +419,10 @@
 UpstreamCall UpstreamPool::Send(UpstreamRequest request, UpstreamCallbacks callbacks) {
   return m_impl->Send(std::move(request), std::move(callbacks));
 }
+void UpstreamPool::SetBudget(std::shared_ptr<DoorBudget> door, std::size_t max_connections) {
+  m_impl->budget = std::move(door);
+  m_impl->max_connections = max_connections;
+}
 void UpstreamPool::Forget(const std::string& address) { m_impl->Forget(address); }
 void UpstreamPool::CloseAll() { m_impl->CloseAll(); }
 UpstreamPoolCounters UpstreamPool::Counters() const { return m_impl->counters; }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -39,7 +39,15 @@
       m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
-      m_tick_timer(*io) {}
+      m_response_charge(m_options.caller_budget),
+      m_tick_timer(*io) {
+  m_listener.SetBudget(Door::kCallers, m_options.caller_budget);
+  m_ready_listener.SetBudget(Door::kReadiness, m_options.readiness_budget);
+  HttpListenerLimits ready_limits;
+  ready_limits.keeps_bodies = false;
+  m_ready_listener.SetLimits(ready_limits);
+  m_pool.SetBudget(m_options.caller_budget, m_options.max_upstream_connections);
+}
 
 Gateway::~Gateway() { CloseAll(); }
 
@@ -357,6 +365,7 @@
 bool Gateway::ReserveResponseBytes(std::size_t bytes) {
   if (m_reserved_response_bytes + bytes > kMaxBufferedBytes) return false;
   m_reserved_response_bytes += bytes;
+  m_response_charge.Update(m_reserved_response_bytes);
   return true;
 }
 
--- a/testsuite/platform/fleet.py
+++ b/testsuite/platform/fleet.py
@@ -82,7 +82,8 @@
                   "listen.front": f"{ip}:{self.front_port}",
                   "listen.ready": f"{ip}:{self.ready_port}", "fault_budget.machines": 1,
                   "bounds.revoke_ms": 5000, "bounds.retry_ratio": 0.2, "bounds.retry_slack": 100,
-                  "bounds.retry_window_s": 10, "bounds.grace_s": 8, **self.ports, **more}
+                  "bounds.retry_window_s": 10, "bounds.grace_s": 8, "limits.memory_mb": 256,
+                  "limits.max_fds": 2870, **self.ports, **more}
         path = self.folder / f"{name}.toml"
         path.write_text(render(template, values))
         return path
