--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -46,6 +47,10 @@
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
   AdmissionMode admission = AdmissionMode::kAuto;
+  // Parts of the memory of the process, for callers and for the readiness check.
+  std::shared_ptr<DoorBudget> caller_budget = MakeDefaultDoorBudget();
+  std::shared_ptr<DoorBudget> readiness_budget = MakeDefaultDoorBudget();
+  std::size_t max_upstream_connections = std::numeric_limits<std::size_t>::max();
 };
 
 // The data path of one entry host: accepts requests of callers, sends them to upstreams and
@@ -160,7 +165,10 @@
   // Reserve memory for response bodies that are buffered until they are complete. The limit applies
   // to the sum over all requests; returns false if it would be exceeded.
   bool ReserveResponseBytes(std::size_t bytes);
-  void ReleaseResponseBytes(std::size_t bytes) { m_reserved_response_bytes -= bytes; }
+  void ReleaseResponseBytes(std::size_t bytes) {
+    m_reserved_response_bytes -= bytes;
+    m_response_charge.Update(m_reserved_response_bytes);
+  }
 
  private:
   void OnCall(const HttpCall& call);
@@ -178,6 +186,8 @@
   double AllowedRetries(const RetryCounts& fleet) const;
   // Part of the requests of all hosts for a service that arrive at this host.
   double HostShare(const std::string& service) const;
+  // Returns how much work the engines of a service can take, as computed at most a short time ago.
+  ServiceRoom RoomOf(TimePoint now, const std::string& service);
   void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
@@ -198,6 +208,11 @@
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
   std::map<std::string, EngineRouter> m_routers;   // by service
+  struct KnownRoom {
+    ServiceRoom room;
+    TimePoint expires_at{};
+  };
+  std::map<std::string, KnownRoom> m_rooms;        // by service
   std::map<std::string, ServicePicker> m_pickers;  // by service
   std::map<std::string, RetryBudget> m_budgets;    // by service
   std::map<std::string, std::vector<EngineReportCallback>>
@@ -209,6 +224,7 @@
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
+  MemoryCharge m_response_charge;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
   // Expires with this object. A timer handler may run after destruction, so it checks this first.
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds kMaxDeferTime{1600};
 // Every upstream announces itself at least once within this time.
 constexpr std::chrono::milliseconds kAnnouncementInterval{1600};
+// The room of a service is computed anew after this time. Reports of the engines are older than
+// that, and a request or a tick needs it every few milliseconds under load.
+constexpr std::chrono::milliseconds kRoomLifetime{100};
 // Share of the retry budget that is used. The rest covers retries of other hosts that are not in
 // the counts yet.
 constexpr double kRetryBudgetShare = 0.75;
@@ -40,8 +43,16 @@
       m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
+      m_response_charge(m_options.caller_budget),
       m_tick_timer(*io),
-      m_admission(MakeAdmission()) {}
+      m_admission(MakeAdmission()) {
+  m_listener.SetBudget(Door::kCallers, m_options.caller_budget);
+  m_ready_listener.SetBudget(Door::kReadiness, m_options.readiness_budget);
+  HttpListenerLimits ready_limits;
+  ready_limits.keeps_bodies = false;
+  m_ready_listener.SetLimits(ready_limits);
+  m_pool.SetBudget(m_options.caller_budget, m_options.max_upstream_connections);
+}
 
 Gateway::~Gateway() { CloseAll(); }
 
@@ -290,10 +301,20 @@
   ScheduleTick();
 }
 
+ServiceRoom Gateway::RoomOf(TimePoint now, const std::string& service) {
+  const auto router = m_routers.find(service);
+  if (router == m_routers.end()) return {};
+  KnownRoom& known = m_rooms[service];
+  if (now >= known.expires_at) {
+    known = {router->second.Room(now, m_upstreams, HostShare(service)), now + kRoomLifetime};
+  }
+  return known.room;
+}
+
 std::unique_ptr<GatewayAdmission> Gateway::MakeAdmission() {
   GatewayAdmission::Handlers handlers;
   handlers.room = [this](TimePoint now, const std::string& service) {
-    return m_room_source ? m_room_source(now, service) : ServiceRoom{};
+    return m_room_source ? m_room_source(now, service) : RoomOf(now, service);
   };
   handlers.start = [this](const HttpCall& call, GatewayRequest request) {
     if (IsQuarantined(request.metadata.shared_prompt_parts)) {
@@ -404,6 +425,7 @@
 bool Gateway::ReserveResponseBytes(std::size_t bytes) {
   if (m_reserved_response_bytes + bytes > kMaxBufferedBytes) return false;
   m_reserved_response_bytes += bytes;
+  m_response_charge.Update(m_reserved_response_bytes);
   return true;
 }
 
