--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -21,6 +21,7 @@
 #include "corneltray/peer.h"
 #include "corneltray/read_batcher.h"
 #include "corneltray/retry.h"
+#include "corneltray/server_pace.h"
 #include "corneltray/storage_thread.h"
 
 namespace corneltray {
@@ -94,9 +95,10 @@
     std::uint64_t term = 0;
     Responder respond;
   };
-  // The request and retry counts that an entry host reported last.
-  struct RetryReport {
+  // The counts that an entry host reported last.
+  struct HostReport {
     std::map<std::string, RetryCounts> by_service;
+    ServerPaceCounts by_server;
     TimePoint expires_at{};
   };
   // A read that waits for the confirmation of its read barrier.
@@ -128,7 +130,8 @@
   void OnReadIndex(const Result<nlohmann::json>& reply);
   // Answers a read of a follower. Only the leader does; it includes the read in its own batch.
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
-  void StoreRetryReports(const nlohmann::json& reports);
+  // Both objects are by entry host. A host without a pace report paces no server.
+  void StoreHostReports(const nlohmann::json& retry_reports, const nlohmann::json& pace_reports);
   // Returns the reply to a configuration fetch, from the state that this replica has applied.
   nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
 
@@ -154,6 +157,7 @@
   const nlohmann::json& RouteTableSince(std::uint64_t have);
   nlohmann::json MakeRouteTableReply(std::uint64_t have) const;
   std::map<std::string, RetryCounts> FleetRetryCounts() const;
+  FleetPace SumOfPace() const;
   void CompactIfDue();
   void ScheduleTick();
   // Forwards a request to the leader. Returns false when this process is the leader.
@@ -183,9 +187,11 @@
   std::uint64_t m_compacted_index = 0;
   std::uint64_t m_published_revision = 0;
   std::uint64_t m_published_route_version = 0;
-  std::map<std::string, RetryReport> m_retry_reports;  // by entry host; of all hosts at the leader
+  std::map<std::string, HostReport> m_host_reports;  // by entry host; of all hosts at the leader
   nlohmann::json m_unsent_retry_reports = nlohmann::json::object();  // for the leader
+  nlohmann::json m_unsent_pace_reports = nlohmann::json::object();   // for the leader
   std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
+  FleetPace m_leader_pace;                                   // of all hosts, from the leader
   std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
   std::map<VoteRefusal, std::uint64_t> m_vote_refusals;      // since the start
   bool m_leader_reported = false;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -6,13 +6,14 @@
 #include "corneltray/control_protocol.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/log.h"
+#include "corneltray/pace_messages.h"
 
 namespace corneltray {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::chrono::seconds kRetryReportLifetime{4};
+constexpr std::chrono::seconds kHostReportLifetime{4};
 // Many hosts wait for the same read and get the same reply. Only the members and the counts of
 // retries in it may be as old as this.
 constexpr std::chrono::milliseconds kReplyLifetime{100};
@@ -32,7 +33,9 @@
     return;
   }
   if (body.contains("retries_of")) {
-    StoreRetryReports({{body.at("retries_of").get<std::string>(), body.at("retries")}});
+    const std::string host = body.at("retries_of").get<std::string>();
+    const json pace = body.value("pace", json::object());
+    StoreHostReports({{host, body.at("retries")}}, {{host, pace}});
   }
   const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
   if (has_newer && body.value("accepts_unconfirmed", false)) {
@@ -50,9 +53,11 @@
     respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is not the leader"));
     return;
   }
-  StoreRetryReports(body.at("retry_reports"));
+  StoreHostReports(body.at("retry_reports"), body.value("pace_reports", json::object()));
   const auto answer = [this](std::uint64_t index) -> json {
-    return {{"index", index}, {"retries", EncodeRetryCounts(FleetRetryCounts())}};
+    return {{"index", index},
+            {"retries", EncodeRetryCounts(FleetRetryCounts())},
+            {"pace", EncodeFleetPace(SumOfPace())}};
   };
   AddBatchedRead(answer, respond, DeadlineOf(body));
 }
@@ -92,6 +97,7 @@
   const TimePoint deadline = Clock::now() + kReadIndexTimeout;
   if (status.role == ReplicaRole::kLeader) {
     m_unsent_retry_reports = json::object();
+    m_unsent_pace_reports = json::object();
     StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
     return;
   }
@@ -100,6 +106,7 @@
     return;
   }
   json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
+               {"pace_reports", std::exchange(m_unsent_pace_reports, json::object())},
                {"timeout_ms", kReadIndexTimeout.count()}};
   m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
 }
@@ -113,6 +120,10 @@
       const auto counts = DecodeRetryCounts(reply.value().at("retries"));
       if (counts) m_leader_retry_counts = counts.value();
     }
+    if (reply.value().contains("pace")) {
+      auto pace = DecodeFleetPace(reply.value().at("pace"));
+      if (pace) m_leader_pace = std::move(pace).value();
+    }
   } else {
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
@@ -122,16 +133,22 @@
 }
 
 // Keeps the counts that entry hosts reported, and passes them on with the next read of the leader.
-void ControlNode::StoreRetryReports(const json& reports) {
-  for (const auto& [host, report] : reports.items()) {
+void ControlNode::StoreHostReports(const json& retry_reports, const json& pace_reports) {
+  for (const auto& [host, report] : retry_reports.items()) {
+    const json pace_report = pace_reports.value(host, json::object());
     auto counts = DecodeRetryCounts(report);
-    if (!counts) {
+    auto pace = DecodePaceCounts(pace_report);
+    if (!counts || !pace) {
+      const Error& error = counts ? pace.error() : counts.error();
       LogEvent(LogLevel::kWarning, "retry_report_refused",
-               {{"of", host}, {"error", counts.error().ToString()}});
+               {{"of", host}, {"error", error.ToString()}});
       continue;
     }
-    m_retry_reports[host] = {std::move(counts).value(), Clock::now() + kRetryReportLifetime};
+    m_host_reports[host] = {std::move(counts).value(), std::move(pace).value(),
+                            Clock::now() + kHostReportLifetime};
     m_unsent_retry_reports[host] = report;
+    m_unsent_pace_reports.erase(host);
+    if (!pace_report.empty()) m_unsent_pace_reports[host] = pace_report;
   }
 }
 
@@ -141,7 +158,7 @@
   if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_retry_counts;
   std::map<std::string, RetryCounts> sum;
   const TimePoint now = Clock::now();
-  for (const auto& [host, report] : m_retry_reports) {
+  for (const auto& [host, report] : m_host_reports) {
     if (now >= report.expires_at) continue;
     for (const auto& [service, counts] : report.by_service) {
       RetryCounts& total = sum[service];
@@ -153,6 +170,20 @@
   return sum;
 }
 
+// Returns what all entry hosts have seen of the servers that they pace: at the leader the sum of
+// their reports, elsewhere what the leader told last.
+FleetPace ControlNode::SumOfPace() const {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_pace;
+  FleetPace sum;
+  const TimePoint now = Clock::now();
+  for (const auto& [host, report] : m_host_reports) {
+    if (now >= report.expires_at) continue;
+    ++sum.hosts;
+    AddPaceCounts(report.by_server, &sum.servers);
+  }
+  return sum;
+}
+
 // Returns the availability zones of the control processes that this one is linked to, by host, and
 // its own.
 json ControlNode::MemberZones() const {
@@ -180,7 +211,8 @@
   json reply = {{"version", store.Version()},
                 {"members", std::move(members)},
                 {"member_zones", MemberZones()},
-                {"retries", EncodeRetryCounts(FleetRetryCounts())}};
+                {"retries", EncodeRetryCounts(FleetRetryCounts())},
+                {"pace", EncodeFleetPace(SumOfPace())}};
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -8,6 +8,7 @@
 #include "corneltray/address.h"
 #include "corneltray/control_client.h"
 #include "corneltray/log.h"
+#include "corneltray/pace_messages.h"
 #include "corneltray/prompt_messages.h"
 
 namespace corneltray {
@@ -167,6 +168,7 @@
                      {"accepts_unconfirmed", true},
                      {"retries_of", m_self.name},
                      {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
+                     {"pace", EncodePaceCounts(m_gateway->OwnPaceCounts())},
                      {"timeout_ms", kFetchTimeout.count()}};
   m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
                   [this, host, confirmed, asked_at](const Result<json>& reply) {
@@ -188,6 +190,9 @@
   ApplyMembers(body);
   const auto retries = DecodeRetryCounts(body.at("retries"));
   if (retries) m_gateway->SetFleetRetryCounts(retries.value());
+  // A control process of an older version sends none.
+  const auto pace = DecodeFleetPace(body.value("pace", json::object()));
+  if (pace) m_gateway->SetFleetPace(pace.value());
   if (is_confirmed && m_gateway->RouteVersion() >= body.at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
     m_subscription.OnConfirmed(Clock::now(), host);
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -75,6 +75,7 @@
     options.retry_ratio = m_settings.retry_ratio;
     options.retry_allowance = m_settings.retry_allowance;
     options.retry_window = std::chrono::milliseconds(m_settings.retry_window_ms);
+    options.pace_mode = m_settings.pace_mode;
     m_gateway = std::make_unique<Gateway>(&m_io, std::move(options));
     PeerOptions peer;
     peer.identity = {m_settings.peer_name, kProgram, m_settings.region,
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -23,6 +23,7 @@
 #include "corneltray/prompt_quarantine.h"
 #include "corneltray/retry.h"
 #include "corneltray/route_table.h"
+#include "corneltray/server_pace.h"
 #include "corneltray/service_picker.h"
 #include "corneltray/upstream_backoff.h"
 #include "corneltray/upstream_pool.h"
@@ -42,6 +43,7 @@
   double retry_allowance = 100.0;  // retries per window beyond the ratio, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
+  PaceMode pace_mode = PaceMode::kOff;
 };
 
 // The data path of one entry host: accepts requests of callers, sends them to upstreams and
@@ -72,6 +74,9 @@
   // control processes compute.
   ServiceRetryCounts OwnRetryCounts() const;
   void SetFleetRetryCounts(const ServiceRetryCounts& counts);
+  // What this host has seen of the servers that it paces, and the sum over all hosts.
+  ServerPaceCounts OwnPaceCounts() const { return m_pace.OwnCounts(); }
+  void SetFleetPace(const FleetPace& fleet);
 
   // The handler is called for each engine that does not respond and for each that needs a health
   // check, with its last announcement.
@@ -114,6 +119,7 @@
   EngineRouter* RouterOf(const RouteService& service);
   ServicePicker& PickerOf(const std::string& service);
   RetryBudget& BudgetOf(const std::string& service);
+  ServerPace& Pace() { return m_pace; }
   Metrics& GetMetrics() { return m_metrics; }
   // Requests the report of the first stage of a chain, which names the stages that block its
   // requests. Concurrent calls for one address share one request; `done` gets null if there is no
@@ -166,6 +172,7 @@
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
   void RefreshUpstreams();
+  void LogPace();
   void FailOverFromEngine(TimePoint now, const EngineLoss& loss);
   void ScheduleTick();
   void Tick();
@@ -181,6 +188,7 @@
   std::uint64_t m_applied_generation = 0;  // of m_upstreams, last given to the routers
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
+  ServerPace m_pace;
   std::map<std::string, EngineRouter> m_routers;   // by service
   std::map<std::string, ServicePicker> m_pickers;  // by service
   std::map<std::string, RetryBudget> m_budgets;    // by service
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -7,6 +7,7 @@
 
 #include "corneltray/log.h"
 #include "corneltray/schema.h"
+#include "corneltray/server_pace.h"
 
 namespace corneltray {
 
@@ -42,6 +43,7 @@
   double retry_ratio = 0.0;       // second attempts for each request, over all entry hosts
   double retry_allowance = 0.0;   // second attempts in a window that need no requests
   std::int64_t retry_window_ms = 0;
+  PaceMode pace_mode = PaceMode::kAuto;  // of servers that have just started or recovered
 };
 
 const std::vector<KeySpec>& HostSettingsSchema();
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -103,6 +103,9 @@
        "second attempts in a window that are allowed beside the ratio, over all entry hosts"},
       {"entry.retry_window_ms", T::kInteger, false, "10000", 1000, kHourMs, "ms",
        "window in which second attempts are counted"},
+      {"pace.mode", T::kString, false, "\"auto\"", 1, 16, "",
+       "auto: servers that are new, restarted or recovered get a share that grows with their "
+       "answers; off: their full share at once"},
       {"placement.lease_voters", T::kStringList, false, "[]", 0, 7, "",
        "names of the placement processes of this zone"},
       {"placement.weight_store", T::kString, false, "\"\"", 0, kMaxText, "",
@@ -165,6 +168,11 @@
   settings.drain_grace_ms = v["drain"]["grace_ms"];
   settings.drain_deadline_ms = v["drain"]["deadline_ms"];
   CheckAddresses(settings, document, issues);
+  if (const auto mode = ParseEnum<PaceMode>(v["pace"]["mode"].get<std::string>())) {
+    settings.pace_mode = *mode;
+  } else {
+    issues->push_back({source.file, 0, "pace.mode", "must be auto or off"});
+  }
   const auto level = ParseEnum<LogLevel>(v["log"]["level"].get<std::string>());
   if (!level) {
     issues->push_back({source.file, 0, "log.level", "must be debug, info, warning or error"});
--- a/src/libcorneltray/settings_test.cc
+++ b/src/libcorneltray/settings_test.cc
@@ -42,6 +42,17 @@
     CHECK(issues[0].ToString() == "entry.toml:11: http.thread: unknown key");
   }
 
+  // Guards against a pace that stays on although its operator wrote another word for off.
+  SUBCASE("and a mode of the pace that does not exist is reported") {
+    CHECK(ParseHostSettings({"entry.toml", good}, &issues).pace_mode == PaceMode::kAuto);
+    const std::string off = good + "\n[pace]\nmode = \"off\"\n";
+    CHECK(ParseHostSettings({"entry.toml", off}, &issues).pace_mode == PaceMode::kOff);
+    CHECK(issues.empty());
+    ParseHostSettings({"entry.toml", good + "\n[pace]\nmode = \"none\"\n"}, &issues);
+    REQUIRE(issues.size() == 1);
+    CHECK(issues[0].key == "pace.mode");
+  }
+
   // Guards against a port that is taken modulo 65536, and a name where only IP addresses work.
   SUBCASE("and an address that cannot be used is reported with its line") {
     for (const char* bad : {"10.0.1.11:99999", "10.0.1.11:", "10.0.1.11", "10.0.1:80", "host:80",
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -62,7 +62,11 @@
     return EndAttempt(AttemptEvidence::kMalformed);
   }
   if (events.empty()) return;
-  RecordEvent(Clock::now());
+  const TimePoint now = Clock::now();
+  RecordEvent(now);
+  if (m_attempt->events == 0 && Router() == nullptr) {
+    m_gateway->PickerOf(m_request.service->name).RecordFirstEvent(now, m_attempt->address);
+  }
   m_attempt->events += m_stream.events.EventCount() - before;
   if (m_attempt->events >= kEventsOfBegunAnswer) RecordAnswerBegun();
   if (!std::exchange(m_stream.begun, true)) {
@@ -131,7 +135,12 @@
 }
 
 void Exchange::OnDeadline() {
-  if (m_attempt) m_has_run = Combine(m_has_run, HasRun::kMaybe);
+  if (m_attempt) {
+    m_has_run = Combine(m_has_run, HasRun::kMaybe);
+    if (Router() == nullptr) {
+      m_gateway->PickerOf(m_request.service->name).RecordExpiry(Clock::now(), m_attempt->address);
+    }
+  }
   CancelAttempt();
   Fail(kGatewayTimeout);
 }
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -141,6 +141,7 @@
   attempt->upstream = choice->upstream;
   attempt->address = choice->address;
   attempt->load = choice->load;
+  if (!choice->limited.empty()) m_gateway->Pace().Limited(choice->limited);
   return true;
 }
 
@@ -253,6 +254,8 @@
   if (EngineRouter* router = Router()) {
     if (!router->IsNearlyFull(now, faulty)) m_gateway->RequestHealthCheck(faulty);
     router->MarkFull(now, faulty);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).RecordRefusal(now, faulty);
   }
   EndAttempt(AttemptEvidence::kRefused);
 }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -39,6 +39,7 @@
       m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
+      m_pace(m_options.pace_mode, m_options.random_seed),
       m_tick_timer(*io) {}
 
 Gateway::~Gateway() { CloseAll(); }
@@ -82,6 +83,7 @@
   ApplyUpstreamUpdates(Clock::now(), updates, &m_upstreams);
   m_upstreams.Expire(Clock::now());
   RefreshUpstreams();
+  LogPace();
 }
 
 void Gateway::UpdateEngineHealth(const std::vector<EngineHealth>& engines) {
@@ -112,6 +114,7 @@
   if (m_applied_generation == m_upstreams.Generation()) return;
   m_applied_generation = m_upstreams.Generation();
   m_backoff.RemoveObsolete(m_upstreams);
+  m_pace.SetServers(Clock::now(), m_upstreams);
   for (auto& [service, router] : m_routers) router.SetEngines(service, m_upstreams);
   for (auto& [service, picker] : m_pickers) picker.SetReplicas(m_upstreams);
   for (const auto& [name, record] : m_upstreams.Records()) {
@@ -138,6 +141,24 @@
   }
 }
 
+void Gateway::SetFleetPace(const FleetPace& fleet) {
+  m_pace.SetFleet(Clock::now(), fleet);
+  LogPace();
+}
+
+void Gateway::LogPace() {
+  for (const PaceEvent& event : m_pace.TakeEvents()) {
+    const std::chrono::duration<double, std::milli> since = event.since_begin;
+    LogEvent(LogLevel::kInfo, "server_pace",
+             {{"upstream", event.server},
+              {"step", NameOf(event.step)},
+              {"reason", NameOf(event.reason)},
+              {"window", event.window},
+              {"answered_here", event.answered},
+              {"took_ms", since.count()}});
+  }
+}
+
 // Returns the retries allowed for all hosts together within RetryBudget::kWindow.
 double Gateway::AllowedRetries(const RetryCounts& fleet) const {
   const std::chrono::duration<double> window = m_options.retry_window;
@@ -182,7 +203,8 @@
   const auto known = m_pickers.find(service);
   if (known != m_pickers.end()) return known->second;
   auto& picker =
-      m_pickers.emplace(service, ServicePicker(m_options.availability_zone, service)).first->second;
+      m_pickers.emplace(service, ServicePicker(m_options.availability_zone, service, &m_pace))
+          .first->second;
   picker.SetReplicas(m_upstreams);
   return picker;
 }
@@ -475,6 +497,9 @@
       {"route_table_version", static_cast<double>(RouteVersion())},
       {"prompt_parts_quarantined",
        static_cast<double>(m_quarantine.QuarantinedCount(Clock::now()))},
+      {"servers_paced", static_cast<double>(m_pace.PacedServers())},
+      {"pace_windows", m_pace.WindowSum()},
+      {"paced_servers_failed", static_cast<double>(m_pace.RefusedInRamps())},
       {"ready", IsReady() ? 1.0 : 0.0},
   });
 }
--- a/src/libserving/gateway_fixture_test.h
+++ b/src/libserving/gateway_fixture_test.h
@@ -65,12 +65,13 @@
  public:
   using Script = std::function<void(ScriptedUpstream& self, const HttpCall& call)>;
 
-  GatewayFixture() {
-    loop.Run([this] {
+  explicit GatewayFixture(PaceMode pace_mode = PaceMode::kOff) {
+    loop.Run([this, pace_mode] {
       GatewayOptions options;
       options.availability_zone = "a";
       options.dialect = std::make_shared<TestDialect>();
       options.retry_allowance = 1000.0;
+      options.pace_mode = pace_mode;
       gateway = std::make_unique<Gateway>(loop.Io(), options);
       REQUIRE(gateway->Listen("127.0.0.1:0").Ok());
       gateway->SetRouteTable(MakeTable(1));
@@ -108,8 +109,9 @@
 
   // Announces an upstream at an address that the test chooses. Must run on the event loop.
   void Announce(const std::string& name, const std::string& zone, const std::string& address,
-                std::uint32_t first = 0, std::uint32_t end = 0) {
+                std::uint32_t first = 0, std::uint32_t end = 0, std::uint64_t incarnation = 1) {
     UpstreamUpdate update = TestEngine(name, zone, "fast", first, end);
+    update.announcement.incarnation = incarnation;
     update.announcement.service = first < end ? "model" : "plain";
     update.announcement.address = address;
     update.announcement.slots = 100;
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -495,5 +495,49 @@
   }
 }
 
+// Guards against outcomes that do not reach the pace, which would leave a server idle or flooded.
+TEST_CASE("a restarted upstream is paced by how its calls end") {
+  GatewayFixture fixture(PaceMode::kAuto);
+  bool refuses = false;
+  ScriptedUpstream* upstream =
+      fixture.Add("u", "a", [&refuses](ScriptedUpstream&, const HttpCall& call) {
+        if (refuses) return Refuse(call);
+        if (call.Head().Path() == "/get/x") return RespondWith("done", call);
+        call.Begin(MakeAuthenticHead(200, "text/event-stream"));
+        call.Write(Event(1));
+        call.End();
+      });
+  fixture.Call("GET", "/get/x");  // the service is in use before the restart
+  const auto paced = [&] {
+    return fixture.loop.Run([&] { return fixture.gateway->Pace().PacedServers(); });
+  };
+  CHECK(paced() == 0);
+  fixture.loop.Run(
+      [&] { fixture.Announce("u", "a", upstream->listener->Address(), 0, 0, /*incarnation=*/2); });
+  CHECK(paced() == 1);
+
+  SUBCASE("an answer") {
+    CHECK(StatusOf(fixture.Call("GET", "/get/x")) == 200);
+    CHECK(StatusOf(fixture.Call("GET", "/get/x")) == 200);
+    CHECK(paced() == 0);
+  }
+  SUBCASE("a stream") {
+    CHECK(StatusOf(fixture.Call("POST", "/talk-plain/x")) == 200);
+    CHECK(StatusOf(fixture.Call("POST", "/talk-plain/x")) == 200);
+    CHECK(paced() == 0);
+  }
+  SUBCASE("a refusal") {
+    fixture.loop.Run([&] { refuses = true; });
+    CHECK(StatusOf(fixture.Call("GET", "/get/x")) == 503);
+    fixture.loop.Run([&] {
+      const ServerPaceCounts counts = fixture.gateway->OwnPaceCounts();
+      REQUIRE(counts.count("u") == 1);
+      CHECK(counts.at("u").refused == 1);
+      CHECK(counts.at("u").incarnation == 2);
+      CHECK(Contains(fixture.gateway->MetricsText(), "paced_servers_failed"));
+    });
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/service_picker_test.cc
+++ b/src/libserving/service_picker_test.cc
@@ -16,7 +16,8 @@
     picker.SetReplicas(table);
   }
 
-  void Add(const std::string& zone, std::uint64_t sequence, UpstreamState state) {
+  void Add(const std::string& zone, std::uint64_t sequence, UpstreamState state,
+           std::uint64_t incarnation = 1) {
     UpstreamUpdate update;
     Announcement& announcement = update.announcement;
     announcement.kind = UpstreamKind::kService;
@@ -24,7 +25,7 @@
     announcement.name = announcement.address = zone;
     announcement.availability_zone = zone;
     announcement.slots = 6;
-    announcement.incarnation = 1;
+    announcement.incarnation = incarnation;
     announcement.sequence = sequence;
     announcement.state = state;
     table.Apply(kNow, update);
@@ -77,5 +78,46 @@
   CHECK(fixture.Choose({"b", "c"}) == "a");  // used if no other is left
 }
 
+// Guards against a restarted replica that gets all calls because it is empty, or none because of
+// what was observed before its restart.
+TEST_CASE("a replica that has restarted gets calls at its pace") {
+  PickerFixture fixture;
+  ServerPace pace(PaceMode::kAuto, 1);
+  ServicePicker picker("a", "s", &pace);
+  const auto refresh = [&] {
+    pace.SetServers(kNow, fixture.table);
+    picker.SetReplicas(fixture.table);
+  };
+  refresh();
+  picker.MarkUnreachable(kNow, "a");
+  fixture.Add("a", 1, UpstreamState::kReady, 2);
+  refresh();
+  REQUIRE(pace.IsPaced("a"));
+  const auto choose = [&] { return *picker.Choose(kNow, fixture.table, {}); };
+
+  for (int i = 0; i < 2; ++i) {
+    CHECK(choose().address == "a");
+    picker.Begin("a");
+  }
+  CHECK(choose().address != "a");
+  CHECK(choose().limited == "a");
+
+  SUBCASE("which its answers raise") {
+    picker.RecordSuccess(kNow, "a", milliseconds(10));
+    picker.RecordSuccess(kNow, "a", milliseconds(10));
+    CHECK(pace.IsIdle());
+    CHECK(choose().address == "a");
+  }
+  SUBCASE("which refusals lower, even if its calls have ended") {
+    for (int i = 0; i < 2; ++i) picker.RecordRefusal(kNow, "a");
+    for (int i = 0; i < 2; ++i) picker.End("a");
+    CHECK(pace.WindowSum() < 2.0);
+    CHECK(pace.IsPaced("a"));
+  }
+  SUBCASE("or above it, if no other is left") {
+    CHECK(picker.Choose(kNow, fixture.table, {"b", "c"})->address == "a");
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
