--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -15,6 +15,7 @@
 #include "corneltray/enum_names.h"
 #include "corneltray/fleet_messages.h"
 #include "corneltray/route_table.h"
+#include "corneltray/server_pace.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
 
@@ -51,6 +52,8 @@
   ChainScope scope = ChainScope::kNone;
   double cost_s = 0.0;  // estimated time of a typical request
   double load = 0.0;    // of the fullest stage: cached tokens over capacity
+  // Engines without room at their pace in a copy that would have been selected otherwise.
+  std::vector<std::string> limited;
 };
 
 // Selects a chain of engines of one service for each generation. Requests of a zone are spread over
@@ -63,8 +66,10 @@
 // load. Not thread safe.
 class EngineRouter {
  public:
-  // `seed` initialises the random selection; it must differ between hosts.
-  EngineRouter(std::string own_zone, EngineProfile profile, std::uint64_t seed);
+  // `seed` initialises the random selection; it must differ between hosts. `pace` must outlive this
+  // object; null: no engine is paced.
+  EngineRouter(std::string own_zone, EngineProfile profile, std::uint64_t seed,
+               ServerPace* pace = nullptr);
 
   // Updates the set of engines. Must be called after the table has changed.
   void SetEngines(const std::string& service, const UpstreamTable& upstreams);
@@ -83,6 +88,8 @@
   void Suspect(TimePoint now, const std::string& address, std::uint64_t sequence);
   // Records that a stage had no memory for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
+  // Records that the first event of an answer arrived: all stages of its chain have worked.
+  void RecordFirstEvent(TimePoint now, const std::vector<ChainStage>& chain, Duration latency);
   // Stores a health report of a control process: whether an engine responds, its load and its
   // slowness. Returns whether the engine is newly reported as lost.
   bool UpdateHealth(TimePoint now, const EngineHealth& health);
@@ -158,6 +165,11 @@
   ModelCopy Find(TimePoint now, Pool* pool, SearchKind kind);
   std::vector<ModelCopy> FindCopies(TimePoint now, const std::vector<bool>& usable, Pool* pool);
   ChainChoice SelectRandomCopy(const std::vector<ModelCopy>& copies);
+  // Selects again if engines are paced. `weights` are those of the copies without the pace, and
+  // `selected` is what they gave. Returns the copy to use, and the engines that limited it.
+  std::size_t ApplyPace(const std::vector<ModelCopy>& copies, std::vector<double> weights,
+                        std::size_t selected, std::vector<std::string>* limited);
+  const Engine* FindAddress(const std::string& address) const;
   ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
 
   std::string m_own_zone;
@@ -169,6 +181,8 @@
   std::map<std::string, FirstStageLoad> m_first_loads;  // by address
   std::map<std::string, double> m_zone_loads;           // by zone; updated for each choice
   std::mt19937_64 m_random;
+  ServerPace* m_pace;
+  double m_first_event_s = 0.0;  // moving average over the chains without a paced engine
 };
 
 }  // namespace corneltray
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -24,9 +24,11 @@
 constexpr double kFullLoad = 0.95;
 // Minimum share of free capacity assumed for a copy in the random selection.
 constexpr double kMinFreeShare = 0.1;
-// Added to the cost of a stage that reported being full, so that it is used only as a last resort.
+// Added to the cost of a stage that reported being full or has no room at its pace, so that it is
+// used only as a last resort.
 constexpr double kFullPenaltySeconds = 5.0;
 constexpr std::chrono::milliseconds kReportLifetime{2000};
+constexpr double kFirstEventSmoothingFactor = 0.1;
 
 // Factor by which the time of a stage grows at this load.
 double Slowdown(double load) {
@@ -36,8 +38,12 @@
 
 }  // namespace
 
-EngineRouter::EngineRouter(std::string own_zone, EngineProfile profile, std::uint64_t seed)
-    : m_own_zone(std::move(own_zone)), m_profile(std::move(profile)), m_random(seed) {}
+EngineRouter::EngineRouter(std::string own_zone, EngineProfile profile, std::uint64_t seed,
+                           ServerPace* pace)
+    : m_own_zone(std::move(own_zone)),
+      m_profile(std::move(profile)),
+      m_random(seed),
+      m_pace(pace) {}
 
 void EngineRouter::SetEngines(const std::string& service, const UpstreamTable& upstreams) {
   const double layers = std::max(1U, m_profile.layers);
@@ -184,7 +190,10 @@
 ChainChoice EngineRouter::FindCheapest(TimePoint now, const std::vector<bool>& usable) {
   SetCosts(now, usable, &m_all);
   for (std::size_t i = 0; i < m_all.engines.size(); ++i) {
-    m_all.slots[i].layer_cost_s *= Slowdown(LoadOf(now, m_engines[m_all.engines[i]]));
+    const Engine& engine = m_engines[m_all.engines[i]];
+    m_all.slots[i].layer_cost_s *= Slowdown(LoadOf(now, engine));
+    const bool has_room = m_pace == nullptr || m_pace->HasRoom(engine.name);
+    if (!has_room) m_all.slots[i].hop_cost_s += kFullPenaltySeconds;
   }
   return Find(now, &m_all, SearchKind::kAnyRanges).choice;
 }
@@ -225,12 +234,47 @@
     weights.push_back(copy.is_full && !all_full ? 0.0 : weight);
   }
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-  ChainChoice choice = copies[draw(m_random)].choice;
+  std::size_t selected = draw(m_random);
+  std::vector<std::string> limited;
+  if (m_pace != nullptr && !m_pace->IsIdle()) {
+    selected = ApplyPace(copies, std::move(weights), selected, &limited);
+  }
+  ChainChoice choice = copies[selected].choice;
+  choice.limited = std::move(limited);
   choice.cost_s *= Slowdown(choice.load);
   if (choice.scope == ChainScope::kOtherZone) choice.cost_s += kOtherZonePenaltySeconds;
   return choice;
 }
 
+std::size_t EngineRouter::ApplyPace(const std::vector<ModelCopy>& copies,
+                                    std::vector<double> weights, std::size_t selected,
+                                    std::vector<std::string>* limited) {
+  for (std::size_t i = 0; i < copies.size(); ++i) {
+    // A copy gets what its slowest stage may get.
+    double share = 1.0;
+    for (const ChainStage& stage : copies[i].choice.stages) {
+      const bool has_room = m_pace->HasRoom(stage.upstream);
+      share = std::min(share, has_room ? m_pace->Share(stage.upstream) : 0.0);
+      if (!has_room && i == selected) limited->push_back(stage.upstream);
+    }
+    weights[i] *= share;
+  }
+  const auto has_weight = [](double weight) { return weight > 0.0; };
+  if (std::none_of(weights.begin(), weights.end(), has_weight)) {
+    // All other copies are full or without room as well.
+    limited->clear();
+    return selected;
+  }
+  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  return draw(m_random);
+}
+
+const EngineRouter::Engine* EngineRouter::FindAddress(const std::string& address) const {
+  const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
+                                   [&](const Engine& e) { return e.address == address; });
+  return engine == m_engines.end() ? nullptr : &*engine;
+}
+
 bool EngineRouter::IsUsable(TimePoint now, const Engine& engine, const UpstreamTable& upstreams) {
   const UpstreamTableEntry* record = upstreams.Find(engine.name);
   if (record == nullptr || !record->IsReady()) return false;
@@ -239,6 +283,7 @@
   const bool announced = record->announcement.sequence > state.suspect_sequence;
   if (now < state.suspect_until || !announced) return false;
   state.is_suspect = false;
+  if (m_pace != nullptr) m_pace->SetAvailable(now, engine.name, PaceReason::kHealthy, true);
   return true;
 }
 
@@ -276,6 +321,9 @@
   state.health.slowness = std::max(1.0, health.slowness);
   state.health_until = now + kHealthLifetime;
   state.tokens_since_report = 0.0;
+  if (m_pace != nullptr) {
+    m_pace->SetAvailable(now, health.name, PaceReason::kHealthy, health.answers);
+  }
   return !health.answers && !was_lost;
 }
 
@@ -350,6 +398,7 @@
     EngineState& state = m_states[stage.address];
     state.tokens += tokens;
     state.tokens_since_report += tokens;
+    if (m_pace != nullptr) m_pace->Begin(stage.upstream);
   }
   if (!chain.empty()) ++m_first_loads[chain.front().address].started_since_report;
 }
@@ -358,6 +407,7 @@
   for (const ChainStage& stage : chain) {
     double& held = m_states[stage.address].tokens;
     held = std::max(0.0, held - tokens);
+    if (m_pace != nullptr) m_pace->End(stage.upstream);
   }
 }
 
@@ -370,10 +420,32 @@
   state.is_suspect = true;
   state.suspect_until = now + kSuspectDuration;
   state.suspect_sequence = sequence;
+  const Engine* engine = FindAddress(address);
+  if (m_pace == nullptr || engine == nullptr) return;
+  m_pace->Failed(now, engine->name);
+  m_pace->SetAvailable(now, engine->name, PaceReason::kHealthy, false);
 }
 
 void EngineRouter::MarkFull(TimePoint now, const std::string& address) {
   m_states[address].full_until = now + kFullDuration;
+  const Engine* engine = FindAddress(address);
+  if (m_pace != nullptr && engine != nullptr) m_pace->Refused(now, engine->name);
+}
+
+void EngineRouter::RecordFirstEvent(TimePoint now, const std::vector<ChainStage>& chain,
+                                    Duration latency) {
+  if (m_pace == nullptr) return;
+  const std::chrono::duration<double> expected(m_first_event_s);
+  bool is_paced = false;
+  for (const ChainStage& stage : chain) {
+    if (!m_pace->IsPaced(stage.upstream)) continue;
+    is_paced = true;
+    m_pace->Answered(now, stage.upstream, latency, std::chrono::duration_cast<Duration>(expected));
+  }
+  if (is_paced) return;
+  const double seconds = std::chrono::duration<double>(latency).count();
+  const bool is_first = m_first_event_s == 0.0;
+  m_first_event_s += (is_first ? 1.0 : kFirstEventSmoothingFactor) * (seconds - m_first_event_s);
 }
 
 }  // namespace corneltray
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -64,9 +64,7 @@
   if (events.empty()) return;
   const TimePoint now = Clock::now();
   RecordEvent(now);
-  if (m_attempt->events == 0 && Router() == nullptr) {
-    m_gateway->PickerOf(m_request.service->name).RecordFirstEvent(now, m_attempt->address);
-  }
+  if (m_attempt->events == 0) RecordFirstEvent(now);
   m_attempt->events += m_stream.events.EventCount() - before;
   if (m_attempt->events >= kEventsOfBegunAnswer) RecordAnswerBegun();
   if (!std::exchange(m_stream.begun, true)) {
@@ -91,6 +89,14 @@
   m_last_event_at = now;
 }
 
+void Exchange::RecordFirstEvent(TimePoint now) {
+  if (EngineRouter* router = Router()) {
+    router->RecordFirstEvent(now, m_attempt->chain, now - m_attempt->started_at);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).RecordFirstEvent(now, m_attempt->address);
+  }
+}
+
 void Exchange::RecordAnswerBegun() {
   if (std::exchange(m_attempt->is_begin_recorded, true)) return;
   m_gateway->ReportAnswerBegun(m_request.metadata.shared_prompt_parts);
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -104,6 +104,8 @@
   // exchange.cc
   void ForwardEvents(std::string_view bytes);
   void RecordEvent(TimePoint now);
+  // Records the first event of the current attempt.
+  void RecordFirstEvent(TimePoint now);
   void FinishStream();
   void FinishBuffered();
   // Records that an upstream has begun the answer, if that has not been recorded for this attempt.
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -127,6 +127,7 @@
   m_gateway->AddBlocked(now, &excluded);
   if (EngineRouter* router = Router()) {
     ChainChoice choice = router->Choose(now, upstreams, excluded);
+    for (const std::string& engine : choice.limited) m_gateway->Pace().Limited(engine);
     m_scope = choice.scope;
     if (choice.stages.empty()) return false;
     attempt->upstream = choice.stages.front().upstream;
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -69,7 +69,8 @@
             {"customers", table.customers.size()}});
   for (const auto& [name, service] : table.services) {
     if (!service.engine || m_routers.count(name) > 0) continue;
-    EngineRouter router(m_options.availability_zone, *service.engine, m_options.random_seed);
+    EngineRouter router(m_options.availability_zone, *service.engine, m_options.random_seed,
+                        &m_pace);
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
