--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -83,6 +83,7 @@
     options.caller_budget = m_budget.Part(Door::kCallers);
     options.readiness_budget = m_budget.Part(Door::kReadiness);
     options.max_upstream_connections = m_budget.MaxUpstreamConnections();
+    options.pace_mode = m_settings.pace_mode;
     m_gateway = std::make_unique<Gateway>(&m_io, std::move(options));
     PeerOptions peer;
     peer.identity = {m_settings.peer_name, kProgram, m_settings.region,
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -25,6 +25,7 @@
 #include "corneltray/prompt_quarantine.h"
 #include "corneltray/retry.h"
 #include "corneltray/route_table.h"
+#include "corneltray/server_pace.h"
 #include "corneltray/service_picker.h"
 #include "corneltray/service_room.h"
 #include "corneltray/upstream_backoff.h"
@@ -51,6 +52,7 @@
   std::shared_ptr<DoorBudget> caller_budget = MakeDefaultDoorBudget();
   std::shared_ptr<DoorBudget> readiness_budget = MakeDefaultDoorBudget();
   std::size_t max_upstream_connections = std::numeric_limits<std::size_t>::max();
+  PaceMode pace_mode = PaceMode::kOff;
 };
 
 // The data path of one entry host: accepts requests of callers, sends them to upstreams and
@@ -81,6 +83,9 @@
   // control processes compute.
   ServiceRetryCounts OwnRetryCounts() const;
   void SetFleetRetryCounts(const ServiceRetryCounts& counts);
+  // What this host has seen of the servers that it paces, and the sum over all hosts.
+  ServerPaceCounts OwnPaceCounts() const { return m_pace.OwnCounts(); }
+  void SetFleetPace(const FleetPace& fleet);
 
   // The handler is called for each engine that does not respond and for each that needs a health
   // check, with its last announcement.
@@ -131,6 +136,7 @@
   RetryBudget& BudgetOf(const std::string& service);
   // Counts an attempt after the first one of a request in what the engines of a service were sent.
   void ChargeRepeat(const std::string& service, double tokens);
+  ServerPace& Pace() { return m_pace; }
   Metrics& GetMetrics() { return m_metrics; }
   // Requests the report of the first stage of a chain, which names the stages that block its
   // requests. Concurrent calls for one address share one request; `done` gets null if there is no
@@ -192,6 +198,7 @@
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
   void RefreshUpstreams();
+  void LogPace();
   void FailOverFromEngine(TimePoint now, const EngineLoss& loss);
   void ScheduleTick();
   void Tick();
@@ -207,7 +214,8 @@
   std::uint64_t m_applied_generation = 0;  // of m_upstreams, last given to the routers
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
-  std::map<std::string, EngineRouter> m_routers;   // by service
+  ServerPace m_pace;
+  std::map<std::string, EngineRouter> m_routers;  // by service
   struct KnownRoom {
     ServiceRoom room;
     TimePoint expires_at{};
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -8,6 +8,7 @@
 #include "corneltray/admission_mode.h"
 #include "corneltray/log.h"
 #include "corneltray/schema.h"
+#include "corneltray/server_pace.h"
 
 namespace corneltray {
 
@@ -46,6 +47,7 @@
   double retry_allowance = 0.0;   // second attempts in a window that need no requests
   std::int64_t retry_window_ms = 0;
   AdmissionMode admission = AdmissionMode::kAuto;
+  PaceMode pace_mode = PaceMode::kAuto;  // of servers that have just started or recovered
 };
 
 const std::vector<KeySpec>& HostSettingsSchema();
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -106,6 +106,9 @@
       {"admission.mode", T::kString, false, "\"auto\"", 1, 16, "",
        "requests for engines that are held back under load: of services whose routes or customers "
        "have several priorities (auto), of all (on) or of none (off)"},
+      {"pace.mode", T::kString, false, "\"auto\"", 1, 16, "",
+       "auto: servers that are new, restarted or recovered get a share that grows with their "
+       "answers; off: their full share at once"},
       {"placement.lease_voters", T::kStringList, false, "[]", 0, 7, "",
        "names of the placement processes of this zone"},
       {"placement.weight_store", T::kString, false, "\"\"", 0, kMaxText, "",
@@ -177,6 +180,11 @@
   CheckAddresses(settings, document, issues);
   settings.memory_mb = v["limits"]["memory_mb"];
   settings.open_files = v["limits"]["open_files"];
+  if (const auto mode = ParseEnum<PaceMode>(v["pace"]["mode"].get<std::string>())) {
+    settings.pace_mode = *mode;
+  } else {
+    issues->push_back({source.file, 0, "pace.mode", "must be auto or off"});
+  }
   const auto level = ParseEnum<LogLevel>(v["log"]["level"].get<std::string>());
   if (!level) {
     issues->push_back({source.file, 0, "log.level", "must be debug, info, warning or error"});
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -151,6 +151,7 @@
     std::optional<TimePoint> first_event_by;
     if (!HasBegun()) first_event_by = m_request.read_at + m_request.route->objective;
     ChainChoice choice = router->Choose(now, upstreams, excluded, first_event_by);
+    for (const std::string& engine : choice.limited) m_gateway->Pace().Limited(engine);
     m_scope = choice.scope;
     if (choice.stages.empty()) return false;
     attempt->upstream = choice.stages.front().upstream;
@@ -165,6 +166,7 @@
   attempt->upstream = choice->upstream;
   attempt->address = choice->address;
   attempt->load = choice->load;
+  if (!choice->limited.empty()) m_gateway->Pace().Limited(choice->limited);
   return true;
 }
 
@@ -277,6 +279,8 @@
   if (EngineRouter* router = Router()) {
     if (!router->IsNearlyFull(now, faulty)) m_gateway->RequestHealthCheck(faulty);
     router->MarkFull(now, faulty);
+  } else {
+    m_gateway->PickerOf(m_request.service->name).RecordRefusal(now, faulty);
   }
   EndAttempt(AttemptEvidence::kRefused);
 }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -43,6 +43,7 @@
       m_ready_listener(io, [this](const HttpCall& call) { OnReadyCall(call); }),
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
+      m_pace(m_options.pace_mode, m_options.random_seed),
       m_response_charge(m_options.caller_budget),
       m_tick_timer(*io),
       m_admission(MakeAdmission()) {
@@ -81,7 +82,8 @@
             {"customers", table.customers.size()}});
   for (const auto& [name, service] : table.services) {
     if (!service.engine || m_routers.count(name) > 0) continue;
-    EngineRouter router(m_options.availability_zone, *service.engine, m_options.random_seed);
+    EngineRouter router(m_options.availability_zone, *service.engine, m_options.random_seed,
+                        &m_pace);
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
@@ -96,6 +98,7 @@
   ApplyUpstreamUpdates(Clock::now(), updates, &m_upstreams);
   m_upstreams.Expire(Clock::now());
   RefreshUpstreams();
+  LogPace();
 }
 
 void Gateway::UpdateEngineHealth(const std::vector<EngineHealth>& engines) {
@@ -126,6 +129,7 @@
   if (m_applied_generation == m_upstreams.Generation()) return;
   m_applied_generation = m_upstreams.Generation();
   m_backoff.RemoveObsolete(m_upstreams);
+  m_pace.SetServers(Clock::now(), m_upstreams);
   for (auto& [service, router] : m_routers) router.SetEngines(service, m_upstreams);
   for (auto& [service, picker] : m_pickers) picker.SetReplicas(m_upstreams);
   for (const auto& [name, record] : m_upstreams.Records()) {
@@ -152,6 +156,24 @@
   }
 }
 
+void Gateway::SetFleetPace(const FleetPace& fleet) {
+  m_pace.SetFleet(Clock::now(), fleet);
+  LogPace();
+}
+
+void Gateway::LogPace() {
+  for (const PaceEvent& event : m_pace.TakeEvents()) {
+    const std::chrono::duration<double, std::milli> since = event.since_begin;
+    LogEvent(LogLevel::kInfo, "server_pace",
+             {{"upstream", event.server},
+              {"step", NameOf(event.step)},
+              {"reason", NameOf(event.reason)},
+              {"window", event.window},
+              {"answered_here", event.answered},
+              {"took_ms", since.count()}});
+  }
+}
+
 // Returns the retries allowed for all hosts together within RetryBudget::kWindow.
 double Gateway::AllowedRetries(const RetryCounts& fleet) const {
   const std::chrono::duration<double> window = m_options.retry_window;
@@ -205,7 +227,8 @@
   const auto known = m_pickers.find(service);
   if (known != m_pickers.end()) return known->second;
   auto& picker =
-      m_pickers.emplace(service, ServicePicker(m_options.availability_zone, service)).first->second;
+      m_pickers.emplace(service, ServicePicker(m_options.availability_zone, service, &m_pace))
+          .first->second;
   picker.SetReplicas(m_upstreams);
   return picker;
 }
@@ -545,6 +568,9 @@
       {"route_table_version", static_cast<double>(RouteVersion())},
       {"prompt_parts_quarantined",
        static_cast<double>(m_quarantine.QuarantinedCount(Clock::now()))},
+      {"servers_paced", static_cast<double>(m_pace.PacedServers())},
+      {"pace_windows", m_pace.WindowSum()},
+      {"paced_servers_failed", static_cast<double>(m_pace.RefusedInRamps())},
       {"ready", IsReady() ? 1.0 : 0.0},
   };
   m_admission->AddGauges(Clock::now(), &gauges);
