--- a/src/libadmission/waiting_requests.cc
+++ b/src/libadmission/waiting_requests.cc
@@ -47,6 +47,7 @@
     }
   }
   std::vector<AdmissionRequest> expired;
+  expired.reserve(ids.size());
   for (const std::uint64_t id : ids) expired.push_back(*Take(id));
   return expired;
 }
