--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -42,7 +42,6 @@
     const auto self = weak.lock();
     if (self && self->m_attempt) self->m_attempt->call.ResumeReading();
   });
-  m_gateway->BudgetOf(m_request.service->name).RecordRequest(Clock::now());
   SendAttempt();
 }
 
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -274,6 +274,9 @@
   const auto refusal = FilterRequest(MakeFilterContext(Clock::now()), &request);
   if (refusal) return Refuse(call, request, *refusal);
   if (!AdmitPrompt(call, request)) return;
+  // Counted before admission: the counts tell which part of the demand arrives at this host, and a
+  // part of what was sent would keep a host that is held back at its pace.
+  BudgetOf(request.service->name).RecordRequest(Clock::now());
   // A prompt part in quarantine is admitted only as a trial, which many hosts wait for.
   const bool is_trial = IsQuarantined(request.metadata.shared_prompt_parts);
   if (m_draining || is_trial || !m_admission->Controls(request.service->name)) {
--- a/src/libserving/gateway_admission_test.cc
+++ b/src/libserving/gateway_admission_test.cc
@@ -146,6 +146,9 @@
   CHECK(answer.find("HTTP/1.1 503") == 0);
   CHECK(answer.find("Retry-After: ") != std::string::npos);
   const int sent = fixture.EngineRequests();
+  // Guards against a host that gets a smaller part of the room because it refuses requests.
+  const auto counted = fixture.loop.Run([&] { return fixture.gateway->OwnRetryCounts(); });
+  CHECK(counted.at("model").requests > static_cast<std::uint32_t>(sent));
   fixture.SetRoom(FreeRoom());
   std::this_thread::sleep_for(milliseconds(200));
   CHECK(fixture.EngineRequests() == sent);
