--- a/src/include/corneltray/engine_monitor.h
+++ b/src/include/corneltray/engine_monitor.h
@@ -68,6 +68,7 @@
  private:
   struct MonitoredEngine {
     EngineHealth health;
+    std::uint32_t slots = 0;  // announced; 0: not stated
     TimePoint probed_at{};
     TimePoint next_probe_at{};
     std::uint32_t failed_probes = 0;  // consecutive
@@ -77,6 +78,9 @@
     bool is_urgent = false;       // lost or recovered, and not yet sent
   };
 
+  // Returns the used part of what runs out first: the KV cache, or the slots, which the first stage
+  // of a chain needs. Requests that wait for a slot count, because they come before a new one.
+  static double LoadOf(const EngineReport& report, std::uint32_t slots);
   static std::chrono::milliseconds ProbeInterval(const MonitoredEngine& engine);
   MonitoredEngine* Find(const EngineProbe& probe);
   bool IsPartitioned() const;
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -47,7 +47,7 @@
   std::string name;
   std::uint64_t incarnation = 0;
   bool answers = true;    // false: did not respond to several consecutive probes
-  double load = 0.0;      // used fraction of its KV cache
+  double load = 0.0;      // used part of its KV cache or of its slots; over 1 if requests wait
   double slowness = 1.0;  // above 1: this many times slower than its accelerator kind
 };
 
--- a/src/libadmission/admission_queue.cc
+++ b/src/libadmission/admission_queue.cc
@@ -81,7 +81,8 @@
 }
 
 bool AdmissionQueue::MayLateBeSent() const {
-  if (!IsHeldBack() || m_bucket.AllowsLateByCredit()) return true;
+  if (!IsHeldBack() || m_room.load < kUnpacedLoad) return true;
+  if (m_bucket.AllowsLateByCredit()) return true;
   return m_bucket.AllowsLate() && m_pace.ExpectedLoad() < kLateLoad;
 }
 
--- a/src/libfleet/engine_monitor.cc
+++ b/src/libfleet/engine_monitor.cc
@@ -18,6 +18,7 @@
     }
     engine.health.name = name;
     engine.health.incarnation = info.incarnation;
+    engine.slots = info.slots;
     if (engine.is_probing || now < engine.next_probe_at) continue;
     engine.is_probing = true;
     engine.probed_at = now;
@@ -28,6 +29,12 @@
   return due;
 }
 
+double EngineMonitor::LoadOf(const EngineReport& report, std::uint32_t slots) {
+  const double memory = report.kv_total > 0.0 ? report.kv_used / report.kv_total : 0.0;
+  if (slots == 0) return memory;
+  return std::max(memory, static_cast<double>(report.running + report.waiting) / slots);
+}
+
 std::chrono::milliseconds EngineMonitor::ProbeInterval(const MonitoredEngine& engine) {
   if (!engine.is_known || !engine.health.answers) return kEngineProbeInterval;
   if (engine.health.load >= kBusyLoad) return kBusyProbeInterval;
@@ -56,7 +63,7 @@
   const bool is_back = engine->is_known && !engine->health.answers;
   engine->is_known = true;
   engine->health.answers = true;
-  engine->health.load = report.kv_total > 0.0 ? report.kv_used / report.kv_total : 0.0;
+  engine->health.load = LoadOf(report, engine->slots);
   engine->health.slowness = report.slowness;
   engine->is_unpublished = true;
   engine->is_urgent = engine->is_urgent || is_back;
--- a/src/libfleet/engine_monitor_test.cc
+++ b/src/libfleet/engine_monitor_test.cc
@@ -101,6 +101,34 @@
   CHECK(updates.front().load == doctest::Approx(0.95));
 }
 
+// Guards against a queue at the first engine of a copy whose memory is not full: its slots were all
+// in use and dozens of requests waited, while its load was reported as 0.8.
+TEST_CASE("the load of an engine is that of its memory or of its slots") {
+  MonitorFixture fixture;
+  UpstreamUpdate with_slots = TestEngine("a1", "a", "slow", 0, 10);
+  with_slots.announcement.slots = 100;
+  with_slots.announcement.sequence = 2;
+  fixture.table.Apply(kNow, with_slots);
+  fixture.TakeDueProbes();
+  EngineReport report = ReportWithLoad(0.4);
+  const auto load_of = [&] {
+    fixture.monitor.OnProbeAnswered({"a1", 1, "a1"}, report);
+    return fixture.monitor.TakeHealthUpdates(fixture.now).front().load;
+  };
+  SUBCASE("the fuller one counts") {
+    report.running = 30;
+    CHECK(load_of() == doctest::Approx(0.4));
+    fixture.now += kPublishInterval;
+    report.running = 90;
+    CHECK(load_of() == doctest::Approx(0.9));
+  }
+  SUBCASE("requests that wait for a slot count as well") {
+    report.running = 100;
+    report.waiting = 50;
+    CHECK(load_of() == doctest::Approx(1.5));
+  }
+}
+
 // Guards against hosts that keep sending requests to a lost engine until each has seen it fail.
 TEST_CASE("a suspected engine is probed at once and reported to all hosts as lost") {
   MonitorFixture fixture;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -23,7 +23,7 @@
 // A copy whose known load is at least this high is used only if all others are full too.
 constexpr double kFullLoad = 0.95;
 // Minimum share of free capacity assumed for a copy in the random selection.
-constexpr double kMinFreeShare = 0.05;
+constexpr double kMinFreeShare = 0.1;
 // Added to the cost of a stage that reported being full or has no room at its pace, so that it is
 // used only as a last resort.
 constexpr double kFullPenaltySeconds = 5.0;
@@ -203,7 +203,7 @@
       first_event_weight += copy.room_tokens * copy.first_event_s;
       if (!copy.is_observed) continue;
       reported_tokens += copy.room_tokens;
-      used_tokens += std::min(copy.room_tokens, copy.capacity_tokens * copy.choice.load);
+      used_tokens += copy.room_tokens * std::min(1.0, copy.choice.load);
     }
   }
   if (room.capacity_tokens <= 0.0) return room;
@@ -332,12 +332,11 @@
   const bool is_in_time = first_event_by && *first_event_by > now;
   std::vector<double> weights;
   for (const ModelCopy& copy : copies) {
-    // Proportional to the rate at which the copy takes requests: what it holds over the time that
-    // a request stays. The square of the free share fills copies of different speed alike, although
-    // reports of their load are old and fast copies get more requests meanwhile.
-    const double free_share = std::max(kMinFreeShare, 1.0 - copy.choice.load);
-    double weight =
-        copy.room_tokens * free_share * free_share / std::max(kMinStaySeconds, copy.choice.cost_s);
+    // Proportional to the rate at which the copy takes requests: what is free over the time that a
+    // request stays, so that copies of different speed fill up alike. A steeper function of the
+    // load makes hosts with old reports move from copy to copy together.
+    double weight = copy.room_tokens * std::max(kMinFreeShare, 1.0 - copy.choice.load) /
+                    std::max(kMinStaySeconds, copy.choice.cost_s);
     if (is_in_time) {
       const double left_s = std::chrono::duration<double>(*first_event_by - now).count();
       weight *= InTimeWeight(copy.first_event_s * (1.0 + copy.choice.load) / left_s);
