--- a/src/include/corneltray/memory_budget.h
+++ b/src/include/corneltray/memory_budget.h
@@ -152,9 +152,11 @@
 };
 
 // Returns the positions of the connections to close so that `excess` bytes become free: those that
-// hold most for the least progress first. It answers crowds whose bodies stop short of their end.
+// hold most for the least progress first. Connections that hold `small_bytes` or less stay: they
+// free little, and most of them are of ordinary callers. It answers crowds whose bodies stop short
+// of their end.
 std::vector<std::size_t> ChooseToClose(const std::vector<HeldConnection>& connections,
-                                       std::size_t excess);
+                                       std::size_t excess, std::size_t small_bytes);
 
 }  // namespace corneltray
 
--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -21,9 +21,6 @@
 constexpr std::size_t kMinBytesPerSecond = 512;
 // A new connection without a request is not closed as idle before this time.
 constexpr std::chrono::milliseconds kFirstRequestDelay{300};
-// A connection that holds no more than this is read also under pressure, so that small requests
-// are still served.
-constexpr std::size_t kAlwaysReadBytes = std::size_t{24} * 1024;
 // Memory of a connection that holds nothing: the object, its reader and its pending operations.
 constexpr std::size_t kConnectionBytes = std::size_t{3} * 1024;
 // Buffers up to this size are kept for the next request.
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -15,6 +15,10 @@
 
 namespace corneltray {
 
+// A connection that holds no more than this is read also under pressure, so that small requests
+// are still served.
+constexpr std::size_t kAlwaysReadBytes = std::size_t{24} * 1024;
+
 // Shared by the listener and its connections, which may outlive it for a moment.
 class HttpListener::Impl : public std::enable_shared_from_this<HttpListener::Impl> {
  public:
@@ -51,7 +55,7 @@
     std::size_t held_bytes = 0;
   };
 
-  void CloseHeaviest(std::size_t excess);
+  void CloseHeaviest(std::size_t excess, std::size_t small_bytes);
   // Makes room for a new connection. Returns whether there is any.
   bool CloseStalest();
   void LogClosings();
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -22,6 +22,9 @@
 // Connections closed at once when there are too many: this share of them, so that a flood of new
 // ones does not scan the others each time.
 constexpr std::size_t kStalePart = 16;
+// A connection that holds no more than this, as an idle one does, is not closed for memory: the
+// part of a door has room for so much for each.
+constexpr std::size_t kSmallConnectionBytes = std::size_t{12} * 1024;
 
 }  // namespace
 
@@ -140,7 +143,7 @@
   if (m_closes_idle) CloseIdle();
   // Connections that are not read for the pressure of others do not get room by themselves.
   const bool is_high = budget->Pressure() != MemoryPressure::kNone;
-  if (is_high && m_is_high_since_sweep) CloseHeaviest(budget->Excess());
+  if (is_high && m_is_high_since_sweep) CloseHeaviest(budget->Excess(), kAlwaysReadBytes);
   m_is_high_since_sweep = is_high;
   for (const auto& connection : all) connection->ResumeReading();
   LogClosings();
@@ -160,16 +163,16 @@
 
 void HttpListener::Impl::RelievePressure() {
   if (budget->Pressure() != MemoryPressure::kCritical) return;
-  CloseHeaviest(budget->Excess());
+  CloseHeaviest(budget->Excess(), kSmallConnectionBytes);
 }
 
-void HttpListener::Impl::CloseHeaviest(std::size_t excess) {
+void HttpListener::Impl::CloseHeaviest(std::size_t excess, std::size_t small_bytes) {
   const std::vector<std::shared_ptr<HttpCallerConnection>> all(connections.begin(),
                                                                connections.end());
   std::vector<HeldConnection> held;
   held.reserve(all.size());
   for (const auto& connection : all) held.push_back(connection->Held());
-  for (const std::size_t i : ChooseToClose(held, excess)) {
+  for (const std::size_t i : ChooseToClose(held, excess, small_bytes)) {
     RecordClosed(CloseReason::kMemory, held[i].bytes);
     all[i]->Relieve();
   }
--- a/src/libhttp/memory_budget.cc
+++ b/src/libhttp/memory_budget.cc
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxOperatorBytes = 2 * kMinOperatorBytes;
 // With less memory there would be no room for the largest call beside the other doors.
 constexpr std::size_t kMinProcessBytes = 64 * kMegabyte;
+// Each connection that a door may have finds room for a small request.
+constexpr std::size_t kMinConnectionBytes = std::size_t{16} * 1024;
 constexpr std::size_t kDefaultDoorBytes = 48 * kMegabyte;
 
 // Parts of the memory and of the descriptors of a process. Upstreams get what is left of the
@@ -147,8 +149,9 @@
   for (const DoorShare& share : kShares) {
     if (!has(share.door)) continue;
     if (share.door != Door::kOperators) bytes[share.door] = Scale(memory, share.memory / whole);
+    const std::size_t most = std::min(kMostConnections, bytes[share.door] / kMinConnectionBytes);
     const std::size_t connections =
-        std::clamp(Scale(usable, share.descriptors), kFewestConnections, kMostConnections);
+        std::clamp(Scale(usable, share.descriptors), kFewestConnections, most);
     m_parts[share.door] = std::make_shared<DoorBudget>(bytes[share.door], connections);
   }
   m_max_upstream_connections =
@@ -189,11 +192,13 @@
 }
 
 std::vector<std::size_t> ChooseToClose(const std::vector<HeldConnection>& connections,
-                                       std::size_t excess) {
+                                       std::size_t excess, std::size_t small_bytes) {
   std::vector<std::size_t> order(connections.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
-  const auto is_protected = [&](std::size_t i) { return connections[i].is_protected; };
-  order.erase(std::remove_if(order.begin(), order.end(), is_protected), order.end());
+  const auto stays = [&](std::size_t i) {
+    return connections[i].is_protected || connections[i].bytes <= small_bytes;
+  };
+  order.erase(std::remove_if(order.begin(), order.end(), stays), order.end());
   const auto holds_more = [&](std::size_t a, std::size_t b) {
     const auto weight = [&](std::size_t i) {
       const HeldConnection& one = connections[i];
--- a/src/libhttp/memory_budget_test.cc
+++ b/src/libhttp/memory_budget_test.cc
@@ -81,15 +81,20 @@
   const HeldConnection sent_on{9000, 0, true};
 
   SUBCASE("as many as needed") {
-    CHECK(ChooseToClose({sending, stalled, small, sent_on, stalled}, 5000) ==
+    CHECK(ChooseToClose({sending, stalled, small, sent_on, stalled}, 5000, 0) ==
           std::vector<std::size_t>{1, 4});
   }
   SUBCASE("a request that may have been sent on is never among them") {
-    const auto chosen = ChooseToClose({sent_on, stalled, small}, 100'000);
+    const auto chosen = ChooseToClose({sent_on, stalled, small}, 100'000, 0);
     CHECK(std::find(chosen.begin(), chosen.end(), std::size_t{0}) == chosen.end());
     CHECK(chosen.size() == 2);
   }
-  SUBCASE("none without need") { CHECK(ChooseToClose({stalled, small}, 0).empty()); }
+  // Guards against closing every idle connection while requests in progress hold the memory.
+  SUBCASE("small ones stay, also where the others do not suffice") {
+    CHECK(ChooseToClose({small, sent_on, stalled, small}, 100'000, 100) ==
+          std::vector<std::size_t>{2});
+  }
+  SUBCASE("none without need") { CHECK(ChooseToClose({stalled, small}, 0, 0).empty()); }
 }
 
 }  // namespace
