--- a/src/include/corneltray/zone_repair.h
+++ b/src/include/corneltray/zone_repair.h
@@ -10,7 +10,8 @@
 
 // Returns new ranges for engines of a zone that is in use, without moving layers that no other
 // engine holds. Spare engines take the layers that a broken copy lacks, the copy with the smallest
-// gaps first; an engine that has just joined takes only the layers of lost engines (`vacancies`).
+// gaps first; an engine that has just joined takes only the layers of lost engines (`vacancies`),
+// or about as many as it can hold.
 // The rest of a copy is not spare while engines are expected to restart that make it complete
 // (`awaited`, the layers that they held).
 // Layers that no usable engine holds go to an empty engine, else to one whose layers are held
--- a/src/libfleet/zone_repair.cc
+++ b/src/libfleet/zone_repair.cc
@@ -83,7 +83,7 @@
       // As large a KV cache as that of the other stages, if an engine has the memory for it.
       auto best = SmallestThatFits(left, gap.Size(), kv_tokens, is_loss);
       if (best == left.end()) best = SmallestThatFits(left, gap.Size(), least, is_loss);
-      if (best == left.end()) best = Largest(left, kv_tokens, is_loss);
+      if (best == left.end()) best = Largest(left, gap.Size(), kv_tokens, is_loss);
       if (best == left.end()) return false;
       PlacedEngine* engine = &m_engines[*best];
       const bool fits_whole = LayersThatFit(engine->kind, m_profile, least) >= gap.Size();
@@ -117,11 +117,15 @@
     return spares;
   }
 
-  // Whether a spare engine may take layers that a copy lacks. A newcomer is reserved for the layers
-  // of lost engines, and layers without another holder are not given up.
-  bool IsAvailable(const PlacedEngine& engine, bool is_loss) const {
-    if (engine.range.Size() == 0) return engine.is_settled || is_loss;
-    return IsRedundant(engine);
+  // Whether a spare engine may take this many layers that a copy lacks. A newcomer may be the
+  // replacement of an engine that departs soon, so it takes only the layers of lost engines, or at
+  // least half of what it could hold: a new leader does not know which engines were lost. Layers
+  // without another holder are not given up.
+  bool IsAvailable(const PlacedEngine& engine, std::uint32_t layers, double kv_tokens,
+                   bool is_loss) const {
+    if (engine.range.Size() > 0) return IsRedundant(engine);
+    return engine.is_settled || is_loss ||
+           2 * layers >= LayersThatFit(engine.kind, m_profile, kv_tokens);
   }
 
   using IdlePosition = std::vector<std::size_t>::iterator;
@@ -131,7 +135,7 @@
     auto best = idle.end();
     for (auto it = idle.begin(); it != idle.end(); ++it) {
       const PlacedEngine& engine = m_engines[*it];
-      if (!IsAvailable(engine, is_loss)) continue;
+      if (!IsAvailable(engine, layers, kv_tokens, is_loss)) continue;
       if (LayersThatFit(engine.kind, m_profile, kv_tokens) < layers) continue;
       const bool is_better = best == idle.end() ||
                              engine.kind.memory_mb < m_engines[*best].kind.memory_mb ||
@@ -142,13 +146,15 @@
     return best;
   }
 
-  IdlePosition Largest(std::vector<std::size_t>& idle, double kv_tokens, bool is_loss) const {
+  IdlePosition Largest(std::vector<std::size_t>& idle, std::uint32_t layers, double kv_tokens,
+                       bool is_loss) const {
     auto best = idle.end();
     std::uint32_t most = 0;
     for (auto it = idle.begin(); it != idle.end(); ++it) {
       const PlacedEngine& engine = m_engines[*it];
       const std::uint32_t fits = LayersThatFit(engine.kind, m_profile, kv_tokens);
-      if (!IsAvailable(engine, is_loss) || fits <= most) continue;
+      const std::uint32_t taken = std::min(layers, fits);
+      if (!IsAvailable(engine, taken, kv_tokens, is_loss) || fits <= most) continue;
       best = it;
       most = fits;
     }
--- a/src/libfleet/zone_repair_test.cc
+++ b/src/libfleet/zone_repair_test.cc
@@ -192,6 +192,18 @@
   CHECK(changes == LayerRanges{{"fresh", lost}});
 }
 
+// Guards against a copy that stays incomplete for seconds under a new leader, which has not seen
+// the loss, and against a large newcomer that is used up for a few layers.
+TEST_CASE("a newcomer closes a gap of about its size also if the loss is unknown") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSmallFast, 16}, {kSlow, 10}}});
+  const LayerRange lost = Lose(4, &engines);
+  engines.push_back(Newcomer("large", kLargeFast));
+  CHECK(RepairZone(engines, profile).empty());
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  CHECK(RepairZone(engines, profile) == LayerRanges{{"fresh", lost}});
+}
+
 // Guards against spare engines that hold layers of no use: a spare shares the range of a stage, so
 // that the loss of this stage breaks no copy.
 TEST_CASE("a spare engine duplicates a stage") {
