--- a/src/libadmission/server_pace.cc
+++ b/src/libadmission/server_pace.cc
@@ -318,9 +318,8 @@
   Ramp& ramp = m_ramps.at(server);
   const Outcomes& round = ramp.round;
   const double hosts = HostsOf(ramp);
-  if (!DecidesAlone(now, ramp) ||
-      round.answered + round.refused + round.failed < ramp.window / hosts)
-    return;
+  const double outcomes = round.answered + round.refused + round.failed;
+  if (!DecidesAlone(now, ramp) || outcomes < ramp.window / hosts) return;
   const Outcomes scaled = {round.answered * hosts, round.latency_ratios * hosts,
                            round.busy_s * hosts,   round.refused * hosts,
                            round.failed * hosts,   round.limited * hosts};
