--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -105,6 +105,8 @@
         return m_gateway->MetricsText() + PeerMetricsText(m_node->Counters()) +
                PeerMessageMetricsText(m_node->MessageCounters());
       });
+      m_metrics->ServeExplain(m_settings.operator_key,
+                              [this](const HttpHead& head) { return m_gateway->Explain(head); });
     }
     LogEvent(LogLevel::kInfo, "listening",
              {{"http_address", m_gateway->Address()},
--- a/src/corneltrayctl/commands.cc
+++ b/src/corneltrayctl/commands.cc
@@ -43,7 +43,8 @@
     {"not_supported", "name a process that can be drained with --server"},
 };
 
-// Reports an answer that is not 200 or 202.
+}  // namespace
+
 int ReportRefusal(const ServerAnswer& answer) {
   for (const std::string& lost : answer.lost) std::cerr << "corneltrayctl: " << lost << "\n";
   if (answer.status == 0 || answer.status == 503) {
@@ -70,6 +71,8 @@
   return Fail(code == "configuration_invalid" ? kExitInvalid : kExitRefused, message, next);
 }
 
+namespace {
+
 bool IsSuccess(const ServerAnswer& answer) { return answer.status == 200 || answer.status == 202; }
 
 // Reads and checks the operator's files. Returns an exit code other than kExitOk on a problem.
--- a/src/corneltrayctl/commands.h
+++ b/src/corneltrayctl/commands.h
@@ -24,8 +24,14 @@
   std::string author;
   std::uint32_t timeout_s = 30;
   std::uint32_t limit = 20;
+  std::string method = "POST";
+  std::string target;
+  std::vector<std::string> fields;  // of the request to explain, as "Name: value"
 };
 
+// Reports an answer that is not a success to standard error. Returns an exit code of exit_codes.h.
+int ReportRefusal(const ServerAnswer& answer);
+
 // Each writes its result to standard output and errors, with what to do next, to standard error,
 // and returns an exit code of exit_codes.h.
 int RunValidate(const CommandArguments& arguments);
@@ -35,6 +41,7 @@
 int RunHistory(const CommandArguments& arguments);
 int RunStatus(const CommandArguments& arguments);
 int RunDrain(const CommandArguments& arguments);
+int RunExplain(const CommandArguments& arguments);
 
 }  // namespace corneltray
 
--- a/src/corneltrayctl/main.cc
+++ b/src/corneltrayctl/main.cc
@@ -33,6 +33,8 @@
     {"history", "list the last changes", corneltray::RunHistory, false, true},
     {"status", "show the state of each server", corneltray::RunStatus, false, true},
     {"drain", "stop one process gracefully", corneltray::RunDrain, false, true},
+    {"explain", "tell where an entry host would send a request now, without sending it",
+     corneltray::RunExplain, false, true},
 };
 
 void AddOptions(CLI::App* command, const Subcommand& kind, CommandArguments* arguments,
@@ -74,6 +76,13 @@
     command->add_option("--timeout-s", arguments->timeout_s, "time for all tries, in seconds")
         ->check(CLI::Range(1, 3600));
   }
+  if (name == "explain") {
+    command->add_option("--target", arguments->target, "path and query of the request")->required();
+    command->add_option("--method", arguments->method, "method of the request");
+    command->add_option("--header", arguments->fields,
+                        "header field of the request as 'Name: value', repeatable; as its caller "
+                        "sends them, with the host, the request id and the customer's key");
+  }
   if (name == "history") {
     command->add_option("--limit", arguments->limit, "number of changes")
         ->check(CLI::Range(1, 1000));
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/candidate_view.h"
 #include "corneltray/chain_search.h"
 #include "corneltray/dialect.h"
 #include "corneltray/enum_names.h"
@@ -78,6 +79,15 @@
   ChainChoice Choose(TimePoint now, const UpstreamTable& upstreams,
                      const std::set<std::string>& excluded);
 
+  // Returns what Choose() would return now, without any effect: on a copy of this router, with the
+  // same random numbers.
+  ChainChoice Preview(TimePoint now, const UpstreamTable& upstreams,
+                      const std::set<std::string>& excluded) const;
+  // Describes all engines as Choose() sees them, for operators. `blocked` are the addresses that
+  // asked for no requests.
+  std::vector<CandidateView> Describe(TimePoint now, const UpstreamTable& upstreams,
+                                      const std::set<std::string>& blocked) const;
+
   // Count the start and the end of a request that holds `tokens` tokens in the KV cache of each
   // stage of a chain.
   void Begin(const std::vector<ChainStage>& chain, double tokens);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -106,6 +107,10 @@
   // Whether no request is in progress or on a connection, and every answer is sent.
   bool IsFinished() const { return m_exchanges.empty() && m_listener.Counters().unfinished == 0; }
   std::string MetricsText() const;
+  // Says what would happen to a request with this head now, for operators: route, customer,
+  // admission, the upstream that it would go to, and the others with the reason against them. Sends
+  // nothing and changes no state.
+  nlohmann::json Explain(const HttpHead& head) const;
   HttpListenerCounters ListenerCounters() const { return m_listener.Counters(); }
   // Bound addresses as IP:PORT, for tests.
   std::string Address() const { return m_listener.Address(); }
@@ -167,6 +172,7 @@
   void SendQuarantineActions();
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
+  nlohmann::json ExplainChoice(TimePoint now, const RouteService& service) const;
   double AllowedRetries(const RetryCounts& fleet) const;
   void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
--- a/src/include/corneltray/service_picker.h
+++ b/src/include/corneltray/service_picker.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/candidate_view.h"
 #include "corneltray/outlier.h"
 #include "corneltray/server_pace.h"
 #include "corneltray/time.h"
@@ -43,6 +44,14 @@
   std::optional<ServiceChoice> Choose(TimePoint now, const UpstreamTable& upstreams,
                                       const std::set<std::string>& excluded);
 
+  // As Choose(), without any effect: neither the pace nor the replicas learn of it.
+  std::optional<ServiceChoice> Preview(TimePoint now, const UpstreamTable& upstreams,
+                                       const std::set<std::string>& excluded) const;
+  // Describes all replicas as Choose() compares them, for operators. `blocked` are the addresses
+  // that asked for no requests.
+  std::vector<CandidateView> Describe(TimePoint now, const UpstreamTable& upstreams,
+                                      const std::set<std::string>& blocked) const;
+
   // Counts the start and the end of a call to a replica.
   void Begin(const std::string& address);
   void End(const std::string& address);
--- a/src/libserving/engine_pace_test.cc
+++ b/src/libserving/engine_pace_test.cc
@@ -124,5 +124,24 @@
   CHECK(fleet.pace.IsPaced("p2"));
 }
 
+// Guards against an explanation that draws the random number of the next request.
+TEST_CASE("the chain that is previewed is the one that is chosen next") {
+  PacedFleet fleet;
+  fleet.Restart("p2", 20);
+  for (int i = 0; i < 50; ++i) {
+    const ChainChoice preview = fleet.router.Preview(kNow, fleet.table, {});
+    const ChainChoice choice = fleet.router.Choose(kNow, fleet.table, {});
+    CHECK(preview.stages.front().upstream == choice.stages.front().upstream);
+    CHECK(preview.limited == choice.limited);
+  }
+  fleet.Send(40, "p2");
+  for (const CandidateView& view : fleet.router.Describe(kNow, fleet.table, {"q1"})) {
+    CandidateReason expected = CandidateReason::kNone;
+    if (view.upstream == "p2") expected = CandidateReason::kPace;
+    if (view.upstream == "q1") expected = CandidateReason::kBlocked;
+    CHECK(view.reason == expected);
+  }
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -125,6 +125,61 @@
   return choice;
 }
 
+ChainChoice EngineRouter::Preview(TimePoint now, const UpstreamTable& upstreams,
+                                  const std::set<std::string>& excluded) const {
+  EngineRouter copy = *this;
+  std::optional<ServerPace> pace;
+  if (m_pace != nullptr) {
+    pace = *m_pace;
+    copy.m_pace = &*pace;
+  }
+  return copy.Choose(now, upstreams, excluded);
+}
+
+std::vector<CandidateView> EngineRouter::Describe(TimePoint now, const UpstreamTable& upstreams,
+                                                  const std::set<std::string>& blocked) const {
+  EngineRouter copy = *this;  // IsUsable() ends suspicions
+  std::optional<ServerPace> pace;
+  if (m_pace != nullptr) {
+    pace = *m_pace;
+    copy.m_pace = &*pace;
+  }
+  copy.UpdateZoneLoads(now);
+  std::vector<CandidateView> views;
+  for (const Engine& engine : copy.m_engines) {
+    CandidateView view;
+    view.upstream = engine.name;
+    view.address = engine.address;
+    view.availability_zone = engine.zone;
+    view.first_layer = engine.first;
+    view.end_layer = engine.end;
+    view.load = copy.LoadOf(now, engine);
+    view.score = view.load;
+    view.room = std::max(0.0, 1.0 - view.load) * engine.capacity_tokens;
+    const auto state = m_states.find(engine.address);
+    if (state != m_states.end() && now < state->second.health_until) {
+      view.report_age = now - (state->second.health_until - kHealthLifetime);
+    }
+    const UpstreamTableEntry* record = upstreams.Find(engine.name);
+    if (m_pace != nullptr) view.share = m_pace->Share(engine.name);
+    if (record == nullptr || !record->IsReady()) {
+      view.reason = CandidateReason::kLeaving;
+    } else if (blocked.count(engine.address) > 0) {
+      view.reason = CandidateReason::kBlocked;
+    } else if (!copy.IsUsable(now, engine, upstreams)) {
+      view.reason = CandidateReason::kSuspected;
+    } else if (copy.IsLost(now, engine, upstreams)) {
+      view.reason = CandidateReason::kLost;
+    } else if (state != m_states.end() && now < state->second.full_until) {
+      view.reason = CandidateReason::kFull;
+    } else if (m_pace != nullptr && !m_pace->HasRoom(engine.name)) {
+      view.reason = CandidateReason::kPace;
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
 ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable) {
   ChainChoice best = SelectRandomCopy(FindCopies(now, usable, &m_zones.front()));
   if (!best.stages.empty() && best.load < kHighLoad) return best;
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
@@ -539,5 +540,58 @@
   }
 }
 
+// Guards against an explanation that sends something, changes a later decision or differs from it.
+TEST_CASE("a request is explained without being sent") {
+  GatewayFixture fixture(PaceMode::kAuto);
+  ScriptedUpstream* first = fixture.Add(
+      "u1", "a", [](ScriptedUpstream&, const HttpCall& call) { RespondWith("done", call); });
+  ScriptedUpstream* second = fixture.Add(
+      "u2", "b", [](ScriptedUpstream&, const HttpCall& call) { RespondWith("done", call); });
+  const auto explain = [&](const std::string& target, const std::string& key = "key") {
+    HttpHead head;
+    head.method = "GET";
+    head.target = target;
+    head.fields = {{"Host", "h"}, {"Request-Id", "r1"}, {"Key", key}};
+    return fixture.loop.Run([&] { return fixture.gateway->Explain(head); });
+  };
+
+  SUBCASE("to the upstream that the next request goes to") {
+    const auto answer = explain("/get/x");
+    CHECK(answer["route"] == "/get/");
+    CHECK(answer["customer"] == "customer");
+    CHECK(answer["service"] == "plain");
+    CHECK(answer["admission"]["decision"] == "send");
+    CHECK(answer["choice"]["upstream"] == "u1");
+    REQUIRE(answer["candidates"].size() == 2);
+    CHECK(answer["candidates"][0]["reason"] != answer["candidates"][1]["reason"]);
+    CHECK(first->requests + second->requests == 0);
+    fixture.Call("GET", "/get/x");
+    CHECK(first->requests == 1);
+  }
+  SUBCASE("with the reason of a refusal") {
+    CHECK(explain("/get/x", "wrong")["admission"]["reason"] == "unknown_key");
+    CHECK(explain("/other/x")["admission"]["status"] == 404);
+    const auto answer = explain("/talk/x");
+    CHECK(answer["service"] == "model");
+    CHECK(answer["admission"]["reason"] == "no_upstream");
+    CHECK(answer["choice"].is_null());
+  }
+  SUBCASE("with an upstream that has no room at its pace") {
+    fixture.Call("GET", "/get/x");
+    fixture.loop.Run([&] {
+      fixture.Announce("u1", "a", first->listener->Address(), 0, 0, /*incarnation=*/2);
+      for (int i = 0; i < 2; ++i) fixture.gateway->Pace().Begin("u1");
+    });
+    const auto answer = explain("/get/x");
+    CHECK(answer["choice"]["upstream"] == "u2");
+    CHECK(answer["choice"]["held_back_by_pace"] == "u1");
+    for (const auto& candidate : answer["candidates"]) {
+      if (candidate["upstream"] != "u1") continue;
+      CHECK(candidate["reason"] == "no_room_at_its_pace");
+    }
+  }
+  CHECK(second->requests == 0);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libserving/service_picker.cc
+++ b/src/libserving/service_picker.cc
@@ -53,6 +53,11 @@
 std::optional<ServiceChoice> ServicePicker::Choose(TimePoint now, const UpstreamTable& upstreams,
                                                    const std::set<std::string>& excluded) {
   UpdatePace(now, upstreams);
+  return Preview(now, upstreams, excluded);
+}
+
+std::optional<ServiceChoice> ServicePicker::Preview(TimePoint now, const UpstreamTable& upstreams,
+                                                    const std::set<std::string>& excluded) const {
   std::optional<ServiceChoice> best;
   double best_score = 0.0;
   const Replica* best_unpaced = nullptr;
@@ -74,6 +79,42 @@
   return best;
 }
 
+std::vector<CandidateView> ServicePicker::Describe(TimePoint now, const UpstreamTable& upstreams,
+                                                   const std::set<std::string>& blocked) const {
+  std::vector<CandidateView> views;
+  for (const auto& [address, replica] : m_replicas) {
+    CandidateView view;
+    view.upstream = replica.name;
+    view.address = address;
+    view.availability_zone = replica.zone;
+    const double queue = Queue(now, replica);
+    view.load = queue / replica.slots;
+    view.room = std::max(0.0, replica.slots - queue);
+    if (m_pace != nullptr) view.share = m_pace->Share(replica.name);
+    if (now < replica.report_expires_at) {
+      view.report_age = now - (replica.report_expires_at - kReportLifetime);
+    }
+    const UpstreamTableEntry* record = upstreams.Find(replica.name);
+    const bool is_ready = record != nullptr && record->IsReady();
+    if (is_ready) view.score = ScoresOf(now, address, replica, *record).paced;
+    if (!is_ready) {
+      view.reason = CandidateReason::kLeaving;
+    } else if (blocked.count(address) > 0) {
+      view.reason = CandidateReason::kBlocked;
+    } else if (now < replica.unreachable_until) {
+      view.reason = CandidateReason::kUnreachable;
+    } else if (now - record->heard_at > kSilenceTimeout) {
+      view.reason = CandidateReason::kLost;
+    } else if (m_outliers.IsEjected(now, address)) {
+      view.reason = CandidateReason::kEjected;
+    } else if (m_pace != nullptr && !m_pace->HasRoom(replica.name)) {
+      view.reason = CandidateReason::kPace;
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
 ServicePicker::Scores ServicePicker::ScoresOf(TimePoint now, const std::string& address,
                                               const Replica& replica,
                                               const UpstreamTableEntry& record) const {
--- a/testsuite/platform/run.py
+++ b/testsuite/platform/run.py
@@ -83,6 +83,36 @@
     c.equal(ask(front, "/book/1", key="nobody's")[0], 401, "an unknown key")
 
 
+def explain(platform, *arguments, key="replace-with-a-random-key"):
+    """Runs corneltrayctl explain. Returns its exit code and what it printed."""
+    address = f"{entry_ip(1)}:{platform.ports['port_range.1']}"
+    done = subprocess.run([str(platform.bin / "corneltrayctl"), "explain", "--server",
+                           f"http://{address}", "--key", key, "--header", "Host: h.example",
+                           "--header", f"X-Attempt-Id: {h.uuid7()}", *arguments],
+                          capture_output=True, text=True, timeout=30, check=False)
+    return done.returncode, done.stdout + done.stderr
+
+
+def check_explain(c, platform, engines, ledger):
+    before = len(ledger.requests), [len(e.requests) for e in engines]
+    caller = ["--header", "Api-Key: key-1", "--header", "X-Tokens: 10,20"]
+    code, text = explain(platform, "--target", "/book/1", "--json", *caller)
+    c.equal(code, 0, "an explanation")
+    told = json.loads(text)
+    c.equal((told["customer"], told["service"]), ("customer", "ledger"), "what it is about")
+    c.equal(told["admission"]["decision"], "send", "its admission")
+    c.equal(told["choice"]["upstream"], "l1", "the replica that it would go to")
+    c.equal([e["reason"] for e in told["candidates"]], ["chosen"], "why")
+    code, text = explain(platform, "--target", "/talk/1", *caller)
+    c.check(code == 0 and "chain=" in text and "UPSTREAM" in text,
+            "the chain of a generation, as text")
+    code, text = explain(platform, "--target", "/book/1", "--json", "--header", "Api-Key: nobody's")
+    c.equal(json.loads(text)["admission"]["status"], 401, "a request that would be refused")
+    c.check(explain(platform, "--target", "/book/1", key="another-operator-key")[0] != 0,
+            "another operator key")
+    c.equal((len(ledger.requests), [len(e.requests) for e in engines]), before, "nothing was sent")
+
+
 def check_changes(c, platform, front, ledger, other):
     ledger.leave()
     before = len(ledger.requests)
@@ -160,6 +190,7 @@
         for engine in engines:
             engine.requests.clear()
         check_serving(c, platform, front, engines, ledger)
+        check_explain(c, platform, engines, ledger)
         c.check(json.dumps(entry.events).find("key-1") < 0, "no key in the logs")
         other = platform.replica("l2", "ledger", "a")
         h.wait_until(lambda: any(e["event"] == "upstream_announced" and e["upstream"] == "l2"
