--- a/src/corneltrayctl/explain.cc
+++ b/src/corneltrayctl/explain.cc
@@ -37,8 +37,9 @@
        {"route", "kind", "customer", "priority", "service", "time_left_ms", "route_version"}) {
     if (answer.contains(key)) std::cout << key << ": " << Text(answer[key]) << "\n";
   }
+  const json admission = answer.value("admission", json::object());
   std::cout << "admission:";
-  for (const auto& [key, value] : answer.value("admission", json::object()).items()) {
+  for (const auto& [key, value] : admission.items()) {
     std::cout << " " << key << "=" << Text(value);
   }
   std::cout << "\n";
@@ -80,9 +81,10 @@
   const json body = {
       {"method", arguments.method}, {"target", arguments.target}, {"fields", fields}};
   const ServerClient client(arguments.servers, arguments.key);
-  const ServerAnswer answer = client.PostUntil(
-      "/admin/v1/explain", body,
-      std::chrono::steady_clock::now() + std::chrono::seconds(arguments.timeout_s));
+  // Escapes all but ASCII, so that the text is one line of a header field.
+  constexpr bool kAsciiOnly = true;
+  const ServerAnswer answer =
+      client.GetWith("/admin/v1/explain", {"Explained-Request", body.dump(-1, ' ', kAsciiOnly)});
   if (answer.status != 200) return ReportRefusal(answer);
   if (arguments.json) {
     std::cout << answer.body.dump(2) << "\n";
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -13,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/admission_mode.h"
 #include "corneltray/attempt_rules.h"
 #include "corneltray/dialect.h"
 #include "corneltray/engine_router.h"
@@ -26,6 +28,7 @@
 #include "corneltray/route_table.h"
 #include "corneltray/server_pace.h"
 #include "corneltray/service_picker.h"
+#include "corneltray/service_room.h"
 #include "corneltray/upstream_backoff.h"
 #include "corneltray/upstream_pool.h"
 #include "corneltray/upstream_table.h"
@@ -33,6 +36,7 @@
 namespace corneltray {
 
 class Exchange;
+class GatewayAdmission;
 
 using ServiceRetryCounts = std::map<std::string, RetryCounts>;
 
@@ -44,6 +48,11 @@
   double retry_allowance = 100.0;  // retries per window beyond the ratio, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
+  AdmissionMode admission = AdmissionMode::kAuto;
+  // Parts of the memory of the process, for callers and for the readiness check.
+  std::shared_ptr<DoorBudget> caller_budget = MakeDefaultDoorBudget();
+  std::shared_ptr<DoorBudget> readiness_budget = MakeDefaultDoorBudget();
+  std::size_t max_upstream_connections = std::numeric_limits<std::size_t>::max();
   PaceMode pace_mode = PaceMode::kOff;
 };
 
@@ -84,6 +93,11 @@
   using SuspectHandler = std::function<void(const UpstreamRefresh& engine)>;
   void SetSuspectHandler(SuspectHandler handler) { m_suspect_handler = std::move(handler); }
 
+  // The source tells how much work the engines of a service can take. It is asked for each request
+  // and each tick while requests wait.
+  using RoomSource = std::function<ServiceRoom(TimePoint now, const std::string& service)>;
+  void SetRoomSource(RoomSource source) { m_room_source = std::move(source); }
+
   // Applies verdicts of the control processes about prompt parts.
   void UpdatePromptVerdicts(const std::vector<PartVerdict>& verdicts);
   // The handler sends evidence and trial requests to the control processes. It returns whether it
@@ -103,7 +117,8 @@
   // Refuses new connections and requests; requests in progress continue.
   void StopAccepting();
   void CloseAll();
-  std::size_t InFlight() const { return m_exchanges.size(); }
+  // Requests that run at upstreams or wait for the engines.
+  std::size_t InFlight() const;
   // Whether no request is in progress or on a connection, and every answer is sent.
   bool IsFinished() const { return m_exchanges.empty() && m_listener.Counters().unfinished == 0; }
   std::string MetricsText() const;
@@ -124,6 +139,8 @@
   EngineRouter* RouterOf(const RouteService& service);
   ServicePicker& PickerOf(const std::string& service);
   RetryBudget& BudgetOf(const std::string& service);
+  // Counts an attempt after the first one of a request in what the engines of a service were sent.
+  void ChargeRepeat(const std::string& service, double tokens);
   ServerPace& Pace() { return m_pace; }
   Metrics& GetMetrics() { return m_metrics; }
   // Requests the report of the first stage of a chain, which names the stages that block its
@@ -159,7 +176,10 @@
   // Reserve memory for response bodies that are buffered until they are complete. The limit applies
   // to the sum over all requests; returns false if it would be exceeded.
   bool ReserveResponseBytes(std::size_t bytes);
-  void ReleaseResponseBytes(std::size_t bytes) { m_reserved_response_bytes -= bytes; }
+  void ReleaseResponseBytes(std::size_t bytes) {
+    m_reserved_response_bytes -= bytes;
+    m_response_charge.Update(m_reserved_response_bytes);
+  }
 
  private:
   void OnCall(const HttpCall& call);
@@ -170,10 +190,18 @@
   // refused or waits for the decision about a trial.
   bool AdmitPrompt(const HttpCall& call, const GatewayRequest& request);
   void SendQuarantineActions();
+  std::unique_ptr<GatewayAdmission> MakeAdmission();
+  void StartExchange(const HttpCall& call, GatewayRequest request);
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
-  nlohmann::json ExplainChoice(TimePoint now, const RouteService& service) const;
+  // Both add to an explanation.
+  void ExplainAdmission(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
+  void ExplainChoice(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
   double AllowedRetries(const RetryCounts& fleet) const;
+  // Part of the requests of all hosts for a service that arrive at this host.
+  double HostShare(const std::string& service) const;
+  // Returns how much work the engines of a service can take, as computed at most a short time ago.
+  ServiceRoom RoomOf(TimePoint now, const std::string& service);
   void OnReadyCall(const HttpCall& call);
   void Refuse(const HttpCall& call, const GatewayRequest& request, GatewayRefusal refusal,
               std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
@@ -195,7 +223,12 @@
   std::shared_ptr<const RouteIndex> m_routes;
   KeyLease m_key_lease;
   ServerPace m_pace;
-  std::map<std::string, EngineRouter> m_routers;   // by service
+  std::map<std::string, EngineRouter> m_routers;  // by service
+  struct KnownRoom {
+    ServiceRoom room;
+    TimePoint expires_at{};
+  };
+  std::map<std::string, KnownRoom> m_rooms;        // by service
   std::map<std::string, ServicePicker> m_pickers;  // by service
   std::map<std::string, RetryBudget> m_budgets;    // by service
   std::map<std::string, std::vector<EngineReportCallback>>
@@ -207,6 +240,7 @@
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
+  MemoryCharge m_response_charge;
   asio::steady_timer m_tick_timer;
   bool m_tick_planned = false;
   // Expires with this object. A timer handler may run after destruction, so it checks this first.
@@ -218,6 +252,8 @@
   bool m_draining = false;
   bool m_stopping = false;
   Metrics m_metrics;
+  RoomSource m_room_source;
+  std::unique_ptr<GatewayAdmission> m_admission;
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/metrics_server.h
+++ b/src/include/corneltray/metrics_server.h
@@ -15,12 +15,12 @@
 class MetricsServer {
  public:
   // `text` is called for each request. If the address cannot be bound, the error is logged and the
-  // process runs without metrics.
-  MetricsServer(asio::io_context* io, const std::string& address,
-                std::function<std::string()> text);
+  // process runs without metrics. `budget` is the part of this server in that of the process.
+  MetricsServer(asio::io_context* io, const std::string& address, std::function<std::string()> text,
+                std::shared_ptr<DoorBudget> budget = MakeDefaultDoorBudget());
 
-  // Answers POST /admin/v1/explain with the body that `explain` returns for the head of a request.
-  // Only for callers with the operator key.
+  // Answers GET /admin/v1/explain with what `explain` returns for the head of a request, which the
+  // field Explained-Request holds as JSON. Only for callers with the operator key.
   using Explain = std::function<nlohmann::json(const HttpHead& head)>;
   void ServeExplain(std::string operator_key, Explain explain);
 
--- a/src/include/corneltray/settings.h
+++ b/src/include/corneltray/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/admission_mode.h"
 #include "corneltray/log.h"
 #include "corneltray/schema.h"
 #include "corneltray/server_pace.h"
@@ -35,6 +36,8 @@
   std::string fleet_address;  // IP:PORT for upstreams and operators in the installation's dialect
   std::vector<std::string> lease_voters;  // names of the placement processes of this zone
   std::uint32_t http_threads = 0;
+  std::size_t memory_mb = 0;   // that this process may use; 0: that of the machine
+  std::size_t open_files = 0;  // that this process may have; 0: by its limit in the system
   std::int64_t drain_grace_ms = 0;
   std::int64_t drain_deadline_ms = 0;
   LogLevel log_level = LogLevel::kInfo;
@@ -43,6 +46,7 @@
   double retry_ratio = 0.0;       // second attempts for each request, over all entry hosts
   double retry_allowance = 0.0;   // second attempts in a window that need no requests
   std::int64_t retry_window_ms = 0;
+  AdmissionMode admission = AdmissionMode::kAuto;
   PaceMode pace_mode = PaceMode::kAuto;  // of servers that have just started or recovered
 };
 
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -103,6 +103,9 @@
        "second attempts in a window that are allowed beside the ratio, over all entry hosts"},
       {"entry.retry_window_ms", T::kInteger, false, "10000", 1000, kHourMs, "ms",
        "window in which second attempts are counted"},
+      {"admission.mode", T::kString, false, "\"auto\"", 1, 16, "",
+       "requests for engines that are held back under load: of services whose routes or customers "
+       "have several priorities (auto), of all (on) or of none (off)"},
       {"pace.mode", T::kString, false, "\"auto\"", 1, 16, "",
        "auto: servers that are new, restarted or recovered get a share that grows with their "
        "answers; off: their full share at once"},
@@ -114,6 +117,13 @@
        "time for the balancer to see that this host is not ready"},
       {"drain.deadline_ms", T::kInteger, false, "60000", 0, kHourMs, "ms",
        "time for requests in progress to finish after a stop signal"},
+      {"limits.memory_mb", T::kInteger, false, "0", 0, 1'000'000, "MB",
+       "memory that this process may use; half of it is for connections; 0: that of the machine; "
+       "less than 64 counts as 64"},
+      {"limits.open_files", T::kInteger, false, "0", 0, 10'000'000, "descriptors",
+       "descriptors that this process may open, which bound its connections; 0: by its limit in "
+       "the "
+       "system"},
       {"log.level", T::kString, false, "\"info\"", 1, 16, "", "debug, info, warning or error"},
   };
   return schema;
@@ -168,6 +178,8 @@
   settings.drain_grace_ms = v["drain"]["grace_ms"];
   settings.drain_deadline_ms = v["drain"]["deadline_ms"];
   CheckAddresses(settings, document, issues);
+  settings.memory_mb = v["limits"]["memory_mb"];
+  settings.open_files = v["limits"]["open_files"];
   if (const auto mode = ParseEnum<PaceMode>(v["pace"]["mode"].get<std::string>())) {
     settings.pace_mode = *mode;
   } else {
@@ -179,6 +191,12 @@
     return settings;
   }
   settings.log_level = *level;
+  const auto admission = ParseEnum<AdmissionMode>(v["admission"]["mode"].get<std::string>());
+  if (!admission) {
+    issues->push_back({source.file, 0, "admission.mode", "must be auto, on or off"});
+    return settings;
+  }
+  settings.admission = *admission;
   return settings;
 }
 
--- a/src/libserving/explain.cc
+++ b/src/libserving/explain.cc
@@ -3,9 +3,11 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "corneltray/gateway.h"
+#include "gateway_admission.h"
 
 namespace corneltray {
 namespace {
@@ -79,18 +81,41 @@
     answer["admission"] = RefusalJson(GatewayRefusal::kQuarantinedPart, std::nullopt);
     return answer;
   }
-  answer.update(ExplainChoice(now, *request.service));
+  ExplainAdmission(now, request, &answer);
+  ExplainChoice(now, request, &answer);
   return answer;
 }
 
-json Gateway::ExplainChoice(TimePoint now, const RouteService& service) const {
+void Gateway::ExplainAdmission(TimePoint now, const GatewayRequest& request, json* answer) const {
+  const std::string& service = request.service->name;
+  json& admission = (*answer)["admission"];
+  admission = {{"decision", "send"}};
+  const auto router = m_routers.find(service);
+  if (router == m_routers.end() || m_draining || !m_admission->Controls(service)) return;
+  const ServiceRoom room = router->second.PreviewRoom(now, m_upstreams, HostShare(service));
+  const AdmissionDecision decision = m_admission->Preview(now, request, room);
+  if (const auto* reject = std::get_if<Reject>(&decision)) {
+    admission = RefusalJson(GatewayRefusal::kOverloaded, reject->retry_after);
+    admission["detail"] = NameOf(reject->reason);
+  } else if (const auto* wait = std::get_if<Wait>(&decision)) {
+    admission = {{"decision", "wait"}, {"expected_ms", Milliseconds(wait->expected)}};
+  }
+  admission["room_known"] = room.is_known;
+  admission["load"] = room.load;
+  admission["capacity_tokens"] = room.capacity_tokens;
+}
+
+void Gateway::ExplainChoice(TimePoint now, const GatewayRequest& request, json* explained) const {
+  const RouteService& service = *request.service;
+  json& answer = *explained;
   std::set<std::string> blocked;
   AddBlocked(now, &blocked);
-  json answer = {{"choice", nullptr}};
+  answer["choice"] = nullptr;
   std::vector<std::string> chosen;
   const auto router = m_routers.find(service.name);
   if (router != m_routers.end()) {
-    const ChainChoice choice = router->second.Preview(now, m_upstreams, blocked);
+    const ChainChoice choice = router->second.Preview(now, m_upstreams, blocked,
+                                                      request.read_at + request.route->objective);
     for (const ChainStage& stage : choice.stages) chosen.push_back(stage.upstream);
     if (!chosen.empty()) {
       answer["choice"] = {{"chain", chosen},
@@ -119,10 +144,9 @@
     }
     answer["candidates"] = CandidatesJson(picker.Describe(now, m_upstreams, blocked), chosen);
   }
-  answer["admission"] =
-      chosen.empty() ? RefusalJson(GatewayRefusal::kNoUpstream, RemainingPause(now, service.name))
-                     : json{{"decision", "send"}};
-  return answer;
+  const bool is_sent = answer["admission"]["decision"] == "send";
+  if (!chosen.empty() || !is_sent) return;
+  answer["admission"] = RefusalJson(GatewayRefusal::kNoUpstream, RemainingPause(now, service.name));
 }
 
 }  // namespace corneltray
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -7,6 +7,7 @@
 #include "corneltray/engine_call.h"
 #include "corneltray/log.h"
 #include "exchange.h"
+#include "gateway_admission.h"
 
 namespace corneltray {
 namespace {
@@ -26,6 +27,9 @@
 constexpr std::chrono::milliseconds kMaxDeferTime{1600};
 // Every upstream announces itself at least once within this time.
 constexpr std::chrono::milliseconds kAnnouncementInterval{1600};
+// The room of a service is computed anew after this time. Reports of the engines are older than
+// that, and a request or a tick needs it every few milliseconds under load.
+constexpr std::chrono::milliseconds kRoomLifetime{100};
 // Share of the retry budget that is used. The rest covers retries of other hosts that are not in
 // the counts yet.
 constexpr double kRetryBudgetShare = 0.75;
@@ -40,7 +44,16 @@
       m_pool(io),
       m_key_lease(m_options.key_lease, kKeyLeaseMargin),
       m_pace(m_options.pace_mode, m_options.random_seed),
-      m_tick_timer(*io) {}
+      m_response_charge(m_options.caller_budget),
+      m_tick_timer(*io),
+      m_admission(MakeAdmission()) {
+  m_listener.SetBudget(Door::kCallers, m_options.caller_budget);
+  m_ready_listener.SetBudget(Door::kReadiness, m_options.readiness_budget);
+  HttpListenerLimits ready_limits;
+  ready_limits.keeps_bodies = false;
+  m_ready_listener.SetLimits(ready_limits);
+  m_pool.SetBudget(m_options.caller_budget, m_options.max_upstream_connections);
+}
 
 Gateway::~Gateway() { CloseAll(); }
 
@@ -74,6 +87,7 @@
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
+  m_admission->SetRouteTable(table);
   if (!m_warm_up_end) m_warm_up_end = Clock::now() + kAnnouncementInterval;
   m_routes = std::make_shared<const RouteIndex>(std::move(table));
 }
@@ -168,6 +182,13 @@
   return kRetryBudgetShare * (m_options.retry_ratio * fleet.requests + fixed_allowance);
 }
 
+double Gateway::HostShare(const std::string& service) const {
+  const auto fleet = m_fleet_retries.find(service);
+  const auto own = m_budgets.find(service);
+  return ShareOfRequests(fleet == m_fleet_retries.end() ? RetryCounts{} : fleet->second,
+                         own == m_budgets.end() ? RetryCounts{} : own->second.Counts(Clock::now()));
+}
+
 bool Gateway::IsReady() const {
   if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
   return !m_routes->RequiresKeys() || !m_key_lease.IsHalfElapsed(BootTimeNow());
@@ -175,6 +196,7 @@
 
 void Gateway::BeginDrain() {
   m_draining = true;
+  m_admission->StartAll();
   m_listener.BeginDrain();
 }
 
@@ -188,6 +210,7 @@
 void Gateway::CloseAll() {
   m_tick_timer.cancel();
   m_deferred.clear();
+  m_admission->Clear();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) exchange->Abandon();
   m_listener.CloseAll();
@@ -292,6 +315,51 @@
   const auto refusal = FilterRequest(MakeFilterContext(Clock::now()), &request);
   if (refusal) return Refuse(call, request, *refusal);
   if (!AdmitPrompt(call, request)) return;
+  // A prompt part in quarantine is admitted only as a trial, which many hosts wait for.
+  const bool is_trial = IsQuarantined(request.metadata.shared_prompt_parts);
+  if (m_draining || is_trial || !m_admission->Controls(request.service->name)) {
+    return StartExchange(call, std::move(request));
+  }
+  m_admission->Offer(Clock::now(), call, std::move(request));
+  ScheduleTick();
+}
+
+ServiceRoom Gateway::RoomOf(TimePoint now, const std::string& service) {
+  const auto router = m_routers.find(service);
+  if (router == m_routers.end()) return {};
+  KnownRoom& known = m_rooms[service];
+  if (now >= known.expires_at) {
+    known = {router->second.Room(now, m_upstreams, HostShare(service)), now + kRoomLifetime};
+  }
+  return known.room;
+}
+
+std::unique_ptr<GatewayAdmission> Gateway::MakeAdmission() {
+  GatewayAdmission::Handlers handlers;
+  handlers.room = [this](TimePoint now, const std::string& service) {
+    return m_room_source ? m_room_source(now, service) : RoomOf(now, service);
+  };
+  handlers.start = [this](const HttpCall& call, GatewayRequest request) {
+    if (IsQuarantined(request.metadata.shared_prompt_parts)) {
+      return Refuse(call, request, GatewayRefusal::kQuarantinedPart);
+    }
+    StartExchange(call, std::move(request));
+  };
+  handlers.refuse = [this](const HttpCall& call, const GatewayRequest& request,
+                           std::chrono::milliseconds retry_after) {
+    Refuse(call, request, GatewayRefusal::kOverloaded, retry_after);
+  };
+  return std::make_unique<GatewayAdmission>(m_options.admission, m_options.random_seed, &m_metrics,
+                                            std::move(handlers));
+}
+
+void Gateway::ChargeRepeat(const std::string& service, double tokens) {
+  m_admission->ChargeRepeat(service, tokens);
+}
+
+std::size_t Gateway::InFlight() const { return m_exchanges.size() + m_admission->WaitingCount(); }
+
+void Gateway::StartExchange(const HttpCall& call, GatewayRequest request) {
   const auto exchange = std::make_shared<Exchange>(this, call, std::move(request));
   m_exchanges.insert(exchange);
   ScheduleTick();
@@ -380,6 +448,7 @@
 bool Gateway::ReserveResponseBytes(std::size_t bytes) {
   if (m_reserved_response_bytes + bytes > kMaxBufferedBytes) return false;
   m_reserved_response_bytes += bytes;
+  m_response_charge.Update(m_reserved_response_bytes);
   return true;
 }
 
@@ -401,9 +470,10 @@
 void Gateway::Tick() {
   const TimePoint now = Clock::now();
   if (!m_deferred.empty()) AdmitDeferred();
+  m_admission->Tick(now);
   const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
   for (const auto& exchange : exchanges) exchange->Tick(now);
-  if (!m_exchanges.empty() || !m_deferred.empty()) ScheduleTick();
+  if (InFlight() > 0 || !m_deferred.empty()) ScheduleTick();
 }
 
 void Gateway::RequestReport(const std::string& address, EngineReportCallback done) {
@@ -489,7 +559,7 @@
 std::string Gateway::MetricsText() const {
   const HttpListenerCounters callers = m_listener.Counters();
   const UpstreamPoolCounters pool = m_pool.Counters();
-  return m_metrics.Text({
+  std::map<std::string, double> gauges = {
       {"requests_in_progress", static_cast<double>(m_exchanges.size())},
       {"caller_connections", static_cast<double>(callers.open)},
       {"upstream_connections", static_cast<double>(pool.open)},
@@ -502,7 +572,9 @@
       {"pace_windows", m_pace.WindowSum()},
       {"paced_servers_failed", static_cast<double>(m_pace.RefusedInRamps())},
       {"ready", IsReady() ? 1.0 : 0.0},
-  });
+  };
+  m_admission->AddGauges(Clock::now(), &gauges);
+  return m_metrics.Text(gauges);
 }
 
 }  // namespace corneltray
--- a/src/libserving/metrics_server.cc
+++ b/src/libserving/metrics_server.cc
@@ -17,7 +17,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr std::size_t kMaxExplainBytes = std::size_t{64} * 1024;
+// Holds the request to explain. This listener keeps no bodies, since anybody can connect to it.
+constexpr char kExplainedRequest[] = "Explained-Request";
 
 void RespondJson(const HttpCall& call, int status, const json& body) {
   HttpHead head = MakeResponse(status);
@@ -32,7 +33,7 @@
 
 // Reads the head of the request that is to be explained: method, target, and fields as pairs of
 // name and value. Returns nullopt for anything else.
-std::optional<HttpHead> ReadExplainedHead(const std::string& text) {
+std::optional<HttpHead> ReadExplainedHead(std::string_view text) {
   try {
     const json body = json::parse(text);
     HttpHead head;
@@ -50,8 +51,12 @@
 }  // namespace
 
 MetricsServer::MetricsServer(asio::io_context* io, const std::string& address,
-                             std::function<std::string()> text)
+                             std::function<std::string()> text, std::shared_ptr<DoorBudget> budget)
     : m_text(std::move(text)), m_listener(io, [this](const HttpCall& call) { OnCall(call); }) {
+  HttpListenerLimits limits;
+  limits.keeps_bodies = false;
+  m_listener.SetLimits(limits);
+  m_listener.SetBudget(Door::kMetrics, std::move(budget));
   const Status listening = m_listener.Listen(address);
   if (listening) return;
   LogEvent(LogLevel::kError, "metrics_not_served",
@@ -65,7 +70,7 @@
 
 void MetricsServer::OnCall(const HttpCall& call) const {
   const HttpHead& request = call.Head();
-  if (m_explain && request.method == "POST" && request.Path() == "/admin/v1/explain") {
+  if (m_explain && request.method == "GET" && request.Path() == "/admin/v1/explain") {
     return OnExplain(call);
   }
   const bool found = request.Path() == "/metrics";
@@ -81,11 +86,10 @@
     return RespondError(call, kUnauthorized, "unauthorized",
                         "the operator key is missing or wrong");
   }
-  const bool is_small = call.Body().size() <= kMaxExplainBytes;
-  const auto head = is_small ? ReadExplainedHead(call.Body()) : std::nullopt;
+  const auto head = ReadExplainedHead(call.Head().Value(kExplainedRequest));
   if (!head) {
-    return RespondError(call, kBadRequest, "malformed_body",
-                        "the body must be an object with method, target and fields");
+    return RespondError(call, kBadRequest, "malformed_request",
+                        "Explained-Request must be an object with method, target and fields");
   }
   RespondJson(call, kOk, m_explain(*head));
 }
