--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -116,6 +116,8 @@
       };
       m_metrics = std::make_unique<MetricsServer>(&m_io, m_settings.metrics_address, text,
                                                   m_budget.Part(Door::kMetrics));
+      m_metrics->ServeExplain(m_settings.operator_key,
+                              [this](const HttpHead& head) { return m_gateway->Explain(head); });
     }
     LogEvent(LogLevel::kInfo, "listening",
              {{"http_address", m_gateway->Address()},
--- a/src/corneltrayctl/server_client.cc
+++ b/src/corneltrayctl/server_client.cc
@@ -41,11 +41,12 @@
 }
 
 bool ServerClient::Try(const std::string& server, const std::string& path, const json* body,
-                       milliseconds timeout, ServerAnswer* answer) const {
+                       milliseconds timeout, ServerAnswer* answer, const HttpField& field) const {
   httplib::Client client(server);
   client.set_connection_timeout(std::min(timeout, kConnectTimeout));
   client.set_read_timeout(std::min(timeout, kReadTimeout));
-  const httplib::Headers headers = {{"Authorization", "Bearer " + m_key}};
+  httplib::Headers headers = {{"Authorization", "Bearer " + m_key}};
+  if (!field.name.empty()) headers.emplace(field.name, field.value);
   const httplib::Result result = body == nullptr
                                      ? client.Get(path, headers)
                                      : client.Post(path, headers, body->dump(), "application/json");
@@ -80,6 +81,14 @@
   return answer;
 }
 
+ServerAnswer ServerClient::GetWith(const std::string& path, const HttpField& field) const {
+  ServerAnswer answer;
+  for (const std::string& server : m_servers) {
+    if (Try(server, path, nullptr, kReadTimeout, &answer, field)) break;
+  }
+  return answer;
+}
+
 ServerAnswer ServerClient::PostUntil(const std::string& path, const json& body,
                                      std::chrono::steady_clock::time_point deadline) const {
   ServerAnswer answer;
--- a/src/corneltrayctl/server_client.h
+++ b/src/corneltrayctl/server_client.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/http_head.h"
+
 namespace corneltray {
 
 // The answer of a server, or status 0 when none answered.
@@ -26,6 +28,8 @@
 
   // Tries each server once until one answers with something else than 503.
   ServerAnswer Get(const std::string& path) const;
+  // As Get(), with a header field.
+  ServerAnswer GetWith(const std::string& path, const HttpField& field) const;
   // Asks one server.
   ServerAnswer GetFrom(const std::string& server, const std::string& path) const;
   // Sends the same body to the servers in turn until one answers with something else than 503 or
@@ -36,7 +40,8 @@
  private:
   // Adds the answer or the reason of the failure. Returns whether the answer is final.
   bool Try(const std::string& server, const std::string& path, const nlohmann::json* body,
-           std::chrono::milliseconds timeout, ServerAnswer* answer) const;
+           std::chrono::milliseconds timeout, ServerAnswer* answer,
+           const HttpField& field = {}) const;
 
   std::vector<std::string> m_servers;
   std::string m_key;
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -121,6 +122,10 @@
   // Whether no request is in progress or on a connection, and every answer is sent.
   bool IsFinished() const { return m_exchanges.empty() && m_listener.Counters().unfinished == 0; }
   std::string MetricsText() const;
+  // Says what would happen to a request with this head now, for operators: route, customer,
+  // admission, the upstream that it would go to, and the others with the reason against them. Sends
+  // nothing and changes no state.
+  nlohmann::json Explain(const HttpHead& head) const;
   HttpListenerCounters ListenerCounters() const { return m_listener.Counters(); }
   // Bound addresses as IP:PORT, for tests.
   std::string Address() const { return m_listener.Address(); }
@@ -189,6 +194,9 @@
   void StartExchange(const HttpCall& call, GatewayRequest request);
   GatewayRequest MakeRequest(const HttpCall& call) const;
   FilterContext MakeFilterContext(TimePoint now) const;
+  // Both add to an explanation.
+  void ExplainAdmission(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
+  void ExplainChoice(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
   double AllowedRetries(const RetryCounts& fleet) const;
   // Part of the requests of all hosts for a service that arrive at this host.
   double HostShare(const std::string& service) const;
--- a/src/libserving/gateway_admission.cc
+++ b/src/libserving/gateway_admission.cc
@@ -96,6 +96,14 @@
   m_handlers.start(call, std::move(request));
 }
 
+AdmissionDecision GatewayAdmission::Preview(TimePoint now, const GatewayRequest& request,
+                                            const ServiceRoom& room) const {
+  const auto known = m_queues.find(request.service->name);
+  AdmissionQueue queue = known == m_queues.end() ? AdmissionQueue(m_seed) : known->second;
+  queue.SetRoom(now, room);
+  return queue.Offer(now, MakeAdmissionRequest(m_next_id, request));
+}
+
 void GatewayAdmission::Tick(TimePoint now) {
   if (m_calls.empty()) return;
   DropLeft();
--- a/src/libserving/gateway_admission.h
+++ b/src/libserving/gateway_admission.h
@@ -38,6 +38,9 @@
 
   // Starts a request, keeps it, or refuses it.
   void Offer(TimePoint now, const HttpCall& call, GatewayRequest request);
+  // Returns what Offer() would decide with this room, without any effect.
+  AdmissionDecision Preview(TimePoint now, const GatewayRequest& request,
+                            const ServiceRoom& room) const;
   // Drops calls whose callers have left, starts or refuses those whose wait is over.
   void Tick(TimePoint now);
   // Takes the tokens of an attempt after the first one of a request.
