--- a/src/include/corneltray/admission_mode.h
+++ b/src/include/corneltray/admission_mode.h
@@ -7,7 +7,7 @@
 
 // For which services with engines the gateway holds requests back under load.
 enum class AdmissionMode {
-  kAuto,  // those whose routes or customers have more than one rank
+  kAuto,  // those whose routes have more than one rank
   kOn,    // all
   kOff,   // none
 };
--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -155,6 +155,7 @@
     double capacity_tokens = std::numeric_limits<double>::infinity();
     // The same, but at most what the slots of its first stage hold of usual requests.
     double room_tokens = 0.0;
+    double memory_load = 0.0;    // used part of the KV cache at its fullest stage
     bool is_whole = true;        // each stage runs all layers that it holds, as they were placed
     bool is_full = false;        // a stage recently refused a prompt, or all report and one is full
     bool is_observed = false;    // the control processes report the load of all stages
--- a/src/include/corneltray/fleet_messages.h
+++ b/src/include/corneltray/fleet_messages.h
@@ -49,6 +49,7 @@
   bool answers = true;    // false: did not respond to several consecutive probes
   double load = 0.0;      // used part of its KV cache or of its slots; over 1 if requests wait
   double slowness = 1.0;  // above 1: this many times slower than its accelerator kind
+  std::optional<double> memory;  // used part of its KV cache alone; not told by older processes
 };
 
 // Collects the health of engines that several control processes send, so that followers get one
--- a/src/libcorneltray/settings.cc
+++ b/src/libcorneltray/settings.cc
@@ -104,7 +104,7 @@
       {"entry.retry_window_ms", T::kInteger, false, "10000", 1000, kHourMs, "ms",
        "window in which second attempts are counted"},
       {"admission.mode", T::kString, false, "\"auto\"", 1, 16, "",
-       "requests for engines that are held back under load: of services whose routes or customers "
+       "requests for engines that are held back under load: of services whose routes "
        "have several priorities (auto), of all (on) or of none (off)"},
       {"pace.mode", T::kString, false, "\"auto\"", 1, 16, "",
        "auto: servers that are new, restarted or recovered get a share that grows with their "
--- a/src/libfleet/engine_monitor.cc
+++ b/src/libfleet/engine_monitor.cc
@@ -64,6 +64,7 @@
   engine->is_known = true;
   engine->health.answers = true;
   engine->health.load = LoadOf(report, engine->slots);
+  engine->health.memory = LoadOf(report, 0);
   engine->health.slowness = report.slowness;
   engine->is_unpublished = true;
   engine->is_urgent = engine->is_urgent || is_back;
--- a/src/libfleet/fleet_messages.cc
+++ b/src/libfleet/fleet_messages.cc
@@ -115,6 +115,7 @@
   json body = json::array();
   for (const EngineHealth& engine : engines) {
     body.push_back({engine.name, engine.incarnation, engine.answers, engine.load, engine.slowness});
+    if (engine.memory) body.back().push_back(*engine.memory);
   }
   return {{"engines", std::move(body)}};
 }
@@ -123,9 +124,10 @@
   try {
     std::vector<EngineHealth> engines;
     for (const json& engine : body.at("engines")) {
-      engines.push_back({engine.at(0).get<std::string>(), engine.at(1).get<std::uint64_t>(),
-                         engine.at(2).get<bool>(), engine.at(3).get<double>(),
-                         engine.at(4).get<double>()});
+      engines.push_back(
+          {engine.at(0).get<std::string>(), engine.at(1).get<std::uint64_t>(),
+           engine.at(2).get<bool>(), engine.at(3).get<double>(), engine.at(4).get<double>(),
+           engine.size() > 5 ? std::optional(engine.at(5).get<double>()) : std::nullopt});
     }
     return engines;
   } catch (const json::exception& error) {
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -273,7 +273,7 @@
       first_event_weight += copy.room_tokens * copy.first_event_s;
       if (!copy.is_observed) continue;
       reported_tokens += copy.room_tokens;
-      used_tokens += copy.room_tokens * std::min(1.0, copy.choice.load);
+      used_tokens += std::min(copy.room_tokens, copy.capacity_tokens * copy.memory_load);
     }
   }
   if (room.capacity_tokens <= 0.0) return room;
@@ -336,6 +336,8 @@
     const EngineHealth* health = HealthOf(now, engine.address);
     copy.first_event_s += engine.layer_first_event_s * (part.end - part.first) *
                           (health == nullptr ? 1.0 : health->slowness);
+    copy.memory_load = std::max(
+        copy.memory_load, health == nullptr ? choice.load : health->memory.value_or(health->load));
     copy.slots.push_back(part.slot);
     copy.capacity_tokens = std::min(copy.capacity_tokens, engine.capacity_tokens);
     own = own && engine.zone == m_own_zone;
--- a/src/libserving/gateway_admission.cc
+++ b/src/libserving/gateway_admission.cc
@@ -35,18 +35,12 @@
   return admission;
 }
 
-// Returns the ranks of the requests that may go to each service.
+// Returns the ranks of the routes of each service.
 std::map<std::string, std::set<std::uint32_t>> RanksOfServices(const RouteTable& table) {
   std::map<std::string, std::set<std::uint32_t>> ranks;
   for (const RouteEntry& route : table.routes) {
     for (const RouteTarget& target : route.targets) {
-      if (target.weight == 0) continue;
-      ranks[target.service].insert(route.priority);
-      for (const RouteCustomer& customer : table.customers) {
-        if (customer.priority && !route.is_public) {
-          ranks[target.service].insert(*customer.priority);
-        }
-      }
+      if (target.weight > 0) ranks[target.service].insert(route.priority);
     }
   }
   return ranks;
