--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -28,6 +28,10 @@
 constexpr std::chrono::milliseconds kSuspectDuration{3000};
 // How long an engine is avoided after it had no memory for another prompt.
 constexpr std::chrono::milliseconds kFullDuration{250};
+// Above this load the estimated time of a stage grows, and copies of other zones are considered.
+constexpr double kHighLoad = 0.7;
+// A copy whose known load is at least this high is used only if all others are full too.
+constexpr double kFullLoad = 0.95;
 // How long a health report from a control process is valid. Idle engines are probed every 2.5 s,
 // and one report may be lost.
 constexpr std::chrono::milliseconds kHealthLifetime{6000};
