--- a/src/libfleet/zone_layout.cc
+++ b/src/libfleet/zone_layout.cc
@@ -8,10 +8,14 @@
 // Balanced copies are replaced only for a gain that exceeds the error of the estimate.
 constexpr double kMinGain = 1.1;
 
-double EstimatedRate(const LayerRanges& ranges, std::vector<PlacedEngine> engines,
-                     const EngineProfile& profile, const LatencyTarget& target) {
+// With a single copy, the loss of any of its engines takes the zone out of service. The balanced
+// plan then uses few, fast engines for it and leaves the others to cover their layers.
+constexpr std::size_t kMinUniformCopies = 2;
+
+LayoutEstimate Estimate(const LayerRanges& ranges, std::vector<PlacedEngine> engines,
+                        const EngineProfile& profile, const LatencyTarget& target) {
   ApplyRanges(ranges, &engines);
-  return EstimateLayout(engines, profile, target).RequestsPerSecond();
+  return EstimateLayout(engines, profile, target);
 }
 
 }  // namespace
@@ -20,9 +24,11 @@
                      const LatencyTarget& target) {
   LayerRanges balanced = PlanBalancedCopies(engines, profile);
   LayerRanges uniform = PlanUniformCopies(engines, profile, target);
-  const double balanced_rate = EstimatedRate(balanced, engines, profile, target);
-  const double uniform_rate = EstimatedRate(uniform, engines, profile, target);
-  return uniform_rate > kMinGain * balanced_rate ? uniform : balanced;
+  const LayoutEstimate of_balanced = Estimate(balanced, engines, profile, target);
+  const LayoutEstimate of_uniform = Estimate(uniform, engines, profile, target);
+  const bool carries_more =
+      of_uniform.RequestsPerSecond() > kMinGain * of_balanced.RequestsPerSecond();
+  return carries_more && of_uniform.copies.size() >= kMinUniformCopies ? uniform : balanced;
 }
 
 LayerRanges ReplanZone(const std::vector<PlacedEngine>& engines, const EngineProfile& profile) {
--- a/src/libfleet/zone_layout_test.cc
+++ b/src/libfleet/zone_layout_test.cc
@@ -121,6 +121,19 @@
   CHECK(PlanZone(engines, profile) == PlanBalancedCopies(engines, profile));
 }
 
+// Guards against a zone whose only copy is made of all its engines: the loss of any of them took
+// the zone out of service, although the estimate without losses is higher.
+TEST_CASE("a zone that holds a single copy keeps the balanced plan") {
+  const EngineProfile profile = MixedProfile();
+  const LatencyTarget target{std::chrono::milliseconds(500), std::chrono::milliseconds(250)};
+  const std::vector<PlacedEngine> engines =
+      MixedZone{{{kLargeFast, 1}, {kSmallFast, 4}, {kSlow, 3}}}.Engines();
+  std::vector<PlacedEngine> uniform = engines;
+  ApplyRanges(PlanUniformCopies(engines, profile, target), &uniform);
+  REQUIRE(EstimateLayout(uniform, profile, target).copies.size() == 1);
+  CHECK(PlanZone(engines, profile, target) == PlanBalancedCopies(engines, profile));
+}
+
 // Guards against a copy that no caller would wait for.
 TEST_CASE("copies slower than the objectives of the routes count for nothing") {
   const EngineProfile profile = MixedProfile();
--- a/src/libfleet/zone_repair.cc
+++ b/src/libfleet/zone_repair.cc
@@ -1,6 +1,7 @@
 #include "corneltray/zone_repair.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -227,16 +228,19 @@
 
   // Assigns the range of a stage to a spare engine, so that the loss of that stage breaks no copy.
   // Picks the range that most complete copies share for each engine that holds it as a spare; the
-  // largest among equals, since it takes longest to load.
+  // largest among equals, since it takes longest to load. The router may choose either holder, so
+  // the spare engine must not leave the copy less room than its stages do.
   void Duplicate(const std::vector<std::vector<std::size_t>>& copies, PlacedEngine* spare) {
     const double least = m_profile.kv_capacity_tokens * kMinKvShare;
     const std::uint32_t fits = LayersThatFit(spare->kind, m_profile, least);
     const PlacedEngine* best = nullptr;
     double best_need = 0.0;
     for (const std::vector<std::size_t>& copy : copies) {
+      const double copy_kv_tokens = SmallestKvTokens(copy);
       for (const std::size_t stage : copy) {
         const LayerRange range = m_engines[stage].range;
         if (range.Size() > fits) continue;
+        if (KvTokensWithLayers(spare->kind, m_profile, range.Size()) < copy_kv_tokens) continue;
         const double need = Need(copies, range);
         const bool is_better = need > best_need || (best != nullptr && need == best_need &&
                                                     range.Size() > best->range.Size());
@@ -248,6 +252,17 @@
     if (best != nullptr) Assign(spare, best->range);
   }
 
+  // Returns the KV cache in tokens of the stage of a copy that has the smallest one.
+  double SmallestKvTokens(const std::vector<std::size_t>& copy) const {
+    double smallest = std::numeric_limits<double>::infinity();
+    for (const std::size_t stage : copy) {
+      const PlacedEngine& engine = m_engines[stage];
+      smallest =
+          std::min(smallest, KvTokensWithLayers(engine.kind, m_profile, engine.range.Size()));
+    }
+    return smallest;
+  }
+
   // Number of complete copies that use a range over the number of spare engines that hold it.
   double Need(const std::vector<std::vector<std::size_t>>& copies, LayerRange range) const {
     std::size_t in_use = 0;
--- a/src/libfleet/zone_repair_test.cc
+++ b/src/libfleet/zone_repair_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
@@ -81,7 +83,7 @@
 
 std::vector<PlacedEngine> PlannedZone(const MixedZone& zone) {
   std::vector<PlacedEngine> engines = zone.Engines();
-  ApplyRanges(PlanZone(engines, MixedProfile(), kTarget), &engines);
+  ApplyRanges(PlanUniformCopies(engines, MixedProfile(), kTarget), &engines);
   return engines;
 }
 
@@ -232,6 +234,26 @@
   }
 }
 
+// Guards against refusals by the second holder of a stage: the router may choose either holder, and
+// a smaller accelerator has room for a part of the prompts that the copy takes.
+TEST_CASE("a spare engine with less room than the copy duplicates no stage") {
+  const EngineProfile profile = MixedProfile();
+  std::vector<PlacedEngine> engines = PlannedZone({{{kSlow, 12}}});
+  engines.push_back(Newcomer("fresh", kSmallFast));
+  engines.back().is_settled = true;
+  for (const auto& [name, range] : RepairZone(engines, profile)) {
+    const PlacedEngine& spare = engines.back();
+    REQUIRE(name == spare.name);
+    double copy_kv_tokens = std::numeric_limits<double>::infinity();
+    for (const PlacedEngine& engine : engines) {
+      if (engine.range.Size() == 0) continue;
+      copy_kv_tokens =
+          std::min(copy_kv_tokens, KvTokensWithLayers(engine.kind, profile, engine.range.Size()));
+    }
+    CHECK(KvTokensWithLayers(spare.kind, profile, range.Size()) >= copy_kv_tokens);
+  }
+}
+
 // Simulates engines that are taken away for good under load. The earlier rule left each copy that
 // had lost an engine incomplete, until layers had no holder at all.
 TEST_CASE("broken copies are planned again over their remaining engines") {
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -352,7 +352,9 @@
   const bool may_try_now = has_time && CanRetry(now, outcome);
   if (may_try_now || (has_time && outcome.may_try_another && WaitForRoom(now))) {
     const bool is_untouched = m_has_run == HasRun::kNo && !HasBegun();
-    const RetryPurpose purpose = is_untouched ? RetryPurpose::kRefused : RetryPurpose::kFinish;
+    // Repeated offers to full engines must not use up what other answers need to go on.
+    const RetryPurpose purpose =
+        is_untouched || !may_try_now ? RetryPurpose::kRefused : RetryPurpose::kFinish;
     if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) {
       return may_try_now ? SendAttempt() : void();
     }
