Log the allowance of retries of a host, and count retries by purpose

Cause: the logs told that a retry was refused, not why one was allowed. A broken budget could not be traced to old counts, to hosts that had started again or to a change of the leader. Change: event retry_allowance with the sum over all hosts that a host has been told, what it has used and what it may use; counter corneltray_retries_total by purpose. Measured: the events of a run of real processes show how many hosts and retries each allowance was computed from; the logic is unchanged.

--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "corneltray/enum_names.h"
 #include "corneltray/time.h"
 
 namespace corneltray {
@@ -23,6 +24,14 @@
   kRefused,  // a request that no upstream has run; its caller can be told to come back
 };
 
+template <>
+struct EnumNames<RetryPurpose> {
+  static constexpr EnumName<RetryPurpose> kTable[] = {
+      {RetryPurpose::kFinish, "finish"},
+      {RetryPurpose::kRefused, "refused"},
+  };
+};
+
 // Part of the retries that may be used for kRefused. The rest is kept for answers in progress: on a
 // fleet that is full, second attempts of refused requests would otherwise use up what the answers
 // of a crashed upstream need to go on.
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -356,6 +356,7 @@
     const RetryPurpose purpose =
         is_untouched || !may_try_now ? RetryPurpose::kRefused : RetryPurpose::kFinish;
     if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) {
+      m_gateway->GetMetrics().Count("retries", NameOf(purpose));
       return may_try_now ? SendAttempt() : void();
     }
     m_chain_wait_deadline.reset();
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -151,8 +151,18 @@
     const RetryCounts& fleet = m_fleet_retries[service];
     const double used_here = budget.Counts(now).retries;
     const double allowed = AllowedRetries(fleet);
-    budget.SetWindowAllowance(ShareOfRetries(allowed, fleet, used_here),
+    const double allowed_here = ShareOfRetries(allowed, fleet, used_here);
+    budget.SetWindowAllowance(allowed_here,
                               ShareOfRetries(kRefusedShare * allowed, fleet, used_here));
+    if (fleet.retries == 0 && used_here == 0.0) continue;
+    LogEvent(LogLevel::kInfo, "retry_allowance",
+             {{"service", service},
+              {"fleet_requests", fleet.requests},
+              {"fleet_retries", fleet.retries},
+              {"fleet_hosts", fleet.hosts},
+              {"allowed", allowed},
+              {"used_here", used_here},
+              {"allowed_here", allowed_here}});
   }
 }
 
