Answer pipelined requests when a host stops

Cause: once SIGTERM had come, the next answer on a connection carried Connection: close whatever had arrived behind its request; the connection then ended, and requests that the host had read, whole or in part, were dropped. The class of fault: a shutdown that asks whether a request is in progress, not whether one has been read. Change: a draining connection closes with an answer only if nothing further has arrived on it. The unit test of the listener covers the same without processes. The tests could not show it before because each of their connections carried one request at a time.

--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -55,10 +55,14 @@
 
 bool HttpCallerConnection::IsQuiet() const {
   if (m_state == State::kClosing) return true;
-  if (m_state != State::kReading || m_reader.Started() || !m_input.empty()) return false;
+  return m_state == State::kReading && !m_reader.Started() && !HasFurtherInput();
+}
+
+bool HttpCallerConnection::HasFurtherInput() const {
+  if (!m_input.empty()) return true;
   // Bytes that the kernel holds may be a whole request.
   asio::error_code error;
-  return m_socket.available(error) == 0 && !error;
+  return m_socket.available(error) > 0 || error;
 }
 
 bool HttpCallerConnection::Idle() const {
@@ -336,7 +340,8 @@
 void HttpCallerConnection::Begin(HttpHead head) {
   if (m_state != State::kServing || m_begun) return;
   m_begun = true;
-  if (m_listener->Draining()) m_keep_alive = false;
+  // A pipelined request is answered on this connection: its caller may not repeat it elsewhere.
+  if (m_listener->Draining() && !HasFurtherInput()) m_keep_alive = false;
   const bool has_length = head.Find("Content-Length") != nullptr;
   if (!has_length && !m_no_body && head.status != 204 && head.status != 304) {
     // A caller of HTTP/1.0 reads up to the end of the connection.
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -128,6 +128,8 @@
 
   // Whether it waits for a request of which nothing has arrived, or for the caller to close.
   bool IsQuiet() const;
+  // Whether bytes of a further request have arrived, read or not.
+  bool HasFurtherInput() const;
   bool MustPause() const;
   std::size_t HeldBytes() const;
   void Account() { m_charge.Update(HeldBytes()); }
--- a/src/libhttp/http_listener_test.cc
+++ b/src/libhttp/http_listener_test.cc
@@ -168,6 +168,20 @@
     });
     CHECK(EndsWith(read_answer(&caller), "done"));
   }
+  SUBCASE("behind another request on the same connection") {
+    TestSocket caller(fixture.Address());
+    fixture.loop.Run([&] {
+      fixture.Listener().BeginDrain();
+      REQUIRE(caller.Send(std::string(kGet) + kGet));
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    const std::string answers = caller.ReadWhile([](const std::string&) { return true; });
+    const std::size_t end_of_first = answers.find("done") + 4;
+    REQUIRE(answers.size() > end_of_first);
+    CHECK(EndsWith(answers, "done"));
+    CHECK(answers.rfind("Connection: close") > end_of_first);
+    CHECK(answers.find("Connection: close") > end_of_first);
+  }
   SUBCASE("on a new connection that has sent nothing yet") {
     TestSocket caller(fixture.Address());
     REQUIRE(fixture.loop.WaitFor([&] { return fixture.Listener().Counters().open == 1; }));
