Grant retries to entry hosts from one place

Cause: each host took a part of what it believed to be left, from a sum of counts up to 1.2 s old. Hosts that retried at once counted on the same rest, again with each reply, until the use of the others showed. The counts were forgotten as well: by a host that started again, by a leader after 4 s, by a new leader. And a window was ten aligned seconds, so it ended up to 1 s too soon. The class of fault: a limit over many processes that each of them enforces against a copy of a sum, without a reservation. Change: the leader of the control hosts grants each host a quota and charges it with the largest quota that it may hold, until the host has confirmed a smaller one or its retries have left the window (docs/design/retry-quota.md). Retries are counted for the window and 0.5 s.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -21,6 +21,7 @@
 #include "corneltray/peer.h"
 #include "corneltray/read_batcher.h"
 #include "corneltray/retry.h"
+#include "corneltray/retry_quota_allocator.h"
 #include "corneltray/server_pace.h"
 #include "corneltray/storage_thread.h"
 
@@ -132,6 +133,8 @@
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
   // Both objects are by entry host. A host without a pace report paces no server.
   void StoreHostReports(const nlohmann::json& retry_reports, const nlohmann::json& pace_reports);
+  void StoreRetryReport(const std::string& host, const nlohmann::json& body);
+  std::uint32_t KnownEntryHosts() const;
   // Returns the reply to a configuration fetch, from the state that this replica has applied.
   nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
 
@@ -190,6 +193,9 @@
   std::map<std::string, HostReport> m_host_reports;  // by entry host; of all hosts at the leader
   nlohmann::json m_unsent_retry_reports = nlohmann::json::object();  // for the leader
   nlohmann::json m_unsent_pace_reports = nlohmann::json::object();   // for the leader
+  nlohmann::json m_unsent_quota_reports = nlohmann::json::object();  // for the leader
+  std::optional<RetryQuotaAllocator> m_retry_quotas;                 // only at the leader
+  std::map<std::string, nlohmann::json> m_retry_grants;      // the latest of each entry host
   std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
   FleetPace m_leader_pace;                                   // of all hosts, from the leader
   std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -1,4 +1,5 @@
 // Route tables that gateways fetch, and the reads of the log that confirm them.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -7,6 +8,7 @@
 #include "corneltray/fleet_messages.h"
 #include "corneltray/log.h"
 #include "corneltray/pace_messages.h"
+#include "corneltray/retry_messages.h"
 
 namespace corneltray {
 namespace {
@@ -36,6 +38,7 @@
     const std::string host = body.at("retries_of").get<std::string>();
     const json pace = body.value("pace", json::object());
     StoreHostReports({{host, body.at("retries")}}, {{host, pace}});
+    if (body.contains("retry_report")) StoreRetryReport(host, body.at("retry_report"));
   }
   const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
   if (has_newer && body.value("accepts_unconfirmed", false)) {
@@ -44,8 +47,14 @@
     respond(std::move(reply));
     return;
   }
-  AddBatchedRead([this, have](std::uint64_t) { return RouteTableSince(have); }, respond,
-                 DeadlineOf(body));
+  const std::string host = body.value("retries_of", std::string());
+  const auto answer = [this, have, host](std::uint64_t) {
+    json reply = RouteTableSince(have);
+    const auto grant = m_retry_grants.find(host);
+    if (grant != m_retry_grants.end()) reply["retry_grant"] = grant->second;
+    return reply;
+  };
+  AddBatchedRead(answer, respond, DeadlineOf(body));
 }
 
 void ControlNode::ReadIndex(const json& body, const Responder& respond) {
@@ -54,9 +63,16 @@
     return;
   }
   StoreHostReports(body.at("retry_reports"), body.value("pace_reports", json::object()));
-  const auto answer = [this](std::uint64_t index) -> json {
+  json grants = json::object();
+  const json reports = body.value("quota_reports", json::object());
+  for (const auto& [host, report] : reports.items()) {
+    StoreRetryReport(host, report);
+    if (m_retry_grants.count(host) > 0) grants[host] = m_retry_grants.at(host);
+  }
+  const auto answer = [this, grants](std::uint64_t index) -> json {
     return {{"index", index},
             {"retries", EncodeRetryCounts(FleetRetryCounts())},
+            {"retry_grants", grants},
             {"pace", EncodeFleetPace(SumOfPace())}};
   };
   AddBatchedRead(answer, respond, DeadlineOf(body));
@@ -98,6 +114,7 @@
   if (status.role == ReplicaRole::kLeader) {
     m_unsent_retry_reports = json::object();
     m_unsent_pace_reports = json::object();
+    m_unsent_quota_reports = json::object();
     StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
     return;
   }
@@ -107,6 +124,7 @@
   }
   json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
                {"pace_reports", std::exchange(m_unsent_pace_reports, json::object())},
+               {"quota_reports", std::exchange(m_unsent_quota_reports, json::object())},
                {"timeout_ms", kReadIndexTimeout.count()}};
   m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
 }
@@ -120,6 +138,8 @@
       const auto counts = DecodeRetryCounts(reply.value().at("retries"));
       if (counts) m_leader_retry_counts = counts.value();
     }
+    const json grants = reply.value().value("retry_grants", json::object());
+    for (const auto& [host, grant] : grants.items()) m_retry_grants[host] = grant;
     if (reply.value().contains("pace")) {
       auto pace = DecodeFleetPace(reply.value().at("pace"));
       if (pace) m_leader_pace = std::move(pace).value();
@@ -152,6 +172,31 @@
   }
 }
 
+// Grants quotas if this is the leader, which alone does, else keeps the report for it.
+void ControlNode::StoreRetryReport(const std::string& host, const json& body) {
+  if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
+    m_unsent_quota_reports[host] = body;
+    return;
+  }
+  const TimePoint now = Clock::now();
+  if (!m_retry_quotas) m_retry_quotas.emplace(now, KnownEntryHosts());
+  const auto report = DecodeRetryReport(body);
+  if (!report) {
+    LogEvent(LogLevel::kWarning, "retry_report_refused",
+             {{"of", host}, {"error", report.error().ToString()}});
+    return;
+  }
+  const auto grant = m_retry_quotas->Allocate(now, host, report.value());
+  if (grant) m_retry_grants[host] = EncodeRetryGrant(*grant);
+}
+
+// Returns the number of entry hosts that the former leader told.
+std::uint32_t ControlNode::KnownEntryHosts() const {
+  std::uint32_t hosts = 0;
+  for (const auto& [service, counts] : m_leader_retry_counts) hosts = std::max(hosts, counts.hosts);
+  return hosts;
+}
+
 // Returns the requests and retries of all entry hosts by service: at the leader the sum of their
 // reports, elsewhere what the leader told last.
 std::map<std::string, RetryCounts> ControlNode::FleetRetryCounts() const {
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -10,6 +10,7 @@
 #include "corneltray/log.h"
 #include "corneltray/pace_messages.h"
 #include "corneltray/prompt_messages.h"
+#include "corneltray/retry_messages.h"
 
 namespace corneltray {
 namespace {
@@ -168,6 +169,7 @@
                      {"accepts_unconfirmed", true},
                      {"retries_of", m_self.name},
                      {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
+                     {"retry_report", EncodeRetryReport(m_gateway->MakeRetryReport())},
                      {"pace", EncodePaceCounts(m_gateway->OwnPaceCounts())},
                      {"timeout_ms", kFetchTimeout.count()}};
   m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
@@ -190,7 +192,9 @@
   ApplyMembers(body);
   const auto retries = DecodeRetryCounts(body.at("retries"));
   if (retries) m_gateway->SetFleetRetryCounts(retries.value());
-  // A control process of an older version sends none.
+  // A control process of an older version sends neither of the following.
+  const auto grant = DecodeRetryGrant(body.value("retry_grant", json::object()));
+  if (grant) m_gateway->ApplyRetryGrant(grant.value());
   const auto pace = DecodeFleetPace(body.value("pace", json::object()));
   if (pace) m_gateway->SetFleetPace(pace.value());
   if (is_confirmed && m_gateway->RouteVersion() >= body.at("version").get<std::uint64_t>()) {
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -75,6 +75,7 @@
     options.availability_zone = m_settings.availability_zone;
     options.dialect = platform::MakePlatformDialect();
     options.random_seed = std::hash<std::string>()(m_settings.name);
+    options.incarnation = static_cast<std::uint64_t>(UnixNow());
     options.key_lease = std::chrono::milliseconds(m_settings.key_lease_ms);
     options.retry_ratio = m_settings.retry_ratio;
     options.retry_allowance = m_settings.retry_allowance;
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -25,6 +25,7 @@
 #include "corneltray/metrics.h"
 #include "corneltray/prompt_quarantine.h"
 #include "corneltray/retry.h"
+#include "corneltray/retry_quota.h"
 #include "corneltray/route_table.h"
 #include "corneltray/server_pace.h"
 #include "corneltray/service_picker.h"
@@ -48,6 +49,7 @@
   double retry_allowance = 100.0;  // retries per window beyond the ratio, over all entry hosts
   std::chrono::milliseconds retry_window{10'000};
   std::uint64_t random_seed = 1;  // differs between hosts
+  std::uint64_t incarnation = 1;  // differs between processes of one host
   AdmissionMode admission = AdmissionMode::kAuto;
   // Parts of the memory of the process, for callers and for the readiness check.
   std::shared_ptr<DoorBudget> caller_budget = MakeDefaultDoorBudget();
@@ -84,6 +86,10 @@
   // control processes compute.
   ServiceRetryCounts OwnRetryCounts() const;
   void SetFleetRetryCounts(const ServiceRetryCounts& counts);
+  // What this host reports for its quotas of retries, and the quotas that it is granted. Each
+  // report has a number of its own.
+  RetryReport MakeRetryReport();
+  void ApplyRetryGrant(const RetryGrant& grant);
   // What this host has seen of the servers that it paces, and the sum over all hosts.
   ServerPaceCounts OwnPaceCounts() const { return m_pace.OwnCounts(); }
   void SetFleetPace(const FleetPace& fleet);
@@ -138,7 +144,9 @@
   // Null if the service has no engines.
   EngineRouter* RouterOf(const RouteService& service);
   ServicePicker& PickerOf(const std::string& service);
-  RetryBudget& BudgetOf(const std::string& service);
+  SharedRetryBudget& BudgetOf(const std::string& service);
+  // Returns whether a retry may be sent now, and counts it.
+  bool TryRetry(const std::string& service, RetryPurpose purpose);
   // Counts an attempt after the first one of a request in what the engines of a service were sent.
   void ChargeRepeat(const std::string& service, double tokens);
   ServerPace& Pace() { return m_pace; }
@@ -197,7 +205,7 @@
   // Both add to an explanation.
   void ExplainAdmission(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
   void ExplainChoice(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
-  double AllowedRetries(const RetryCounts& fleet) const;
+  RetryLimit SharedRetryLimit() const;
   // Part of the requests of all hosts for a service that arrive at this host.
   double HostShare(const std::string& service) const;
   // Returns how much work the engines of a service can take, as computed at most a short time ago.
@@ -228,9 +236,9 @@
     ServiceRoom room;
     TimePoint expires_at{};
   };
-  std::map<std::string, KnownRoom> m_rooms;        // by service
-  std::map<std::string, ServicePicker> m_pickers;  // by service
-  std::map<std::string, RetryBudget> m_budgets;    // by service
+  std::map<std::string, KnownRoom> m_rooms;            // by service
+  std::map<std::string, ServicePicker> m_pickers;      // by service
+  std::map<std::string, SharedRetryBudget> m_budgets;  // by service
   std::map<std::string, std::vector<EngineReportCallback>>
       m_pending_reports;                                 // callbacks, by address
   std::map<std::string, TimePoint> m_next_health_check;  // by address
@@ -239,6 +247,9 @@
   QuarantineHandler m_quarantine_handler;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
+  std::uint32_t m_hosts = 0;                  // entry hosts that report; 0: not known
+  std::uint64_t m_retry_reports = 0;          // made since the start
+  std::uint64_t m_applied_grant = 0;          // number of the report that it answers
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
   MemoryCharge m_response_charge;
   asio::steady_timer m_tick_timer;
--- a/src/include/corneltray/retry.h
+++ b/src/include/corneltray/retry.h
@@ -11,7 +11,7 @@
 
 namespace corneltray {
 
-// What one host, or all hosts together, sent in the window of a RetryBudget.
+// What one host, or all hosts together, sent in the window of the retry budget.
 struct RetryCounts {
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
@@ -46,19 +46,11 @@
 
   void Configure(double ratio, double min_per_s);
 
-  // Retries in the window that are allowed beside the ratio, in any second of it; `refused` bounds
-  // those for kRefused, which are counted after all others.
-  void SetWindowAllowance(double retries, double refused);
-  void SetWindowAllowance(double retries) { SetWindowAllowance(retries, retries); }
-
   // Counts a first attempt.
   void RecordRequest(TimePoint now);
 
   // Returns whether a retry or hedge may be sent now, and counts it if so.
-  bool TryRetry(TimePoint now, RetryPurpose purpose = RetryPurpose::kFinish);
-
-  // Requests and retries of the last 10 s.
-  RetryCounts Counts(TimePoint now) const;
+  bool TryRetry(TimePoint now);
 
   static constexpr std::chrono::seconds kWindow{10};
 
@@ -74,16 +66,9 @@
 
   double m_ratio;
   double m_min_per_s;
-  double m_window_allowance = 0.0;
-  double m_refused_allowance = 0.0;
   std::array<Second, kWindowSeconds> m_seconds;
 };
 
-// Retries that one host may have made in its window, of a number that all hosts share. A failure
-// often concerns the hosts of one zone, so a host may take more than an equal share of what is
-// left; what all hosts have used is told to each other within a second or so.
-double ShareOfRetries(double allowed, const RetryCounts& used_by_all, double used_here);
-
 // Part of the requests of all hosts that arrive at one host, from the counts of the same window.
 // Each host counts as if one more request had arrived at it, so that a host that has just started
 // gets a share before its first request.
--- a/src/libcorneltray/decoder_fuzz_test.cc
+++ b/src/libcorneltray/decoder_fuzz_test.cc
@@ -17,6 +17,7 @@
 #include "corneltray/lease.h"
 #include "corneltray/membership.h"
 #include "corneltray/prompt_messages.h"
+#include "corneltray/retry_messages.h"
 #include "corneltray/settings.h"
 #include "corneltray/upstream.h"
 #include "log_storage_codec.h"
@@ -223,6 +224,15 @@
       const auto decoded = DecodeRetryCounts(input);
       if (decoded) EncodeRetryCounts(decoded.value());
     });
+    Fuzz<json>({EncodeRetryReport({7, 3, 2, {0.2, 424.0}, {{"assistant", {100, 5, 20.0}}}})}, tree,
+               [](const json& input) {
+                 const auto decoded = DecodeRetryReport(input);
+                 if (decoded) EncodeRetryReport(decoded.value());
+               });
+    Fuzz<json>({EncodeRetryGrant({3, {{"assistant", {20.0, 8.0}}}})}, tree, [](const json& input) {
+      const auto decoded = DecodeRetryGrant(input);
+      if (decoded) EncodeRetryGrant(decoded.value());
+    });
   }
   SUBCASE("of control processes, about prompts") {
     Fuzz<json>({EncodeCrashReport({"engine-1", 7, 3, CrashPhase::kBeforeHead, {"a", "b"}})}, tree,
--- a/src/libcorneltray/retry.cc
+++ b/src/libcorneltray/retry.cc
@@ -11,32 +11,6 @@
   m_min_per_s = min_per_s;
 }
 
-void RetryBudget::SetWindowAllowance(double retries, double refused) {
-  m_window_allowance = retries;
-  m_refused_allowance = refused;
-}
-
-RetryCounts RetryBudget::Counts(TimePoint now) const {
-  const std::int64_t second =
-      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
-  RetryCounts counts;
-  for (const Second& slot : m_seconds) {
-    if (slot.second < 0 || slot.second <= second - kWindowSeconds) continue;
-    counts.requests += slot.requests;
-    counts.retries += slot.retries;
-  }
-  return counts;
-}
-
-double ShareOfRetries(double allowed, const RetryCounts& used_by_all, double used_here) {
-  // Several hosts may take their part before they hear of each other.
-  constexpr double kEqualShares = 1.5;
-  constexpr double kMostOfRest = 0.12;
-  const double rest = std::max(0.0, allowed - std::max<double>(used_by_all.retries, used_here));
-  const double hosts = std::max<double>(used_by_all.hosts, 1.0);
-  return used_here + std::min(kMostOfRest, kEqualShares / hosts) * rest;
-}
-
 double ShareOfRequests(const RetryCounts& fleet, const RetryCounts& own) {
   const double hosts = std::max<double>(fleet.hosts, 1.0);
   // The counts of this host may be newer than those of all hosts.
@@ -54,13 +28,16 @@
 
 void RetryBudget::RecordRequest(TimePoint now) { ++SecondOf(now)->requests; }
 
-bool RetryBudget::TryRetry(TimePoint now, RetryPurpose purpose) {
+bool RetryBudget::TryRetry(TimePoint now) {
   Second* current = SecondOf(now);
-  const RetryCounts counts = Counts(now);
-  const double allowance =
-      purpose == RetryPurpose::kRefused ? m_refused_allowance : m_window_allowance;
-  const double allowed = m_ratio * counts.requests + allowance;
-  const bool within_window = counts.retries + 1.0 <= allowed;
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+  for (const Second& slot : m_seconds) {
+    if (slot.second < 0 || slot.second <= current->second - kWindowSeconds) continue;
+    requests += slot.requests;
+    retries += slot.retries;
+  }
+  const bool within_window = retries + 1.0 <= m_ratio * requests;
   const bool within_minimum = current->retries + 1.0 <= m_min_per_s;
   if (!within_window && !within_minimum) return false;
   ++current->retries;
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "corneltray/key_lease.h"
 #include "corneltray/log.h"
 #include "exchange.h"
 
@@ -355,16 +356,17 @@
     // Repeated offers to full engines must not use up what other answers need to go on.
     const RetryPurpose purpose =
         is_untouched || !may_try_now ? RetryPurpose::kRefused : RetryPurpose::kFinish;
-    if (m_gateway->BudgetOf(m_request.service->name).TryRetry(now, purpose)) {
-      m_gateway->GetMetrics().Count("retries", NameOf(purpose));
+    if (m_gateway->TryRetry(m_request.service->name, purpose)) {
       return may_try_now ? SendAttempt() : void();
     }
     m_chain_wait_deadline.reset();
-    m_gateway->GetMetrics().Count("retries_refused", "budget");
+    const RetryUse use = m_gateway->BudgetOf(m_request.service->name).Use(now, BootTimeNow());
     LogEvent(LogLevel::kWarning, "retry_refused",
              {{"request_id", m_request.metadata.request_id},
               {"service", m_request.service->name},
-              {"used_here", m_gateway->BudgetOf(m_request.service->name).Counts(now).retries}});
+              {"purpose", NameOf(purpose)},
+              {"used_here", use.retries},
+              {"quota", use.quota}});
   }
   Fail(outcome.status);
 }
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -30,9 +30,6 @@
 // The room of a service is computed anew after this time. Reports of the engines are older than
 // that, and a request or a tick needs it every few milliseconds under load.
 constexpr std::chrono::milliseconds kRoomLifetime{100};
-// Share of the retry budget that is used. The rest covers retries of other hosts that are not in
-// the counts yet.
-constexpr double kRetryBudgetShare = 0.75;
 
 }  // namespace
 
@@ -140,32 +137,57 @@
 ServiceRetryCounts Gateway::OwnRetryCounts() const {
   ServiceRetryCounts counts;
   const TimePoint now = Clock::now();
-  for (const auto& [service, budget] : m_budgets) counts[service] = budget.Counts(now);
+  for (const auto& [service, budget] : m_budgets) {
+    const RetryUse use = budget.Use(now, BootTimeNow());
+    counts[service] = {use.requests, use.retries, 0};
+  }
   return counts;
 }
 
-void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
-  m_fleet_retries = counts;
+RetryReport Gateway::MakeRetryReport() {
+  RetryReport report;
+  report.incarnation = m_options.incarnation;
+  report.sequence = ++m_retry_reports;
+  report.applied = m_applied_grant;
+  report.limit = SharedRetryLimit();
   const TimePoint now = Clock::now();
-  for (auto& [service, budget] : m_budgets) {
+  for (const auto& [service, budget] : m_budgets) {
+    report.services[service] = budget.Use(now, BootTimeNow());
+  }
+  return report;
+}
+
+void Gateway::ApplyRetryGrant(const RetryGrant& grant) {
+  // Two reports may be under way, to two control processes.
+  if (grant.sequence <= m_applied_grant) return;
+  m_applied_grant = grant.sequence;
+  const TimePoint now = Clock::now();
+  for (const auto& [service, quota] : grant.quotas) {
+    const auto budget = m_budgets.find(service);
+    if (budget == m_budgets.end()) continue;
+    const RetryUse use = budget->second.Use(now, BootTimeNow());
+    budget->second.SetQuota(BootTimeNow(), quota);
     const RetryCounts& fleet = m_fleet_retries[service];
-    const double used_here = budget.Counts(now).retries;
-    const double allowed = AllowedRetries(fleet);
-    const double allowed_here = ShareOfRetries(allowed, fleet, used_here);
-    budget.SetWindowAllowance(allowed_here,
-                              ShareOfRetries(kRefusedShare * allowed, fleet, used_here));
-    if (fleet.retries == 0 && used_here == 0.0) continue;
-    LogEvent(LogLevel::kInfo, "retry_allowance",
+    if (fleet.retries == 0 && use.retries == 0) continue;
+    LogEvent(LogLevel::kInfo, "retry_quota",
              {{"service", service},
+              {"quota", quota.retries},
+              {"quota_refused", quota.refused},
+              {"previous", use.quota},
+              {"used_here", use.retries},
               {"fleet_requests", fleet.requests},
               {"fleet_retries", fleet.retries},
-              {"fleet_hosts", fleet.hosts},
-              {"allowed", allowed},
-              {"used_here", used_here},
-              {"allowed_here", allowed_here}});
+              {"fleet_hosts", fleet.hosts}});
   }
 }
 
+void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
+  m_fleet_retries = counts;
+  m_hosts = 0;
+  for (const auto& [service, fleet] : counts) m_hosts = std::max(m_hosts, fleet.hosts);
+  for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts);
+}
+
 void Gateway::SetFleetPace(const FleetPace& fleet) {
   m_pace.SetFleet(Clock::now(), fleet);
   LogPace();
@@ -184,19 +206,21 @@
   }
 }
 
-// Returns the retries allowed for all hosts together within RetryBudget::kWindow.
-double Gateway::AllowedRetries(const RetryCounts& fleet) const {
+// Returns the retries that all hosts together may send within RetryBudget::kWindow.
+RetryLimit Gateway::SharedRetryLimit() const {
   const std::chrono::duration<double> window = m_options.retry_window;
   const std::chrono::duration<double> counted = RetryBudget::kWindow;
-  const double fixed_allowance = m_options.retry_allowance * std::min(1.0, counted / window);
-  return kRetryBudgetShare * (m_options.retry_ratio * fleet.requests + fixed_allowance);
+  return {m_options.retry_ratio, m_options.retry_allowance * std::min(1.0, counted / window)};
 }
 
 double Gateway::HostShare(const std::string& service) const {
   const auto fleet = m_fleet_retries.find(service);
   const auto own = m_budgets.find(service);
-  return ShareOfRequests(fleet == m_fleet_retries.end() ? RetryCounts{} : fleet->second,
-                         own == m_budgets.end() ? RetryCounts{} : own->second.Counts(Clock::now()));
+  RetryCounts counted;
+  if (own != m_budgets.end()) {
+    counted.requests = own->second.Use(Clock::now(), BootTimeNow()).requests;
+  }
+  return ShareOfRequests(fleet == m_fleet_retries.end() ? RetryCounts{} : fleet->second, counted);
 }
 
 bool Gateway::IsReady() const {
@@ -243,12 +267,22 @@
   return picker;
 }
 
-RetryBudget& Gateway::BudgetOf(const std::string& service) {
+SharedRetryBudget& Gateway::BudgetOf(const std::string& service) {
   const auto known = m_budgets.find(service);
   if (known != m_budgets.end()) return known->second;
-  RetryBudget& budget = m_budgets.emplace(service, RetryBudget(0.0, 0.0)).first->second;
-  SetFleetRetryCounts(m_fleet_retries);
-  return budget;
+  const SharedRetryBudget budget(SharedRetryLimit(), RetryBudget::kWindow);
+  SharedRetryBudget& added = m_budgets.emplace(service, budget).first->second;
+  added.SetHosts(m_hosts);
+  return added;
+}
+
+bool Gateway::TryRetry(const std::string& service, RetryPurpose purpose) {
+  if (!BudgetOf(service).TryRetry(Clock::now(), BootTimeNow(), purpose)) {
+    m_metrics.Count("retries_refused", "budget");
+    return false;
+  }
+  m_metrics.Count("retries", NameOf(purpose));
+  return true;
 }
 
 void Gateway::OnCall(const HttpCall& call) {
--- a/src/libserving/gateway_fixture_test.h
+++ b/src/libserving/gateway_fixture_test.h
@@ -76,6 +76,7 @@
       REQUIRE(gateway->Listen("127.0.0.1:0").Ok());
       gateway->SetRouteTable(MakeTable(1));
       gateway->ConfirmRouteTable(BootTimeNow());
+      GrantRetries();
     });
   }
   ~GatewayFixture() {
@@ -138,6 +139,17 @@
   std::unique_ptr<Gateway> gateway;
 
  private:
+  // As a leader of the control hosts does.
+  void GrantRetries() {
+    constexpr RetryQuota kQuota{90.0, 36.0};
+    RetryGrant grant{1, {}};
+    for (const std::string service : {"plain", "model"}) {
+      gateway->BudgetOf(service);
+      grant.quotas[service] = kQuota;
+    }
+    gateway->ApplyRetryGrant(grant);
+  }
+
   std::vector<std::unique_ptr<ScriptedUpstream>> m_upstreams;
 };
 
