Share the load of the platform's test cases

Cause: two cases of the test suite each built callers, replicas and a configuration of their own. Change: testsuite/platform/load.py holds them; no check changes.

--- a/testsuite/stop-open-connections/run.py
+++ b/testsuite/stop-open-connections/run.py
@@ -17,7 +17,8 @@
 CASES = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(CASES), str(CASES / "platform")]
 import harness as h  # noqa: E402
-from fleet import Platform, configuration, entry_ip  # noqa: E402
+from fleet import Platform, entry_ip  # noqa: E402
+from load import service_configuration  # noqa: E402
 from replicas import Replica  # noqa: E402
 
 TIMEOUT_S = 12
@@ -87,15 +88,6 @@
             f"X-Deadline-Ms: 10000\r\nApi-Key: key-1\r\nContent-Length: {body_size}\r\n\r\n").encode()
 
 
-def lookup_configuration():
-    document = configuration(1)
-    document["routes"] = [{"name": "get", "host": "h.example", "prefix": "/get/", "type": "safe",
-                           "timeout_ms": 10000, "goal_ms": 10000, "prio": 1, "service": "lookup",
-                           "attempts": 2, "public": False, "sticky": False, "resumable": False}]
-    document["services"] = [{"name": "lookup", "health_path": "/healthz", "max_conns": 200}]
-    return document
-
-
 class Host:
     """An entry host of one case."""
 
@@ -301,7 +293,7 @@
             platform.control(number)
         services = [DelayedService(f"lookup-{z}", z, platform.seeds) for z in "abc"]
         platform.replicas += services
-        platform.put_until(lookup_configuration())
+        platform.put_until(service_configuration(timeout_ms=10000, attempts=2))
         hosts = [Host(platform, i + 1) for i in range(len(CASES_TO_PLAY))]
         for host in hosts:
             host.wait_serving()
