--- a/src/include/corneltray/dialect.h
+++ b/src/include/corneltray/dialect.h
@@ -56,6 +56,8 @@
   bool is_leaving = false;    // the upstream is shutting down
   // The upstream refused the request and wants no other one from this host for this time.
   std::optional<std::chrono::milliseconds> retry_after;
+  // Requests a second that the upstream takes from all hosts together, for as long as it says so.
+  std::optional<double> rate_limit;
   std::string faulty_address;  // failed stage of a chain; empty: not named
   std::optional<LoadReport> load;
   std::optional<std::uint32_t> slots;  // capacity of the upstream, sent with the load
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -93,6 +93,7 @@
   // Ends the attempt. `loss` names the engine that does not respond, if one is suspected.
   void EndAttemptOnLostEngine(AttemptEvidence evidence, const std::optional<EngineLoss>& loss);
   void LogAttemptSent(TimePoint now) const;
+  void LogRateLimit(int status, double limit) const;
   void LogAttemptFailure(TimePoint now, AttemptEvidence evidence, HasRun has_run) const;
   void RecordFault(TimePoint now, AttemptEvidence evidence, const std::string& address);
   void RecordCrash(CrashPhase phase) const;
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -190,6 +190,16 @@
             {"time_left_ms", left.count()}});
 }
 
+void Exchange::LogRateLimit(int status, double limit) const {
+  LogEvent(LogLevel::kInfo, "upstream_limit_named",
+           {{"request_id", m_request.metadata.request_id},
+            {"upstream", m_attempt->upstream},
+            {"address", m_attempt->address},
+            {"stages", m_attempt->chain.size()},
+            {"status", status},
+            {"requests_per_s", limit}});
+}
+
 std::string Exchange::FormatAttempt(TimePoint now) const {
   HttpHead head = m_request.head;
   const bool has_body = !m_call.Body().empty() || head.Find("Content-Length") != nullptr ||
@@ -243,6 +253,7 @@
   if (metadata.retry_after) {
     m_gateway->ReportPause(m_attempt->upstream, m_attempt->incarnation, *metadata.retry_after);
   }
+  if (metadata.rate_limit) LogRateLimit(head.status, *metadata.rate_limit);
   m_attempt->head = std::move(head);
   m_attempt->faulty_address = metadata.faulty_address;
   m_attempt->is_event_stream =
