Keep the number of entry hosts while a new leader knows few of them

Cause: the part of the retry limit that a host may use without a quota is divided by the number of hosts in the sum of the leader. A control process that has just become leader knows few of them, and each host took the part of many for about a second. Change: the number falls by a tenth at most with each report, as it does for paced servers.

--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -247,7 +247,7 @@
   QuarantineHandler m_quarantine_handler;
   std::set<std::shared_ptr<Exchange>> m_exchanges;
   ServiceRetryCounts m_fleet_retries;
-  std::uint32_t m_hosts = 0;                  // entry hosts that report; 0: not known
+  SharingHosts m_hosts;                       // entry hosts that report
   std::uint64_t m_retry_reports = 0;          // made since the start
   std::uint64_t m_applied_grant = 0;          // number of the report that it answers
   std::size_t m_reserved_response_bytes = 0;  // for buffered responses
--- a/src/include/corneltray/retry_quota.h
+++ b/src/include/corneltray/retry_quota.h
@@ -59,6 +59,18 @@
 // upstreams at different times.
 constexpr std::chrono::milliseconds kRetryArrivalSpread{500};
 
+// Number of entry hosts that share a limit, as a host is told it. A control process that has just
+// become leader knows few of them, so the number falls slowly. Not thread safe.
+class SharingHosts {
+ public:
+  void Update(std::uint32_t told);
+  // 0: not known.
+  std::uint32_t Count() const { return m_count; }
+
+ private:
+  std::uint32_t m_count = 0;
+};
+
 // Counts events of the last `window`, or up to `kSlot` more. Not thread safe.
 class SlidingCount {
  public:
--- a/src/libfleet/retry_quota_allocator_test.cc
+++ b/src/libfleet/retry_quota_allocator_test.cc
@@ -303,6 +303,24 @@
   CHECK(finished == kAnswersInProgress);
 }
 
+// Guards against hosts that each take the part of all others while a new leader knows few hosts.
+TEST_CASE("the number of hosts that share a limit falls slowly") {
+  SharingHosts hosts;
+  CHECK(hosts.Count() == 0);
+  hosts.Update(15);
+  CHECK(hosts.Count() == 15);
+  SUBCASE("while a leader has heard of one of them") {
+    hosts.Update(1);
+    CHECK(hosts.Count() == 13);
+    hosts.Update(15);
+    CHECK(hosts.Count() == 15);
+  }
+  SUBCASE("and reaches the number that is told in the end") {
+    for (int report = 0; report < 30; ++report) hosts.Update(3);
+    CHECK(hosts.Count() == 3);
+  }
+}
+
 // Guards against a host that goes on with the quota of a leader that does not know it any more.
 TEST_CASE("a host keeps its quota for a limited time") {
   const TimePoint now{std::chrono::hours(1000)};
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -183,9 +183,10 @@
 
 void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
   m_fleet_retries = counts;
-  m_hosts = 0;
-  for (const auto& [service, fleet] : counts) m_hosts = std::max(m_hosts, fleet.hosts);
-  for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts);
+  std::uint32_t hosts = 0;
+  for (const auto& [service, fleet] : counts) hosts = std::max(hosts, fleet.hosts);
+  m_hosts.Update(hosts);
+  for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts.Count());
 }
 
 void Gateway::SetFleetPace(const FleetPace& fleet) {
@@ -272,7 +273,7 @@
   if (known != m_budgets.end()) return known->second;
   const SharedRetryBudget budget(SharedRetryLimit(), RetryBudget::kWindow);
   SharedRetryBudget& added = m_budgets.emplace(service, budget).first->second;
-  added.SetHosts(m_hosts);
+  added.SetHosts(m_hosts.Count());
   return added;
 }
 
--- a/src/libserving/retry_quota.cc
+++ b/src/libserving/retry_quota.cc
@@ -7,9 +7,15 @@
 
 // Entry hosts that a host assumes to share the limit until it is told their number.
 constexpr double kAssumedHosts = 50.0;
+// Smallest factor by which one report changes the number of hosts.
+constexpr double kHostDecay = 0.9;
 
 }  // namespace
 
+void SharingHosts::Update(std::uint32_t told) {
+  m_count = std::max(told, static_cast<std::uint32_t>(kHostDecay * m_count));
+}
+
 SlidingCount::SlidingCount(Duration window) : m_window(window) {}
 
 void SlidingCount::Add(TimePoint now) {
