Split the retries and the wishes of upstreams off the gateway

Change: gateway_retries.cc and gateway_backoff.cc hold these parts of the class; json_amount.h holds the check. No logic changes.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -133,7 +133,10 @@
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
   // Both objects are by entry host. A host without a pace report paces no server.
   void StoreHostReports(const nlohmann::json& retry_reports, const nlohmann::json& pace_reports);
+  // Grants an entry host its quotas of retries at the leader; elsewhere keeps its report for the
+  // leader.
   void StoreRetryReport(const std::string& host, const nlohmann::json& body);
+  // Returns the number of entry hosts that the former leader told.
   std::uint32_t KnownEntryHosts() const;
   // Returns the reply to a configuration fetch, from the state that this replica has applied.
   nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -172,7 +172,6 @@
   }
 }
 
-// Grants quotas if this is the leader, which alone does, else keeps the report for it.
 void ControlNode::StoreRetryReport(const std::string& host, const json& body) {
   if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
     m_unsent_quota_reports[host] = body;
@@ -190,7 +189,6 @@
   if (grant) m_retry_grants[host] = EncodeRetryGrant(*grant);
 }
 
-// Returns the number of entry hosts that the former leader told.
 std::uint32_t ControlNode::KnownEntryHosts() const {
   std::uint32_t hosts = 0;
   for (const auto& [service, counts] : m_leader_retry_counts) hosts = std::max(hosts, counts.hosts);
--- a/src/libfleet/pace_messages.cc
+++ b/src/libfleet/pace_messages.cc
@@ -1,25 +1,13 @@
 #include "corneltray/pace_messages.h"
 
-#include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "corneltray/json_amount.h"
+
 namespace corneltray {
-namespace {
 
 using nlohmann::json;
 
-// Returns the element as a number that counts can be; otherwise throws like json itself does for a
-// wrong type.
-double AmountAt(const json& values, std::size_t index) {
-  const double amount = values.at(index).get<double>();
-  if (!std::isfinite(amount) || amount < 0.0) {
-    throw json::other_error::create(502, "a count is negative or not finite", &values);
-  }
-  return amount;
-}
-
-}  // namespace
-
 json EncodePaceCounts(const ServerPaceCounts& counts) {
   json body = json::object();
   for (const auto& [server, count] : counts) {
--- a/src/libfleet/retry_messages.cc
+++ b/src/libfleet/retry_messages.cc
@@ -1,27 +1,14 @@
 #include "corneltray/retry_messages.h"
 
-#include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "corneltray/json_amount.h"
 #include "corneltray/upstream.h"
 
 namespace corneltray {
-namespace {
 
 using nlohmann::json;
 
-// Returns the element as a number of retries; otherwise throws like json itself does for a wrong
-// type.
-double AmountAt(const json& values, std::size_t index) {
-  const double amount = values.at(index).get<double>();
-  if (!std::isfinite(amount) || amount < 0.0) {
-    throw json::other_error::create(502, "a number of retries is negative or not finite", &values);
-  }
-  return amount;
-}
-
-}  // namespace
-
 json EncodeRetryReport(const RetryReport& report) {
   json services = json::object();
   for (const auto& [service, use] : report.services) {
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -135,62 +135,6 @@
   }
 }
 
-ServiceRetryCounts Gateway::OwnRetryCounts() const {
-  ServiceRetryCounts counts;
-  const TimePoint now = Clock::now();
-  for (const auto& [service, budget] : m_budgets) {
-    const RetryUse use = budget.Use(now, BootTimeNow());
-    counts[service] = {use.requests, use.retries, 0};
-  }
-  return counts;
-}
-
-RetryReport Gateway::MakeRetryReport() {
-  RetryReport report;
-  report.incarnation = m_options.incarnation;
-  report.sequence = ++m_retry_reports;
-  report.applied = m_applied_grant;
-  report.limit = SharedRetryLimit();
-  const TimePoint now = Clock::now();
-  for (const auto& [service, budget] : m_budgets) {
-    report.services[service] = budget.Use(now, BootTimeNow());
-  }
-  return report;
-}
-
-void Gateway::ApplyRetryGrant(const RetryGrant& grant) {
-  // Two reports may be under way, to two control processes.
-  if (grant.sequence <= m_applied_grant) return;
-  m_applied_grant = grant.sequence;
-  const TimePoint now = Clock::now();
-  for (const auto& [service, quota] : grant.quotas) {
-    const auto budget = m_budgets.find(service);
-    if (budget == m_budgets.end()) continue;
-    const RetryUse use = budget->second.Use(now, BootTimeNow());
-    budget->second.SetQuota(BootTimeNow(), quota);
-    const RetryCounts& fleet = m_fleet_retries[service];
-    if (fleet.retries == 0 && use.retries == 0) continue;
-    LogEvent(LogLevel::kInfo, "retry_quota",
-             {{"service", service},
-              {"quota", quota.retries},
-              {"quota_refused", quota.refused},
-              {"previous", use.quota},
-              {"used_here", use.retries},
-              {"fleet_requests", fleet.requests},
-              {"fleet_retries", fleet.retries},
-              {"fleet_hosts", fleet.hosts}});
-  }
-}
-
-void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
-  m_fleet_retries = counts;
-  std::uint32_t hosts = 0;
-  for (const auto& [service, fleet] : counts) hosts = std::max(hosts, fleet.hosts);
-  m_hosts.Update(hosts);
-  m_backoff.SetHosts(m_hosts.Count());
-  for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts.Count());
-}
-
 void Gateway::SetFleetPace(const FleetPace& fleet) {
   m_pace.SetFleet(Clock::now(), fleet);
   LogPace();
@@ -209,23 +153,6 @@
   }
 }
 
-// Returns the retries that all hosts together may send within RetryBudget::kWindow.
-RetryLimit Gateway::SharedRetryLimit() const {
-  const std::chrono::duration<double> window = m_options.retry_window;
-  const std::chrono::duration<double> counted = RetryBudget::kWindow;
-  return {m_options.retry_ratio, m_options.retry_allowance * std::min(1.0, counted / window)};
-}
-
-double Gateway::HostShare(const std::string& service) const {
-  const auto fleet = m_fleet_retries.find(service);
-  const auto own = m_budgets.find(service);
-  RetryCounts counted;
-  if (own != m_budgets.end()) {
-    counted.requests = own->second.Use(Clock::now(), BootTimeNow()).requests;
-  }
-  return ShareOfRequests(fleet == m_fleet_retries.end() ? RetryCounts{} : fleet->second, counted);
-}
-
 bool Gateway::IsReady() const {
   if (m_draining || m_routes == nullptr || m_upstreams.Records().empty()) return false;
   return !m_routes->RequiresKeys() || !m_key_lease.IsHalfElapsed(BootTimeNow());
@@ -270,24 +197,6 @@
   return picker;
 }
 
-SharedRetryBudget& Gateway::BudgetOf(const std::string& service) {
-  const auto known = m_budgets.find(service);
-  if (known != m_budgets.end()) return known->second;
-  const SharedRetryBudget budget(SharedRetryLimit(), RetryBudget::kWindow);
-  SharedRetryBudget& added = m_budgets.emplace(service, budget).first->second;
-  added.SetHosts(m_hosts.Count());
-  return added;
-}
-
-bool Gateway::TryRetry(const std::string& service, RetryPurpose purpose) {
-  if (!BudgetOf(service).TryRetry(Clock::now(), BootTimeNow(), purpose)) {
-    m_metrics.Count("retries_refused", "budget");
-    return false;
-  }
-  m_metrics.Count("retries", NameOf(purpose));
-  return true;
-}
-
 void Gateway::OnCall(const HttpCall& call) {
   if (call.Head().Path() == m_options.dialect->ReadinessPath() &&
       m_ready_listener.Address().empty()) {
@@ -569,54 +478,6 @@
   FailOverFromEngine(now, loss);
 }
 
-void Gateway::ReportLeaving(const std::string& upstream, std::uint64_t incarnation) {
-  if (!m_backoff.MarkLeaving(upstream, incarnation)) return;
-  m_metrics.Count("upstream_backoffs", "leaving");
-  LogEvent(LogLevel::kInfo, "upstream_leaving",
-           {{"upstream", upstream}, {"incarnation", incarnation}});
-}
-
-void Gateway::ReportPause(const std::string& upstream, std::uint64_t incarnation,
-                          std::chrono::milliseconds pause) {
-  m_backoff.Pause(upstream, incarnation, Clock::now() + pause);
-  m_metrics.Count("upstream_backoffs", "retry_after");
-  LogEvent(LogLevel::kInfo, "upstream_paused",
-           {{"upstream", upstream}, {"incarnation", incarnation}, {"pause_ms", pause.count()}});
-}
-
-void Gateway::ReportRateLimit(const std::string& upstream, std::uint64_t incarnation,
-                              TimePoint sent_at, std::optional<double> requests_per_s) {
-  if (!m_backoff.SetRateLimit(Clock::now(), upstream, incarnation, sent_at, requests_per_s)) return;
-  m_metrics.Count("upstream_backoffs", requests_per_s ? "rate_limit" : "rate_limit_ended");
-  LogEvent(LogLevel::kInfo, "upstream_limited",
-           {{"upstream", upstream},
-            {"incarnation", incarnation},
-            {"is_limited", requests_per_s.has_value()},
-            {"requests_per_s", requests_per_s.value_or(0.0)},
-            {"hosts", m_hosts.Count()}});
-}
-
-void Gateway::RecordRequestTo(const std::string& upstream) {
-  m_backoff.RecordRequest(Clock::now(), upstream);
-}
-
-void Gateway::AddBlocked(TimePoint now, std::set<std::string>* addresses) const {
-  m_backoff.AddBlocked(now, m_upstreams, addresses);
-}
-
-std::optional<std::chrono::milliseconds> Gateway::RemainingPause(TimePoint now,
-                                                                 const std::string& service) const {
-  std::optional<TimePoint> end = m_backoff.EndOfPause(now, m_upstreams, service);
-  if (!end) end = EndOfRateInterval(now, service);
-  if (!end) return std::nullopt;
-  return std::chrono::ceil<std::chrono::milliseconds>(*end - now);
-}
-
-std::optional<TimePoint> Gateway::EndOfRateInterval(TimePoint now,
-                                                    const std::string& service) const {
-  return m_backoff.EndOfInterval(now, m_upstreams, service);
-}
-
 void Gateway::RequestHealthCheck(const std::string& address) {
   constexpr std::chrono::milliseconds kHealthCheckInterval{400};
   const UpstreamTableEntry* record = m_upstreams.FindAddress(address);
