Give the slow requests of stop-open-connections their objective back

Cause: moving the configuration of the case to load.py lowered the objective of its route from 10 s to 0.3 s. Change: the objective is 10 s again, as when the case was written. No check changes.

--- a/testsuite/platform/load.py
+++ b/testsuite/platform/load.py
@@ -9,11 +9,11 @@
 from fleet import configuration, entry_ip
 
 
-def service_configuration(timeout_ms, attempts):
+def service_configuration(timeout_ms, attempts, goal_ms=300):
     """One route of repeatable requests to the service "lookup"."""
     document = configuration(1)
     document["routes"] = [{"name": "get", "host": "h.example", "prefix": "/get/", "type": "safe",
-                           "timeout_ms": timeout_ms, "goal_ms": 300, "prio": 1,
+                           "timeout_ms": timeout_ms, "goal_ms": goal_ms, "prio": 1,
                            "service": "lookup", "attempts": attempts, "public": False,
                            "sticky": False, "resumable": False}]
     document["services"] = [{"name": "lookup", "health_path": "/healthz", "max_conns": 2000}]
--- a/testsuite/stop-open-connections/run.py
+++ b/testsuite/stop-open-connections/run.py
@@ -293,7 +293,7 @@
             platform.control(number)
         services = [DelayedService(f"lookup-{z}", z, platform.seeds) for z in "abc"]
         platform.replicas += services
-        platform.put_until(service_configuration(timeout_ms=10000, attempts=2))
+        platform.put_until(service_configuration(timeout_ms=10000, attempts=2, goal_ms=10000))
         hosts = [Host(platform, i + 1) for i in range(len(CASES_TO_PLAY))]
         for host in hosts:
             host.wait_serving()
