Count the hosts that share a limit from the reports of all

The number of hosts came from the counts of retries, which know a host only once it has had a request for the service.

The number now comes from the sum of the reports of all entry hosts, which every reply to a fetch of the route table has.

The new section "the part of a host is known before any host has had a request" fails without the change (a caller is told more than 3 s) and passes with it, three times.

--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -90,7 +90,8 @@
   // report has a number of its own.
   RetryReport MakeRetryReport();
   void ApplyRetryGrant(const RetryGrant& grant);
-  // What this host has seen of the servers that it paces, and the sum over all hosts.
+  // What this host has seen of the servers that it paces, and the sum over all hosts with their
+  // number.
   ServerPaceCounts OwnPaceCounts() const { return m_pace.OwnCounts(); }
   void SetFleetPace(const FleetPace& fleet);
 
@@ -215,6 +216,8 @@
   void ExplainAdmission(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
   void ExplainChoice(TimePoint now, const GatewayRequest& request, nlohmann::json* answer) const;
   RetryLimit SharedRetryLimit() const;
+  // Applies the number of entry hosts, which share the limits of retries and of upstreams.
+  void UpdateHosts(std::uint32_t told);
   // Part of the requests of all hosts for a service that arrive at this host.
   double HostShare(const std::string& service) const;
   // Returns how much work the engines of a service can take, as computed at most a short time ago.
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -136,6 +136,8 @@
 }
 
 void Gateway::SetFleetPace(const FleetPace& fleet) {
+  // Unlike the counts of retries, it counts hosts that have had no request for a service as well.
+  UpdateHosts(fleet.hosts);
   m_pace.SetFleet(Clock::now(), fleet);
   LogPace();
 }
--- a/src/libserving/gateway_retries.cc
+++ b/src/libserving/gateway_retries.cc
@@ -54,11 +54,10 @@
   }
 }
 
-void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) {
-  m_fleet_retries = counts;
-  std::uint32_t hosts = 0;
-  for (const auto& [service, fleet] : counts) hosts = std::max(hosts, fleet.hosts);
-  m_hosts.Update(hosts);
+void Gateway::SetFleetRetryCounts(const ServiceRetryCounts& counts) { m_fleet_retries = counts; }
+
+void Gateway::UpdateHosts(std::uint32_t told) {
+  m_hosts.Update(told);
   m_backoff.SetHosts(m_hosts.Count());
   for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts.Count());
 }
--- a/src/libserving/upstream_backoff_test.cc
+++ b/src/libserving/upstream_backoff_test.cc
@@ -294,6 +294,14 @@
     CHECK(first->requests <= 2);
     CHECK(other->requests >= kCalls - 2);
   }
+  SUBCASE("and the part of a host is known before any host has had a request") {
+    fixture.loop.Run([&] { fixture.gateway->SetFleetPace({1, {}}); });
+    fixture.Add("u", "a", limited);
+    CHECK(HasStatus(fixture.Call("GET", "/get/"), "200"));
+    const std::optional<milliseconds> told = RetryAfterOf(fixture.Call("GET", "/get/"));
+    REQUIRE(told.has_value());
+    CHECK(*told <= std::chrono::seconds(3));
+  }
   SUBCASE("and callers are told the time if no other is left") {
     ScriptedUpstream* first = fixture.Add("u", "a", limited);
     CHECK(HasStatus(fixture.Call("GET", "/get/"), "200"));
