Let hosts hear from each other that the limit of an upstream has ended

Callers were refused for long after an upstream had ceased to name a limit: where the limit is low, each host asks the upstream rarely and only then heard of the end.

With each fetch of the route table a host now reports what upstreams with a limit named last, and for 30 s that one has ended. The leader of the control hosts keeps the latest report of each upstream, and every reply has them all. A host that has a limit believes a report of the same incarnation that is later than its own last answer. Processes share no clock, so a report has an age, and a host takes it as of the time at which it sent its fetch: what is uncertain makes a report look older.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -19,6 +19,7 @@
 #include "corneltray/leader_watch.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/peer.h"
+#include "corneltray/rate_limit_report.h"
 #include "corneltray/read_batcher.h"
 #include "corneltray/retry.h"
 #include "corneltray/retry_quota_allocator.h"
@@ -133,6 +134,10 @@
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
   // Both objects are by entry host. A host without a pace report paces no server.
   void StoreHostReports(const nlohmann::json& retry_reports, const nlohmann::json& pace_reports);
+  // Keeps what entry hosts heard of limits of requests, also for the leader.
+  void StoreRateLimits(const nlohmann::json& body);
+  // Returns what entry hosts heard last: at the leader all of them, elsewhere what the leader told.
+  RateLimitReports FleetRateLimits() const;
   // Grants an entry host its quotas of retries at the leader; elsewhere keeps its report for the
   // leader.
   void StoreRetryReport(const std::string& host, const nlohmann::json& body);
@@ -201,6 +206,9 @@
   std::map<std::string, nlohmann::json> m_retry_grants;      // the latest of each entry host
   std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
   FleetPace m_leader_pace;                                   // of all hosts, from the leader
+  RateLimitReports m_rate_limits;                            // from entry hosts and other members
+  RateLimitReports m_unsent_rate_limits;                     // for the leader
+  RateLimitReports m_leader_rate_limits;                     // of all hosts, from the leader
   std::uint64_t m_applied_bytes = 0;                         // of entries since the last snapshot
   std::map<VoteRefusal, std::uint64_t> m_vote_refusals;      // since the start
   bool m_leader_reported = false;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -8,6 +8,7 @@
 #include "corneltray/fleet_messages.h"
 #include "corneltray/log.h"
 #include "corneltray/pace_messages.h"
+#include "corneltray/rate_limit_report.h"
 #include "corneltray/retry_messages.h"
 
 namespace corneltray {
@@ -16,6 +17,8 @@
 using nlohmann::json;
 
 constexpr std::chrono::seconds kHostReportLifetime{4};
+// An entry host that is cut off for a shorter time still hears that a limit has ended.
+constexpr std::chrono::seconds kRateLimitLifetime{60};
 // Many hosts wait for the same read and get the same reply. Only the members and the counts of
 // retries in it may be as old as this.
 constexpr std::chrono::milliseconds kReplyLifetime{100};
@@ -40,6 +43,7 @@
     StoreHostReports({{host, body.at("retries")}}, {{host, pace}});
     if (body.contains("retry_report")) StoreRetryReport(host, body.at("retry_report"));
   }
+  if (body.contains("rate_limits")) StoreRateLimits(body.at("rate_limits"));
   const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
   if (has_newer && body.value("accepts_unconfirmed", false)) {
     json reply = RouteTableSince(have);
@@ -64,6 +68,7 @@
   }
   StoreHostReports(body.at("retry_reports"), body.value("pace_reports", json::object()));
   json grants = json::object();
+  if (body.contains("rate_limits")) StoreRateLimits(body.at("rate_limits"));
   const json reports = body.value("quota_reports", json::object());
   for (const auto& [host, report] : reports.items()) {
     StoreRetryReport(host, report);
@@ -73,7 +78,8 @@
     return {{"index", index},
             {"retries", EncodeRetryCounts(FleetRetryCounts())},
             {"retry_grants", grants},
-            {"pace", EncodeFleetPace(SumOfPace())}};
+            {"pace", EncodeFleetPace(SumOfPace())},
+            {"rate_limits", EncodeRateLimitReports(Clock::now(), FleetRateLimits())}};
   };
   AddBatchedRead(answer, respond, DeadlineOf(body));
 }
@@ -115,6 +121,7 @@
     m_unsent_retry_reports = json::object();
     m_unsent_pace_reports = json::object();
     m_unsent_quota_reports = json::object();
+    m_unsent_rate_limits.clear();
     StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
     return;
   }
@@ -126,6 +133,8 @@
                {"pace_reports", std::exchange(m_unsent_pace_reports, json::object())},
                {"quota_reports", std::exchange(m_unsent_quota_reports, json::object())},
                {"timeout_ms", kReadIndexTimeout.count()}};
+  const RateLimitReports limits = std::exchange(m_unsent_rate_limits, {});
+  if (!limits.empty()) body["rate_limits"] = EncodeRateLimitReports(Clock::now(), limits);
   m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
 }
 
@@ -144,6 +153,9 @@
       auto pace = DecodeFleetPace(reply.value().at("pace"));
       if (pace) m_leader_pace = std::move(pace).value();
     }
+    const json limits = reply.value().value("rate_limits", json::object());
+    auto rate_limits = DecodeRateLimitReports(Clock::now(), limits);
+    if (rate_limits) m_leader_rate_limits = std::move(rate_limits).value();
   } else {
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
@@ -172,6 +184,26 @@
   }
 }
 
+void ControlNode::StoreRateLimits(const json& body) {
+  const TimePoint now = Clock::now();
+  const auto reports = DecodeRateLimitReports(now, body);
+  if (!reports) {
+    LogEvent(LogLevel::kWarning, "rate_limit_report_refused",
+             {{"error", reports.error().ToString()}});
+    return;
+  }
+  MergeRateLimitReports(reports.value(), &m_rate_limits);
+  RemoveRateLimitReportsBefore(now - kRateLimitLifetime, &m_rate_limits);
+  MergeRateLimitReports(reports.value(), &m_unsent_rate_limits);
+}
+
+RateLimitReports ControlNode::FleetRateLimits() const {
+  const bool is_leader = m_replica.GetStatus().role == ReplicaRole::kLeader;
+  RateLimitReports reports = is_leader ? m_rate_limits : m_leader_rate_limits;
+  RemoveRateLimitReportsBefore(Clock::now() - kRateLimitLifetime, &reports);
+  return reports;
+}
+
 void ControlNode::StoreRetryReport(const std::string& host, const json& body) {
   if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
     m_unsent_quota_reports[host] = body;
@@ -256,6 +288,8 @@
                 {"member_zones", MemberZones()},
                 {"retries", EncodeRetryCounts(FleetRetryCounts())},
                 {"pace", EncodeFleetPace(SumOfPace())}};
+  const RateLimitReports limits = FleetRateLimits();
+  if (!limits.empty()) reply["rate_limits"] = EncodeRateLimitReports(Clock::now(), limits);
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -10,6 +10,7 @@
 #include "corneltray/log.h"
 #include "corneltray/pace_messages.h"
 #include "corneltray/prompt_messages.h"
+#include "corneltray/rate_limit_report.h"
 #include "corneltray/retry_messages.h"
 
 namespace corneltray {
@@ -164,15 +165,18 @@
   const TimePoint asked_at = BootTimeNow();
   const std::uint64_t held = m_gateway->RouteVersion();
   const bool confirmed = held > 0 || Clock::now() - m_started_at <= kUnconfirmedTableDelay;
-  const json body = {{"have", held},
-                     {"confirmed", confirmed},
-                     {"accepts_unconfirmed", true},
-                     {"retries_of", m_self.name},
-                     {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
-                     {"retry_report", EncodeRetryReport(m_gateway->MakeRetryReport())},
-                     {"pace", EncodePaceCounts(m_gateway->OwnPaceCounts())},
-                     {"timeout_ms", kFetchTimeout.count()}};
-  m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
+  json body = {{"have", held},
+               {"confirmed", confirmed},
+               {"accepts_unconfirmed", true},
+               {"retries_of", m_self.name},
+               {"retries", EncodeRetryCounts(m_gateway->OwnRetryCounts())},
+               {"retry_report", EncodeRetryReport(m_gateway->MakeRetryReport())},
+               {"pace", EncodePaceCounts(m_gateway->OwnPaceCounts())},
+               {"timeout_ms", kFetchTimeout.count()}};
+  const RateLimitReports limits = m_gateway->OwnRateLimits();
+  if (!limits.empty()) body["rate_limits"] = EncodeRateLimitReports(Clock::now(), limits);
+  m_node->Request(host, MessageType::kRouteTableFetch, std::move(body),
+                  Clock::now() + kFetchTimeout,
                   [this, host, confirmed, asked_at](const Result<json>& reply) {
                     asio::post(*m_io, [this, host, confirmed, asked_at, reply] {
                       OnRouteTable(host, confirmed, asked_at, reply);
@@ -197,6 +201,7 @@
   if (grant) m_gateway->ApplyRetryGrant(grant.value());
   const auto pace = DecodeFleetPace(body.value("pace", json::object()));
   if (pace) m_gateway->SetFleetPace(pace.value());
+  ApplyRateLimits(asked_at, body);
   if (is_confirmed && m_gateway->RouteVersion() >= body.at("version").get<std::uint64_t>()) {
     m_gateway->ConfirmRouteTable(asked_at);
     m_subscription.OnConfirmed(Clock::now(), host);
@@ -236,6 +241,14 @@
   m_gateway->SetRouteTable(table.value());
 }
 
+void ControlPlaneSubscriber::ApplyRateLimits(TimePoint asked_at, const json& reply) {
+  const auto body = reply.find("rate_limits");
+  if (body == reply.end()) return;
+  // The ages were taken after the request was sent: as of then, no report appears too new.
+  const auto limits = DecodeRateLimitReports(Clock::now() - (BootTimeNow() - asked_at), *body);
+  if (limits) m_gateway->SetFleetRateLimits(limits.value());
+}
+
 void ControlPlaneSubscriber::ApplyMembers(const json& reply) {
   const auto zones = reply.find("member_zones");
   std::vector<ControlHost> members;
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -47,6 +47,7 @@
   void OnRouteTableChanged(const std::string& host, std::uint64_t version);
   void ApplyRouteTable(const std::string& host, TimePoint asked_at, const nlohmann::json& reply);
   void ApplyMembers(const nlohmann::json& reply);
+  void ApplyRateLimits(TimePoint asked_at, const nlohmann::json& reply);
   // Sends evidence about prompt parts to all control processes, and a trial request to one. Returns
   // false if none is linked.
   bool SendQuarantineAction(const QuarantineAction& action);
--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -24,6 +24,7 @@
 #include "corneltray/key_lease.h"
 #include "corneltray/metrics.h"
 #include "corneltray/prompt_quarantine.h"
+#include "corneltray/rate_limit_report.h"
 #include "corneltray/retry.h"
 #include "corneltray/retry_quota.h"
 #include "corneltray/route_table.h"
@@ -94,6 +95,9 @@
   // number.
   ServerPaceCounts OwnPaceCounts() const { return m_pace.OwnCounts(); }
   void SetFleetPace(const FleetPace& fleet);
+  // What upstreams with a limit of requests named last in answers to this host, and to others.
+  RateLimitReports OwnRateLimits() const { return m_backoff.OwnRateLimits(Clock::now()); }
+  void SetFleetRateLimits(const RateLimitReports& reports);
 
   // The handler is called for each engine that does not respond and for each that needs a health
   // check, with its last announcement.
--- a/src/include/corneltray/upstream_backoff.h
+++ b/src/include/corneltray/upstream_backoff.h
@@ -7,7 +7,9 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "corneltray/rate_limit_report.h"
 #include "corneltray/time.h"
 #include "corneltray/upstream_table.h"
 
@@ -15,7 +17,9 @@
 
 // Upstreams that asked this host, in their responses, to send them no requests, or fewer: none for
 // some time, no more in their current incarnation, or so many a second from all hosts together.
-// Unlike the UpstreamTable, this is not exchanged between processes. Not thread safe.
+// Unlike the UpstreamTable, this is not exchanged between processes, but for the ends and changes
+// of such limits: a host asks an upstream with a low limit too rarely to hear of them soon. Not
+// thread safe.
 class UpstreamBackoff {
  public:
   // `seed` must differ between hosts.
@@ -35,6 +39,13 @@
   bool SetRateLimit(TimePoint now, const std::string& upstream, std::uint64_t incarnation,
                     TimePoint sent_at, std::optional<double> requests_per_s);
 
+  // What upstreams named last in answers to this host, also that a limit has ended a short time
+  // ago.
+  RateLimitReports OwnRateLimits(TimePoint now) const;
+  // Applies what upstreams named last in answers to other hosts, as far as they have a limit here.
+  // Returns the upstreams whose limit has ended or has changed.
+  std::vector<std::string> SetFleetRateLimits(TimePoint now, const RateLimitReports& reports);
+
   // Counts a request to an upstream. One with a limit gets the next one after an interval.
   void RecordRequest(TimePoint now, const std::string& upstream);
 
@@ -59,22 +70,33 @@
   struct RateLimit {
     double requests_per_s = 0.0;  // from all hosts
     TimePoint named_at{};
+    TimePoint as_of{};            // when the latest request whose answer named it was sent
     TimePoint next_request_at{};  // of this host
   };
+  struct RateLimitEnd {
+    TimePoint as_of{};  // when the latest request whose answer named none was sent
+    TimePoint report_until{};
+  };
   struct Entry {
     std::uint64_t incarnation = 0;
     TimePoint end{};  // TimePoint::max(): it is leaving
     std::optional<RateLimit> limit;
+    std::optional<RateLimitEnd> limit_end;
   };
 
   // The entry of the current incarnation of an upstream, or null.
   const Entry* Find(const Announcement& upstream) const;
+  // An upstream named no limit in the answer to a request. Returns whether that ends one.
+  bool EndRateLimit(TimePoint now, const std::string& upstream, std::uint64_t incarnation,
+                    TimePoint sent_at);
   // Returns the entry of an incarnation, and forgets what others asked for.
   Entry& EntryOf(const std::string& upstream, std::uint64_t incarnation);
   // Returns until when an upstream must not get a request; a time in the past if it may.
   TimePoint EndFor(const Announcement& upstream) const;
   // Time between two requests of this host.
   Duration Interval(double requests_per_s) const;
+  // A random part of it, so that hosts that hear of a limit at the same time do not go on at once.
+  Duration FirstInterval(double requests_per_s);
 
   std::mt19937_64 m_random;
   std::uint32_t m_hosts = 0;
--- a/src/libserving/gateway_backoff.cc
+++ b/src/libserving/gateway_backoff.cc
@@ -30,9 +30,24 @@
             {"incarnation", incarnation},
             {"is_limited", requests_per_s.has_value()},
             {"requests_per_s", requests_per_s.value_or(0.0)},
+            {"told_by", "upstream"},
             {"hosts", m_hosts.Count()}});
 }
 
+void Gateway::SetFleetRateLimits(const RateLimitReports& reports) {
+  for (const std::string& upstream : m_backoff.SetFleetRateLimits(Clock::now(), reports)) {
+    const RateLimitReport& report = reports.at(upstream);
+    m_metrics.Count("upstream_backoffs", report.requests_per_s ? "rate_limit" : "rate_limit_ended");
+    LogEvent(LogLevel::kInfo, "upstream_limited",
+             {{"upstream", upstream},
+              {"incarnation", report.incarnation},
+              {"is_limited", report.requests_per_s.has_value()},
+              {"requests_per_s", report.requests_per_s.value_or(0.0)},
+              {"told_by", "fleet"},
+              {"hosts", m_hosts.Count()}});
+  }
+}
+
 void Gateway::RecordRequestTo(const std::string& upstream) {
   m_backoff.RecordRequest(Clock::now(), upstream);
 }
--- a/src/libserving/upstream_backoff.cc
+++ b/src/libserving/upstream_backoff.cc
@@ -12,6 +12,8 @@
 // A host asks an upstream with a low limit this often whether the limit still holds.
 constexpr std::chrono::seconds kMaxInterval{30};
 constexpr double kMinRate = 1e-6;  // requests a second
+// A host that could not reach the control processes for a short time still reports an end to them.
+constexpr std::chrono::seconds kLimitEndReportTime{30};
 
 }  // namespace
 
@@ -28,31 +30,72 @@
 bool UpstreamBackoff::SetRateLimit(TimePoint now, const std::string& upstream,
                                    std::uint64_t incarnation, TimePoint sent_at,
                                    std::optional<double> requests_per_s) {
-  if (!requests_per_s) {
-    const auto known = m_entries.find(upstream);
-    const bool is_limited =
-        known != m_entries.end() && known->second.incarnation == incarnation && known->second.limit;
-    // An answer to an older request may have been begun before the limit was named.
-    if (!is_limited || sent_at <= known->second.limit->named_at) return false;
-    known->second.limit.reset();
-    return true;
-  }
-  std::optional<RateLimit>& limit = EntryOf(upstream, incarnation).limit;
-  const bool is_new = !limit || limit->requests_per_s != *requests_per_s;
-  const Duration interval = Interval(*requests_per_s);
+  if (!requests_per_s) return EndRateLimit(now, upstream, incarnation, sent_at);
+  Entry& entry = EntryOf(upstream, incarnation);
+  entry.limit_end.reset();
+  std::optional<RateLimit>& limit = entry.limit;
   if (!limit) {
-    // Hosts hear of the limit at the same time and must not go on at the same time.
-    std::uniform_real_distribution<double> part(0.0, 1.0);
-    const auto delay = std::chrono::duration_cast<Duration>(interval * part(m_random));
-    limit = RateLimit{*requests_per_s, now, now + delay};
+    limit = RateLimit{*requests_per_s, now, sent_at, now + FirstInterval(*requests_per_s)};
     return true;
   }
+  const bool is_new = limit->requests_per_s != *requests_per_s;
   limit->requests_per_s = *requests_per_s;
   limit->named_at = now;
-  limit->next_request_at = std::min(limit->next_request_at, now + interval);
+  limit->as_of = std::max(limit->as_of, sent_at);
+  limit->next_request_at = std::min(limit->next_request_at, now + Interval(*requests_per_s));
   return is_new;
 }
 
+bool UpstreamBackoff::EndRateLimit(TimePoint now, const std::string& upstream,
+                                   std::uint64_t incarnation, TimePoint sent_at) {
+  const auto known = m_entries.find(upstream);
+  if (known == m_entries.end() || known->second.incarnation != incarnation) return false;
+  Entry& entry = known->second;
+  if (!entry.limit) {
+    if (entry.limit_end) entry.limit_end->as_of = std::max(entry.limit_end->as_of, sent_at);
+    return false;
+  }
+  // An answer to an older request may have been begun before the limit was named.
+  if (sent_at <= entry.limit->named_at) return false;
+  entry.limit.reset();
+  entry.limit_end = RateLimitEnd{sent_at, now + kLimitEndReportTime};
+  return true;
+}
+
+RateLimitReports UpstreamBackoff::OwnRateLimits(TimePoint now) const {
+  RateLimitReports reports;
+  for (const auto& [name, entry] : m_entries) {
+    if (entry.limit) {
+      reports[name] = {entry.incarnation, entry.limit->requests_per_s, entry.limit->as_of};
+    } else if (entry.limit_end && now < entry.limit_end->report_until) {
+      reports[name] = {entry.incarnation, std::nullopt, entry.limit_end->as_of};
+    }
+  }
+  return reports;
+}
+
+std::vector<std::string> UpstreamBackoff::SetFleetRateLimits(TimePoint now,
+                                                             const RateLimitReports& reports) {
+  std::vector<std::string> changed;
+  for (const auto& [name, report] : reports) {
+    const auto known = m_entries.find(name);
+    if (known == m_entries.end() || known->second.incarnation != report.incarnation) continue;
+    std::optional<RateLimit>& limit = known->second.limit;
+    if (!limit || report.as_of <= limit->as_of) continue;
+    if (!report.requests_per_s) {
+      limit.reset();
+    } else if (*report.requests_per_s != limit->requests_per_s) {
+      limit->requests_per_s = *report.requests_per_s;
+      const TimePoint next = now + FirstInterval(*report.requests_per_s);
+      limit->next_request_at = std::min(limit->next_request_at, next);
+    } else {
+      continue;
+    }
+    changed.push_back(name);
+  }
+  return changed;
+}
+
 void UpstreamBackoff::RecordRequest(TimePoint now, const std::string& upstream) {
   const auto entry = m_entries.find(upstream);
   if (entry == m_entries.end() || !entry->second.limit) return;
@@ -67,10 +110,16 @@
   return std::chrono::duration_cast<Duration>(std::min(interval, longest));
 }
 
+Duration UpstreamBackoff::FirstInterval(double requests_per_s) {
+  std::uniform_real_distribution<double> part(0.0, 1.0);
+  return std::chrono::duration_cast<Duration>(Interval(requests_per_s) * part(m_random));
+}
+
 UpstreamBackoff::Entry& UpstreamBackoff::EntryOf(const std::string& upstream,
                                                  std::uint64_t incarnation) {
   Entry& entry = m_entries[upstream];
-  if (entry.incarnation != incarnation) entry = {incarnation, TimePoint{}, std::nullopt};
+  if (entry.incarnation != incarnation)
+    entry = {incarnation, TimePoint{}, std::nullopt, std::nullopt};
   return entry;
 }
 
--- a/src/libserving/upstream_backoff_test.cc
+++ b/src/libserving/upstream_backoff_test.cc
@@ -268,6 +268,62 @@
   }
 }
 
+// Guards against hosts that keep a limit for as long as they rarely ask the upstream.
+TEST_CASE("a host hears of the end or change of a limit from others") {
+  const TimePoint named_at{std::chrono::hours(1)};
+  const TimePoint later = named_at + std::chrono::seconds(2);
+  UpstreamTable upstreams;
+  upstreams.Apply(named_at, TestEngine("u", "a", "fast", 0, 80));
+  UpstreamBackoff teller(1);
+  UpstreamBackoff listener(2);
+  for (UpstreamBackoff* host : {&teller, &listener}) {
+    host->SetHosts(100);
+    host->SetRateLimit(named_at, "u", 1, named_at - milliseconds(5), 0.5);
+    host->RecordRequest(named_at, "u");
+  }
+  const auto is_blocked = [&](TimePoint at) {
+    std::set<std::string> blocked;
+    listener.AddBlocked(at, upstreams, &blocked);
+    return !blocked.empty();
+  };
+  const auto tell = [&] { return listener.SetFleetRateLimits(later, teller.OwnRateLimits(later)); };
+
+  SUBCASE("which it does not know while the limit holds") {
+    CHECK(tell().empty());
+    CHECK(is_blocked(later));
+  }
+  SUBCASE("once one of them has got an answer without it") {
+    CHECK(teller.SetRateLimit(later, "u", 1, later - milliseconds(5), std::nullopt));
+    CHECK(tell() == std::vector<std::string>{"u"});
+    CHECK_FALSE(is_blocked(later));
+    CHECK(tell().empty());
+  }
+  SUBCASE("for a time after the end, with the latest answer") {
+    CHECK(teller.SetRateLimit(later, "u", 1, later - milliseconds(5), std::nullopt));
+    CHECK_FALSE(teller.SetRateLimit(later, "u", 1, later, std::nullopt));
+    CHECK(teller.OwnRateLimits(later).at("u").as_of == later);
+    CHECK(teller.OwnRateLimits(later + std::chrono::minutes(1)).empty());
+  }
+  SUBCASE("but not from an answer that is older than its own") {
+    CHECK(teller.SetRateLimit(later, "u", 1, later - milliseconds(5), std::nullopt));
+    listener.SetRateLimit(later, "u", 1, later, 0.5);
+    CHECK(tell().empty());
+    CHECK(is_blocked(later));
+  }
+  SUBCASE("nor from another incarnation") {
+    RateLimitReports reports = teller.OwnRateLimits(later);
+    reports.at("u") = {2, std::nullopt, later};
+    CHECK(listener.SetFleetRateLimits(later, reports).empty());
+    CHECK(is_blocked(later));
+  }
+  SUBCASE("and then sends more requests, but not at once") {
+    teller.SetRateLimit(later, "u", 1, later - milliseconds(5), 50.0);
+    CHECK(tell() == std::vector<std::string>{"u"});
+    CHECK(is_blocked(later));
+    CHECK_FALSE(is_blocked(later + std::chrono::seconds(2)));
+  }
+}
+
 // Guards against requests beyond a limit that an upstream names in its answers, and against callers
 // that are refused although another upstream takes them.
 TEST_CASE("an upstream that names a limit gets no requests beyond it") {
