End the connections of the stand-in service without a traceback

A case that stopped its service printed a traceback of asyncio for each connection that was still open, dozens in a run of server-limit, which hides what the case itself says. The handler now ends quietly when it is cancelled.

--- a/testsuite/platform/load.py
+++ b/testsuite/platform/load.py
@@ -89,7 +89,7 @@
                 limit = f"Server-Limit: {self.limit}\r\n" if self.limit is not None else ""
                 writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request}\r\nX-Server-Stamp: s\r\n"
                              f"{limit}Content-Length: 2\r\n\r\nok".encode())
-        except (asyncio.IncompleteReadError, OSError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             return None
         finally:
             writer.close()
