Move the next request to a limited upstream when the number of hosts changes

A host that heard of a limit kept the time of its next request when it learned how many hosts share the limit: with too small a number the upstream got more than its limit until then, with too large a one the limit stayed unused. The time that is left now changes with the interval, which keeps the hosts apart.

The new section "and move their next requests when they become more or fewer" fails without the change (12 requests of at most 10.4, then 15 where more than 28.8 are due) and passes with it.

--- a/src/include/corneltray/upstream_backoff.h
+++ b/src/include/corneltray/upstream_backoff.h
@@ -25,8 +25,9 @@
   // `seed` must differ between hosts.
   explicit UpstreamBackoff(std::uint64_t seed = 1) : m_random(seed) {}
 
-  // Sets the number of entry hosts, which share the rate of an upstream equally; 0: not known.
-  void SetHosts(std::uint32_t hosts) { m_hosts = hosts; }
+  // Sets the number of entry hosts, which share the rate of an upstream equally; 0: not known. The
+  // time until the next request to an upstream with a limit changes with the interval.
+  void SetHosts(TimePoint now, std::uint32_t hosts);
   // The upstream is shutting down: it gets no more requests in this incarnation. Returns false if
   // that was known.
   bool MarkLeaving(const std::string& upstream, std::uint64_t incarnation);
@@ -94,7 +95,7 @@
   // Returns until when an upstream must not get a request; a time in the past if it may.
   TimePoint EndFor(const Announcement& upstream) const;
   // Time between two requests of this host.
-  Duration Interval(double requests_per_s) const;
+  Duration IntervalOf(double requests_per_s) const;
   // A random part of it, so that hosts that hear of a limit at the same time do not go on at once.
   Duration FirstInterval(double requests_per_s);
 
--- a/src/libserving/gateway_retries.cc
+++ b/src/libserving/gateway_retries.cc
@@ -58,7 +58,7 @@
 
 void Gateway::UpdateHosts(std::uint32_t told) {
   m_hosts.Update(told);
-  m_backoff.SetHosts(m_hosts.Count());
+  m_backoff.SetHosts(Clock::now(), m_hosts.Count());
   for (auto& [service, budget] : m_budgets) budget.SetHosts(m_hosts.Count());
 }
 
--- a/src/libserving/upstream_backoff.cc
+++ b/src/libserving/upstream_backoff.cc
@@ -15,8 +15,28 @@
 // A host that could not reach the control processes for a short time still reports an end to them.
 constexpr std::chrono::seconds kLimitEndReportTime{30};
 
+// Returns the time between two requests of each host to an upstream that names a limit.
+std::chrono::duration<double> Interval(double requests_per_s, std::uint32_t hosts) {
+  const double sharing = hosts == 0 ? kAssumedHosts : hosts;
+  const std::chrono::duration<double> longest = kMaxInterval;
+  const std::chrono::duration<double> interval(sharing / std::max(requests_per_s, kMinRate));
+  return std::min(interval, longest);
+}
+
 }  // namespace
 
+void UpstreamBackoff::SetHosts(TimePoint now, std::uint32_t hosts) {
+  const std::uint32_t before = std::exchange(m_hosts, hosts);
+  if (before == hosts) return;
+  for (auto& [name, entry] : m_entries) {
+    if (!entry.limit || entry.limit->next_request_at <= now) continue;
+    const double rate = entry.limit->requests_per_s;
+    const std::chrono::duration<double> left = entry.limit->next_request_at - now;
+    const auto scaled = left * (Interval(rate, hosts) / Interval(rate, before));
+    entry.limit->next_request_at = now + std::chrono::duration_cast<Duration>(scaled);
+  }
+}
+
 bool UpstreamBackoff::MarkLeaving(const std::string& upstream, std::uint64_t incarnation) {
   Entry& entry = EntryOf(upstream, incarnation);
   return std::exchange(entry.end, TimePoint::max()) != TimePoint::max();
@@ -42,7 +62,7 @@
   limit->requests_per_s = *requests_per_s;
   limit->named_at = now;
   limit->as_of = std::max(limit->as_of, sent_at);
-  limit->next_request_at = std::min(limit->next_request_at, now + Interval(*requests_per_s));
+  limit->next_request_at = std::min(limit->next_request_at, now + IntervalOf(*requests_per_s));
   return is_new;
 }
 
@@ -100,19 +120,16 @@
   const auto entry = m_entries.find(upstream);
   if (entry == m_entries.end() || !entry->second.limit) return;
   RateLimit& limit = *entry->second.limit;
-  limit.next_request_at = std::max(now, limit.next_request_at) + Interval(limit.requests_per_s);
+  limit.next_request_at = std::max(now, limit.next_request_at) + IntervalOf(limit.requests_per_s);
 }
 
-Duration UpstreamBackoff::Interval(double requests_per_s) const {
-  const double hosts = m_hosts == 0 ? kAssumedHosts : m_hosts;
-  const std::chrono::duration<double> longest = kMaxInterval;
-  const std::chrono::duration<double> interval(hosts / std::max(requests_per_s, kMinRate));
-  return std::chrono::duration_cast<Duration>(std::min(interval, longest));
+Duration UpstreamBackoff::IntervalOf(double requests_per_s) const {
+  return std::chrono::duration_cast<Duration>(Interval(requests_per_s, m_hosts));
 }
 
 Duration UpstreamBackoff::FirstInterval(double requests_per_s) {
   std::uniform_real_distribution<double> part(0.0, 1.0);
-  return std::chrono::duration_cast<Duration>(Interval(requests_per_s) * part(m_random));
+  return std::chrono::duration_cast<Duration>(IntervalOf(requests_per_s) * part(m_random));
 }
 
 UpstreamBackoff::Entry& UpstreamBackoff::EntryOf(const std::string& upstream,
--- a/src/libserving/upstream_backoff_test.cc
+++ b/src/libserving/upstream_backoff_test.cc
@@ -204,7 +204,7 @@
   std::vector<UpstreamBackoff> hosts;
   for (std::uint32_t seed = 1; seed <= kHosts; ++seed) {
     hosts.emplace_back(seed);
-    hosts.back().SetHosts(kHosts);
+    hosts.back().SetHosts(now, kHosts);
   }
   const auto is_blocked = [&](const UpstreamBackoff& host) {
     std::set<std::string> blocked;
@@ -253,6 +253,15 @@
     CHECK(hosts[0].SetRateLimit(now, "u", 1, now, std::nullopt));
     CHECK_FALSE(is_blocked(hosts[0]));
   }
+  SUBCASE("and move their next requests when they become more or fewer") {
+    const auto count_hosts = [&](std::uint32_t count) {
+      for (UpstreamBackoff& host : hosts) host.SetHosts(now, count);
+    };
+    count_hosts(4 * kHosts);
+    CHECK(send(std::chrono::seconds(8)).size() < 1.3 * 8 * kLimit / 4);
+    count_hosts(kHosts);
+    CHECK(send(std::chrono::seconds(8)).size() > 0.9 * 8 * kLimit);
+  }
   SUBCASE("until it starts again") {
     hosts[0].RecordRequest(now, "u");
     UpstreamUpdate restarted = TestEngine("u", "a", "fast", 0, 80);
@@ -277,7 +286,7 @@
   UpstreamBackoff teller(1);
   UpstreamBackoff listener(2);
   for (UpstreamBackoff* host : {&teller, &listener}) {
-    host->SetHosts(100);
+    host->SetHosts(named_at, 100);
     host->SetRateLimit(named_at, "u", 1, named_at - milliseconds(5), 0.5);
     host->RecordRequest(named_at, "u");
   }
