Keep low limits of upstreams where many hosts share them

Each host asked an upstream with a limit at least every 30 s whether it still holds.

The bound now holds for all hosts together.

--- a/src/libserving/upstream_backoff.cc
+++ b/src/libserving/upstream_backoff.cc
@@ -9,18 +9,15 @@
 
 // Entry hosts that a host assumes to share a limit until it is told their number.
 constexpr double kAssumedHosts = 50.0;
-// A host asks an upstream with a low limit this often whether the limit still holds.
-constexpr std::chrono::seconds kMaxInterval{30};
-constexpr double kMinRate = 1e-6;  // requests a second
+// The hosts together ask an upstream this often whether a low limit, or one of zero, still holds.
+constexpr double kMinRate = 1.0 / 30;  // requests a second
 // A host that could not reach the control processes for a short time still reports an end to them.
 constexpr std::chrono::seconds kLimitEndReportTime{30};
 
 // Returns the time between two requests of each host to an upstream that names a limit.
 std::chrono::duration<double> Interval(double requests_per_s, std::uint32_t hosts) {
   const double sharing = hosts == 0 ? kAssumedHosts : hosts;
-  const std::chrono::duration<double> longest = kMaxInterval;
-  const std::chrono::duration<double> interval(sharing / std::max(requests_per_s, kMinRate));
-  return std::min(interval, longest);
+  return std::chrono::duration<double>(sharing / std::max(requests_per_s, kMinRate));
 }
 
 }  // namespace
--- a/src/libserving/upstream_backoff_test.cc
+++ b/src/libserving/upstream_backoff_test.cc
@@ -238,6 +238,20 @@
       CHECK(in_window <= 1.5 * 4 * kLimit);
     }
   }
+  SUBCASE("also a low limit that many hosts share") {
+    constexpr double kLowLimit = 0.5;
+    for (std::uint32_t seed = kHosts + 1; seed <= 200; ++seed) hosts.emplace_back(seed);
+    for (UpstreamBackoff& host : hosts) host.SetHosts(now, 200);
+    name_limit(kLowLimit);
+    const std::vector<TimePoint> sent = send(std::chrono::seconds(60));
+    CHECK(sent.size() > 10);
+    for (const TimePoint begin : sent) {
+      const auto in_window = std::count_if(sent.begin(), sent.end(), [begin](TimePoint at) {
+        return begin <= at && at < begin + std::chrono::seconds(4);
+      });
+      CHECK(in_window <= 1.5 * 4 * kLowLimit + 5);
+    }
+  }
   SUBCASE("and say when the next request can be sent") {
     hosts[0].RecordRequest(now, "u");
     const auto end = hosts[0].EndOfInterval(now, upstreams, service);
