Write out what a build left before the end-to-end cases start

On booking-faults (a booking stays unknown while its entry host is frozen) and control-failover (a claim 11.5 s after the loss of a control host) failed once each at the same moment, beside a build of eight jobs. The control hosts of all cases share one disk of the machine. With three writers of 300 MB files beside three runs of each case, none of the six passed: four failed checks of this kind, two ended without a result; syncs of the writers took up to 3.2 s. With the temporary files in memory and the same writers six of six passed, and so did 30 runs beside a load of 6 to 12 without writers.

No check has changed.

--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -6,6 +6,7 @@
 
 import argparse
 import concurrent.futures
+import os
 import pathlib
 import re
 import subprocess
@@ -122,6 +123,8 @@
         passed, failed = run_unit(build, red)
     cases = []
     if not arguments.only_unit:
+        # What a build left to be written would hold up the syncs of the control hosts for seconds.
+        os.sync()
         cases = sorted(path.parent for path in (TOP / "testsuite").glob("*/run.py"))
         if arguments.cases:
             cases = [case for case in cases if case.name in arguments.cases]
