Grant retries for a service before its first request

A host reported a service for its quota only once it had had a request for it, so the quota came up to 0.6 s after the first one.

The host now keeps a budget for each service of its route table, and so reports them from the first fetch after the table.

The new test case fails without the change and passes with it.

--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -85,6 +85,8 @@
     router.SetEngines(name, m_upstreams);
     m_routers.emplace(name, std::move(router));
   }
+  // Only a service with a budget is reported, and granted retries before its first request.
+  for (const auto& [name, service] : table.services) BudgetOf(name);
   m_admission->SetRouteTable(table);
   if (!m_warm_up_end) m_warm_up_end = Clock::now() + kAnnouncementInterval;
   m_routes = std::make_shared<const RouteIndex>(std::move(table));
--- a/src/libserving/gateway_test.cc
+++ b/src/libserving/gateway_test.cc
@@ -593,5 +593,20 @@
   CHECK(second->requests == 0);
 }
 
+// Guards against a host that refuses the retries of the first requests for a service, because it
+// asks for a quota only with them.
+TEST_CASE("a host reports a service for its quota of retries before the first request") {
+  GatewayFixture fixture;
+  RouteTable table = MakeTable(2);
+  table.services["unused"] = {};
+  const auto is_reported = [&] {
+    return fixture.loop.Run(
+        [&] { return fixture.gateway->MakeRetryReport().services.count("unused") > 0; });
+  };
+  CHECK_FALSE(is_reported());
+  fixture.loop.Run([&] { fixture.gateway->SetRouteTable(table); });
+  CHECK(is_reported());
+}
+
 }  // namespace
 }  // namespace corneltray
