--- a/src/libserving/upstream_backoff.cc
+++ b/src/libserving/upstream_backoff.cc
@@ -132,8 +132,9 @@
 UpstreamBackoff::Entry& UpstreamBackoff::EntryOf(const std::string& upstream,
                                                  std::uint64_t incarnation) {
   Entry& entry = m_entries[upstream];
-  if (entry.incarnation != incarnation)
+  if (entry.incarnation != incarnation) {
     entry = {incarnation, TimePoint{}, std::nullopt, std::nullopt};
+  }
   return entry;
 }
 
