Count no retry for an attempt whose upstream accepted no connection

Callers got 503 within milliseconds although another upstream had room: the first upstream refused the connection, and the next attempt asked for a retry of the quota, which the streams of a crashed engine had used up.

The quota bounds what upstreams receive. An attempt that was not connected put nothing on any upstream, so the next one is the first that one receives. The number of such attempts of one request stays bounded by kMaxUnofferedAttempts.

--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -181,7 +181,7 @@
   void AvoidHost(TimePoint now, AttemptEvidence evidence);
   // Whether an attempt that ended like this may have reached an upstream, so that the next one is a
   // retry.
-  bool WasOffered(TimePoint now, AttemptEvidence evidence) const;
+  bool WasOffered(AttemptEvidence evidence) const;
   // Adds what another host that has forwarded the request needs to know.
   void AddServedBy(const std::string& upstream, std::uint64_t incarnation, HttpHead* head) const;
 
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -422,7 +422,7 @@
   const TimePoint now = Clock::now();
   const AttemptOutcome outcome = ClassifyAttempt(evidence, IsRetrySafe(*m_request.route));
   if (!m_attempt->host && IsLostConnection(evidence)) m_gateway->SuspectIsolation();
-  const bool is_offered = WasOffered(now, evidence);
+  const bool is_offered = WasOffered(evidence);
   RecordFailedAttempt(now, evidence, loss);
   const bool has_time = now < m_request.deadline;
   const bool may_try_now = has_time && CanRetry(outcome, CountRuns(now, m_runs));
@@ -447,7 +447,7 @@
     m_host_runs += m_attempt->host_upstreams;
     if (!m_attempt->host) m_runs.Add(m_gateway->Upstreams(), m_attempt->upstream, evidence);
   }
-  if (!WasOffered(now, evidence)) ++m_unoffered;
+  if (!WasOffered(evidence)) ++m_unoffered;
   LogAttemptFailure(now, evidence, has_run);
   if (evidence == AttemptEvidence::kNoAnswer) RecordCrash(CrashPhase::kBeforeHead);
   if (evidence == AttemptEvidence::kTruncated) RecordCrash(CrashPhase::kBeforeFirstEvent);
--- a/src/libserving/exchange_forward.cc
+++ b/src/libserving/exchange_forward.cc
@@ -117,10 +117,8 @@
   m_gateway->GetForwardHosts().Avoid(m_attempt->address, now + kHostAvoidance);
 }
 
-bool Exchange::WasOffered(TimePoint now, AttemptEvidence evidence) const {
-  if (evidence == AttemptEvidence::kNotConnected) {
-    return !m_attempt->host && !m_gateway->IsReachUnknown(now);
-  }
+bool Exchange::WasOffered(AttemptEvidence evidence) const {
+  if (evidence == AttemptEvidence::kNotConnected) return false;
   const bool is_refused_by_host = m_attempt->host && evidence == AttemptEvidence::kRefused;
   return !is_refused_by_host || m_attempt->host_attempts > 0;
 }
