Keep log records of a newer version instead of cutting them off

An intact record whose kind this version does not know was taken for an interrupted write at the end of the log and cut off, or for damage in the middle. A host that is started with an older version would lose acknowledged entries without a sign.

A record whose checksum is right was written as it stands. With an unknown kind the start now fails with kNewerFormat and the offset, and the file stays as it is.

log_storage_test.cc: the new case fails without the change (the log is opened and truncated), and passes with it.

--- a/src/include/corneltray/log_storage.h
+++ b/src/include/corneltray/log_storage.h
@@ -22,6 +22,7 @@
   kWrongHost,         // the folder belongs to a host of another name
   kInUse,             // another process has the folder open
   kOutOfOrder,        // a record does not follow the last one; writing it again cannot succeed
+  kNewerFormat,       // a newer version wrote the file; the detail names the file and the offset
 };
 
 std::error_code make_error_code(StorageErrc errc);
--- a/src/libcorneltray/log_storage.cc
+++ b/src/libcorneltray/log_storage.cc
@@ -40,6 +40,8 @@
         return "the folder is in use by another process";
       case StorageErrc::kOutOfOrder:
         return "record out of order";
+      case StorageErrc::kNewerFormat:
+        return "a newer version of the program wrote this file";
     }
     return "unknown storage error";
   }
@@ -262,6 +264,10 @@
   std::size_t offset = kLogHeaderBytes;
   while (offset < bytes.size()) {
     auto record = DecodeLogRecord(bytes, offset);
+    if (!record && IsRecordOfNewerFormat(bytes, offset)) {
+      return Error{StorageErrc::kNewerFormat,
+                   PathOf(kLogName) + " at offset " + std::to_string(offset)};
+    }
     if (!record) return TruncateTornTail(bytes, offset);
     if (record->entry.index != LastIndex() + 1) {
       return CorruptError(PathOf(kLogName), offset,
--- a/src/libcorneltray/log_storage_codec.cc
+++ b/src/libcorneltray/log_storage_codec.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kMagicBytes = 8;
 constexpr std::size_t kRecordPrefixBytes = 4 + 8;
 constexpr std::size_t kRecordFixedBytes = 8 + 8 + 1 + 8;
+constexpr std::size_t kRecordKindOffset = 8 + 8;
 // Payloads are at most kMaxEntryBytes; a record with a greater length is damaged and not hashed.
 constexpr std::size_t kMaxRecordBodyBytes = kMaxEntryBytes + kRecordFixedBytes + 4096;
 constexpr std::size_t kChecksumBytes = 8;
@@ -55,6 +56,29 @@
   return body;
 }
 
+// Returns what follows the checksum of a record, or nullopt if no complete record with a valid
+// checksum starts at the offset.
+std::optional<std::string_view> VerifiedRecordBody(std::string_view bytes, std::size_t offset) {
+  if (bytes.size() < offset + kRecordPrefixBytes + kRecordFixedBytes) return std::nullopt;
+  const std::size_t length = GetNumber<std::uint32_t>(bytes, offset);
+  if (length < kRecordFixedBytes || length > kMaxRecordBodyBytes) return std::nullopt;
+  if (bytes.size() - offset - kRecordPrefixBytes < length) return std::nullopt;
+  const std::string_view body = bytes.substr(offset + kRecordPrefixBytes, length);
+  if (GetNumber<std::uint64_t>(bytes, offset + 4) != Checksum(bytes.substr(offset, 4), body)) {
+    return std::nullopt;
+  }
+  return body;
+}
+
+std::uint8_t RecordKind(std::string_view body) {
+  const auto flagged_kind = GetNumber<std::uint8_t>(body, kRecordKindOffset);
+  return static_cast<std::uint8_t>(flagged_kind & ~kFollowsSyncFlag);
+}
+
+bool IsKnownKind(std::uint8_t kind) {
+  return kind <= static_cast<std::uint8_t>(EntryKind::kMembers);
+}
+
 Json ToJson(const ReplicaId& id) { return {id.host, id.disk_identity}; }
 
 ReplicaId ReplicaIdFromJson(const Json& value) {
@@ -99,28 +123,26 @@
 }
 
 std::optional<DecodedRecord> DecodeLogRecord(std::string_view bytes, std::size_t offset) {
-  if (bytes.size() < offset + kRecordPrefixBytes + kRecordFixedBytes) return std::nullopt;
-  const std::size_t length = GetNumber<std::uint32_t>(bytes, offset);
-  if (length < kRecordFixedBytes || length > kMaxRecordBodyBytes) return std::nullopt;
-  if (bytes.size() - offset - kRecordPrefixBytes < length) return std::nullopt;
-  const std::string_view body = bytes.substr(offset + kRecordPrefixBytes, length);
-  if (GetNumber<std::uint64_t>(bytes, offset + 4) != Checksum(bytes.substr(offset, 4), body)) {
-    return std::nullopt;
-  }
-  const auto flagged_kind = GetNumber<std::uint8_t>(body, 16);
-  const auto kind = static_cast<std::uint8_t>(flagged_kind & ~kFollowsSyncFlag);
-  if (kind > static_cast<std::uint8_t>(EntryKind::kMembers)) return std::nullopt;
+  const auto body = VerifiedRecordBody(bytes, offset);
+  if (!body) return std::nullopt;
+  const std::uint8_t kind = RecordKind(*body);
+  if (!IsKnownKind(kind)) return std::nullopt;
   DecodedRecord record;
-  record.follows_sync = (flagged_kind & kFollowsSyncFlag) != 0;
-  record.entry.index = GetNumber<std::uint64_t>(body, 0);
-  record.entry.term = GetNumber<std::uint64_t>(body, 8);
+  record.follows_sync = (GetNumber<std::uint8_t>(*body, kRecordKindOffset) & kFollowsSyncFlag) != 0;
+  record.entry.index = GetNumber<std::uint64_t>(*body, 0);
+  record.entry.term = GetNumber<std::uint64_t>(*body, 8);
   record.entry.kind = static_cast<EntryKind>(kind);
-  record.entry.timestamp = GetNumber<UnixMs>(body, 17);
-  record.entry.payload = std::string(body.substr(kRecordFixedBytes));
-  record.size = kRecordPrefixBytes + length;
+  record.entry.timestamp = GetNumber<UnixMs>(*body, 17);
+  record.entry.payload = std::string(body->substr(kRecordFixedBytes));
+  record.size = kRecordPrefixBytes + body->size();
   return record;
 }
 
+bool IsRecordOfNewerFormat(std::string_view bytes, std::size_t offset) {
+  const auto body = VerifiedRecordBody(bytes, offset);
+  return body && !IsKnownKind(RecordKind(*body));
+}
+
 std::optional<std::size_t> FindRecordAfter(std::string_view bytes, std::size_t offset) {
   for (std::size_t at = offset + 1; at < bytes.size(); ++at) {
     if (DecodeLogRecord(bytes, at)) return at;
--- a/src/libcorneltray/log_storage_codec.h
+++ b/src/libcorneltray/log_storage_codec.h
@@ -34,6 +34,10 @@
 // Returns nullopt if no complete record with a valid checksum starts at the offset.
 std::optional<DecodedRecord> DecodeLogRecord(std::string_view bytes, std::size_t offset);
 
+// Returns whether an intact record starts at the offset whose kind this version does not know. It
+// may have been acknowledged, so it must not be cut off as an interrupted write.
+bool IsRecordOfNewerFormat(std::string_view bytes, std::size_t offset);
+
 // Returns the offset of the first valid record after `offset`, or nullopt.
 std::optional<std::size_t> FindRecordAfter(std::string_view bytes, std::size_t offset);
 
--- a/src/libcorneltray/log_storage_test.cc
+++ b/src/libcorneltray/log_storage_test.cc
@@ -400,6 +400,18 @@
       CHECK(ReadFile(folder.File("log")) == whole);
     }
   }
+  // Guards against the loss of acknowledged entries when a host is started with an older version.
+  SUBCASE("an intact last record of an unknown kind is an error and is kept") {
+    LogEntry newer = Entry(4, 3);
+    newer.kind = static_cast<EntryKind>(9);
+    const std::string bytes = whole.substr(0, last) + EncodeLogRecord(newer, true);
+    WriteFile(folder.File("log"), bytes);
+    const auto opened = LogStorage::Open(folder.Data(), "a");
+    REQUIRE_FALSE(opened.Ok());
+    CHECK(opened.error().code == StorageErrc::kNewerFormat);
+    CHECK(opened.error().detail.find("offset " + std::to_string(last)) != std::string::npos);
+    CHECK(ReadFile(folder.File("log")) == bytes);
+  }
   SUBCASE("any damaged byte of a synced record before a valid one is an error with its offset") {
     for (std::size_t at = kLogHeaderBytes + record; at < kLogHeaderBytes + 2 * record; ++at) {
       CAPTURE(at);
