Refuse requests between processes whose type is unknown

A message of a type that only a newer build knows was dropped as malformed, so its sender waited until its deadline for an answer. While hosts are replaced one after the other, such requests reach older builds.

The type is decoded as kUnknown. A request of it is answered as one without a handler, at once; a push is ignored. Both are counted in the metrics of messages under 'unknown'.

peer_test.cc asks for an answer before the deadline, peer_session_test.cc for a decoded message in place of kMalformed; both fail on the code before.

--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -34,6 +34,7 @@
   kLeaseRelease,       // push: the holder gives the lease up
   kReply,              // answers a request that succeeded
   kError,              // answers a request that was refused
+  kUnknown,            // any type that this version does not know; never sent
 };
 
 template <>
@@ -66,6 +67,7 @@
       {MessageType::kLeaseRelease, "lease_release"},
       {MessageType::kReply, "reply"},
       {MessageType::kError, "error"},
+      {MessageType::kUnknown, "unknown"},
   };
 };
 
--- a/src/libcorneltray/peer_frame.cc
+++ b/src/libcorneltray/peer_frame.cc
@@ -48,10 +48,9 @@
   json& decoded = *parsed;
   const auto type = decoded.find("type");
   if (type == decoded.end() || !type->is_string()) return std::nullopt;
-  const auto known = ParseEnum<MessageType>(type->get_ref<const std::string&>());
-  if (!known) return std::nullopt;
   PeerMessage message;
-  message.type = *known;
+  message.type = ParseEnum<MessageType>(type->get_ref<const std::string&>())
+                     .value_or(MessageType::kUnknown);
   for (const auto& [key, target] : {std::pair<const char*, std::uint64_t*>{"id", &message.id},
                                     {"reply_to", &message.reply_to}}) {
     const auto field = decoded.find(key);
--- a/src/libcorneltray/peer_session_test.cc
+++ b/src/libcorneltray/peer_session_test.cc
@@ -77,6 +77,12 @@
   SUBCASE("and bytes that are no message are dropped without losing the link") {
     CHECK(pair.acceptor.Receive("short").event == SessionEvent::kMalformed);
     CHECK(pair.acceptor.Receive(pair.opener.Seal("\xff\xff")).event == SessionEvent::kMalformed);
+    std::string newer;
+    nlohmann::json::to_cbor({{"type", "type_of_a_newer_version"}, {"id", 7}}, newer);
+    const SessionInput input = pair.acceptor.Receive(pair.opener.Seal(newer));
+    CHECK(input.event == SessionEvent::kMessage);
+    CHECK(input.message.type == MessageType::kUnknown);
+    CHECK(input.message.id == 7);
     CHECK(pair.acceptor.Receive(pair.opener.Seal(Gossip(8))).event == SessionEvent::kMessage);
   }
 }
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -195,6 +195,15 @@
     REQUIRE_FALSE(reply.Ok());
     CHECK(reply.error().detail.find("lease_request") != std::string::npos);
   }
+  // Guards against a newer version that waits until its deadline for an answer of an older one.
+  SUBCASE("a request of a type that this version does not know is refused at once") {
+    std::promise<Result<json>> promise;
+    a.node.Request("b", MessageType::kUnknown, {}, Clock::now() + kPatience,
+                   [&](Result<json> reply) { promise.set_value(std::move(reply)); });
+    const auto reply = promise.get_future().get();
+    REQUIRE_FALSE(reply.Ok());
+    CHECK(reply.error().code == make_error_code(PeerErrc::kRefused));
+  }
   SUBCASE("an unknown host is reported at once") {
     const auto reply = Ask(&a.node, "nobody", {{"number", 1}});
     REQUIRE_FALSE(reply.Ok());
