Propose a command of the log only if all members read it

A member that cannot decode a command skipped it, since 'decoding fails in the same way on every replica'.

Each command has a log version, and each control process tells in the hello of its links which one it reads. The leader proposes a command only if all members read its version; a process that meets a command of an unknown name ends with a message instead of skipping it.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -58,6 +58,7 @@
       m_node(m_options.node),
       m_replica(MakeReplicaOptions(m_options.founding_quorum), std::move(storage->Recovered()),
                 Clock::now()),
+      m_member_log_versions(m_options.host),
       m_storage(std::move(storage),
                 [this](std::uint64_t sequence, const corneltray::Status& status) {
                   m_node->Post([this, sequence, status] { OnPersisted(sequence, status); });
@@ -190,16 +191,20 @@
 
 void ControlNode::Apply(const std::vector<LogEntry>& entries) {
   for (const LogEntry& entry : entries) {
+    if (m_has_unknown_command) return;
     m_applied_index = entry.index;
     m_applied_term = entry.term;
     json reply;
     m_applied_bytes += entry.payload.size();
     if (entry.kind == EntryKind::kCommand) {
       const auto command = DecodeCommand(entry.payload);
+      if (!command && command.error().code == ControlStateErrc::kUnknownCommand) {
+        return RefuseUnknownCommand(entry, command.error());
+      }
       if (command) {
         reply = ReplyBody(m_state.Apply(command.value(), entry.timestamp));
       } else {
-        // Decoding fails in the same way on every replica, so the states stay equal.
+        // A known command is malformed for every replica, so the states stay equal.
         LogEvent(LogLevel::kError, "log_command_refused",
                  {{"index", entry.index}, {"error", command.error().ToString()}});
         reply = ErrorBody(ControlErrc::kNotProposed, command.error().ToString());
@@ -218,6 +223,12 @@
   }
 }
 
+void ControlNode::RefuseUnknownCommand(const LogEntry& entry, const Error& error) {
+  m_has_unknown_command = true;
+  m_options.on_fatal("entry " + std::to_string(entry.index) +
+                     " of the log was written by a newer version: " + error.ToString());
+}
+
 void ControlNode::Restore(const Snapshot& snapshot) {
   const corneltray::Status restored = m_state.Restore(*snapshot.data);
   if (!restored) {
@@ -285,6 +296,7 @@
 void ControlNode::CompactIfDue() {
   const std::uint64_t due =
       std::max<std::uint64_t>(kMinEntriesPerSnapshot, m_state.GetBookings().Size() / 4);
+  if (m_has_unknown_command) return;
   const bool is_due =
       m_applied_index >= m_compacted_index + due || m_applied_bytes >= kMaxBytesPerSnapshot;
   if (!is_due || m_storage_failed) return;
@@ -336,6 +348,16 @@
   return true;
 }
 
+LogVersion ControlNode::ProposableLogVersion() {
+  for (const PeerStatus& peer : m_node->Peers()) {
+    if (peer.identity.program != kControlProgram) continue;
+    m_member_log_versions.Tell(peer.identity.host, peer.identity.log_version);
+  }
+  // All members had to read a version before it was first used, also those that are not linked now.
+  const LogVersion used = m_state.GetLogVersion();
+  return std::max(used, m_member_log_versions.ReadByAll(m_replica.GetStatus().members));
+}
+
 void ControlNode::Propose(const json& body, const Responder& respond) {
   if (ForwardToLeader(MessageType::kPropose, body, respond)) return;
   const TimePoint deadline = DeadlineOf(body);
@@ -346,6 +368,12 @@
     respond(decoded.error());
     return;
   }
+  const LogVersion proposable = ProposableLogVersion();
+  if (LogVersionOf(decoded.value()) > proposable) {
+    respond(ErrorBody(ControlErrc::kNotProposed,
+                      "not all members read a log version above " + std::to_string(proposable)));
+    return;
+  }
   if (const auto* change = std::get_if<ApplyConfiguration>(&decoded.value())) {
     command = EncodeCommand(PrepareChange(*change));
   }
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -20,6 +20,7 @@
 #include "corneltray/forward_report.h"
 #include "corneltray/leader_watch.h"
 #include "corneltray/log_storage.h"
+#include "corneltray/member_log_versions.h"
 #include "corneltray/peer.h"
 #include "corneltray/rate_limit_report.h"
 #include "corneltray/read_batcher.h"
@@ -158,6 +159,8 @@
   void OnStorageFailed(TimePoint now, const Error& error);
   void CheckStorageBacklog();
   void Apply(const std::vector<LogEntry>& entries);
+  // Ends the process: an entry that this version cannot read must not be skipped.
+  void RefuseUnknownCommand(const LogEntry& entry, const Error& error);
   void Restore(const Snapshot& snapshot);
   void OnRoleChanged(const RoleChanged& change);
   void OnVoteRefused(const VoteRefused& refused);
@@ -175,6 +178,8 @@
   FleetPace SumOfPace() const;
   void CompactIfDue();
   void ScheduleTick();
+  // Returns the highest version of commands that this process may propose as the leader.
+  LogVersion ProposableLogVersion();
   // Forwards a request to the leader. Returns false when this process is the leader.
   bool ForwardToLeader(MessageType type, const nlohmann::json& body, const Responder& respond);
   nlohmann::json MakeStatus() const;
@@ -217,6 +222,8 @@
   ForwardHostTable m_leader_forward_hosts;                   // that serve, from the leader
   nlohmann::json m_unsent_forward_reports = nlohmann::json::object();  // for the leader
   bool m_needs_forward_hosts = false;  // an isolated host has asked since the last read
+  MemberLogVersions m_member_log_versions;
+  bool m_has_unknown_command = false;  // applies nothing more until the process ends
   std::uint64_t m_applied_bytes = 0;   // of entries since the last snapshot
   std::map<VoteRefusal, std::uint64_t> m_vote_refusals;  // since the start
   bool m_leader_reported = false;
--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -188,8 +188,8 @@
   int Start(std::unique_ptr<LogStorage> storage) {
     const auto incarnation = static_cast<std::uint64_t>(UnixNow());
     PeerOptions peer;
-    peer.identity = {m_settings.peer_name, kControlProgram, m_settings.region,
-                     m_settings.availability_zone, incarnation};
+    peer.identity = {m_settings.peer_name,         kControlProgram, m_settings.region,
+                     m_settings.availability_zone, incarnation,     kOwnLogVersion};
     peer.listen_address = m_settings.peer_address;
     peer.advertise_address = m_settings.peer_advertise;
     peer.shared_key = m_settings.shared_key;
--- a/src/include/corneltray/control_state.h
+++ b/src/include/corneltray/control_state.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "corneltray/booking.h"
+#include "corneltray/log_version.h"
 #include "corneltray/part_verdict_store.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
@@ -21,6 +22,7 @@
 enum class ControlStateErrc {
   kMalformedSnapshot = 1,
   kMalformedCommand,
+  kUnknownCommand,  // only other versions of the program read it
 };
 
 std::error_code make_error_code(ControlStateErrc errc);
@@ -164,6 +166,8 @@
   const BookingTable& GetBookings() const { return m_bookings; }
   const RouteTableStore& GetRouteTable() const { return m_route_table; }
   const PartVerdictStore& GetPartVerdicts() const { return m_part_verdicts; }
+  // Returns the highest version of any applied command.
+  LogVersion GetLogVersion() const { return m_log_version; }
   // Returns the latest leader timestamp of any applied command.
   UnixMs LogTime() const { return m_log_time; }
 
@@ -177,6 +181,7 @@
   ConfigurationStore m_configuration;
   RouteTableStore m_route_table;
   PartVerdictStore m_part_verdicts;
+  LogVersion m_log_version = kFirstLogVersion;
   UnixMs m_log_time = 0;
 };
 
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "corneltray/log_version.h"
 #include "corneltray/messages.h"
 #include "corneltray/result.h"
 #include "corneltray/time.h"
@@ -33,6 +34,7 @@
   std::string region;
   std::string availability_zone;
   std::uint64_t incarnation = 0;
+  LogVersion log_version = kFirstLogVersion;  // that a control process reads
 };
 
 struct PeerOptions {
--- a/src/libcorneltray/booking.cc
+++ b/src/libcorneltray/booking.cc
@@ -250,7 +250,7 @@
     for (const CommandDecoder& decoder : kDecoders) {
       if (decoder.name == name) return decoder.decode(value);
     }
-    return Malformed("unknown command " + name);
+    return Error{ControlStateErrc::kUnknownCommand, name};
   } catch (const json::exception& failure) {
     return Malformed(failure.what());
   }
--- a/src/libcorneltray/control_state.cc
+++ b/src/libcorneltray/control_state.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "booking_json.h"
+#include "corneltray/member_log_versions.h"
 
 namespace corneltray {
 namespace {
@@ -24,6 +25,8 @@
         return "malformed snapshot of the replicated state";
       case ControlStateErrc::kMalformedCommand:
         return "malformed command or reply";
+      case ControlStateErrc::kUnknownCommand:
+        return "a command that this version of the program does not know";
     }
     return "unknown error of the replicated state";
   }
@@ -58,6 +61,7 @@
 
 CommandReply ControlState::Apply(const Command& command, UnixMs leader_time) {
   m_log_time = std::max(m_log_time, leader_time);
+  m_log_version = std::max(m_log_version, LogVersionOf(command));
   m_bookings.Expire(m_log_time, m_configuration.RetentionMs());
   struct Visitor {
     ControlState& state;
@@ -92,6 +96,7 @@
 
 std::string ControlState::Snapshot() const {
   const json header = {{"version", kSnapshotVersion},
+                       {"log_version", m_log_version},
                        {"log_time", m_log_time},
                        {"configuration", m_configuration.Snapshot()},
                        {"route_table", m_route_table.Snapshot()},
@@ -122,6 +127,8 @@
     const int version = header.at("version");
     if (version != kSnapshotVersion) return malformed("unknown version " + std::to_string(version));
     ControlState restored;
+    // Absent in snapshots written by builds that do not tell their version.
+    restored.m_log_version = header.value("log_version", kFirstLogVersion);
     restored.m_log_time = header.at("log_time");
     restored.m_configuration.Restore(header.at("configuration"));
     // Absent in snapshots written by versions without a route table or without verdicts.
--- a/src/libcorneltray/peer_session.cc
+++ b/src/libcorneltray/peer_session.cc
@@ -13,6 +13,7 @@
           {"availability_zone", hello.identity.availability_zone},
           {"region", hello.identity.region},
           {"incarnation", hello.identity.incarnation},
+          {"log_version", hello.identity.log_version},
           {"address", hello.address},
           {"replaces", hello.replaces},
           {"nonce", json::binary({nonce.begin(), nonce.end()})}};
@@ -26,6 +27,8 @@
     hello.identity.availability_zone = body.at("availability_zone");
     hello.identity.region = body.at("region");
     hello.identity.incarnation = body.at("incarnation");
+    // Absent in the hello of builds that do not tell their version.
+    hello.identity.log_version = body.value("log_version", kFirstLogVersion);
     hello.address = body.at("address");
     hello.replaces = body.at("replaces");
     return hello;
