Use what broken copies of several zones hold when all whole copies are full

Callers got 503 within 4 ms while engines were idle.

engine_router_test.cc: the new case failed before (7 checks), none fails now.

--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -215,7 +215,10 @@
   std::size_t ApplyPace(const std::vector<ModelCopy>& copies, std::vector<double> weights,
                         std::size_t selected, std::vector<std::string>* limited);
   const Engine* FindAddress(const std::string& address) const;
-  ChainChoice FindCheapest(TimePoint now, const std::vector<bool>& usable);
+  ModelCopy FindCheapest(TimePoint now, const std::vector<bool>& usable);
+  // Clears the marks of the engines that the copies of a pool use. Returns whether a copy has room.
+  static bool MarkUsed(const std::vector<ModelCopy>& copies, const Pool& pool,
+                       std::vector<bool>* spare);
 
   std::string m_own_zone;
   EngineProfile m_profile;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -1,6 +1,7 @@
 #include "corneltray/engine_router.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace corneltray {
@@ -282,25 +283,43 @@
 
 ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable,
                                       std::optional<TimePoint> first_event_by) {
-  ChainChoice best =
-      SelectRandomCopy(now, FindCopies(now, usable, &m_zones.front()), first_event_by);
+  const std::vector<ModelCopy> own = FindCopies(now, usable, &m_zones.front());
+  ChainChoice best = SelectRandomCopy(now, own, first_event_by);
   if (!best.stages.empty() && best.load < kHighLoad) return best;
   const auto take_cheaper = [&best](ChainChoice choice) {
     if (choice.stages.empty()) return;
     if (best.stages.empty() || choice.cost_s < best.cost_s) best = std::move(choice);
   };
+  std::vector<bool> spare = usable;  // engines that belong to no copy of a zone
+  bool has_room = MarkUsed(own, m_zones.front(), &spare);
   std::vector<ModelCopy> others;
   for (std::size_t i = 1; i < m_zones.size(); ++i) {
-    for (ModelCopy& copy : FindCopies(now, usable, &m_zones[i])) others.push_back(std::move(copy));
+    std::vector<ModelCopy> copies = FindCopies(now, usable, &m_zones[i]);
+    has_room = MarkUsed(copies, m_zones[i], &spare) || has_room;
+    std::move(copies.begin(), copies.end(), std::back_inserter(others));
   }
   take_cheaper(SelectRandomCopy(now, others, first_event_by));
-  // A chain across zones holds memory of several copies and sends every prompt through the links
-  // between zones, so it is used only if no zone has a whole copy. Full copies are no reason for
-  // it.
-  if (best.stages.empty()) best = FindCheapest(now, usable);
+  // A chain across zones sends every prompt through the links between zones, so it is used only if
+  // no zone has a whole copy, or if all copies are full. In the latter case it must not take memory
+  // of copies that are in use, only what broken copies of several zones have left.
+  if (best.stages.empty()) return FindCheapest(now, usable).choice;
+  if (!has_room) {
+    ModelCopy left_over = FindCheapest(now, spare);
+    if (!left_over.choice.stages.empty() && !left_over.is_full) return left_over.choice;
+  }
   return best;
 }
 
+bool EngineRouter::MarkUsed(const std::vector<ModelCopy>& copies, const Pool& pool,
+                            std::vector<bool>* spare) {
+  bool has_room = false;
+  for (const ModelCopy& copy : copies) {
+    has_room = has_room || !copy.is_full;
+    for (const std::uint32_t slot : copy.slots) (*spare)[pool.engines[slot]] = false;
+  }
+  return has_room;
+}
+
 // Sets the cost of a typical request at each engine of the pool, regardless of load.
 void EngineRouter::SetCosts(TimePoint now, const std::vector<bool>& usable, Pool* pool) {
   for (std::size_t i = 0; i < pool->engines.size(); ++i) {
@@ -351,7 +370,7 @@
 }
 
 // Returns the lowest-cost chain over the engines of all zones, with costs that grow with load.
-ChainChoice EngineRouter::FindCheapest(TimePoint now, const std::vector<bool>& usable) {
+EngineRouter::ModelCopy EngineRouter::FindCheapest(TimePoint now, const std::vector<bool>& usable) {
   SetCosts(now, usable, &m_all);
   for (std::size_t i = 0; i < m_all.engines.size(); ++i) {
     const Engine& engine = m_engines[m_all.engines[i]];
@@ -359,7 +378,9 @@
     const bool has_room = m_pace == nullptr || m_pace->HasRoom(engine.name);
     if (!has_room) m_all.slots[i].hop_cost_s += kFullPenaltySeconds;
   }
-  return Find(now, &m_all, SearchKind::kAnyRanges).choice;
+  ModelCopy copy = Find(now, &m_all, SearchKind::kAnyRanges);
+  if (!copy.choice.stages.empty()) SetLoad(now, &copy);
+  return copy;
 }
 
 // Repeatedly removes the lowest-cost chain from the pool: first chains of whole ranges, which are
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -234,6 +234,38 @@
   }
 }
 
+// Guards against refusals while engines are idle: the repair of one zone left a whole copy with
+// little memory for prompts, which got all requests, although broken copies of the other zones held
+// all layers together.
+TEST_CASE("what broken copies of several zones hold is used when all whole copies are full") {
+  RouterFixture fixture;
+  for (const char* zone : {"c", "d"}) {
+    const std::string z = zone;
+    fixture.Add(TestEngine(z + "-f1", z, "fast", 0, 40));
+    fixture.Add(TestEngine(z + "-f2", z, "fast", 40, 80));
+  }
+  // Neither of the two zones holds all layers any more, both together do.
+  const std::set<std::string> lost{"c-f1", "d-f2", "b-s3"};
+  fixture.router.SetEngines("s", fixture.table);
+  const auto choose = [&] { return fixture.Choose(lost); };
+  CHECK(choose().scope == ChainScope::kOwnZone);
+  fixture.router.MarkFull(fixture.now, "a-s3");
+  const ChainChoice left_over = choose();
+  CHECK(left_over.scope == ChainScope::kAcrossZones);
+  CHECK(Runs(left_over, "d-f1"));
+  CHECK(Runs(left_over, "c-f2"));
+  CheckEveryLayerOnce(left_over);
+
+  SUBCASE("but not what a full copy holds") {
+    // The engines of the copy of zone a hold all layers but those of the full one.
+    CHECK_FALSE(Runs(left_over, "a-f1"));
+  }
+  SUBCASE("and not if it is full as well") {
+    fixture.router.MarkFull(fixture.now, "c-f2");
+    CHECK(choose().scope == ChainScope::kOwnZone);
+  }
+}
+
 // Guards against a decision about admission that is based on one zone, or on nothing at all.
 TEST_CASE("the room of a service is that of all copies") {
   EngineProfile profile = TestProfile();
