Count crashes that follow each other within a tenth of a second separately

Sound requests were refused for ten seconds because no chain was left: a prompt part crashed five engines, one after the other, although the first two crashes named it. Crashes within 100 ms counted as one, as after a loss of power, so the part was not quarantined before two more engines had crashed, at 25.8 and 26.2 s. They were the first stages that the other zones had left; 'no_upstream' until 34 s.

Crashes have a common cause if each follows the one before within 30 ms, and all fall within the 100 ms as before: hosts report a loss of power within milliseconds, while requests that wait for their answers crash upstreams independently of each other.

crash_attribution_test.cc: the new case failed before; 'upstreams that crash at the same moment count as one crash' is unchanged and passes.

--- a/src/include/corneltray/crash_attribution.h
+++ b/src/include/corneltray/crash_attribution.h
@@ -26,9 +26,12 @@
 // Each time that a suspected part turned out to be sound raises both by one, up to this many,
 // because many requests share such a part and it is present in most crashes.
 constexpr std::uint32_t kMaxClearances = 2;
-// Upstreams that crash within this time of each other have a common cause, such as a loss of power,
-// and count as one crash.
+// Upstreams that crash within kCommonCauseWindow, none of them later than kCommonCauseGap after the
+// one before, have a common cause, such as a loss of power, and count as one crash. Requests that
+// crash one upstream each do so tens of milliseconds apart, while hosts report a loss of power
+// within milliseconds.
 constexpr std::chrono::milliseconds kCommonCauseWindow{100};
+constexpr std::chrono::milliseconds kCommonCauseGap{30};
 // How long a quarantined part is refused before one request with it is tried. Each further crash
 // multiplies this by kTrialDelayGrowth, because the suspicion is then more likely to be right.
 constexpr std::chrono::seconds kTrialDelay{10};
--- a/src/libserving/crash_attribution.cc
+++ b/src/libserving/crash_attribution.cc
@@ -36,8 +36,11 @@
   std::sort(times.begin(), times.end());
   std::uint32_t count = 0;
   TimePoint window_end{};
+  TimePoint gap_end{};
   for (const TimePoint at : times) {
-    if (count > 0 && at < window_end) continue;
+    const bool has_own_cause = count == 0 || at >= window_end || at >= gap_end;
+    gap_end = at + kCommonCauseGap;
+    if (!has_own_cause) continue;
     window_end = at + kCommonCauseWindow;
     ++count;
   }
--- a/src/libserving/crash_attribution_test.cc
+++ b/src/libserving/crash_attribution_test.cc
@@ -106,6 +106,15 @@
   CHECK(attribution.StateOf(kStart + seconds(1), "shared") == PartState::kSuspected);
 }
 
+// Guards against a verdict that comes only after further crashes: two requests with a deadly part
+// that reach two upstreams within a tenth of a second crash both.
+TEST_CASE("upstreams that crash shortly after each other count as several crashes") {
+  CrashAttribution attribution;
+  attribution.OnCrash(kStart, Crash("a", {"part"}));
+  attribution.OnCrash(kStart + 2 * kCommonCauseGap, Crash("b", {"part"}));
+  CHECK(attribution.StateOf(kStart + seconds(1), "part") == PartState::kQuarantined);
+}
+
 // Guards against a part that is refused for ever although it was only present in two crashes.
 TEST_CASE("a quarantined part is tried again by one request") {
   CrashAttribution attribution;
