Take requests back whose prompt part is quarantined after their start

Requests that waited in the queue of an engine crashed it as well.

The quarantine was asked for when a request arrived and when an attempt failed, but not when a wait for a chain ended, nor for attempts that were under way. A request without a first event is now ended when a verdict arrives, and its connection to the upstream is closed, so that the upstream drops it. Trials go on, and so do requests with a part with which this host has seen an answer begin: their answers show that the verdict is wrong.

--- a/src/libserving/deadly_prompt_test.cc
+++ b/src/libserving/deadly_prompt_test.cc
@@ -84,6 +84,52 @@
   CHECK(fixture.crashes.load() <= kMaxCrashes);
 }
 
+// Guards against upstreams that crash after the verdict on requests from before it, which took the
+// last copy of a model.
+TEST_CASE("a request whose part is quarantined after its start reaches no upstream any more") {
+  GatewayFixture fixture;
+  const auto keep = [](ScriptedUpstream& self, const HttpCall& call) {
+    if (call.Head().target == "/report") return call.Respond(MakeResponse(200), "[]");
+    self.pending.push_back(call);
+  };
+  const auto quarantine = [&] {
+    fixture.loop.Run([&] {
+      fixture.gateway->UpdatePromptVerdicts(
+          {{"part", PartState::kQuarantined, 1, {2, 2}, std::chrono::seconds(10), {}}});
+    });
+  };
+  ScriptedUpstream* engine = fixture.Add("a1", "a", keep, 0, 80);
+  const auto is_open = [&] {
+    return fixture.loop.Run([&] { return engine->pending.front().IsOpen(); });
+  };
+  std::string response;
+  std::thread caller([&] { response = fixture.Call("POST", "/talk/", "Prompt-Parts: part\r\n"); });
+  REQUIRE(fixture.loop.WaitFor([&] { return engine->requests == 1; }));
+
+  SUBCASE("it is taken back from the upstream at which it waits") {
+    quarantine();
+    caller.join();
+    CHECK(HasStatus(response, "502"));
+    CHECK(fixture.loop.WaitFor([&] { return !engine->pending.front().IsOpen(); }));
+  }
+  SUBCASE("but not if an answer with the part has begun before") {
+    fixture.loop.Run([&] { fixture.gateway->ReportAnswerBegun({"part"}); });
+    quarantine();
+    CHECK(is_open());
+    fixture.loop.Run([&] { engine->pending.front().Abort(); });
+    caller.join();
+  }
+  SUBCASE("it is not sent while it waits for another chain") {
+    fixture.loop.Run([&] { engine->pending.front().Abort(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    quarantine();
+    ScriptedUpstream* other = fixture.Add("b1", "b", keep, 0, 80);
+    caller.join();
+    CHECK(HasStatus(response, "502"));
+    CHECK(other->requests == 0);
+  }
+}
+
 // Guards against a part that is refused after connections were reset, though answers begin with it.
 TEST_CASE("a part with which answers begin is not quarantined") {
   DeadlyFixture fixture;
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -42,6 +42,7 @@
     const auto self = weak.lock();
     if (self && self->m_attempt) self->m_attempt->call.ResumeReading();
   });
+  m_is_trial = m_gateway->IsQuarantined(m_request.metadata.shared_prompt_parts);
   SendAttempt();
 }
 
@@ -144,6 +145,21 @@
   Finish(0, "process_stopped");
 }
 
+void Exchange::OnPromptVerdicts() {
+  const bool is_at_host = m_attempt && m_attempt->host;
+  if (m_finished || m_is_trial || HasBegun() || is_at_host) return;
+  if (m_attempt && m_attempt->events > 0) return;
+  if (!m_gateway->IsDeadly(m_request.metadata.shared_prompt_parts)) return;
+  if (m_attempt) m_has_run = Combine(m_has_run, HasRun::kMaybe);
+  CancelAttempt();
+  EndQuarantined();
+}
+
+void Exchange::EndQuarantined() {
+  if (m_has_run == HasRun::kNo) return Refuse(GatewayRefusal::kQuarantinedPart);
+  Fail(kBadGateway);
+}
+
 void Exchange::OnDeadline() {
   if (m_attempt) {
     m_has_run = Combine(m_has_run, HasRun::kMaybe);
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -64,6 +64,8 @@
   void Tick(TimePoint now);
   // An engine no longer responds. A request that waits for it fails over at once.
   void OnEngineLost(TimePoint now, const EngineLoss& loss);
+  // Verdicts on prompt parts have changed. Takes back a request that would crash its upstream.
+  void OnPromptVerdicts();
   // Ends the request without a response because the process stops.
   void Abandon();
 
@@ -196,6 +198,8 @@
   void RecordAnswerBegun();
   void OnCallerGone();
   void OnDeadline();
+  // Ends a request with a quarantined prompt part that is no trial.
+  void EndQuarantined();
   void Fail(int status);
   void Refuse(GatewayRefusal refusal);
   void Finish(int status, std::string_view outcome);
@@ -213,6 +217,7 @@
   std::set<std::string> m_excluded;  // addresses at which this request failed
   std::set<std::string> m_full;      // addresses that refused it
   std::uint32_t m_host_runs = 0;     // that other hosts may have begun for it
+  bool m_is_trial = false;           // of a prompt part that was in quarantine at the start
   std::uint32_t m_unoffered = 0;     // attempts that reached no upstream
   ChainScope m_scope = ChainScope::kNone;
   std::optional<TimePoint> m_first_event_at;
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -149,8 +149,10 @@
 
 void Exchange::WaitForChain(TimePoint now) {
   if (now < *m_chain_wait_deadline) {
-    if (now >= m_chain_wait_until) SendAttempt();
-    return;
+    if (now < m_chain_wait_until) return;
+    // The part may have been quarantined since the request began to wait.
+    const bool is_quarantined = m_gateway->IsQuarantined(m_request.metadata.shared_prompt_parts);
+    return is_quarantined && !m_is_trial ? EndQuarantined() : SendAttempt();
   }
   m_chain_wait_deadline.reset();
   Fail(ClassifyAttempt(m_last_evidence, IsRetrySafe(*m_request.route)).status);
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -383,6 +383,12 @@
 
 void Gateway::UpdatePromptVerdicts(const std::vector<PartVerdict>& verdicts) {
   m_quarantine.Merge(Clock::now(), verdicts);
+  const bool has_quarantined = std::any_of(
+      verdicts.begin(), verdicts.end(),
+      [](const PartVerdict& verdict) { return verdict.state == PartState::kQuarantined; });
+  if (!has_quarantined) return;
+  const std::vector<std::shared_ptr<Exchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
+  for (const auto& exchange : exchanges) exchange->OnPromptVerdicts();
 }
 
 void Gateway::ReportCrash(const std::string& upstream, CrashPhase phase,
@@ -406,6 +412,10 @@
   return m_quarantine.IsQuarantined(Clock::now(), prompt_parts);
 }
 
+bool Gateway::IsDeadly(const std::vector<std::string>& prompt_parts) const {
+  return m_quarantine.IsDeadly(Clock::now(), prompt_parts);
+}
+
 void Gateway::OnReadyCall(const HttpCall& call) {
   constexpr int kOk = 200;
   constexpr int kUnavailable = 503;
--- a/src/libserving/prompt_quarantine.cc
+++ b/src/libserving/prompt_quarantine.cc
@@ -70,6 +70,13 @@
   return !m_attribution.FindQuarantined(now, parts).empty();
 }
 
+bool PromptQuarantine::IsDeadly(TimePoint now, const std::vector<std::string>& parts) const {
+  const std::vector<std::string> quarantined = m_attribution.FindQuarantined(now, parts);
+  return std::any_of(quarantined.begin(), quarantined.end(), [&](const std::string& part) {
+    return !HasBegunWithin(now, part, kBegunRetention);
+  });
+}
+
 void PromptQuarantine::OnCrash(TimePoint now, CrashReport report) {
   const auto has_begun = [this, now](const std::string& part) {
     return HasBegunWithin(now, part, kRecentlyBegun);
