Use an engine that takes the place of a suspected one at once

A suspicion ended when the engine there announced itself with a higher number than the suspected one, but a new process counts its announcements from 1: it stayed unused for as long as its predecessor had lived, or until the address was suspected no more.

The suspicion holds for the process that was behind the address: its name and incarnation are kept with it, as ServicePicker does with its failures.

engine_router_test.cc: the new case fails without the condition (both subcases; the engine is avoided), the cases of suspicion are unchanged.

--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -62,6 +62,13 @@
   std::vector<std::string> limited;
 };
 
+// The process that was behind an address when it was suspected.
+struct SuspectedProcess {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;  // of its last announcement
+};
+
 // Selects a chain of engines of one service for each generation. Requests of a zone are spread over
 // its complete copies of the model. The copy is selected at random, weighted by free capacity and
 // speed, because hosts that receive the same reports would otherwise all choose the same copy. If
@@ -108,8 +115,9 @@
   void End(const std::vector<ChainStage>& chain, double tokens);
   // Stores the load that the first stage of a chain reported in a response.
   void Report(TimePoint now, const std::string& address, const LoadReport& load);
-  // Marks a stage that does not respond as suspected. `sequence` is that of its last announcement.
-  void Suspect(TimePoint now, const std::string& address, std::uint64_t sequence);
+  // Marks a stage that does not respond as suspected, until its process announces itself again. A
+  // process that takes its place is not suspected.
+  void Suspect(TimePoint now, const std::string& address, const SuspectedProcess& process);
   // Records that a stage had no memory for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
   // Records that the first event of an answer arrived: all stages of its chain have worked.
@@ -136,7 +144,7 @@
   // Observed state of the engine at an address; retained when the table changes.
   struct EngineState {
     TimePoint suspect_until{};
-    std::uint64_t suspect_sequence = 0;  // of the last announcement before it was suspected
+    SuspectedProcess suspect;
     bool is_suspect = false;
     TimePoint full_until{};
     double tokens = 0.0;  // of running requests from this host
--- a/src/libserving/engine_router_state.cc
+++ b/src/libserving/engine_router_state.cc
@@ -22,8 +22,11 @@
   const UpstreamTableEntry* record = upstreams.Find(engine.name);
   if (record == nullptr || !record->IsReady()) return false;
   EngineState& state = m_states[engine.address];
-  if (!state.is_suspect) return true;
-  const bool announced = record->announcement.sequence > state.suspect_sequence;
+  const Announcement& announced_by = record->announcement;
+  const bool is_same_process =
+      engine.name == state.suspect.name && announced_by.incarnation == state.suspect.incarnation;
+  if (!state.is_suspect || !is_same_process) return true;
+  const bool announced = announced_by.sequence > state.suspect.sequence;
   if (now < state.suspect_until || !announced) return false;
   state.is_suspect = false;
   if (m_pace != nullptr) m_pace->SetAvailable(now, engine.name, PaceReason::kHealthy, true);
@@ -163,11 +166,12 @@
   m_first_loads[address] = {report.running + report.waiting, 0, now + kReportLifetime};
 }
 
-void EngineRouter::Suspect(TimePoint now, const std::string& address, std::uint64_t sequence) {
+void EngineRouter::Suspect(TimePoint now, const std::string& address,
+                           const SuspectedProcess& process) {
   EngineState& state = m_states[address];
   state.is_suspect = true;
   state.suspect_until = now + kSuspectDuration;
-  state.suspect_sequence = sequence;
+  state.suspect = process;
   const Engine* engine = FindAddress(address);
   if (m_pace == nullptr || engine == nullptr) return;
   m_pace->Failed(now, engine->name);
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -92,7 +92,7 @@
 // Guards against a series of requests that each time out at a lost engine.
 TEST_CASE("a suspected engine is avoided until it announces itself again") {
   RouterFixture fixture;
-  fixture.router.Suspect(fixture.now, "a-s2", 1);
+  fixture.router.Suspect(fixture.now, "a-s2", {"a-s2", 1, 1});
   CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
   fixture.now += kSuspectDuration;
   CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
@@ -100,6 +100,22 @@
   CHECK(Runs(fixture.Choose(), "a-s2"));
 }
 
+// Guards against hosts that avoid a new engine for as long as its predecessor had announced itself,
+// because the announcements of a new process are counted from 1.
+TEST_CASE("a process that replaces a suspected engine at its address is used at once") {
+  RouterFixture fixture;
+  constexpr std::uint64_t kAnnouncements = 30;
+  fixture.router.Suspect(fixture.now, "a-s2", {"a-s2", 1, kAnnouncements});
+  CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
+  UpstreamUpdate next = TestEngine("a-s2", "a", "slow", 50, 60);
+  next.announcement.incarnation = 2;
+  SUBCASE("under the same name") {}
+  SUBCASE("under another name") { next.announcement.name = "a-s2-next"; }
+  fixture.Add(next);
+  fixture.router.SetEngines("s", fixture.table);
+  CHECK(Runs(fixture.Choose(), "a-s2"));
+}
+
 // Guards against requests that are refused as long as an engine is lost without a departure
 // message. First stages name it in their refusals immediately, which looks like an engine without
 // capacity.
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -497,17 +497,20 @@
 void Gateway::ReportSuspectedEngine(const EngineLoss& loss) {
   const std::string& address = loss.address;
   const UpstreamTableEntry* record = m_upstreams.FindAddress(address);
-  const std::uint64_t sequence = record == nullptr ? 0 : record->announcement.sequence;
+  SuspectedProcess process;
+  if (record != nullptr) {
+    const Announcement& announced = record->announcement;
+    process = {announced.name, announced.incarnation, announced.sequence};
+  }
   const TimePoint now = Clock::now();
-  for (auto& [service, router] : m_routers) router.Suspect(now, address, sequence);
+  for (auto& [service, router] : m_routers) router.Suspect(now, address, process);
   LogEvent(LogLevel::kWarning, "engine_suspected",
            {{"address", address},
-            {"upstream", record == nullptr ? "" : record->announcement.name},
-            {"sequence", sequence},
+            {"upstream", process.name},
+            {"sequence", process.sequence},
             {"reason", NameOf(loss.reason)}});
   if (record != nullptr) {
-    m_held_suspects.push_back(
-        {record->announcement.name, record->announcement.incarnation, sequence});
+    m_held_suspects.push_back({process.name, process.incarnation, process.sequence});
     if (!IsReachUnknown(now)) ReportHeld(IsIsolated());
   }
   FailOverFromEngine(now, loss);
