Let a raised idle limit hold for connections that are kept already

No host stood still.

A connection kept the deadline of the limit that held at its last answer. A caller that goes by the configuration in force reuses it when the old limit is over, and its request crosses the close. A lowered limit holds from the next answer on, as before.

--- a/src/libhttp/http_caller_connection.cc
+++ b/src/libhttp/http_caller_connection.cc
@@ -47,6 +47,7 @@
   m_socket.non_blocking(true, ignored);
   m_opened_at = Clock::now();
   m_last_progress_at = m_opened_at;
+  m_idle_since = m_opened_at;
   m_deadline = m_opened_at + m_listener->limits.idle_timeout;
   m_charge.SetDoor(m_listener->budget);
   Account();
@@ -83,6 +84,9 @@
   if (m_paused) return std::nullopt;
   const bool is_body_slow = m_reader.HeadComplete() && IsBodySlow(now);
   if (!is_body_slow && now < m_deadline) return std::nullopt;
+  // The limit may have been raised since the last answer.
+  const bool is_idle = !m_reader.Started();
+  if (is_idle && now < m_idle_since + m_listener->limits.idle_timeout) return std::nullopt;
   // After the event loop was held up, bytes that arrived in time may still wait to be read.
   if (HasUnreadBytes()) return std::nullopt;
   if (m_reader.HeadComplete()) return CloseReason::kSlowBody;
@@ -384,7 +388,8 @@
   m_on_drained = nullptr;
   ReleaseBody();
   m_state = m_keep_alive ? State::kReading : State::kClosing;
-  m_deadline = Clock::now() + (m_keep_alive ? m_listener->limits.idle_timeout : kLingerTimeout);
+  m_idle_since = Clock::now();
+  m_deadline = m_idle_since + (m_keep_alive ? m_listener->limits.idle_timeout : kLingerTimeout);
   Flush();
   FinishServing();
 }
@@ -483,7 +488,10 @@
       m_deadline = Clock::now() + kLingerTimeout;
       return FinishServing();
     case State::kReading:
-      if (!m_reader.Started()) m_deadline = Clock::now() + m_listener->limits.idle_timeout;
+      if (!m_reader.Started()) {
+        m_idle_since = Clock::now();
+        m_deadline = m_idle_since + m_listener->limits.idle_timeout;
+      }
       return NextRequest();
     case State::kServing:
       if (m_on_drained) m_on_drained();
--- a/src/libhttp/http_caller_connection.h
+++ b/src/libhttp/http_caller_connection.h
@@ -180,6 +180,7 @@
   ProgressWindow m_body_window;
   std::optional<ProgressWindow> m_answer_window;  // while the caller is behind with reading
   std::size_t m_lingered_bytes = 0;               // dropped after the last answer
+  TimePoint m_idle_since{};                       // of the last answer, or of the start
   TimePoint m_deadline{};  // of the caller: to finish its head, or to send another request
   bool m_continue_sent = false;
   bool m_begun = false;
