Take no engine for spare whose copy only one request avoids

A request that avoids an engine of a copy, or a host that pauses one, broke that copy in its view, and the rest of it counted as spare: its chain could hold memory of two copies in use, which forbids.

The copies are now found among all live engines, and only if the chosen copy is full, so the second search costs nothing otherwise. The former case excluded the lost engines, which hid this; they are now reported as lost, and the checks are the same. The new case has two excluded engines beside a full copy.

--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -56,8 +56,9 @@
 struct ChainChoice {
   std::vector<ChainStage> stages;  // empty if there is no chain
   ChainScope scope = ChainScope::kNone;
-  double cost_s = 0.0;  // estimated time of a typical request
-  double load = 0.0;    // of the fullest stage: cached tokens over capacity
+  double cost_s = 0.0;   // estimated time of a typical request
+  double load = 0.0;     // of the fullest stage: cached tokens over capacity
+  bool is_full = false;  // no copy has room, and this is one of them
   // Engines without room at their pace in a copy that would have been selected otherwise.
   std::vector<std::string> limited;
 };
@@ -224,9 +225,10 @@
                         std::size_t selected, std::vector<std::string>* limited);
   const Engine* FindAddress(const std::string& address) const;
   ModelCopy FindCheapest(TimePoint now, const std::vector<bool>& usable);
-  // Clears the marks of the engines that the copies of a pool use. Returns whether a copy has room.
-  static bool MarkUsed(const std::vector<ModelCopy>& copies, const Pool& pool,
-                       std::vector<bool>* spare);
+  // Returns a chain of engines that belong to no copy of a zone, if they hold all layers and have
+  // room. An engine whose copy only this request avoids belongs to that copy.
+  ChainChoice FindAmongSpares(TimePoint now, const UpstreamTable& upstreams,
+                              const std::vector<bool>& live);
 
   std::string m_own_zone;
   EngineProfile m_profile;
--- a/src/libserving/engine_router.cc
+++ b/src/libserving/engine_router.cc
@@ -1,7 +1,6 @@
 #include "corneltray/engine_router.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace corneltray {
@@ -144,7 +143,10 @@
   ChainChoice choice = ChooseAmong(now, live, first_event_by);
   // If this leaves no chain, the control processes may be unreachable rather than the engines lost.
   if (choice.stages.empty() && live != usable) choice = ChooseAmong(now, usable, first_event_by);
-  return choice;
+  if (!choice.is_full) return choice;
+  // What broken copies of several zones hold takes no memory from a copy in use.
+  ChainChoice spare = FindAmongSpares(now, upstreams, live);
+  return spare.stages.empty() ? choice : spare;
 }
 
 ChainChoice EngineRouter::Preview(TimePoint now, const UpstreamTable& upstreams,
@@ -283,41 +285,36 @@
 
 ChainChoice EngineRouter::ChooseAmong(TimePoint now, const std::vector<bool>& usable,
                                       std::optional<TimePoint> first_event_by) {
-  const std::vector<ModelCopy> own = FindCopies(now, usable, &m_zones.front());
-  ChainChoice best = SelectRandomCopy(now, own, first_event_by);
+  ChainChoice best =
+      SelectRandomCopy(now, FindCopies(now, usable, &m_zones.front()), first_event_by);
   if (!best.stages.empty() && best.load < kHighLoad) return best;
   const auto take_cheaper = [&best](ChainChoice choice) {
     if (choice.stages.empty()) return;
     if (best.stages.empty() || choice.cost_s < best.cost_s) best = std::move(choice);
   };
-  std::vector<bool> spare = usable;  // engines that belong to no copy of a zone
-  bool has_room = MarkUsed(own, m_zones.front(), &spare);
   std::vector<ModelCopy> others;
   for (std::size_t i = 1; i < m_zones.size(); ++i) {
-    std::vector<ModelCopy> copies = FindCopies(now, usable, &m_zones[i]);
-    has_room = MarkUsed(copies, m_zones[i], &spare) || has_room;
-    std::move(copies.begin(), copies.end(), std::back_inserter(others));
+    for (ModelCopy& copy : FindCopies(now, usable, &m_zones[i])) others.push_back(std::move(copy));
   }
   take_cheaper(SelectRandomCopy(now, others, first_event_by));
-  // A chain across zones sends every prompt through the links between zones, so it is used only if
-  // no zone has a whole copy, or if all copies are full. In the latter case it must not take memory
-  // of copies that are in use, only what broken copies of several zones have left.
-  if (best.stages.empty()) return FindCheapest(now, usable).choice;
-  if (!has_room) {
-    ModelCopy left_over = FindCheapest(now, spare);
-    if (!left_over.choice.stages.empty() && !left_over.is_full) return left_over.choice;
-  }
+  // A chain across zones holds memory of several copies and sends every prompt through the links
+  // between zones, so it is used only if no zone has a whole copy.
+  if (best.stages.empty()) best = FindCheapest(now, usable).choice;
   return best;
 }
 
-bool EngineRouter::MarkUsed(const std::vector<ModelCopy>& copies, const Pool& pool,
-                            std::vector<bool>* spare) {
-  bool has_room = false;
-  for (const ModelCopy& copy : copies) {
-    has_room = has_room || !copy.is_full;
-    for (const std::uint32_t slot : copy.slots) (*spare)[pool.engines[slot]] = false;
+ChainChoice EngineRouter::FindAmongSpares(TimePoint now, const UpstreamTable& upstreams,
+                                          const std::vector<bool>& live) {
+  const std::vector<bool> all = LiveEngines(now, upstreams, UsableEngines(now, upstreams, {}));
+  std::vector<bool> spare = live;
+  for (Pool& zone : m_zones) {
+    for (const ModelCopy& copy : FindCopies(now, all, &zone)) {
+      for (const std::uint32_t slot : copy.slots) spare[zone.engines[slot]] = false;
+    }
   }
-  return has_room;
+  if (std::none_of(spare.begin(), spare.end(), [](bool is_spare) { return is_spare; })) return {};
+  const ModelCopy copy = FindCheapest(now, spare);
+  return copy.is_full ? ChainChoice{} : copy.choice;
 }
 
 // Sets the cost of a typical request at each engine of the pool, regardless of load.
@@ -439,6 +436,7 @@
     selected = ApplyPace(copies, std::move(weights), selected, &limited);
   }
   ChainChoice choice = copies[selected].choice;
+  choice.is_full = copies[selected].is_full;
   choice.limited = std::move(limited);
   choice.cost_s *= Slowdown(choice.load);
   if (choice.scope == ChainScope::kOtherZone) choice.cost_s += kOtherZonePenaltySeconds;
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -261,9 +261,9 @@
     fixture.Add(TestEngine(z + "-f2", z, "fast", 40, 80));
   }
   // Neither of the two zones holds all layers any more, both together do.
-  const std::set<std::string> lost{"c-f1", "d-f2", "b-s3"};
   fixture.router.SetEngines("s", fixture.table);
-  const auto choose = [&] { return fixture.Choose(lost); };
+  for (const char* lost : {"c-f1", "d-f2", "b-s3"}) fixture.ReportLost(lost);
+  const auto choose = [&] { return fixture.Choose(); };
   CHECK(choose().scope == ChainScope::kOwnZone);
   fixture.router.MarkFull(fixture.now, "a-s3");
   const ChainChoice left_over = choose();
@@ -282,6 +282,17 @@
   }
 }
 
+// Guards against chains that take memory of two copies in use, because one request avoids an engine
+// of each of them.
+TEST_CASE("the rest of a copy of which a request avoids an engine is not spare") {
+  RouterFixture fixture;
+  fixture.Add(TestEngine("c-f1", "c", "fast", 0, 40));
+  fixture.Add(TestEngine("c-f2", "c", "fast", 40, 80));
+  fixture.router.SetEngines("s", fixture.table);
+  fixture.router.MarkFull(fixture.now, "c-f2");
+  CHECK(Runs(fixture.Choose({"a-f1", "b-f2"}), "c-f2"));
+}
+
 // Guards against a decision about admission that is based on one zone, or on nothing at all.
 TEST_CASE("the room of a service is that of all copies") {
   EngineProfile profile = TestProfile();
