Keep the time of the first report of a crash

A report that an answer had begun replaced an earlier one of the same crash together with its time, so crashes with a common cause could seem further apart than they were. Since a tenth of that distance decides whether they count as one. Found by the reviewer by reading; the cases of crash_attribution_test.cc pass as before, none shows it.

--- a/src/libserving/crash_attribution.cc
+++ b/src/libserving/crash_attribution.cc
@@ -76,7 +76,9 @@
     const auto known = part.crashes.find(incarnation);
     if (known != part.crashes.end() && known->second.phase >= report.phase) continue;
     const bool had_begun = CountAll(part).begun > 0;
-    part.crashes[incarnation] = {now, report.sequence, report.phase};
+    // A later report tells more about the same crash.
+    const TimePoint at = known == part.crashes.end() ? now : known->second.at;
+    part.crashes[incarnation] = {at, report.sequence, report.phase};
     // A request in the queue says nothing about a part that was present in answers that had begun.
     if (report.phase == CrashPhase::kBeforeHead && had_begun) continue;
     const bool is_first_begun = report.phase == CrashPhase::kBeforeFirstEvent && !had_begun;
