--- a/src/include/corneltray/gateway.h
+++ b/src/include/corneltray/gateway.h
@@ -224,7 +224,7 @@
   void ReportAnswerBegun(const std::vector<std::string>& prompt_parts);
   bool IsQuarantined(const std::vector<std::string>& prompt_parts) const;
   // Whether a request with these parts is to be taken back from its upstream.
-  bool IsDeadly(const std::vector<std::string>& prompt_parts) const;
+  bool IsToBeTakenBack(const std::vector<std::string>& prompt_parts) const;
   void RemoveExchange(const std::shared_ptr<Exchange>& exchange);
   // Reserve memory for response bodies that are buffered until they are complete. The limit applies
   // to the sum over all requests; returns false if it would be exceeded.
--- a/src/include/corneltray/prompt_quarantine.h
+++ b/src/include/corneltray/prompt_quarantine.h
@@ -59,7 +59,7 @@
   // Whether a request with these parts that waits at an upstream has to be taken back. Where this
   // host has seen an answer begin with the quarantined part, the verdict may be wrong, and the
   // beginning of further answers shows it.
-  bool IsDeadly(TimePoint now, const std::vector<std::string>& parts) const;
+  bool IsToBeTakenBack(TimePoint now, const std::vector<std::string>& parts) const;
 
   void OnCrash(TimePoint now, CrashReport report);
   void OnAnswerBegun(TimePoint now, const std::vector<std::string>& parts);
--- a/src/libserving/exchange.cc
+++ b/src/libserving/exchange.cc
@@ -147,14 +147,18 @@
 
 void Exchange::OnPromptVerdicts() {
   const bool is_at_host = m_attempt && m_attempt->host;
-  if (m_finished || m_is_trial || HasBegun() || is_at_host) return;
-  if (m_attempt && m_attempt->events > 0) return;
-  if (!m_gateway->IsDeadly(m_request.metadata.shared_prompt_parts)) return;
+  if (m_finished || is_at_host || !IsToBeTakenBack()) return;
   if (m_attempt) m_has_run = Combine(m_has_run, HasRun::kMaybe);
   CancelAttempt();
   EndQuarantined();
 }
 
+bool Exchange::IsToBeTakenBack() const {
+  const bool is_answered = m_attempt && (m_attempt->events > 0 || m_attempt->body_bytes > 0);
+  if (m_is_trial || HasBegun() || is_answered) return false;
+  return m_gateway->IsToBeTakenBack(m_request.metadata.shared_prompt_parts);
+}
+
 void Exchange::EndQuarantined() {
   if (m_has_run == HasRun::kNo) return Refuse(GatewayRefusal::kQuarantinedPart);
   Fail(kBadGateway);
--- a/src/libserving/exchange.h
+++ b/src/libserving/exchange.h
@@ -198,6 +198,8 @@
   void RecordAnswerBegun();
   void OnCallerGone();
   void OnDeadline();
+  // Whether the request would crash its upstream by what is known now.
+  bool IsToBeTakenBack() const;
   // Ends a request with a quarantined prompt part that is no trial.
   void EndQuarantined();
   void Fail(int status);
--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -140,7 +140,8 @@
   if (EngineRouter* router = Router()) {
     m_attempt->tokens = HeldTokens(m_request);
     router->Begin(m_attempt->chain, m_attempt->tokens);
-    if (m_attempts > 1) m_gateway->ChargeRepeat(m_request.service->name, m_attempt->tokens);
+    if (m_attempts - m_unoffered > 1)
+      m_gateway->ChargeRepeat(m_request.service->name, m_attempt->tokens);
   } else {
     m_gateway->PickerOf(m_request.service->name).Begin(m_attempt->address);
   }
@@ -151,8 +152,7 @@
   if (now < *m_chain_wait_deadline) {
     if (now < m_chain_wait_until) return;
     // The part may have been quarantined since the request began to wait.
-    const bool is_quarantined = m_gateway->IsQuarantined(m_request.metadata.shared_prompt_parts);
-    return is_quarantined && !m_is_trial ? EndQuarantined() : SendAttempt();
+    return IsToBeTakenBack() ? EndQuarantined() : SendAttempt();
   }
   m_chain_wait_deadline.reset();
   Fail(ClassifyAttempt(m_last_evidence, IsRetrySafe(*m_request.route)).status);
--- a/src/libserving/gateway.cc
+++ b/src/libserving/gateway.cc
@@ -412,8 +412,8 @@
   return m_quarantine.IsQuarantined(Clock::now(), prompt_parts);
 }
 
-bool Gateway::IsDeadly(const std::vector<std::string>& prompt_parts) const {
-  return m_quarantine.IsDeadly(Clock::now(), prompt_parts);
+bool Gateway::IsToBeTakenBack(const std::vector<std::string>& prompt_parts) const {
+  return m_quarantine.IsToBeTakenBack(Clock::now(), prompt_parts);
 }
 
 void Gateway::OnReadyCall(const HttpCall& call) {
--- a/src/libserving/prompt_quarantine.cc
+++ b/src/libserving/prompt_quarantine.cc
@@ -70,7 +70,7 @@
   return !m_attribution.FindQuarantined(now, parts).empty();
 }
 
-bool PromptQuarantine::IsDeadly(TimePoint now, const std::vector<std::string>& parts) const {
+bool PromptQuarantine::IsToBeTakenBack(TimePoint now, const std::vector<std::string>& parts) const {
   const std::vector<std::string> quarantined = m_attribution.FindQuarantined(now, parts);
   return std::any_of(quarantined.begin(), quarantined.end(), [&](const std::string& part) {
     return !HasBegunWithin(now, part, kBegunRetention);
