--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -122,7 +122,7 @@
 }
 
 TimePoint Exchange::AttemptDeadline(TimePoint now, const Attempt& attempt) const {
-  const bool is_last = m_attempts >= MaxUpstreams(m_request);
+  const bool is_last = m_attempts - m_unoffered >= MaxUpstreams(m_request);
   if (!IsRetrySafe(*m_request.route) || (is_last && !attempt.host)) return m_request.deadline;
   // Another host moves the request from a silent upstream by itself.
   if (attempt.host) {
