Record verdicts beside builds that tell no log version

After a new leader recorded no verdicts on prompt parts until the last control host was upgraded: reads them but does not tell so. A member that tells nothing is now taken to read version 2, as builds since do.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -191,11 +191,8 @@
 
 void ControlNode::Apply(const std::vector<LogEntry>& entries) {
   for (const LogEntry& entry : entries) {
-    if (m_has_unknown_command) return;
-    m_applied_index = entry.index;
-    m_applied_term = entry.term;
+    if (m_stops_applying) return;
     json reply;
-    m_applied_bytes += entry.payload.size();
     if (entry.kind == EntryKind::kCommand) {
       const auto command = DecodeCommand(entry.payload);
       if (!command && command.error().code == ControlStateErrc::kUnknownCommand) {
@@ -210,6 +207,9 @@
         reply = ErrorBody(ControlErrc::kNotProposed, command.error().ToString());
       }
     }
+    m_applied_index = entry.index;
+    m_applied_term = entry.term;
+    m_applied_bytes += entry.payload.size();
     const auto [begin, end] = m_proposals.equal_range(entry.index);
     for (auto waiting = begin; waiting != end; ++waiting) {
       // With another term, an entry of another leader has taken this index: the proposal was not
@@ -224,7 +224,7 @@
 }
 
 void ControlNode::RefuseUnknownCommand(const LogEntry& entry, const Error& error) {
-  m_has_unknown_command = true;
+  m_stops_applying = true;
   m_options.on_fatal("entry " + std::to_string(entry.index) +
                      " of the log was written by a newer version: " + error.ToString());
 }
@@ -232,6 +232,8 @@
 void ControlNode::Restore(const Snapshot& snapshot) {
   const corneltray::Status restored = m_state.Restore(*snapshot.data);
   if (!restored) {
+    // The entries behind the snapshot must not be applied to a state without it.
+    m_stops_applying = true;
     m_options.on_fatal(restored.error().ToString());
     return;
   }
@@ -251,6 +253,10 @@
   const auto read = m_reads.extract(id);
   if (read.empty()) return;
   const PendingRead& waiting = read.mapped();
+  if (m_stops_applying) {
+    waiting.respond(ErrorBody(ControlErrc::kUnavailable, "the state does not follow the log"));
+    return;
+  }
   waiting.respond(index ? waiting.answer(*index)
                         : ErrorBody(ControlErrc::kUnavailable, "leadership was lost"));
 }
@@ -296,7 +302,7 @@
 void ControlNode::CompactIfDue() {
   const std::uint64_t due =
       std::max<std::uint64_t>(kMinEntriesPerSnapshot, m_state.GetBookings().Size() / 4);
-  if (m_has_unknown_command) return;
+  if (m_stops_applying) return;
   const bool is_due =
       m_applied_index >= m_compacted_index + due || m_applied_bytes >= kMaxBytesPerSnapshot;
   if (!is_due || m_storage_failed) return;
@@ -348,14 +354,12 @@
   return true;
 }
 
-LogVersion ControlNode::ProposableLogVersion() {
+LogVersion ControlNode::ReadByAllMembers() {
   for (const PeerStatus& peer : m_node->Peers()) {
     if (peer.identity.program != kControlProgram) continue;
-    m_member_log_versions.Tell(peer.identity.host, peer.identity.log_version);
+    m_member_log_versions.SetVersion(peer.identity.host, peer.identity.log_version);
   }
-  // All members had to read a version before it was first used, also those that are not linked now.
-  const LogVersion used = m_state.GetLogVersion();
-  return std::max(used, m_member_log_versions.ReadByAll(m_replica.GetStatus().members));
+  return m_member_log_versions.ReadByAll(m_replica.GetStatus().members);
 }
 
 void ControlNode::Propose(const json& body, const Responder& respond) {
@@ -368,10 +372,11 @@
     respond(decoded.error());
     return;
   }
-  const LogVersion proposable = ProposableLogVersion();
-  if (LogVersionOf(decoded.value()) > proposable) {
+  // A leader of this build or a later one used a version only once all members read it.
+  const LogVersion version = LogVersionOf(decoded.value());
+  if (version > m_state.GetLogVersion() && version > ReadByAllMembers()) {
     respond(ErrorBody(ControlErrc::kNotProposed,
-                      "not all members read a log version above " + std::to_string(proposable)));
+                      "not all members read log version " + std::to_string(version)));
     return;
   }
   if (const auto* change = std::get_if<ApplyConfiguration>(&decoded.value())) {
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -178,8 +178,8 @@
   FleetPace SumOfPace() const;
   void CompactIfDue();
   void ScheduleTick();
-  // Returns the highest version of commands that this process may propose as the leader.
-  LogVersion ProposableLogVersion();
+  // Returns the highest log version that all members have told that they read.
+  LogVersion ReadByAllMembers();
   // Forwards a request to the leader. Returns false when this process is the leader.
   bool ForwardToLeader(MessageType type, const nlohmann::json& body, const Responder& respond);
   nlohmann::json MakeStatus() const;
@@ -223,8 +223,8 @@
   nlohmann::json m_unsent_forward_reports = nlohmann::json::object();  // for the leader
   bool m_needs_forward_hosts = false;  // an isolated host has asked since the last read
   MemberLogVersions m_member_log_versions;
-  bool m_has_unknown_command = false;  // applies nothing more until the process ends
-  std::uint64_t m_applied_bytes = 0;   // of entries since the last snapshot
+  bool m_stops_applying = false;                         // until the process ends
+  std::uint64_t m_applied_bytes = 0;                     // of entries since the last snapshot
   std::map<VoteRefusal, std::uint64_t> m_vote_refusals;  // since the start
   bool m_leader_reported = false;
   LeaderWatch m_leader_watch;
--- a/src/include/corneltray/log_version.h
+++ b/src/include/corneltray/log_version.h
@@ -10,9 +10,11 @@
 // docs/design/builds-side-by-side.md says when it may be written.
 using LogVersion = std::uint32_t;
 
-// Read by all builds, also by those that do not tell their version.
 inline constexpr LogVersion kFirstLogVersion = 1;
 inline constexpr LogVersion kPartVerdictsLogVersion = 2;
+// What a build that does not tell its version is taken to read. Older ones skip the verdicts on
+// prompt parts; without this, no verdict would outlive a loss of power during an upgrade.
+inline constexpr LogVersion kUntoldLogVersion = kPartVerdictsLogVersion;
 // What this build reads.
 inline constexpr LogVersion kOwnLogVersion = kPartVerdictsLogVersion;
 
--- a/src/include/corneltray/member_log_versions.h
+++ b/src/include/corneltray/member_log_versions.h
@@ -18,18 +18,19 @@
 // Not thread-safe.
 class MemberLogVersions {
  public:
-  explicit MemberLogVersions(std::string own_host);
+  explicit MemberLogVersions(std::string own_host, LogVersion own_version = kOwnLogVersion);
 
   // A later call for the same host replaces the earlier one: the host may run an older build again.
-  void Tell(const std::string& host, LogVersion version);
+  void SetVersion(const std::string& host, LogVersion version);
 
   // Returns the highest version that all members read. A member that has told none reads
-  // kFirstLogVersion; one that is not linked any more counts with what it told last.
+  // kUntoldLogVersion; one that is not linked any more counts with what it told last.
   LogVersion ReadByAll(const MemberSet& members) const;
 
  private:
   std::string m_own_host;
-  std::map<std::string, LogVersion> m_told;  // by host
+  LogVersion m_own_version;
+  std::map<std::string, LogVersion> m_versions;  // by host
 };
 
 }  // namespace corneltray
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -34,7 +34,7 @@
   std::string region;
   std::string availability_zone;
   std::uint64_t incarnation = 0;
-  LogVersion log_version = kFirstLogVersion;  // that a control process reads
+  LogVersion log_version = kUntoldLogVersion;  // that a control process reads
 };
 
 struct PeerOptions {
--- a/src/libcorneltray/control_state.cc
+++ b/src/libcorneltray/control_state.cc
@@ -129,6 +129,13 @@
     ControlState restored;
     // Absent in snapshots written by builds that do not tell their version.
     restored.m_log_version = header.value("log_version", kFirstLogVersion);
+    // The parts that such commands change may be unknown here, and would be missing from then on.
+    if (restored.m_log_version > kOwnLogVersion) {
+      return Error{ControlStateErrc::kUnknownCommand,
+                   "the snapshot holds commands of log version " +
+                       std::to_string(restored.m_log_version) + ", this version reads up to " +
+                       std::to_string(kOwnLogVersion)};
+    }
     restored.m_log_time = header.at("log_time");
     restored.m_configuration.Restore(header.at("configuration"));
     // Absent in snapshots written by versions without a route table or without verdicts.
--- a/src/libcorneltray/member_log_versions.cc
+++ b/src/libcorneltray/member_log_versions.cc
@@ -21,18 +21,19 @@
 
 LogVersion LogVersionOf(const Command& command) { return std::visit(VersionVisitor{}, command); }
 
-MemberLogVersions::MemberLogVersions(std::string own_host) : m_own_host(std::move(own_host)) {}
+MemberLogVersions::MemberLogVersions(std::string own_host, LogVersion own_version)
+    : m_own_host(std::move(own_host)), m_own_version(own_version) {}
 
-void MemberLogVersions::Tell(const std::string& host, LogVersion version) {
-  m_told[host] = version;
+void MemberLogVersions::SetVersion(const std::string& host, LogVersion version) {
+  m_versions[host] = version;
 }
 
 LogVersion MemberLogVersions::ReadByAll(const MemberSet& members) const {
-  LogVersion lowest = kOwnLogVersion;
+  LogVersion lowest = m_own_version;
   for (const auto& [id, role] : members.members) {
     if (id.host == m_own_host) continue;
-    const auto told = m_told.find(id.host);
-    lowest = std::min(lowest, told == m_told.end() ? kFirstLogVersion : told->second);
+    const auto told = m_versions.find(id.host);
+    lowest = std::min(lowest, told == m_versions.end() ? kUntoldLogVersion : told->second);
   }
   return lowest;
 }
--- a/src/libcorneltray/peer_session.cc
+++ b/src/libcorneltray/peer_session.cc
@@ -28,7 +28,7 @@
     hello.identity.region = body.at("region");
     hello.identity.incarnation = body.at("incarnation");
     // Absent in the hello of builds that do not tell their version.
-    hello.identity.log_version = body.value("log_version", kFirstLogVersion);
+    hello.identity.log_version = body.value("log_version", kUntoldLogVersion);
     hello.address = body.at("address");
     hello.replaces = body.at("replaces");
     return hello;
