Test that messages of older and newer builds are read

A hello without a log version, and reports of retries, limits and forwarding with fields that this build does not know. They guard the promises of docs/design/builds-side-by-side.md; the readers did not change.

--- a/src/libcorneltray/peer_session_test.cc
+++ b/src/libcorneltray/peer_session_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "peer_replies.h"
 
 namespace corneltray {
@@ -87,6 +89,36 @@
   }
 }
 
+// Guards against a process that refuses the links of all older or all newer builds.
+TEST_CASE("the hello of another build is accepted") {
+  nlohmann::json body = {{"host", "b"},
+                         {"program", "corneltray-control"},
+                         {"availability_zone", "dkr-a"},
+                         {"region", "dkr"},
+                         {"incarnation", 7},
+                         {"address", "127.0.0.1:1"},
+                         {"replaces", false},
+                         {"nonce", "n"}};
+  PeerSession session(HelloOf("a"), kKey, true, "nonce of the opener");
+  const auto receive = [&] {
+    PeerMessage hello;
+    hello.type = MessageType::kHello;
+    hello.body = body;
+    const std::string key = HmacSha256(kKey, "corneltray hello");
+    return session.Receive(SealFrame(key, 0, EncodePeerMessage(hello))).event;
+  };
+  SUBCASE("of an older one, which tells no version of the log") {
+    CHECK(receive() == SessionEvent::kHello);
+    CHECK(session.Peer().identity.log_version == kFirstLogVersion);
+  }
+  SUBCASE("of a newer one, which reads a later version and tells more") {
+    body["log_version"] = kOwnLogVersion + 1;
+    body["field_of_a_newer_version"] = {{"a", 1}};
+    CHECK(receive() == SessionEvent::kHello);
+    CHECK(session.Peer().identity.log_version == kOwnLogVersion + 1);
+  }
+}
+
 TEST_CASE("a process without the key gets no link") {
   // Guards against commands from a process that only knows the protocol.
   SUBCASE("when it has another key") {
--- a/src/libfleet/forward_report_test.cc
+++ b/src/libfleet/forward_report_test.cc
@@ -60,6 +60,15 @@
   CHECK(hosts.value()[0].name == "e1");
   CHECK(hosts.value()[0].address == "10.0.0.1:80");
 
+  SUBCASE("and what a newer build adds is ignored") {
+    nlohmann::json more = EncodeForwardReport(report);
+    more["field_of_a_newer_version"] = 1;
+    REQUIRE(DecodeForwardReport(more));
+    CHECK(DecodeForwardReport(more).value() == report);
+    const auto listed = nlohmann::json::array({{"e1", "10.0.0.1:80", "more"}});
+    REQUIRE(DecodeForwardHosts(listed));
+    CHECK(DecodeForwardHosts(listed).value()[0].address == "10.0.0.1:80");
+  }
   SUBCASE("and malformed ones are refused") {
     CHECK_FALSE(DecodeForwardReport({{"address", "a"}, {"state", "other"}}));
     CHECK_FALSE(DecodeForwardReport({{"address", 7}, {"state", "serving"}}));
--- a/src/libfleet/rate_limit_report_test.cc
+++ b/src/libfleet/rate_limit_report_test.cc
@@ -63,5 +63,12 @@
   CHECK_FALSE(DecodeRateLimitReports(kNow, {{"u", 3}}));
 }
 
+// Guards against limits of upstreams that are forgotten while hosts of a newer build report them.
+TEST_CASE("what a newer build adds to reports about limits is ignored") {
+  const auto decoded = DecodeRateLimitReports(kNow, {{"u", {7, 300.0, 2.5, "more"}}});
+  REQUIRE(decoded);
+  CHECK(decoded.value().at("u").requests_per_s == 2.5);
+}
+
 }  // namespace
 }  // namespace corneltray
--- a/src/libfleet/retry_messages_test.cc
+++ b/src/libfleet/retry_messages_test.cc
@@ -42,5 +42,20 @@
   CHECK_FALSE(DecodeRetryGrant(grant));
 }
 
+// Guards against a leader that grants nothing to entry hosts of a newer build.
+TEST_CASE("fields that a newer build adds to reports of retries and grants are ignored") {
+  json report = EncodeRetryReport(kReport);
+  report["field_of_a_newer_version"] = 1;
+  report["limit"].push_back("more");
+  report["services"]["s"].push_back("more");
+  REQUIRE(DecodeRetryReport(report));
+  CHECK(DecodeRetryReport(report).value().services.at("s").retries == 7);
+  json grant = EncodeRetryGrant({12, {{"s", {21.5, 8.25}}}});
+  grant["field_of_a_newer_version"] = 1;
+  grant["services"]["s"].push_back("more");
+  REQUIRE(DecodeRetryGrant(grant));
+  CHECK(DecodeRetryGrant(grant).value().quotas.at("s").refused == 8.25);
+}
+
 }  // namespace
 }  // namespace corneltray
