--- a/src/include/corneltray/engine_router.h
+++ b/src/include/corneltray/engine_router.h
@@ -56,12 +56,20 @@
 struct ChainChoice {
   std::vector<ChainStage> stages;  // empty if there is no chain
   ChainScope scope = ChainScope::kNone;
-  double cost_s = 0.0;  // estimated time of a typical request
-  double load = 0.0;    // of the fullest stage: cached tokens over capacity
+  double cost_s = 0.0;   // estimated time of a typical request
+  double load = 0.0;     // of the fullest stage: cached tokens over capacity
+  bool is_full = false;  // no copy has room, and this is one of them
   // Engines without room at their pace in a copy that would have been selected otherwise.
   std::vector<std::string> limited;
 };
 
+// The process that was behind an address when it was suspected.
+struct SuspectedProcess {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;  // of its last announcement
+};
+
 // Selects a chain of engines of one service for each generation. Requests of a zone are spread over
 // its complete copies of the model. The copy is selected at random, weighted by free capacity and
 // speed, because hosts that receive the same reports would otherwise all choose the same copy. If
@@ -108,8 +116,9 @@
   void End(const std::vector<ChainStage>& chain, double tokens);
   // Stores the load that the first stage of a chain reported in a response.
   void Report(TimePoint now, const std::string& address, const LoadReport& load);
-  // Marks a stage that does not respond as suspected. `sequence` is that of its last announcement.
-  void Suspect(TimePoint now, const std::string& address, std::uint64_t sequence);
+  // Marks a stage that does not respond as suspected, until its process announces itself again. A
+  // process that takes its place is not suspected.
+  void Suspect(TimePoint now, const std::string& address, const SuspectedProcess& process);
   // Records that a stage had no memory for a prompt.
   void MarkFull(TimePoint now, const std::string& address);
   // Records that the first event of an answer arrived: all stages of its chain have worked.
@@ -136,7 +145,7 @@
   // Observed state of the engine at an address; retained when the table changes.
   struct EngineState {
     TimePoint suspect_until{};
-    std::uint64_t suspect_sequence = 0;  // of the last announcement before it was suspected
+    SuspectedProcess suspect;
     bool is_suspect = false;
     TimePoint full_until{};
     double tokens = 0.0;  // of running requests from this host
@@ -216,9 +225,10 @@
                         std::size_t selected, std::vector<std::string>* limited);
   const Engine* FindAddress(const std::string& address) const;
   ModelCopy FindCheapest(TimePoint now, const std::vector<bool>& usable);
-  // Clears the marks of the engines that the copies of a pool use. Returns whether a copy has room.
-  static bool MarkUsed(const std::vector<ModelCopy>& copies, const Pool& pool,
-                       std::vector<bool>* spare);
+  // Returns a chain of engines that belong to no copy of a zone, if they hold all layers and have
+  // room. An engine whose copy only this request avoids belongs to that copy.
+  ChainChoice FindAmongSpares(TimePoint now, const UpstreamTable& upstreams,
+                              const std::vector<bool>& live);
 
   std::string m_own_zone;
   EngineProfile m_profile;
--- a/src/libserving/engine_router_test.cc
+++ b/src/libserving/engine_router_test.cc
@@ -92,7 +92,7 @@
 // Guards against a series of requests that each time out at a lost engine.
 TEST_CASE("a suspected engine is avoided until it announces itself again") {
   RouterFixture fixture;
-  fixture.router.Suspect(fixture.now, "a-s2", 1);
+  fixture.router.Suspect(fixture.now, "a-s2", {"a-s2", 1, 1});
   CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
   fixture.now += kSuspectDuration;
   CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
@@ -100,6 +100,22 @@
   CHECK(Runs(fixture.Choose(), "a-s2"));
 }
 
+// Guards against hosts that avoid a new engine for as long as its predecessor had announced itself,
+// because the announcements of a new process are counted from 1.
+TEST_CASE("a process that replaces a suspected engine at its address is used at once") {
+  RouterFixture fixture;
+  constexpr std::uint64_t kAnnouncements = 30;
+  fixture.router.Suspect(fixture.now, "a-s2", {"a-s2", 1, kAnnouncements});
+  CHECK_FALSE(Runs(fixture.Choose(), "a-s2"));
+  UpstreamUpdate next = TestEngine("a-s2", "a", "slow", 50, 60);
+  next.announcement.incarnation = 2;
+  SUBCASE("under the same name") {}
+  SUBCASE("under another name") { next.announcement.name = "a-s2-next"; }
+  fixture.Add(next);
+  fixture.router.SetEngines("s", fixture.table);
+  CHECK(Runs(fixture.Choose(), "a-s2"));
+}
+
 // Guards against requests that are refused as long as an engine is lost without a departure
 // message. First stages name it in their refusals immediately, which looks like an engine without
 // capacity.
@@ -245,9 +261,9 @@
     fixture.Add(TestEngine(z + "-f2", z, "fast", 40, 80));
   }
   // Neither of the two zones holds all layers any more, both together do.
-  const std::set<std::string> lost{"c-f1", "d-f2", "b-s3"};
   fixture.router.SetEngines("s", fixture.table);
-  const auto choose = [&] { return fixture.Choose(lost); };
+  for (const char* lost : {"c-f1", "d-f2", "b-s3"}) fixture.ReportLost(lost);
+  const auto choose = [&] { return fixture.Choose(); };
   CHECK(choose().scope == ChainScope::kOwnZone);
   fixture.router.MarkFull(fixture.now, "a-s3");
   const ChainChoice left_over = choose();
@@ -266,6 +282,17 @@
   }
 }
 
+// Guards against chains that take memory of two copies in use, because one request avoids an engine
+// of each of them.
+TEST_CASE("the rest of a copy of which a request avoids an engine is not spare") {
+  RouterFixture fixture;
+  fixture.Add(TestEngine("c-f1", "c", "fast", 0, 40));
+  fixture.Add(TestEngine("c-f2", "c", "fast", 40, 80));
+  fixture.router.SetEngines("s", fixture.table);
+  fixture.router.MarkFull(fixture.now, "c-f2");
+  CHECK(Runs(fixture.Choose({"a-f1", "b-f2"}), "c-f2"));
+}
+
 // Guards against a decision about admission that is based on one zone, or on nothing at all.
 TEST_CASE("the room of a service is that of all copies") {
   EngineProfile profile = TestProfile();
