--- a/src/libcorneltray/peer_frame.cc
+++ b/src/libcorneltray/peer_frame.cc
@@ -49,8 +49,8 @@
   const auto type = decoded.find("type");
   if (type == decoded.end() || !type->is_string()) return std::nullopt;
   PeerMessage message;
-  message.type = ParseEnum<MessageType>(type->get_ref<const std::string&>())
-                     .value_or(MessageType::kUnknown);
+  message.type =
+      ParseEnum<MessageType>(type->get_ref<const std::string&>()).value_or(MessageType::kUnknown);
   for (const auto& [key, target] : {std::pair<const char*, std::uint64_t*>{"id", &message.id},
                                     {"reply_to", &message.reply_to}}) {
     const auto field = decoded.find(key);
--- a/src/libcorneltray/peer_frame.h
+++ b/src/libcorneltray/peer_frame.h
@@ -27,8 +27,8 @@
   nlohmann::json body;
 };
 
-// CBOR of a message. Decoding returns nothing for malformed bytes, and kUnknown for a type that only
-// other versions know.
+// CBOR of a message. Decoding returns nothing for malformed bytes, and kUnknown for a type that
+// only other versions know.
 std::string EncodePeerMessage(PeerMessage message);
 std::optional<PeerMessage> DecodePeerMessage(std::string_view payload);
 
