--- a/src/libserving/exchange_attempt.cc
+++ b/src/libserving/exchange_attempt.cc
@@ -140,8 +140,8 @@
   if (EngineRouter* router = Router()) {
     m_attempt->tokens = HeldTokens(m_request);
     router->Begin(m_attempt->chain, m_attempt->tokens);
-    if (m_attempts - m_unoffered > 1)
-      m_gateway->ChargeRepeat(m_request.service->name, m_attempt->tokens);
+    const bool is_repeat = m_attempts - m_unoffered > 1;
+    if (is_repeat) m_gateway->ChargeRepeat(m_request.service->name, m_attempt->tokens);
   } else {
     m_gateway->PickerOf(m_request.service->name).Begin(m_attempt->address);
   }
