--- a/src/include/corneltray/crash_attribution.h
+++ b/src/include/corneltray/crash_attribution.h
@@ -28,7 +28,7 @@
 constexpr std::uint32_t kMaxClearances = 2;
 // Upstreams that crash within kCommonCauseWindow, none of them later than kCommonCauseGap after the
 // one before, have a common cause, such as a loss of power, and count as one crash. With 100 ms
-// alone two requests that crashed one upstream each, 66 ms apart, counted once, and three more
+// alone two requests that crashed one upstream each, 66 ms apart, counted once, and two more
 // upstreams crashed before their part was quarantined.
 constexpr std::chrono::milliseconds kCommonCauseWindow{100};
 constexpr std::chrono::milliseconds kCommonCauseGap{30};
