review: each script reads TROUBLE itself

Looked for: a reader of the case's folder has to see what TROUBLE=0 leaves out.

Done: run.py of each case reads TROUBLE and passes it on; the shared stand-ins don't.

--- a/review/7/run.py
+++ b/review/7/run.py
@@ -7,6 +7,7 @@
 the time.
 """
 
+import os
 import pathlib
 import sys
 import threading
@@ -152,4 +153,5 @@
     raise RuntimeError(f"version {document['version']} is not acknowledged")
 
 
-sys.exit(standin.main(FOLDER, run))
+# TROUBLE=0: the same without the disruption.
+sys.exit(standin.main(FOLDER, run, trouble=os.environ.get("TROUBLE", "1") != "0"))
--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -6,7 +6,6 @@
 
 import http.client
 import json
-import os
 import pathlib
 import signal
 import socket
@@ -31,10 +30,6 @@
     return all((TOP / "target" / "bin" / name).exists() for name in PROGRAMS)
 
 
-def with_trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """What was sent, answered and run, one line each, with the seconds since the start."""
 
@@ -320,7 +315,7 @@
         self.platform.close()
 
 
-def main(folder, run):
+def main(folder, run, trouble):
     """Runs a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the programs are ended as well
     record = Record(folder)
@@ -328,7 +323,7 @@
         record.write("the programs of the deploy file are not built")
         return 2
     try:
-        broken = run(record, with_trouble())
+        broken = run(record, trouble)
     except Exception as error:  # the case itself failed, which says nothing about the rule
         record.write(f"the case could not run: {type(error).__name__}: {error}")
         return 2
