--- a/review/7/run.py
+++ b/review/7/run.py
@@ -2,9 +2,9 @@
 
 Six control hosts, two in each of three zones, and one entry host in the first zone. The links
 between control hosts pass proxies, of which those between the two of the first zone and the other
-four hold all bytes for a while. The entry host reaches all six directly. Right after the begin of the
-cut the operator moves a route to another service at the majority. A caller asks for the route all
-the time.
+four hold all bytes for a while. The entry host reaches all six directly. Right after the begin of
+the cut the operator moves a route to another service at the majority. A caller asks for the route
+all the time.
 """
 
 import os
@@ -25,7 +25,7 @@
 OTHERS = [number for number in CONTROLS if number not in CUT_OFF]
 # The figures of the sheet of corralon-federal-grown, and the length of its core_cut.
 CONTACT_S, CONFIG_APPLY_S, CUT_S = 4.0, 2.5, 5.5
-SETTLE_S = 8.0  # for the members of the log and the links of the entry host
+SETTLE_S = 25.0  # for the members of the log, and for the entry host to come to its own zone
 PUT_AFTER_S = 0.3
 ASK_EVERY_S = 0.05
 
