--- a/testsuite/first-start-faults/region.py
+++ b/testsuite/first-start-faults/region.py
@@ -34,17 +34,20 @@
 
 
 class FaultyRegion(Platform):
-    """Three control hosts and entry hosts. Links to control hosts pass proxies if there are any."""
+    """Control hosts and entry hosts. Links to control hosts pass proxies if there are any."""
 
-    def __init__(self, build, has_proxies):
+    def __init__(self, build, has_proxies, numbers=None):
+        """`numbers` are those of the control hosts; by default three and their replacement."""
         super().__init__(build)
+        numbers = numbers or (1, 2, 3, REPLACEMENT)
+        self.highest_number = max(numbers)
         self.has_proxies, self.proxies, self.modes = has_proxies, [], {}
         self.controls, self.wanted, self.first_start = {}, set(), {}
         self.told_seeds, self.full_disks = self.seeds, set()
         self.lock, self.closing = threading.RLock(), False
         if has_proxies:
             self.owners = {}  # names of control processes, or None, by the port of a connection
-            self.proxies = [self._proxy(number) for number in (1, 2, 3, REPLACEMENT)]
+            self.proxies = [self._proxy(number) for number in numbers]
             threading.Thread(target=self._watch_owners, daemon=True).start()
         threading.Thread(target=self._restart_ended, daemon=True).start()
 
@@ -144,7 +147,7 @@
         """Finds the control processes that have opened the connections to the proxies.
 
         The connections don't wait for this: a link that opens slowly is given up."""
-        to_proxy = re.compile(rf":([0-9A-F]{{4}}) 0[1-{REPLACEMENT}]00007F:"
+        to_proxy = re.compile(rf":([0-9A-F]{{4}}) 0[1-{self.highest_number}]00007F:"
                               rf"{self.ports['port_range.0']:04X} (?:\S+ +){{6}}(\d+) ")
         while not self.closing:
             connections = to_proxy.findall(pathlib.Path("/proc/net/tcp").read_text())
