Keep a link closed while its control host is in its pause

What was seen: the log of an entry host whose source had failed showed control_link_up and control_link_lost of it every 1.1 s until its pause ended.

Cause: the pause is kept by host, and the host at an address was known only while its link was up. Without the link the address ranked as sound, and first in the own zone; with it, it ranked as failed, and the link was closed again.

Change: the host at an address is remembered after its link.

--- a/src/include/corneltray/control_source_selector.h
+++ b/src/include/corneltray/control_source_selector.h
@@ -105,8 +105,9 @@
   bool IsInCooldown(TimePoint now, const std::string& host) const;
   void RecordFailure(TimePoint now, const std::string& host);
   std::uint64_t SpreadOf(const std::string& address) const;
-  // Host of the link to this address; empty if there is none.
+  // Host of the last link to this address; empty if there was none.
   std::string HostAt(const std::string& address) const;
+  bool IsLinked(const std::string& host) const { return m_links.count(host) > 0; }
   std::optional<SourceFailure> FailureOfSource(TimePoint now) const;
 
   std::string m_host;
@@ -114,6 +115,7 @@
   std::map<std::string, std::string> m_candidates;  // availability zone by address
   std::map<std::string, TimePoint> m_wanted_since;  // by address without a link
   std::map<std::string, Link> m_links;              // by host
+  std::map<std::string, std::string> m_host_at;     // by address, kept without a link
   std::map<std::string, Failures> m_failures;       // by host
   std::map<std::string, TimePoint> m_confirmed_at;  // by host
   std::string m_source;
--- a/src/libfleet/control_source_selector.cc
+++ b/src/libfleet/control_source_selector.cc
@@ -21,11 +21,12 @@
     const auto known = m_links.find(control.host);
     const TimePoint up_since = known == m_links.end() ? now : known->second.up_since;
     links[control.host] = {control.address, control.availability_zone, up_since};
+    m_host_at[control.address] = control.host;
     const auto candidate = m_candidates.find(control.address);
     if (candidate != m_candidates.end()) candidate->second = control.availability_zone;
   }
   m_links = std::move(links);
-  if (m_links.count(m_source) == 0) m_source.clear();
+  if (!IsLinked(m_source)) m_source.clear();
 }
 
 std::set<std::string> ControlSourceSelector::WantedAddresses(TimePoint now) {
@@ -41,7 +42,7 @@
   for (const auto& [is_failing, is_remote, spread, address] : ranking) {
     if (usable >= kControlLinksPerHost && !m_links.empty()) break;
     wanted.insert(address);
-    if (!HostAt(address).empty()) {
+    if (IsLinked(HostAt(address))) {
       if (!is_failing) ++usable;
       continue;
     }
@@ -128,10 +129,8 @@
 }
 
 std::string ControlSourceSelector::HostAt(const std::string& address) const {
-  for (const auto& [host, link] : m_links) {
-    if (link.address == address) return host;
-  }
-  return {};
+  const auto known = m_host_at.find(address);
+  return known == m_host_at.end() ? "" : known->second;
 }
 
 }  // namespace corneltray
--- a/src/libfleet/control_source_selector_test.cc
+++ b/src/libfleet/control_source_selector_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace corneltray {
 namespace {
@@ -39,6 +40,7 @@
   std::vector<std::string> links;
   TimePoint now = kStart;
   int moves = 0;
+  int opened = 0;  // links
 
   explicit Host(const std::string& name) : selector(name, "a") {
     selector.SetCandidates(Candidates());
@@ -47,9 +49,11 @@
   void Step(Duration time = milliseconds(100)) {
     now += time;
     const std::set<std::string> wanted = selector.WantedAddresses(now);
-    links.clear();
+    const std::vector<std::string> before = std::exchange(links, {});
     for (const std::string& host : kHosts) {
-      if (wanted.count(AddressOf(host)) > 0 && down.count(host) == 0) links.push_back(host);
+      if (wanted.count(AddressOf(host)) == 0 || down.count(host) > 0) continue;
+      links.push_back(host);
+      if (std::find(before.begin(), before.end(), host) == before.end()) ++opened;
     }
     selector.SetLinked(now, Linked(links));
     selector.CheckSource(now);
@@ -105,6 +109,15 @@
     host.Run(kSourceReturnDelay + seconds(2));
     CHECK(host.selector.Source() == "c-a");
   }
+  // Guards against a link that is opened again as soon as it is closed, with a handshake each time.
+  SUBCASE("the link to a source that has failed is not opened again during its pause") {
+    const TimePoint silent_since = host.now;
+    while (host.selector.Source() == "c-a" && host.now < silent_since + seconds(10)) host.Step();
+    const int opened = host.opened;
+    host.Run(kMinSourceCooldown - milliseconds(500));
+    CHECK_FALSE(host.IsLinked("c-a"));
+    CHECK(host.opened <= opened + 1);
+  }
   // Guards against a host that follows a control process which is cut off from all others.
   SUBCASE("a source that confirms nothing is left if another control process does") {
     for (int i = 0; i < 40; ++i) {
