Link a further control host when none confirms reads, and leave those that are cut off

What callers saw: with both control hosts of a zone cut off from the majority, entry hosts of that zone served by the configuration from before the cut, sent requests to an upstream that had left, and after 5 s refused every request with a key, until the cut healed. Four control hosts of the majority were in reach.

Cause: an entry host links two control hosts, and counts one as failed only if it is silent or another linked one confirms a read. Two that are cut off together answer and confirm nothing, so the host asked the two in turn. The table of upstreams follows one of the two; with a third link alone it would have gone to the other one, which ranks first and is cut off as well.

Evidence, programs of: route_table_unconfirmed of the two in turn, 0.4 s apart, for the whole cut; no control_link_up of a third.

Change: without a confirmed read for 1.2 to 1.6 s, a host links one control host more, later further ones, up to a majority. One at which a read failed, while another confirms, is cut off: it is read from and followed last, its link is kept, and a probe every 2 s shows when it is back.

Why it works: a majority of the control hosts includes one on the side that has a quorum. Without a leader nobody is cut off, so no host moves.

'while nobody confirms anything, the source is kept' expected half of the fault, that no link is added; it now asks that one is added at a time, up to a majority, and that the source is still kept.

--- a/src/corneltray-gateway/control_plane_subscriber.cc
+++ b/src/corneltray-gateway/control_plane_subscriber.cc
@@ -147,6 +147,7 @@
   m_subscription.Check(now);
   if (!m_subscription.HasLinks()) m_discovery.Query(now);
   FetchIfDue();
+  ProbeIfDue(now);
 }
 
 void ControlPlaneSubscriber::OnRouteTableChanged(const std::string& host, std::uint64_t version) {
@@ -166,6 +167,25 @@
   }
 }
 
+void ControlPlaneSubscriber::ProbeIfDue(TimePoint now) {
+  while (const auto host = m_subscription.NextProbe(now)) Probe(*host);
+}
+
+// A probe does not count as a fetch, so that fetches never wait for a control process that is cut
+// off.
+void ControlPlaneSubscriber::Probe(const std::string& host) {
+  const json body = {{"have", m_gateway->RouteVersion()},
+                     {"confirmed", true},
+                     {"timeout_ms", kFetchTimeout.count()}};
+  m_node->Request(host, MessageType::kRouteTableFetch, body, Clock::now() + kFetchTimeout,
+                  [this, host](const Result<json>& reply) {
+                    if (!reply || !reply.value().contains("version")) return;
+                    asio::post(*m_io, [this, host] {
+                      if (!m_stopped) m_subscription.OnConfirmed(Clock::now(), host);
+                    });
+                  });
+}
+
 void ControlPlaneSubscriber::FetchRouteTable(const std::string& host) {
   const TimePoint asked_at = BootTimeNow();
   const std::uint64_t held = m_gateway->RouteVersion();
@@ -224,6 +244,7 @@
            {{"control_host", host}, {"reason", reason}});
   const TimePoint now = Clock::now();
   m_fetches.OnFailed(now, host);
+  m_subscription.OnReadFailed(now, host);
   // The linked control hosts may have left the replicated log but know its current members.
   m_discovery.Query(now);
 }
--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -39,6 +39,9 @@
   void Tick();
   // Starts the fetches that are due.
   void FetchIfDue();
+  // Asks control processes that are cut off for a read, to detect when they are back.
+  void ProbeIfDue(TimePoint now);
+  void Probe(const std::string& host);
   void FetchRouteTable(const std::string& host);
   void OnRouteTable(const std::string& host, bool confirmed, TimePoint asked_at,
                     const Result<nlohmann::json>& reply);
--- a/src/include/corneltray/control_host_selector.h
+++ b/src/include/corneltray/control_host_selector.h
@@ -32,6 +32,8 @@
   std::string host;
   bool is_local = false;   // in the availability zone of this process
   bool is_source = false;  // this process follows its feed of upstreams
+  // Fails to confirm reads of the log while another control process confirms them.
+  bool is_cut_off = false;
 };
 
 // Tracks which control processes recently failed a call and ranks them for the next call.
@@ -47,8 +49,9 @@
   }
   void RecordAnswer(const std::string& host) { m_cooldown_until.erase(host); }
 
-  // Sorts by no recent failure first, then the source first, then local availability zone first,
-  // then a hash of both names, or the host name if this process has no name.
+  // Sorts those that are cut off last, then by no recent failure first, then the source first, then
+  // local availability zone first, then a hash of both names, or the host name if this process has
+  // no name.
   std::vector<std::string> Order(TimePoint now, std::vector<ControlCandidate> candidates) const;
 
  private:
--- a/src/include/corneltray/upstream_subscription.h
+++ b/src/include/corneltray/upstream_subscription.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,8 +48,11 @@
   // Opens and closes links and follows a control process. Called several times a second.
   void Check(TimePoint now);
 
-  // A control process has confirmed a read of the log.
-  void OnConfirmed(TimePoint now, const std::string& host) { m_selector.OnConfirmed(now, host); }
+  // A control process has confirmed a read of the log, or failed to.
+  void OnConfirmed(TimePoint now, const std::string& host);
+  void OnReadFailed(TimePoint now, const std::string& host);
+  // Returns a control process that is cut off and is to be asked for a read now, if there is one.
+  std::optional<std::string> NextProbe(TimePoint now);
 
   // Returns the linked control processes, with those of the own zone marked as local.
   std::vector<ControlCandidate> Candidates() const;
@@ -63,7 +67,10 @@
  private:
   void OnMessage(const std::string& from, UpstreamUpdates updates);
   void UpdateCandidates();
+  // Reads which links are up.
   void UpdateLinks(TimePoint now);
+  // Opens the links that are wanted and closes the others.
+  void UpdateConnections(TimePoint now);
   void Follow(const std::string& host);
   void OnFetched(const std::string& host, const Result<UpstreamUpdates>& fetched);
   void Unfollow(const std::string& host) const;
@@ -79,6 +86,8 @@
   std::set<std::string> m_seeds;
   std::vector<ControlHost> m_members;
   std::set<std::string> m_discovered;
+  std::set<std::string> m_known_cut_off;  // control processes, for the log
+  std::size_t m_needed_links = kControlLinksPerHost;
   std::set<std::string> m_connected_addresses;  // that PeerNode keeps links to
   bool m_is_fetching = false;
   bool m_needs_fetch = false;  // a message of the source is missing
--- a/src/libfleet/control_host_selector.cc
+++ b/src/libfleet/control_host_selector.cc
@@ -29,7 +29,7 @@
   const auto rank = [this, now](const ControlCandidate& candidate) {
     const auto cooldown = m_cooldown_until.find(candidate.host);
     const bool failed = cooldown != m_cooldown_until.end() && now < cooldown->second;
-    return std::make_tuple(failed, !candidate.is_source, !candidate.is_local,
+    return std::make_tuple(candidate.is_cut_off, failed, !candidate.is_source, !candidate.is_local,
                            SpreadOf(candidate.host), std::cref(candidate.host));
   };
   std::sort(
--- a/src/libfleet/control_source_selector.cc
+++ b/src/libfleet/control_source_selector.cc
@@ -7,6 +7,15 @@
 #include <utility>
 
 namespace corneltray {
+namespace {
+
+// Spreads hosts over kLinkSpread by their names.
+std::chrono::milliseconds LinkDelayOf(const std::string& host) {
+  const auto steps = static_cast<std::uint64_t>(kLinkSpread.count());
+  return std::chrono::milliseconds(XXH64(host.data(), host.size(), 0) % steps);
+}
+
+}  // namespace
 
 void ControlSourceSelector::SetCandidates(const std::vector<ControlHost>& candidates) {
   m_candidates.clear();
@@ -17,10 +26,11 @@
 
 void ControlSourceSelector::SetLinked(TimePoint now, const std::vector<LinkedControlHost>& linked) {
   std::map<std::string, Link> links;
+  if (m_links.empty()) m_linked_since = now;
   for (const LinkedControlHost& control : linked) {
     const auto known = m_links.find(control.host);
-    const TimePoint up_since = known == m_links.end() ? now : known->second.up_since;
-    links[control.host] = {control.address, control.availability_zone, up_since};
+    const TimePoint usable_since = known == m_links.end() ? now : known->second.usable_since;
+    links[control.host] = {control.address, control.availability_zone, usable_since};
     m_host_at[control.address] = control.host;
     const auto candidate = m_candidates.find(control.address);
     if (candidate != m_candidates.end()) candidate->second = control.availability_zone;
@@ -32,18 +42,23 @@
 std::set<std::string> ControlSourceSelector::WantedAddresses(TimePoint now) {
   std::vector<std::tuple<bool, bool, std::uint64_t, std::string>> ranking;
   for (const auto& [address, zone] : m_candidates) {
-    ranking.emplace_back(IsInCooldown(now, HostAt(address)), zone != m_availability_zone,
+    ranking.emplace_back(IsLinkUnusable(now, HostAt(address)), zone != m_availability_zone,
                          SpreadOf(address), address);
   }
   std::sort(ranking.begin(), ranking.end());
+  const std::size_t needed = NeededLinks(now);
   std::set<std::string> wanted;
   std::map<std::string, TimePoint> wanted_since;
   std::size_t usable = 0;
-  for (const auto& [is_failing, is_remote, spread, address] : ranking) {
-    if (usable >= kControlLinksPerHost && !m_links.empty()) break;
+  for (const auto& [is_unusable, is_remote, spread, address] : ranking) {
+    const bool is_linked = IsLinked(HostAt(address));
+    if (usable >= needed && !m_links.empty()) {
+      if (is_linked && IsCutOff(HostAt(address))) wanted.insert(address);
+      continue;
+    }
     wanted.insert(address);
-    if (IsLinked(HostAt(address))) {
-      if (!is_failing) ++usable;
+    if (is_linked) {
+      if (!is_unusable) ++usable;
       continue;
     }
     const auto since = m_wanted_since.find(address);
@@ -53,22 +68,47 @@
   }
   m_wanted_since = std::move(wanted_since);
   // The source keeps its link until another one is followed.
-  const auto source = m_links.find(m_source);
-  if (source != m_links.end()) wanted.insert(source->second.address);
+  KeepLink(m_source, &wanted);
+  // So does the control process that confirms reads while others have only just failed to.
+  const bool any_cut_off = std::any_of(m_links.begin(), m_links.end(),
+                                       [this](const auto& link) { return IsCutOff(link.first); });
+  if (any_cut_off) KeepLink(m_last_confirmed_by, &wanted);
   return wanted;
 }
 
+void ControlSourceSelector::KeepLink(const std::string& host, std::set<std::string>* wanted) const {
+  const auto link = m_links.find(host);
+  if (link != m_links.end()) wanted->insert(link->second.address);
+}
+
+// A majority of the control processes includes a member of every quorum, so more links than that
+// are of no use.
+std::size_t ControlSourceSelector::NeededLinks(TimePoint now) const {
+  const std::size_t majority = m_candidates.size() / 2 + 1;
+  std::size_t needed = kControlLinksPerHost;
+  TimePoint next = std::max(m_last_confirmed_at, m_linked_since) + kUnconfirmedLinksTimeout +
+                   LinkDelayOf(m_host);
+  Duration pause = kFurtherLinkPause;
+  while (needed < majority && now >= next) {
+    ++needed;
+    next += pause;
+    pause *= 2;
+  }
+  return needed;
+}
+
 std::optional<std::string> ControlSourceSelector::Choose(TimePoint now) const {
   using Rank = std::tuple<bool, bool, std::uint64_t>;
   const auto rank = [this, now](const std::string& host, const Link& link) {
-    return Rank(IsInCooldown(now, host), link.availability_zone != m_availability_zone,
-                SpreadOf(link.address));
+    // The source is left once CheckSource() has found that it failed.
+    const bool is_failing = IsInCooldown(now, host) || (host != m_source && IsCutOff(host));
+    return Rank(is_failing, link.availability_zone != m_availability_zone, SpreadOf(link.address));
   };
   std::optional<std::string> best;
   Rank best_rank;
   for (const auto& [host, link] : m_links) {
     const bool is_too_new = !m_source.empty() && host != m_source &&
-                            now < link.up_since + kSourceReturnDelay &&
+                            now < link.usable_since + kSourceReturnDelay &&
                             !IsInCooldown(now, m_source);
     if (is_too_new) continue;
     const Rank own = rank(host, link);
@@ -77,7 +117,7 @@
     best_rank = own;
   }
   // If all have failed lately, another one is not expected to be better.
-  if (best && IsInCooldown(now, *best) && !m_source.empty()) return m_source;
+  if (best && std::get<0>(best_rank) && !m_source.empty()) return m_source;
   return best;
 }
 
@@ -87,6 +127,34 @@
   m_heard_at = now;
 }
 
+void ControlSourceSelector::OnConfirmed(TimePoint now, const std::string& host) {
+  const auto link = m_links.find(host);
+  if (IsCutOff(host) && link != m_links.end()) link->second.usable_since = now;
+  m_failed_reads.erase(host);
+  m_confirmed_at[host] = now;
+  m_last_confirmed_by = host;
+  m_last_confirmed_at = now;
+}
+
+void ControlSourceSelector::OnReadFailed(TimePoint now, const std::string& host) {
+  m_failed_reads.emplace(host, FailedReads{now, now});
+}
+
+bool ControlSourceSelector::IsCutOff(const std::string& host) const {
+  const auto failed = m_failed_reads.find(host);
+  return failed != m_failed_reads.end() && m_last_confirmed_at > failed->second.first_at;
+}
+
+std::optional<std::string> ControlSourceSelector::NextProbe(TimePoint now) {
+  for (auto& [host, failed] : m_failed_reads) {
+    const bool is_due = now >= failed.next_probe_at;
+    if (!is_due || !IsLinked(host) || !IsCutOff(host)) continue;
+    failed.next_probe_at = now + kCutOffProbeInterval;
+    return host;
+  }
+  return std::nullopt;
+}
+
 std::optional<SourceFailure> ControlSourceSelector::FailureOfSource(TimePoint now) const {
   if (m_source.empty()) return std::nullopt;
   if (now >= m_heard_at + kSourceSilenceTimeout) return SourceFailure::kSilent;
@@ -113,6 +181,13 @@
   return failures != m_failures.end() && now < failures->second.cooldown_until;
 }
 
+bool ControlSourceSelector::IsLinkUnusable(TimePoint now, const std::string& host) const {
+  if (IsInCooldown(now, host)) return true;
+  // Without a link, nothing shows whether it is still cut off.
+  return IsLinked(host) && IsCutOff(host) &&
+         now >= m_failed_reads.at(host).first_at + kCutOffLinkDelay;
+}
+
 void ControlSourceSelector::RecordFailure(TimePoint now, const std::string& host) {
   Failures& failures = m_failures[host];
   // Failures that are long past do not lengthen the pause.
--- a/src/libfleet/control_source_selector_test.cc
+++ b/src/libfleet/control_source_selector_test.cc
@@ -37,6 +37,7 @@
 struct Host {
   ControlSourceSelector selector;
   std::set<std::string> down;
+  std::set<std::string> unconfirming;  // linked as usual, but their reads fail
   std::vector<std::string> links;
   TimePoint now = kStart;
   int moves = 0;
@@ -62,10 +63,17 @@
     selector.OnFollowed(now, *chosen);
     ++moves;
   }
-  // Steps during which the source sends its messages.
+  // Steps during which the source sends its messages and all links are asked for reads.
   void Run(Duration time) {
     for (const TimePoint end = now + time; now < end;) {
       selector.OnHeard(now);
+      for (const std::string& link : links) {
+        if (unconfirming.count(link) > 0) {
+          selector.OnReadFailed(now, link);
+        } else {
+          selector.OnConfirmed(now, link);
+        }
+      }
       Step();
     }
   }
@@ -120,14 +128,43 @@
   }
   // Guards against a host that follows a control process which is cut off from all others.
   SUBCASE("a source that confirms nothing is left if another control process does") {
-    for (int i = 0; i < 40; ++i) {
-      host.selector.OnConfirmed(host.now, "c-b");
-      host.Run(milliseconds(100));
-    }
+    host.unconfirming.insert("c-a");
+    host.Run(seconds(4));
+    CHECK(host.selector.Source() != "c-a");
+    // Guards against a host that returns to it, since it ranks first, before the cut has healed.
+    host.Run(seconds(60));
     CHECK(host.selector.Source() != "c-a");
+    host.unconfirming.clear();
+    host.Run(kSourceReturnDelay + seconds(1));
+    CHECK(host.selector.Source() == "c-a");
+    CHECK(host.links.size() == kControlLinksPerHost);
   }
-  SUBCASE("while nobody confirms anything, the source is kept") {
-    host.Run(seconds(20));
+  // Guards against a host whose control processes are cut off from the others together. They cannot
+  // be told from a log without a leader, so it needs a link to one more.
+  SUBCASE(
+      "while nobody confirms anything, the source is kept and one more link is added at a time") {
+    host.unconfirming.insert(kHosts.begin(), kHosts.end());
+    const int moves = host.moves;
+    host.Run(kUnconfirmedLinksTimeout - milliseconds(200));
+    CHECK(host.links.size() == kControlLinksPerHost);
+    host.Run(kLinkSpread + milliseconds(400));
+    CHECK(host.links.size() == kControlLinksPerHost + 1);
+    // Guards against entry hosts that link all control processes, or go from one to the next, while
+    // the whole log has no leader.
+    host.Run(seconds(60));
+    CHECK(host.links.size() == kHosts.size() / 2 + 1);
+    CHECK(host.selector.Source() == "c-a");
+    CHECK(host.moves == moves);
+    host.unconfirming.clear();
+    host.Run(seconds(1));
+    CHECK(host.links.size() == kControlLinksPerHost);
+  }
+  SUBCASE("one late answer costs neither the source nor another link") {
+    host.selector.OnReadFailed(host.now, "c-a");
+    host.Run(milliseconds(100));
+    const std::vector<std::string> links = host.links;
+    host.Run(seconds(3));
+    CHECK(host.links == links);
     CHECK(host.selector.Source() == "c-a");
   }
   // Guards against hosts that wander among control processes which are all too busy to send, and
--- a/src/libfleet/upstream_subscription.cc
+++ b/src/libfleet/upstream_subscription.cc
@@ -85,6 +85,18 @@
     LogEvent(LogLevel::kWarning, "control_source_failed",
              {{"control_host", source}, {"reason", NameOf(*failure)}});
   }
+  UpdateConnections(now);
+  if (m_is_fetching || now < m_next_fetch_at) return;
+  const auto chosen = m_selector.Choose(now);
+  if (chosen && (*chosen != m_selector.Source() || m_needs_fetch)) Follow(*chosen);
+}
+
+void UpstreamSubscription::UpdateConnections(TimePoint now) {
+  const std::size_t needed = m_selector.NeededLinks(now);
+  if (needed > m_needed_links) {
+    LogEvent(LogLevel::kWarning, "control_hosts_unconfirmed", {{"links_needed", needed}});
+  }
+  m_needed_links = needed;
   const std::set<std::string> wanted = m_selector.WantedAddresses(now);
   for (const std::string& address : wanted) {
     if (m_connected_addresses.count(address) == 0) m_node->Connect(address);
@@ -93,9 +105,6 @@
     if (wanted.count(address) == 0) m_node->Disconnect(address);
   }
   m_connected_addresses = wanted;
-  if (m_is_fetching || now < m_next_fetch_at) return;
-  const auto chosen = m_selector.Choose(now);
-  if (chosen && (*chosen != m_selector.Source() || m_needs_fetch)) Follow(*chosen);
 }
 
 void UpstreamSubscription::UpdateLinks(TimePoint now) {
@@ -174,12 +183,31 @@
   m_needs_fetch = true;
 }
 
+void UpstreamSubscription::OnConfirmed(TimePoint now, const std::string& host) {
+  m_selector.OnConfirmed(now, host);
+  if (m_known_cut_off.erase(host) == 0) return;
+  LogEvent(LogLevel::kInfo, "control_host_confirms", {{"control_host", host}});
+}
+
+void UpstreamSubscription::OnReadFailed(TimePoint now, const std::string& host) {
+  m_selector.OnReadFailed(now, host);
+}
+
+std::optional<std::string> UpstreamSubscription::NextProbe(TimePoint now) {
+  const auto host = m_selector.NextProbe(now);
+  if (host && m_known_cut_off.insert(*host).second) {
+    LogEvent(LogLevel::kWarning, "control_host_cut_off", {{"control_host", *host}});
+  }
+  return host;
+}
+
 std::vector<ControlCandidate> UpstreamSubscription::Candidates() const {
   std::vector<ControlCandidate> candidates;
   candidates.reserve(m_linked.size());
   for (const LinkedControlHost& control : m_linked) {
     const bool is_local = control.availability_zone == m_self.availability_zone;
-    candidates.push_back({control.host, is_local, control.host == m_selector.Source()});
+    const bool is_source = control.host == m_selector.Source();
+    candidates.push_back({control.host, is_local, is_source, m_selector.IsCutOff(control.host)});
   }
   return candidates;
 }
