--- a/src/include/corneltray/fetch_scheduler.h
+++ b/src/include/corneltray/fetch_scheduler.h
@@ -30,9 +30,9 @@
 constexpr std::size_t kMaxConcurrentFetches = 2;
 
 // Decides when one entry host fetches the route table and from which control process. Each host
-// prefers its source, which shows whether that is cut off, and until it has one a control process of
-// its availability zone, chosen by a hash, so that the hosts are spread over all of them. Not thread
-// safe.
+// prefers its source, which shows whether that is cut off, and until it has one a control process
+// of its availability zone, chosen by a hash, so that the hosts are spread over all of them. Not
+// thread safe.
 class FetchScheduler {
  public:
   // `host` is the name of the entry host.
