Pass calls on to control hosts that are cut off last

What callers saw: an upstream told an entry host that it was leaving. The host acknowledged this, but had passed the call on to a control host of its zone that was cut off from the others with it. Entry hosts of other zones went on to send requests to the upstream until they had not heard of it for 4 s.

A control host answers such a call also when it reaches no other one, and calls went to the own zone first.

Change: the relay ranks control hosts that are cut off last, as reads do.

Tests: testsuite/control-hosts-cut-off has an upstream that leaves by way of the entry host. 'a control process that is cut off gets a call last' covers the order.

--- a/src/corneltray-gateway/control_plane_subscriber.h
+++ b/src/corneltray-gateway/control_plane_subscriber.h
@@ -33,6 +33,8 @@
   void Stop();
   // Replaces the seeds after the settings were reloaded.
   void SetSeeds(const std::vector<std::string>& seeds);
+  // Returns whether a linked control process fails to confirm reads while another confirms them.
+  bool IsCutOff(const std::string& host) const { return m_subscription.IsCutOff(host); }
 
  private:
   void ScheduleTick();
--- a/src/corneltray-gateway/main.cc
+++ b/src/corneltray-gateway/main.cc
@@ -143,6 +143,8 @@
                                              &m_gateway->GetMetrics(), m_settings.name,
                                              m_settings.availability_zone);
     m_relay->SetBudget(m_budget.Part(Door::kOperators));
+    m_relay->SetCutOffCheck(
+        [this](const std::string& host) { return m_subscriber->IsCutOff(host); });
     return m_relay->Listen(m_settings.fleet_address);
   }
 
--- a/src/include/corneltray/control_relay.h
+++ b/src/include/corneltray/control_relay.h
@@ -2,8 +2,10 @@
 #define CORNELTRAY_CONTROL_RELAY_H_
 
 #include <asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "corneltray/control_endpoint.h"
@@ -25,6 +27,11 @@
   ControlRelay(const ControlRelay&) = delete;
   ControlRelay& operator=(const ControlRelay&) = delete;
 
+  // Control processes for which `is_cut_off` returns true receive calls last. Called on the
+  // io_context.
+  void SetCutOffCheck(std::function<bool(const std::string& host)> is_cut_off) {
+    m_is_cut_off = std::move(is_cut_off);
+  }
   // Fails when the address IP:PORT cannot be bound.
   void SetBudget(std::shared_ptr<DoorBudget> budget) { m_endpoint.SetBudget(std::move(budget)); }
   Status Listen(const std::string& address) { return m_endpoint.Listen(address); }
@@ -44,6 +51,7 @@
   PeerNode* m_node;
   std::string m_availability_zone;
   ControlHostSelector m_ranking;
+  std::function<bool(const std::string& host)> m_is_cut_off;  // empty: none is
   // Expires with the object. Handlers of replies and timers may run later and check it first.
   std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
   ControlEndpoint m_endpoint;
--- a/src/include/corneltray/upstream_subscription.h
+++ b/src/include/corneltray/upstream_subscription.h
@@ -56,6 +56,7 @@
 
   // Returns the linked control processes, with those of the own zone marked as local.
   std::vector<ControlCandidate> Candidates() const;
+  bool IsCutOff(const std::string& host) const { return m_selector.IsCutOff(host); }
   bool HasLinks() const { return !m_linked.empty(); }
   // The control process that this host follows; empty if there is none.
   const std::string& Source() const { return m_selector.Source(); }
--- a/src/libfleet/control_relay.cc
+++ b/src/libfleet/control_relay.cc
@@ -57,8 +57,11 @@
   std::vector<ControlCandidate> candidates;
   for (const PeerStatus& peer : m_node->Peers()) {
     if (!peer.connected || peer.identity.program != kControlProgram) continue;
-    candidates.push_back(
-        {peer.identity.host, peer.identity.availability_zone == m_availability_zone});
+    ControlCandidate candidate;
+    candidate.host = peer.identity.host;
+    candidate.is_local = peer.identity.availability_zone == m_availability_zone;
+    candidate.is_cut_off = m_is_cut_off && m_is_cut_off(candidate.host);
+    candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
--- a/src/libfleet/control_relay_test.cc
+++ b/src/libfleet/control_relay_test.cc
@@ -111,6 +111,19 @@
         CHECK(fixture.first.calls == 1);
       }
     }
+    // Guards against a departure that is acknowledged although only control processes that are cut
+    // off from the others have heard of it.
+    SUBCASE("a control process that is cut off gets a call last") {
+      fixture.loop.Run([&fixture] {
+        fixture.relay->SetCutOffCheck([](const std::string& host) { return host == "a"; });
+        return true;
+      });
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
+      CHECK(fixture.first.calls == 0);
+      fixture.second.status = 503;
+      CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
+      CHECK(fixture.first.calls == 1);
+    }
     SUBCASE("after a server error the other control process serves the call") {
       fixture.first.status = 503;
       CHECK(HasStatus(fixture.Call("POST", "/Config.Put", "{}"), 200));
--- a/testsuite/control-hosts-cut-off/run.py
+++ b/testsuite/control-hosts-cut-off/run.py
@@ -2,7 +2,9 @@
 
 Guards against an entry host that keeps to control hosts which cannot reach a majority: it served an
 old configuration, refused every key once its lease had run out, and sent requests to upstreams that
-had left, although a majority of the control hosts was within its reach.
+had left, although a majority of the control hosts was within its reach. Guards as well against a
+departure that it acknowledges after only those have heard of it, so that other entry hosts go on to
+send requests to the upstream.
 """
 
 import collections
@@ -53,9 +55,10 @@
 class Caller(threading.Thread):
     """Sends requests with a key all the time, and keeps what became of each."""
 
-    def __init__(self, front, replicas):
+    def __init__(self, number, region, replicas):
         super().__init__(daemon=True)
-        self.front, self.replicas = front, replicas
+        self.host, self.front = f"edge-{number}", f"{entry_ip(number)}:{region.front_port}"
+        self.replicas = list(replicas)
         self.sent, self.ending = [], threading.Event()  # attempt, time and status
 
     def run(self):
@@ -110,64 +113,87 @@
     return {control_ip(number) for number in CUT_OFF}
 
 
-def check_cut(c, region, entry, caller, version, mode):
-    """One cut, with a change and a departure acknowledged by the majority right after its begin."""
+def is_settled(entry):
+    return linked_control_hosts(entry) == own_zone() and follows_own_zone(entry)
+
+
+def sleep_until(at):
+    time.sleep(max(0.0, at - time.monotonic()))
+
+
+def check_cut(c, region, entry, callers, version, mode):
+    """One cut, with changes and departures acknowledged by the majority, and one at the entry host."""
     what = f"links {'closed' if mode == 'refuse' else 'silent'}"
-    h.wait_until(lambda: linked_control_hosts(entry) == own_zone() and follows_own_zone(entry),
-                 RETURN_WITHIN_S, "the entry host is linked to its own zone alone")
-    # In the own zone, so that it is preferred until it leaves.
+    h.wait_until(lambda: is_settled(entry), RETURN_WITHIN_S, "linked to the own zone alone")
+    # In the zones of the callers, so that they are preferred until they leave.
     leaving = region.replica(f"leaving-{version}", "new", ZONES[0],
                              controls=[region.address(number) for number in OTHERS])
-    caller.replicas.append(leaving)
+    told_at_entry = region.replica(f"told-at-entry-{version}", "new", ZONES[1],
+                                   controls=[region.address(number) for number in OTHERS])
+    for caller in callers:
+        caller.replicas += [leaving, told_at_entry]
     region.put_until(changed_configuration(version, "new"))
-    h.wait_until(lambda: leaving.requests, 10, "the upstream that will leave is used")
+    h.wait_until(lambda: leaving.requests and told_at_entry.requests, 10,
+                 "the upstreams that will leave are used")
+
     begin = time.monotonic()
     region.cut(mode)
     time.sleep(0.3)
     changed_at = region.put_until(changed_configuration(version + 1, "old"))
     leaving.leave()
     left_at = time.monotonic()
-    time.sleep(max(0.0, begin + CONTACT_S - time.monotonic()))
-    in_touch_at = time.monotonic()
-    time.sleep(max(0.0, changed_at + CONFIG_APPLY_S - time.monotonic()))
-    counted_from = time.monotonic()
-    # Back to the new service, so that the departure shows.
-    time.sleep(max(0.0, begin + CUT_S / 2 - time.monotonic()))
+    sleep_until(begin + CUT_S / 2 - 1.0)
+    told_at_entry.controls = [f"{entry_ip(1)}:{region.control_port}"]
+    told_at_entry.leave()
+    told_at = time.monotonic()
+    counted_from = max(begin + CONTACT_S, changed_at + CONFIG_APPLY_S)
+    sleep_until(begin + CUT_S / 2)
+    # Back to the new service, so that the departures show.
     middle = time.monotonic()
     back_at = region.put_until(changed_configuration(version + 2, "new"))
-    time.sleep(max(0.0, begin + CUT_S - time.monotonic()))
+    sleep_until(begin + CUT_S)
     end = time.monotonic()
     region.heal()
 
-    first = caller.between(counted_from, middle)
-    c.check(len(first) > 20, f"{what}: requests were sent in touch", len(first))
-    c.equal(collections.Counter(first), {(200, "old-1"): len(first)},
-            f"{what}: every request with a key runs by the acknowledged configuration")
-    second = caller.between(max(back_at + CONFIG_APPLY_S, left_at + DRAIN_S, in_touch_at), end)
-    c.check(len(second) > 20, f"{what}: requests were sent after the second change", len(second))
-    c.equal(collections.Counter(second), {(200, "new-1"): len(second)},
-            f"{what}: none runs by an older configuration, or at the upstream that has left")
-    h.wait_until(lambda: linked_control_hosts(entry) == own_zone() and follows_own_zone(entry),
-                 RETURN_WITHIN_S, f"{what}: back in the own zone, without further links")
+    back_from = max(back_at + CONFIG_APPLY_S, left_at + DRAIN_S, told_at + DRAIN_S)
+    for caller in callers:
+        first = caller.between(counted_from, middle)
+        c.check(len(first) > 20, f"{what}: {caller.host} was asked while in touch", len(first))
+        c.equal(collections.Counter(first), {(200, "old-1"): len(first)},
+                f"{what}: every request with a key at {caller.host} runs by the new configuration")
+        second = caller.between(back_from, end)
+        c.check(len(second) > 20, f"{what}: {caller.host} was asked later", len(second))
+        c.equal(collections.Counter(second), {(200, "new-1"): len(second)},
+                f"{what}: no request at {caller.host} runs by an older configuration")
+        for upstream, since in ((leaving, left_at), (told_at_entry, told_at)):
+            late = [answer for answer in caller.between(since + DRAIN_S, end)
+                    if answer[1] == upstream.name]
+            c.equal(len(late), 0, f"{what}: requests at {caller.host} that run at {upstream.name}, "
+                                  "which has left")
+    h.wait_until(lambda: is_settled(entry), RETURN_WITHIN_S,
+                 f"{what}: back in the own zone, without further links")
     leaving.close()
+    told_at_entry.close()
 
 
 def run(c, build):
     with Region(build) as region:
         for number in CONTROLS:
             region.start_control(number, True)
-        entry = region.entry(1, wait=False, zone=ZONES[0])
+        entries = [region.entry(number, wait=False, zone=ZONES[number - 1]) for number in (1, 2)]
         majority = [region.address(number) for number in OTHERS]
-        replicas = [region.replica(f"{service}-1", service, "b", controls=majority)
+        replicas = [region.replica(f"{service}-1", service, "c", controls=majority)
                     for service in ("old", "new")]
         region.put_until(changed_configuration(3, "old"))
-        caller = Caller(f"{entry_ip(1)}:{region.front_port}", replicas)
-        caller.start()
+        callers = [Caller(number, region, replicas) for number in (1, 2)]
+        for caller in callers:
+            caller.start()
         try:
-            check_cut(c, region, entry, caller, 10, "hold")
-            check_cut(c, region, entry, caller, 20, "refuse")
+            check_cut(c, region, entries[0], callers, 10, "hold")
+            check_cut(c, region, entries[0], callers, 20, "refuse")
         finally:
-            caller.stop()
+            for caller in callers:
+                caller.stop()
 
 
 if __name__ == "__main__":
