--- a/src/include/corneltray/control_source_selector.h
+++ b/src/include/corneltray/control_source_selector.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "corneltray/enum_names.h"
@@ -42,8 +43,8 @@
 // A control process that has been cut off for this long counts as no link. One late answer of a
 // busy control process, which the next probe makes up for, does not cost another link.
 constexpr std::chrono::milliseconds kCutOffLinkDelay{1000};
-// How often a linked control process that is cut off is asked for a read, which shows that the
-// cut has healed.
+// How often a linked control process that is cut off is asked for a read, to detect when the cut
+// has healed.
 constexpr std::chrono::milliseconds kCutOffProbeInterval{2000};
 // Pause before a control process that failed is followed again, doubled with each failure up to the
 // maximum. Without it, hosts that leave a busy control process would return and overload it again.
@@ -136,6 +137,10 @@
     std::uint32_t count = 0;
   };
 
+  // Whether the link is unusable, whether the zone is another one, spread, address.
+  using CandidateRank = std::tuple<bool, bool, std::uint64_t, std::string>;
+  // Returns all candidates, the best one first.
+  std::vector<CandidateRank> RankCandidates(TimePoint now) const;
   bool IsInCooldown(TimePoint now, const std::string& host) const;
   // Returns whether a link to this control process is of no use at present.
   bool IsLinkUnusable(TimePoint now, const std::string& host) const;
--- a/src/libfleet/control_source_selector.cc
+++ b/src/libfleet/control_source_selector.cc
@@ -39,18 +39,24 @@
   if (!IsLinked(m_source)) m_source.clear();
 }
 
-std::set<std::string> ControlSourceSelector::WantedAddresses(TimePoint now) {
-  std::vector<std::tuple<bool, bool, std::uint64_t, std::string>> ranking;
+std::vector<ControlSourceSelector::CandidateRank> ControlSourceSelector::RankCandidates(
+    TimePoint now) const {
+  std::vector<CandidateRank> ranking;
+  ranking.reserve(m_candidates.size());
   for (const auto& [address, zone] : m_candidates) {
     ranking.emplace_back(IsLinkUnusable(now, HostAt(address)), zone != m_availability_zone,
                          SpreadOf(address), address);
   }
   std::sort(ranking.begin(), ranking.end());
+  return ranking;
+}
+
+std::set<std::string> ControlSourceSelector::WantedAddresses(TimePoint now) {
   const std::size_t needed = NeededLinks(now);
   std::set<std::string> wanted;
   std::map<std::string, TimePoint> wanted_since;
   std::size_t usable = 0;
-  for (const auto& [is_unusable, is_remote, spread, address] : ranking) {
+  for (const auto& [is_unusable, is_remote, spread, address] : RankCandidates(now)) {
     const bool is_linked = IsLinked(HostAt(address));
     if (usable >= needed && !m_links.empty()) {
       if (is_linked && IsCutOff(HostAt(address))) wanted.insert(address);
@@ -81,8 +87,8 @@
   if (link != m_links.end()) wanted->insert(link->second.address);
 }
 
-// A majority of the control processes includes a member of every quorum, so more links than that
-// are of no use.
+// With links to a majority of the control processes, one is on any side of a cut that has a
+// majority of them, so further links would be of no use.
 std::size_t ControlSourceSelector::NeededLinks(TimePoint now) const {
   const std::size_t majority = m_candidates.size() / 2 + 1;
   std::size_t needed = kControlLinksPerHost;
