--- a/src/libfleet/upstream_subscription.cc
+++ b/src/libfleet/upstream_subscription.cc
@@ -194,7 +194,7 @@
 }
 
 std::optional<std::string> UpstreamSubscription::NextProbe(TimePoint now) {
-  const auto host = m_selector.NextProbe(now);
+  auto host = m_selector.NextProbe(now);
   if (host && m_known_cut_off.insert(*host).second) {
     LogEvent(LogLevel::kWarning, "control_host_cut_off", {{"control_host", *host}});
   }
