--- a/src/libfleet/control_partition_test.cc
+++ b/src/libfleet/control_partition_test.cc
@@ -82,7 +82,7 @@
     std::string host;
     TimePoint ends_at;
     bool is_confirmed;
-    bool is_fetch;
+    bool is_fetch;  // of the route table, or a probe
   };
 
   void UpdateLinks(TimePoint now) {
@@ -127,14 +127,17 @@
   }
 
   void Finish(TimePoint now, const PendingRead& read) {
-    if (!read.is_confirmed) {
-      if (read.is_fetch) m_fetches.OnFailed(now, read.host);
-      if (read.is_fetch) m_selector.OnReadFailed(now, read.host);
-      return;
+    if (read.is_confirmed) {
+      m_selector.OnConfirmed(now, read.host);
+      m_held = m_region.committed;
+    }
+    if (!read.is_fetch) return;
+    if (read.is_confirmed) {
+      m_fetches.OnAnswered(read.host, true);
+    } else {
+      m_fetches.OnFailed(now, read.host);
+      m_selector.OnReadFailed(now, read.host);
     }
-    if (read.is_fetch) m_fetches.OnAnswered(read.host, true);
-    m_selector.OnConfirmed(now, read.host);
-    m_held = m_region.committed;
   }
 
   const Region& m_region;
