Take an answer that ends with its connection for whole only once its request was written

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part, with the replica's mark, as a complete answer: plain answers on idempotent and non-idempotent routes, streams at the end of an event, and answers of other entry hosts.

Cause: the system reports the error of a reset once. If the pending write gets it, the next read sees the end of the stream, which UpstreamPool took for the end of the answer. A trace of both completions on: "write: Connection reset by peer", then "read: End of file". When the read comes first it gets the error ("read: Connection reset by peer", "write: Broken pipe"), and the attempt failed as it should. The write was not looked at.

Change: an answer without a length or chunks is whole when its connection has ended and its request was written without an error. If the write is still pending at the end of the stream, its outcome is waited for, so that an upstream that sends its answer and its end before it reads the upload is still served, and one that resets the connection after its end is not. This is in UpstreamPool, which all readers of answers of the gateway and the control hosts share.

--- a/src/libcorneltray/test_socket.h
+++ b/src/libcorneltray/test_socket.h
@@ -87,6 +87,9 @@
     return ::poll(&entry, 1, 5000) == 1;
   }
 
+  // Ends the stream to the peer; its bytes can still be read.
+  void EndSending() const { ::shutdown(m_socket, SHUT_WR); }
+
   // Closes with a reset, as when a host fails with unread data.
   void Reset() {
     const linger now{1, 0};
--- a/src/libhttp/upstream_pool.cc
+++ b/src/libhttp/upstream_pool.cc
@@ -206,9 +206,7 @@
                         self->m_writing = false;
                         self->m_request.bytes = std::string();
                         self->Account();
-                        // A failed write shows as the end of the answer, which may be there
-                        // already.
-                        if (error && !self->m_closed) self->m_write_failed = true;
+                        if (!self->m_closed) self->OnWritten(error);
                       });
   }
 
@@ -228,12 +226,27 @@
         });
   }
 
+  // A failed write does not end the request: its answer may be there already.
+  void OnWritten(const asio::error_code& error) {
+    if (error) m_write_failed = true;
+    if (m_is_ended_by_close) FinishAtClose();
+  }
+
   void OnEnd(const asio::error_code& error) {
     if (!m_busy) return Close();
-    if (error == asio::error::eof && m_reader.HeadComplete() && m_reader.ReadEnd().Ok()) {
-      return Finish();
+    if (error != asio::error::eof || !m_reader.HeadComplete() || !m_reader.ReadEnd().Ok()) {
+      return FailUnfinished();
     }
-    FailUnfinished();
+    m_is_ended_by_close = true;
+    if (!m_writing) FinishAtClose();
+  }
+
+  // Ends an answer whose end is that of the connection. The system reports a reset once. If the
+  // write gets it, the read sees an ordinary end of the stream, which may lie inside the answer, so
+  // only a request that was written whole shows that the upstream has ended its answer.
+  void FinishAtClose() {
+    if (m_write_failed) return FailUnfinished();
+    Finish();
   }
 
   void FailUnfinished() {
@@ -342,6 +355,7 @@
   bool m_busy = false;
   bool m_writing = false;
   bool m_write_failed = false;
+  bool m_is_ended_by_close = false;  // the answer in progress, without a length or chunks
   bool m_reading = false;
   bool m_paused = false;
   bool m_head_given = false;
--- a/src/libhttp/upstream_pool_test.cc
+++ b/src/libhttp/upstream_pool_test.cc
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "../libcorneltray/test_socket.h"
@@ -134,6 +136,73 @@
   }
 }
 
+// More than the buffers of both ends hold, so that a part is unwritten when the connection ends.
+constexpr std::size_t kLongBodyBytes = std::size_t{16} * 1024 * 1024;
+
+// Guards against a part of an answer that passes for the whole one: the write takes the error of a
+// reset, and the read then sees an ordinary end of the stream.
+TEST_CASE("an answer that ends with its connection is whole once its request was written") {
+  PoolFixture fixture([](const HttpCall&) {});
+  UpstreamRequest request = fixture.Get();
+  request.bytes =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(kLongBodyBytes) +
+      "\r\n\r\n";
+  request.bytes.append(kLongBodyBytes, 'u');
+  const std::size_t request_bytes = request.bytes.size();
+  std::string answer = "HTTP/1.1 200 OK\r\n\r\npart";
+  std::function<void(TestSocket*)> end;
+  ScriptedPeer upstream([&](TestSocket* socket) {
+    const std::size_t received = socket->ReadUntil("\r\n\r\n").size();
+    socket->Send(answer);
+    if (end) return end(socket);
+    socket->EndSending();
+    socket->ReadWhile(
+        [&](const std::string& more) { return received + more.size() < request_bytes; });
+  });
+  request.address = upstream.Address();
+
+  SUBCASE("not if a reset follows it") {
+    SUBCASE("at once") {
+      end = [](TestSocket* socket) { socket->Reset(); };
+    }
+    SUBCASE("after a moment") {
+      end = [](TestSocket* socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        socket->Reset();
+      };
+    }
+    SUBCASE("since the connection was closed with unread bytes") {
+      end = [](TestSocket* socket) { socket->Close(); };
+    }
+    SUBCASE("behind the end of the stream") {
+      end = [](TestSocket* socket) {
+        socket->EndSending();
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        socket->Reset();
+      };
+    }
+    SUBCASE("and it has no body") {
+      answer = "HTTP/1.1 200 OK\r\n\r\n";
+      end = [](TestSocket* socket) { socket->Reset(); };
+    }
+    const Outcome outcome = fixture.Send(request);
+    CHECK_FALSE(outcome.ended);
+    CHECK(outcome.failure == UpstreamFailure::kTruncated);
+  }
+  SUBCASE("also if its end comes before the request is read") {
+    const Outcome outcome = fixture.Send(request);
+    CHECK(outcome.ended);
+    CHECK(outcome.body == "part");
+  }
+  SUBCASE("and one with a length in any case") {
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
+    end = [](TestSocket* socket) { socket->Reset(); };
+    const Outcome outcome = fixture.Send(request);
+    CHECK(outcome.ended);
+    CHECK(outcome.body == "part");
+  }
+}
+
 // Guards against a request that waits for another response after one with an invalid status.
 TEST_CASE("a request fails at once on a response without a valid status") {
   PoolFixture fixture([](const HttpCall&) {});
--- a/src/libserving/gateway_fixture_test.h
+++ b/src/libserving/gateway_fixture_test.h
@@ -53,6 +53,9 @@
   return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
 }
 
+// More than the buffers of both ends of a connection hold.
+constexpr std::size_t kLongBodyBytes = std::size_t{8} * 1024 * 1024;
+
 // An upstream of a test that handles each request with a script.
 struct ScriptedUpstream {
   std::unique_ptr<HttpListener> listener;
@@ -137,6 +140,15 @@
     return caller.ReadWhile([](const std::string&) { return true; });
   }
 
+  // Takes requests with kLongBodyBytes.
+  void AllowLongBodies() {
+    loop.Run([this] {
+      RouteTable table = MakeTable(2);
+      table.limits.max_body_bytes = kLongBodyBytes;
+      gateway->SetRouteTable(std::move(table));
+    });
+  }
+
   EventLoopThread loop;
   std::unique_ptr<Gateway> gateway;
 
