Refuse a response whose start line is not the status line of HTTP

What callers saw: responses that begin with HXXX/1.1, or with a reason that holds control bytes or NUL, reached them as answers.

Cause: the parser library checks the letters after the H only in its strict build, and the bytes of the reason not at all; the reader checked the digits of the status alone.

Change: the reader, which all readers of answers share, checks the whole status line against the grammar: "HTTP/1.", a digit, one space, three digits, and nothing or a space and printable bytes. A missing reason, tabs and high bytes pass.

--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "corneltray/http_syntax.h"
+
 namespace corneltray {
 namespace {
 
@@ -39,14 +41,6 @@
   return lines - std::min(lines, kOtherLines);
 }
 
-// Returns whether the status line of a complete head has three digits, as HTTP demands. The parser
-// also takes fewer of them, and zeros before them.
-bool HasThreeDigits(std::string_view head) {
-  constexpr std::size_t kDigits = 3;
-  const std::size_t begin = head.find_first_not_of(' ', head.find(' '));
-  return head.find_first_not_of("0123456789", begin) - begin == kDigits;
-}
-
 // Returns whether a response may have this status. HTTP defines 100 to 599. One below 200 is an
 // interim response, which has no body: with a length it is a final response with a wrong status,
 // and no other one would follow. 101 accepts an upgrade, and no request asks for one.
@@ -140,7 +134,8 @@
       if (!m_head_complete) return Fail(HttpReaderErrc::kMalformed, "incomplete head");
     }
     if (m_message_complete || taken == bytes.size()) return taken;
-    Result<std::size_t> parsed = Parse(bytes.substr(taken), body);
+    bytes.remove_prefix(taken);
+    Result<std::size_t> parsed = Parse(bytes, body);
     if (!parsed) return parsed;
     return taken + parsed.value();
   }
@@ -232,7 +227,7 @@
       m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     } else {
       m_head.status = m_parser.status_code;
-      if (!HasThreeDigits(m_head_bytes) || !IsValidStatus(m_head)) return kRefuse;
+      if (!HasStatusLine(m_head_bytes) || !IsValidStatus(m_head)) return kRefuse;
     }
     // The parser lets a space before the colon pass; other programs read such a field differently.
     for (const HttpField& field : m_head.fields) {
--- a/src/libhttp/http_reader_test.cc
+++ b/src/libhttp/http_reader_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <ostream>
+#include <string>
 
 namespace corneltray {
 namespace {
@@ -133,6 +134,24 @@
   }
 }
 
+// Guards against a start line that another program reads differently, or that is not HTTP's.
+TEST_CASE("a response begins with the status line of HTTP") {
+  const std::string length = "\r\nContent-Length: 0";
+  for (const std::string line :
+       {"HXXX/1.1 200 OK", "HTTQ/1.1 200 OK", "ICY 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1200 OK",
+        "HTTP/1.1\t200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 OK",
+        "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 \x1b"}) {
+    CAPTURE(line);
+    CHECK_FALSE(IsTaken(line + length));
+  }
+  CHECK_FALSE(IsTaken(std::string("HTTP/1.1 200 O") + '\0' + "K" + length));
+  for (const std::string line : {"HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ",
+                                 "HTTP/1.1 200 a\tb", "HTTP/1.1 200 \xe9\xff"}) {
+    CAPTURE(line);
+    CHECK(IsTaken(line + length));
+  }
+}
+
 // Guards against a final response with an interim status, after which no other response comes.
 TEST_CASE("an interim response has no body and switches to no other protocol") {
   for (const std::string head : {"HTTP/1.1 100 Continue", "HTTP/1.1 102 Processing",
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -80,7 +80,10 @@
 NOT_HTTP = [
     not_http("status 000", start=b"HTTP/1.1 000 X\r\n"),
     not_http("no digits", start=b"HTTP/1.1 OK\r\n"),
+    not_http("name of another protocol", start=b"HXXX/1.1 200 OK\r\n"),
     not_http("name of a radio protocol", start=b"ICY 200 OK\r\n"),
+    not_http("control byte in the reason", start=b"HTTP/1.1 200 O\x01K\r\n"),
+    not_http("NUL in the reason", start=b"HTTP/1.1 200 O\x00K\r\n"),
     *[not_http(f"field named {name!r}", fields=name + b": v\r\n") for name in BAD_NAMES],
     *[Answer(f"length named {name!r}", end="keep", upload=SHORT_UPLOAD,
              fields=name + b": %d\r\n" % len(PART))
