Refuse a body whose chunks do not end as HTTP demands

What callers saw: a body in chunks of which one was not followed by its line end, or whose size line or last chunk was broken, reached them as a whole answer.

Cause: the parser library skips the two bytes behind a chunk without a look, and takes any text behind a size and any byte for the last line feed; it checks these only in its strict build.

Change: ChunkFraming checks the same bytes beside the parser, for requests too, where such a body could be framed differently by another program. Extensions, padded sizes and trailers pass.

--- a/src/include/corneltray/http_reader.h
+++ b/src/include/corneltray/http_reader.h
@@ -25,7 +25,8 @@
 enum class HttpMessageKind { kRequest, kResponse };
 
 // Reads HTTP/1.1 messages from a byte stream, one at a time. Refuses ambiguous framing: both a
-// length and a transfer coding, repeated lengths, folded fields, and codings other than chunked.
+// length and a transfer coding, repeated lengths, folded fields, chunks without their line ends, and
+// codings other than chunked.
 // Not thread safe.
 class HttpReader {
  public:
--- a/src/include/corneltray/http_syntax.h
+++ b/src/include/corneltray/http_syntax.h
@@ -1,6 +1,7 @@
 #ifndef CORNELTRAY_HTTP_SYNTAX_H_
 #define CORNELTRAY_HTTP_SYNTAX_H_
 
+#include <cstdint>
 #include <string_view>
 
 // Checks of the grammar of HTTP/1.1 that the parser library leaves out, so that bytes which two
@@ -11,6 +12,40 @@
 // status of three digits and a reason of printable bytes, which may be missing.
 bool HasStatusLine(std::string_view head);
 
+// Checks the framing of a body in chunks. The parser library takes other bytes for the line ends of
+// chunks, and any text behind the size of a chunk. Not thread safe.
+class ChunkFraming {
+ public:
+  // Takes the next bytes of the body as received. Returns false once the framing is broken.
+  bool Consume(std::string_view bytes);
+
+ private:
+  enum class Expected {
+    kSize,  // its first digit
+    kMoreOfSize,
+    kPadding,
+    kExtension,
+    kEndOfSizeLine,
+    kData,
+    kDataCarriageReturn,
+    kDataLineFeed,
+    kTrailer,  // the first byte of a field, or the end
+    kTrailerName,
+    kTrailerValue,
+    kTrailerLineFeed,
+    kFinalLineFeed,
+    kNothing,
+    kBroken,
+  };
+
+  Expected Next(char c);
+  Expected AfterSize(char c);
+  Expected AddDigit(char c);
+
+  Expected m_expected = Expected::kSize;
+  std::uint64_t m_size = 0;  // of the rest of the chunk
+};
+
 }  // namespace corneltray
 
 #endif  // CORNELTRAY_HTTP_SYNTAX_H_
--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "corneltray/http_syntax.h"
@@ -105,6 +106,7 @@
     m_expect_no_body = false;
     m_in_value = false;
     m_failed = false;
+    m_chunks.reset();
   }
 
   Result<std::size_t> Read(std::string_view bytes, std::string* body) {
@@ -137,6 +139,9 @@
     bytes.remove_prefix(taken);
     Result<std::size_t> parsed = Parse(bytes, body);
     if (!parsed) return parsed;
+    if (m_chunks && !m_chunks->Consume(bytes.substr(0, parsed.value()))) {
+      return Fail(HttpReaderErrc::kMalformed, "chunk");
+    }
     return taken + parsed.value();
   }
 
@@ -237,6 +242,7 @@
     if (coding != nullptr && (!EqualFieldNames(*coding, "chunked") || m_parser.http_minor == 0)) {
       return kRefuse;
     }
+    if (coding != nullptr) m_chunks.emplace();
     m_held_bytes = corneltray::HeldBytes(m_head);
     // A body that ends with the connection leaves none to keep; the parser knows of these.
     m_keeps_connection = http_should_keep_alive(&m_parser) != 0;
@@ -260,6 +266,7 @@
   bool m_expect_no_body = false;
   bool m_keeps_connection = true;
   bool m_failed = false;
+  std::optional<ChunkFraming> m_chunks;  // of a body in chunks
 };
 
 HttpReader::HttpReader(HttpMessageKind kind, std::size_t max_head_bytes)
--- a/src/libhttp/http_reader_test.cc
+++ b/src/libhttp/http_reader_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -152,6 +153,44 @@
   }
 }
 
+// Reads a response with a body in chunks, in parts of each size. Returns the body, or nullopt if it
+// is refused or not complete.
+std::optional<std::string> ReadChunks(const std::string& chunks) {
+  std::optional<std::string> result;
+  for (std::size_t part = 1; part <= chunks.size(); ++part) {
+    HttpReader reader(HttpMessageKind::kResponse, kMaxHead);
+    std::string body;
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
+    const bool is_read = ReadInParts(&reader, text, part, &body).Ok() && reader.MessageComplete();
+    const std::optional<std::string> now = is_read ? std::optional(body) : std::nullopt;
+    if (part > 1) CHECK(now == result);
+    result = now;
+  }
+  return result;
+}
+
+// Guards against a body that was cut or mixed up on its way and passes for a whole one.
+TEST_CASE("each chunk ends as HTTP demands") {
+  for (const std::string chunks :
+       {"3\r\nabcXX0\r\n\r\n", "3\r\nabc\rX0\r\n\r\n", "3\r\nabc\n\n0\r\n\r\n",
+        "3\rXabc\r\n0\r\n\r\n", "3 x\r\nabc\r\n0\r\n\r\n", "3;\x01\r\nabc\r\n0\r\n\r\n",
+        "3;\n\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\n\rX", "3\r\nabc\r\n0\rX\r\n",
+        "3\r\nabc\r\n0\r\n\n", "-3\r\nabc\r\n0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n",
+        "11111111111111111\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\nX Odd: v\r\n\r\n",
+        "3\r\nabc\r\n0\r\nX: v\r\n w\r\n\r\n", "3\r\nabc\r\n0\r\nX: a\x01\r\n\r\n",
+        "3\r\nabc\r\n0\r\nX: v\n\r\n"}) {
+    CAPTURE(chunks);
+    CHECK_FALSE(ReadChunks(chunks).has_value());
+  }
+  for (const std::string chunks :
+       {"3\r\nabc\r\n0\r\n\r\n", "003\r\nabc\r\n000\r\n\r\n", "3  \r\nabc\r\n0 \r\n\r\n",
+        "1\r\na\r\n2;x=\"y z\";w\r\nbc\r\n0;x\r\n\r\n", "3\r\nabc\r\n0\r\nX: v\r\nY:\r\n\r\n"}) {
+    CAPTURE(chunks);
+    CHECK(ReadChunks(chunks) == "abc");
+  }
+  CHECK(ReadChunks("0A\r\n0123456789\r\n0\r\n\r\n") == "0123456789");
+}
+
 // Guards against a final response with an interim status, after which no other response comes.
 TEST_CASE("an interim response has no body and switches to no other protocol") {
   for (const std::string head : {"HTTP/1.1 100 Continue", "HTTP/1.1 102 Processing",
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -75,6 +75,11 @@
     return Answer(name, end="keep", upload=SHORT_UPLOAD, fields=fields, **more)
 
 
+def in_chunks(name, body):
+    return Answer(name, end="keep", upload=SHORT_UPLOAD, fields=b"Transfer-Encoding: chunked\r\n",
+                  body=body)
+
+
 BAD_NAMES = [b"X Odd", b"X-Odd ", b" X-Odd", b"X\tOdd", b"X\x01Odd", b"X\x00Odd", b"X\x7fOdd", b"X\rOdd",
              b"X\nOdd", b""]
 NOT_HTTP = [
@@ -89,6 +94,10 @@
              fields=name + b": %d\r\n" % len(PART))
       for name in (b"Content-Length ", b"Content Length", b"Content-Length\t")],
     not_http("control byte in a value", fields=b"X-Odd: a\x01b\r\n"),
+    in_chunks("chunk without its line end", b"b\r\n" + PART + b"XX0\r\n\r\n"),
+    in_chunks("chunk size without its line feed", b"b\rX" + PART + b"\r\n0\r\n\r\n"),
+    in_chunks("text behind a chunk size", b"b text\r\n" + PART + b"\r\n0\r\n\r\n"),
+    in_chunks("last chunk without its line end", b"b\r\n" + PART + b"\r\n0\r\n\rX"),
 ]
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
