Refuse a head whose lines end in other bytes than CRLF, or before the empty line

What callers saw: a replica sent a head in which the name of a field began with a line feed or a carriage return. With no length the caller got a 200 whose body began with the other fields ("X-Odd: v", an empty line, then the replica's body). With a length its request was held until the deadline, 504.

Cause: the reader collects a head up to an empty line that ends in CRLF, but the parser library ends it at an empty line of one line feed, or at a carriage return and any byte. What is left of the head was then read as the body.

Change: a carriage return may stand before a line feed only, and no line of the head is empty but the last one. Names are checked against the grammar of tokens instead of for blanks alone.

Empty values, tabs, high bytes and all marks of tokens pass.

--- a/src/include/corneltray/http_reader.h
+++ b/src/include/corneltray/http_reader.h
@@ -13,8 +13,8 @@
 namespace corneltray {
 
 enum class HttpReaderErrc {
-  // Not HTTP/1.1, framed in a way that two parsers may read differently, or a response whose status
-  // HTTP does not define.
+  // Not HTTP/1.1, framed in a way that two parsers may read differently, with a field whose name is
+  // no token, or a response whose status HTTP does not define.
   kMalformed = 1,
   kHeadTooLarge,  // over the limit of the reader
   kTruncated,     // the connection ended inside a message
@@ -25,8 +25,8 @@
 enum class HttpMessageKind { kRequest, kResponse };
 
 // Reads HTTP/1.1 messages from a byte stream, one at a time. Refuses ambiguous framing: both a
-// length and a transfer coding, repeated lengths, folded fields, chunks without their line ends, and
-// codings other than chunked.
+// length and a transfer coding, repeated lengths, folded fields, line ends that other programs may
+// not see, chunks without their line ends, and codings other than chunked.
 // Not thread safe.
 class HttpReader {
  public:
--- a/src/include/corneltray/http_syntax.h
+++ b/src/include/corneltray/http_syntax.h
@@ -8,6 +8,14 @@
 // programs may read differently, or which are no HTTP, are refused.
 namespace corneltray {
 
+// Returns whether a text is a token, as the name of a field has to be.
+bool IsToken(std::string_view text);
+
+// Returns whether the lines of a complete head, with its final empty line, are those that every
+// program sees: a carriage return stands before a line feed only, and no line after the start line
+// is empty but the last one.
+bool HasUnambiguousLines(std::string_view head);
+
 // Returns whether a complete head begins with the status line of an HTTP/1 response: the version, a
 // status of three digits and a reason of printable bytes, which may be missing.
 bool HasStatusLine(std::string_view head);
--- a/src/libhttp/http_reader.cc
+++ b/src/libhttp/http_reader.cc
@@ -129,6 +129,7 @@
       taken = head_size - before;
       m_head_bytes.resize(head_size);
       if (HasFoldedField(m_head_bytes)) return Fail(HttpReaderErrc::kMalformed, "folded field");
+      if (!HasUnambiguousLines(m_head_bytes)) return Fail(HttpReaderErrc::kMalformed, "line end");
       m_head.fields.reserve(CountFields(m_head_bytes));
       Result<std::size_t> parsed = Parse(m_head_bytes, body);
       if (!parsed) return parsed;
@@ -234,9 +235,9 @@
       m_head.status = m_parser.status_code;
       if (!HasStatusLine(m_head_bytes) || !IsValidStatus(m_head)) return kRefuse;
     }
-    // The parser lets a space before the colon pass; other programs read such a field differently.
+    // The parser lets a space in a name pass; other programs read such a field differently.
     for (const HttpField& field : m_head.fields) {
-      if (field.name.find_first_of(" \t") != std::string::npos) return kRefuse;
+      if (!IsToken(field.name)) return kRefuse;
     }
     const std::string* coding = m_head.Find("Transfer-Encoding");
     if (coding != nullptr && (!EqualFieldNames(*coding, "chunked") || m_parser.http_minor == 0)) {
--- a/src/libhttp/http_reader_test.cc
+++ b/src/libhttp/http_reader_test.cc
@@ -153,6 +153,27 @@
   }
 }
 
+// Guards against a head that ends earlier for the parser than for other programs: the rest of the
+// fields then passes for the body.
+TEST_CASE("the fields of a response are lines of names and values") {
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n";
+  for (const std::string field :
+       {"X Odd: v", "X-Odd : v", " X-Odd: v", "X\tOdd: v", "X\x01Odd: v", "X\x7fOdd: v",
+        "X\rOdd: v", "\rX-Odd: v", "\r\rX-Odd: v", "X\nOdd: v", "\nX-Odd: v", "\n\nX-Odd: v", ": v",
+        "X-Odd", "X(Odd): v", "X-Odd: a\x01z", "X-Odd: a\rz", "X-Odd: a\n\nz"}) {
+    CAPTURE(field);
+    CHECK_FALSE(IsTaken(start + field));
+    CHECK_FALSE(IsTaken(start + field + "\r\nX-Last: v"));
+    CHECK_FALSE(IsTaken("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 6"));
+  }
+  CHECK_FALSE(IsTaken(start + "X" + '\0' + "Odd: v"));
+  for (const std::string field : {"!#$%&'*+-.^_`|~9: v", "X-None:", "X-None: ", "X-Tab:\ta\tb\t",
+                                  "X-High: \xe9\xff", "x:y"}) {
+    CAPTURE(field);
+    CHECK(IsTaken(start + field));
+  }
+}
+
 // Reads a response with a body in chunks, in parts of each size. Returns the body, or nullopt if it
 // is refused or not complete.
 std::optional<std::string> ReadChunks(const std::string& chunks) {
--- a/src/libhttp/http_syntax.cc
+++ b/src/libhttp/http_syntax.cc
@@ -45,6 +45,22 @@
 
 }  // namespace
 
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenByte);
+}
+
+bool HasUnambiguousLines(std::string_view head) {
+  bool has_start_line = false;  // empty lines before it are skipped
+  while (!head.empty()) {
+    const std::string_view line = TakeLine(&head);
+    if (line.find('\r') != std::string_view::npos) return false;
+    const bool is_last = head.empty();
+    if (line.empty() && has_start_line && !is_last) return false;
+    has_start_line = has_start_line || !line.empty();
+  }
+  return true;
+}
+
 bool HasStatusLine(std::string_view head) {
   std::string_view line;
   while (line.empty() && !head.empty()) line = TakeLine(&head);
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -81,7 +81,7 @@
 
 
 BAD_NAMES = [b"X Odd", b"X-Odd ", b" X-Odd", b"X\tOdd", b"X\x01Odd", b"X\x00Odd", b"X\x7fOdd", b"X\rOdd",
-             b"X\nOdd", b""]
+             b"\rX-Odd", b"X\nOdd", b"\nX-Odd", b"\n\nX-Odd", b""]
 NOT_HTTP = [
     not_http("status 000", start=b"HTTP/1.1 000 X\r\n"),
     not_http("no digits", start=b"HTTP/1.1 OK\r\n"),
@@ -92,7 +92,10 @@
     *[not_http(f"field named {name!r}", fields=name + b": v\r\n") for name in BAD_NAMES],
     *[Answer(f"length named {name!r}", end="keep", upload=SHORT_UPLOAD,
              fields=name + b": %d\r\n" % len(PART))
-      for name in (b"Content-Length ", b"Content Length", b"Content-Length\t")],
+      for name in (b"Content-Length ", b"Content Length", b"Content-Length\t", b"\rContent-Length")],
+    # The parser ended the head there, and took the other fields for the body.
+    *[Answer(f"no length, closed, field named {name!r}", end="close", upload=SHORT_UPLOAD, fields=name + b": v\r\n")
+      for name in (b"\rX-Odd", b"\nX-Odd", b"\n\nX-Odd")],
     not_http("control byte in a value", fields=b"X-Odd: a\x01b\r\n"),
     in_chunks("chunk without its line end", b"b\r\n" + PART + b"XX0\r\n\r\n"),
     in_chunks("chunk size without its line feed", b"b\rX" + PART + b"\r\n0\r\n\r\n"),
