Read the answers of services and engines of corneltray-entry with the shared reader

What callers saw: corneltray-entry passed on answers of services whose body was cut at a chunk without its line end, or whose head held names with blanks or control bytes, lines without a colon or control bytes in the reason, as done; such a booking was recorded with the part as its answer. Sound answers with a trailer or behind an interim response were taken for broken, values were decoded ("%0d%0a" became a line end), and fields without a value were lost.

Cause: ServiceClient and EngineClient read answers with cpp-httplib, which skips lines that it can't read and ends a body at the first chunk that does not end in CRLF, without an error.

Change: BlockingCall runs one request of UpstreamPool for a thread that waits, so these clients share the reader of the gateway. What a call's end says of its run is unchanged: without a connection nothing was sent, and an answer without a length or chunks is still broken, since bookings must not take a lost connection for an end. Addresses may have an IPv6 number in brackets, as before.

A reset during a body of 16 MB was held before, and has a test now.

--- a/src/libcorneltray/service_runner_test.cc
+++ b/src/libcorneltray/service_runner_test.cc
@@ -23,7 +23,8 @@
     kSilent,
     kUnavailable,
     kLookupBroken,
-    kLarge
+    kLarge,
+    kBrokenChunk
   };
 
   explicit TestService(Fault fault, int port = 0)
@@ -61,6 +62,10 @@
         ++m_booked;
         Reply(socket, 201, std::string(70'000, 'x'));
         return;
+      case Fault::kBrokenChunk:
+        ++m_booked;
+        socket->Send("HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npartXX0\r\n\r\n");
+        return;
       case Fault::kNone:
         ++m_booked;
         Reply(socket, 201, "booked " + std::to_string(m_booked));
@@ -120,6 +125,7 @@
   };
   SUBCASE("closes connections") { start(Fault::kCloseBefore); }
   SUBCASE("says that it is unavailable") { start(Fault::kUnavailable); }
+  SUBCASE("sends broken answers") { start(Fault::kBrokenChunk); }
   SUBCASE("is gone") { entry.AddService("bad", NobodyAddress()); }
   SUBCASE("is silent") {
     start(Fault::kSilent);
@@ -214,6 +220,7 @@
       {"a lost reply of the log", Fault::kNone, C::kReplyLost, "done", 201, "done", 1},
       {"the log is out of reach", Fault::kNone, C::kUnreachable, "unknown", 503, "unknown", 0},
       {"reply lost after the booking", Fault::kCloseAfter, C::kNone, "done", 200, "done", 1},
+      {"a broken reply after the booking", Fault::kBrokenChunk, C::kNone, "done", 200, "done", 1},
       {"closed before the booking", Fault::kCloseBefore, C::kNone, "unknown", 504, "unknown", 0},
       {"reply and lookup lost", Fault::kLookupBroken, C::kNone, "unknown", 504, "unknown", 1},
       {"an error of the service", Fault::kUnavailable, C::kNone, "done", 503, "done", 0},
--- a/src/libcorneltray/upstream_client.cc
+++ b/src/libcorneltray/upstream_client.cc
@@ -1,16 +1,12 @@
 #include "corneltray/upstream_client.h"
 
-#include <fcntl.h>
-#include <httplib.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "corneltray/blocking_call.h"
 #include "corneltray/http_head.h"
 
 namespace corneltray {
@@ -18,101 +14,53 @@
 
 using nlohmann::json;
 
-// Upper bound of one wait for bytes. The watchdog ends a call much earlier; this bound only keeps a
-// thread from staying blocked if that fails.
-constexpr std::chrono::hours kReadTimeout{1};
-constexpr std::chrono::seconds kWriteTimeout{5};
+constexpr int kOk = 200;
 constexpr std::chrono::milliseconds kCancelTimeout{500};
 
-struct HostPort {
-  std::string host;
-  int port = 0;
-};
-
-HostPort SplitAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return {};
-  HostPort result{address.substr(0, colon), 0};
-  if (result.host.size() > 2 && result.host.front() == '[') {
-    result.host = result.host.substr(1, result.host.size() - 2);
-  }
-  for (const char c : address.substr(colon + 1)) {
-    if (c < '0' || c > '9' || result.port > 65535) return {};
-    result.port = result.port * 10 + (c - '0');
-  }
-  return result;
+std::chrono::milliseconds TimeLeft(TimePoint deadline) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
 }
 
-// Closes the connection of a running call from another thread. ClientImpl::stop waits for a connect
-// in progress, which would hold up the watchdog, so this class keeps a duplicate of the socket; a
-// duplicate of its own cannot name another connection after the client has closed its socket.
-class ConnectionStopper {
- public:
-  explicit ConnectionStopper(httplib::ClientImpl* client) {
-    client->set_socket_options([this](socket_t socket) {
-      httplib::default_socket_options(socket);
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      if (m_duplicate >= 0) ::close(m_duplicate);
-      m_duplicate = ::fcntl(socket, F_DUPFD_CLOEXEC, 0);
-    });
-  }
-  ~ConnectionStopper() {
-    if (m_duplicate >= 0) ::close(m_duplicate);
-  }
-  ConnectionStopper(const ConnectionStopper&) = delete;
-  ConnectionStopper& operator=(const ConnectionStopper&) = delete;
-
-  void Stop() {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_duplicate >= 0) ::shutdown(m_duplicate, SHUT_RDWR);
-  }
-
- private:
-  std::mutex m_mutex;
-  int m_duplicate = -1;
-};
-
-// A connection for one call. The library repeats nothing and follows no redirect in this set-up.
-std::unique_ptr<httplib::ClientImpl> MakeClient(const std::string& address,
-                                                std::chrono::milliseconds connect_timeout) {
-  const HostPort target = SplitAddress(address);
-  auto client = std::make_unique<httplib::ClientImpl>(target.host, target.port);
-  client->set_keep_alive(false);
-  client->set_follow_location(false);
-  client->set_tcp_nodelay(true);
-  client->set_decompress(false);
-  client->set_url_encode(false);
-  client->set_connection_timeout(connect_timeout);
-  client->set_read_timeout(kReadTimeout);
-  client->set_write_timeout(kWriteTimeout);
-  return client;
+std::chrono::milliseconds ConnectTimeout(TimePoint deadline) {
+  return std::clamp(TimeLeft(deadline), std::chrono::milliseconds(1), kConnectTimeout);
 }
 
-// The library reports these errors only before it has written the request.
-bool IsConnectError(httplib::Error error) {
-  return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
-         error == httplib::Error::BindIPAddress;
+UpstreamRequest MakeRequest(const std::string& address, const HttpHead& head,
+                            const std::string& body, TimePoint connect_deadline) {
+  UpstreamRequest request;
+  request.address = address;
+  request.bytes = FormatSingleRequest(address, head, body);
+  request.without_body = head.method == "HEAD";
+  request.connect_deadline = connect_deadline;
+  return request;
 }
 
-std::chrono::milliseconds TimeLeft(TimePoint deadline) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
+HttpHead MakeJsonPost(const std::string& target) {
+  HttpHead head;
+  head.method = "POST";
+  head.target = target;
+  head.Add("Content-Type", "application/json");
+  return head;
 }
 
-// A connection attempt cannot be stopped from outside, so it is bounded by the deadline as well.
-std::chrono::milliseconds ConnectTimeout(TimePoint deadline) {
-  return std::clamp(TimeLeft(deadline), std::chrono::milliseconds(1), kConnectTimeout);
+HttpHead HeadOf(const ServiceCall& call) {
+  HttpHead head;
+  head.method = call.method;
+  head.target = call.target;
+  for (const auto& [name, value] : call.headers) head.Add(name, value);
+  head.Add("Accept-Encoding", "identity");
+  if (!call.content_type.empty()) head.Add("Content-Type", call.content_type);
+  return head;
 }
 
-bool IsFramed(const httplib::Request& request, const httplib::Response& response) {
-  return request.method == "HEAD" || response.status == 204 || response.status == 304 ||
-         response.has_header("Content-Length") ||
-         response.get_header_value("Transfer-Encoding") == "chunked";
+// Returns whether a response says where its body ends.
+bool IsFramed(bool is_head_request, const HttpHead& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return is_head_request || head.status == kNoContent || head.status == kNotModified ||
+         head.Find("Content-Length") != nullptr || head.Find("Transfer-Encoding") != nullptr;
 }
 
-// Returns whether a response has a status that HTTP defines for a final one. The library takes any
-// three digits, and reads nothing after an interim response other than 100.
-bool IsFinalStatus(int status) { return status >= kFirstFinalStatus && status <= kLastStatus; }
-
 }  // namespace
 
 bool EventStreamParser::Feed(const char* bytes, std::size_t size,
@@ -268,45 +216,49 @@
 CallEnd EngineClient::Generate(const GenerateRequest& request,
                                const std::function<bool(const std::string& data)>& on_event,
                                std::function<bool(TimePoint)> is_expired, int* status) {
-  const auto client = MakeClient(request.chain.stages.front().address, kConnectTimeout);
-  ConnectionStopper stopper(client.get());
-  const auto watch = m_watchdog->Add(std::move(is_expired), [&stopper] { stopper.Stop(); });
+  BlockingCall call;
+  const auto watch = m_watchdog->Add(std::move(is_expired), [&call] { call.Stop(); });
   EventStreamParser parser;
   bool stopped = false;
-  httplib::Request http;
-  http.method = "POST";
-  http.path = "/v1/pipeline/generate";
-  http.headers = {{"Content-Type", "application/json"},
-                  {"Accept", "text/event-stream"},
-                  {"Accept-Encoding", "identity"}};
-  http.body = EncodeGenerateRequest(request).dump(-1, ' ', false, json::error_handler_t::replace);
-  http.response_handler = [status](const httplib::Response& response) {
-    *status = response.status;
-    return response.status == 200;
+  bool is_broken = false;
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [&](const HttpHead& head) {
+    *status = head.status;
+    if (head.status != kOk) call.Stop();
   };
-  http.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-    return parser.Feed(data, size, [&](const std::string& event) {
-      if (stopped) return false;
+  callbacks.on_body = [&](std::string_view bytes) {
+    const bool goes_on = parser.Feed(bytes.data(), bytes.size(), [&](const std::string& event) {
       stopped = !on_event(event);
       return !stopped;
     });
+    is_broken = !goes_on && !stopped;
+    if (!goes_on) call.Stop();
   };
-  const httplib::Result result = client->send(http);
+  const std::string& address = request.chain.stages.front().address;
+  HttpHead head = MakeJsonPost("/v1/pipeline/generate");
+  head.Add("Accept", "text/event-stream");
+  head.Add("Accept-Encoding", "identity");
+  const std::string body =
+      EncodeGenerateRequest(request).dump(-1, ' ', false, json::error_handler_t::replace);
+  const BlockingCallEnd end =
+      call.Run(MakeRequest(address, head, body, Clock::now() + kConnectTimeout), callbacks);
   watch->Forget();
   if (stopped) return CallEnd::kStopped;
-  if (result) return CallEnd::kComplete;
-  if (IsConnectError(result.error())) return CallEnd::kConnectFailed;
+  if (end == BlockingCallEnd::kNotConnected) return CallEnd::kConnectFailed;
+  if (is_broken) return CallEnd::kBroken;
   if (watch->HasExpired()) return CallEnd::kCancelled;
-  if (*status != 0 && *status != 200) return CallEnd::kRefused;
-  return CallEnd::kBroken;
+  if (*status != 0 && *status != kOk) return CallEnd::kRefused;
+  return end == BlockingCallEnd::kAnswered ? CallEnd::kComplete : CallEnd::kBroken;
 }
 
 void EngineClient::Cancel(const std::string& address, const std::string& request_id,
                           std::uint32_t attempt) {
-  const auto client = MakeClient(address, kCancelTimeout);
-  client->set_read_timeout(kCancelTimeout);
   const json body = {{"request_id", request_id}, {"attempt", attempt}};
-  client->Post("/v1/pipeline/cancel", body.dump(), "application/json");
+  const TimePoint now = Clock::now();
+  UpstreamRequest request =
+      MakeRequest(address, MakeJsonPost("/v1/pipeline/cancel"), body.dump(), now + kCancelTimeout);
+  request.answer_deadline = now + 2 * kCancelTimeout;
+  BlockingCall().Run(std::move(request), {});
 }
 
 ServiceClient::ServiceClient(CallWatchdog* watchdog) : m_watchdog(watchdog) {}
@@ -320,36 +272,34 @@
     response.end = CallEnd::kConnectFailed;
     return response;
   }
-  const auto client = MakeClient(address, ConnectTimeout(deadline));
-  ConnectionStopper stopper(client.get());
+  BlockingCall blocking;
   const auto watch = m_watchdog->Add(
       [deadline, is_cancelled](TimePoint now) {
         return now >= deadline || (is_cancelled && is_cancelled());
       },
-      [&stopper] { stopper.Stop(); });
-  httplib::Request http;
-  http.method = call.method;
-  http.path = call.target;
-  for (const auto& [name, value] : call.headers) http.headers.emplace(name, value);
-  http.headers.emplace("Accept-Encoding", "identity");
-  if (!call.content_type.empty()) http.headers.emplace("Content-Type", call.content_type);
-  http.body = call.body;
-  http.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-    if (response.body.size() + size > kMaxServiceAnswerBytes) return false;
-    response.body.append(data, size);
-    return true;
-  };
-  const httplib::Result result = client->send(http);
+      [&blocking] { blocking.Stop(); });
+  HttpHead answer;
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [&answer](HttpHead head) { answer = std::move(head); };
+  callbacks.on_body = [&response](std::string_view bytes) { response.body.append(bytes); };
+  UpstreamRequest request =
+      MakeRequest(address, HeadOf(call), call.body, Clock::now() + ConnectTimeout(deadline));
+  request.max_body_bytes = kMaxServiceAnswerBytes;
+  const BlockingCallEnd end = blocking.Run(std::move(request), callbacks);
   watch->Forget();
-  if (!result) {
-    response.end = IsConnectError(result.error()) ? CallEnd::kConnectFailed : CallEnd::kBroken;
+  if (end != BlockingCallEnd::kAnswered) {
+    const bool is_unsent = end == BlockingCallEnd::kNotConnected;
+    response.end = is_unsent ? CallEnd::kConnectFailed : CallEnd::kBroken;
+    response.body.clear();
     return response;
   }
-  response.status = result->status;
-  response.content_type = result->get_header_value("Content-Type");
-  for (const auto& [name, value] : result->headers) response.headers.emplace_back(name, value);
-  const bool is_whole = IsFinalStatus(result->status) && IsFramed(http, *result);
+  response.status = answer.status;
+  response.content_type = answer.Value("Content-Type");
+  const bool is_whole = IsFramed(call.method == "HEAD", answer);
   response.end = is_whole ? CallEnd::kComplete : CallEnd::kBroken;
+  for (HttpField& field : answer.fields) {
+    response.headers.emplace_back(std::move(field.name), std::move(field.value));
+  }
   return response;
 }
 
--- a/src/libcorneltray/upstream_client_test.cc
+++ b/src/libcorneltray/upstream_client_test.cc
@@ -183,6 +183,21 @@
       {"HTTP/1.1 199 X\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
       {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
       {"HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}XX0\r\n\r\n", false,
+       CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 x\r\n{}\r\n0\r\n\r\n", false,
+       CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\n{}\r\n0\r\nX: v\r\n\r\n", false,
+       CallEnd::kComplete},
+      {"HTTP/1.1 200 OK\r\nX Odd: v\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nX\x01Odd: v\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nX-Odd\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HXXX/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kBroken},
+      {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n{}", false, CallEnd::kComplete},
+      {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false,
+       CallEnd::kComplete},
       {"no http", false, CallEnd::kBroken},
       {"", false, CallEnd::kBroken},
       {"", true, CallEnd::kBroken},
@@ -231,6 +246,39 @@
     CHECK(Call(service.Address(), "POST", milliseconds(150)).end == CallEnd::kBroken);
     CHECK(Clock::now() - start < milliseconds(1000));
   }
+  // Guards against values that are changed on their way, such as a decoded line end.
+  SUBCASE("passes the fields of the answer on unchanged") {
+    ScriptedPeer service([&](TestSocket* socket) {
+      socket->ReadUntil("\r\n\r\nx");
+      socket->Send(
+          "HTTP/1.1 200 OK\r\nX-None:\r\nX-Coded: a%0d%0ab%20c\r\nContent-Length: 0\r\n\r\n");
+    });
+    const ServiceResponse response = Call(service.Address());
+    CHECK(response.end == CallEnd::kComplete);
+    const HeaderList expected = {
+        {"X-None", ""}, {"X-Coded", "a%0d%0ab%20c"}, {"Content-Length", "0"}};
+    CHECK(response.headers == expected);
+  }
+  // Guards against a part of an answer that passes for the whole one.
+  SUBCASE("whose long body is still being written when the connection is reset is broken") {
+    constexpr std::size_t kLongBodyBytes = std::size_t{16} << 20U;
+    for (const std::string length :
+         {"", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      CAPTURE(length);
+      ScriptedPeer service([&](TestSocket* socket) {
+        socket->ReadUntil("\r\n\r\n");
+        socket->Send("HTTP/1.1 200 OK\r\n" + length + "\r\n2\r\n{}\r\n");
+        socket->Reset();
+      });
+      CallWatchdog watchdog;
+      ServiceClient client(&watchdog);
+      ServiceCall call{"POST", "/", {}, "text/plain", std::string(kLongBodyBytes, 'u')};
+      const ServiceResponse response =
+          client.Call(service.Address(), call, Clock::now() + kFarDeadline, nullptr);
+      CHECK(response.end == CallEnd::kBroken);
+      CHECK(service.Connections() == 1);
+    }
+  }
   SUBCASE("passes target, headers and body on unchanged") {
     std::string request;
     ScriptedPeer service([&](TestSocket* socket) {
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -32,6 +32,8 @@
   const std::size_t colon = address.rfind(':');
   if (colon == std::string::npos) return false;
   *ip = address.substr(0, colon);
+  const bool has_brackets = ip->size() > 2 && ip->front() == '[' && ip->back() == ']';
+  if (has_brackets) *ip = ip->substr(1, ip->size() - 2);
   const char* begin = address.data() + colon + 1;
   const char* end = address.data() + address.size();
   const auto [rest, error] = std::from_chars(begin, end, *port);
