Take an answer that is no JSON object for no answer of a server, in corneltrayctl

What operators saw: `corneltrayctl apply` printed "revision 0 accepted" and ended with 0 when a server's answer was cut off without a length, or at a chunk without its line end; `status` printed an empty row. After an answer with the status 000 the other servers were not asked.

Cause: a body that does not parse was replaced by an empty object, and any three digits were taken for a status.

Change: such an answer counts as a lost one, so that the next server is asked, and the tool says that no server gave an answer. All successes of the servers are JSON objects.

--- a/src/corneltrayctl/server_client.cc
+++ b/src/corneltrayctl/server_client.cc
@@ -16,6 +16,7 @@
 // Above the time that a server gives a change (10 s), so that its own answer is read.
 constexpr milliseconds kReadTimeout{12'000};
 constexpr milliseconds kRoundPause{200};
+constexpr int kFirstRedirect = 300;
 
 std::string WithScheme(const std::string& server) {
   return server.rfind("http://", 0) == 0 ? server : "http://" + server;
@@ -33,6 +34,14 @@
   }
 }
 
+// Returns whether the library let an answer pass that is not whole or not HTTP: it takes any three
+// digits for a status, and a chunk without its end for the last one. All answers with a success are
+// JSON objects.
+bool IsBroken(int status, const json& body) {
+  if (status < kFirstFinalStatus || status > kLastStatus) return true;
+  return status < kFirstRedirect && !body.is_object();
+}
+
 }  // namespace
 
 ServerClient::ServerClient(std::vector<std::string> servers, std::string key)
@@ -54,10 +63,14 @@
     answer->lost.push_back(server + ": " + ReasonOf(result.error()));
     return false;
   }
+  json parsed = json::parse(result->body, nullptr, false);
+  if (IsBroken(result->status, parsed)) {
+    answer->lost.push_back(server + ": no answer of a corneltray process, or a part of one");
+    return false;
+  }
   answer->status = result->status;
   answer->server = server;
-  answer->body = json::parse(result->body, nullptr, false);
-  if (answer->body.is_discarded()) answer->body = json::object();
+  answer->body = parsed.is_discarded() ? json::object() : std::move(parsed);
   if (result->status != 503) return true;
   std::string reason = "503";
   if (answer->body.is_object() && answer->body.contains("error")) {
--- a/testsuite/operator-tool/run.py
+++ b/testsuite/operator-tool/run.py
@@ -6,7 +6,9 @@
 
 import json
 import pathlib
+import re
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -44,6 +46,68 @@
         client.close()
 
 
+# Answers that are not whole or not HTTP. The first one has a whole body, but its connection is reset.
+BROKEN_ANSWERS = {
+    "reset": b'HTTP/1.1 200 OK\r\n\r\n{"revision": 9}',
+    "status 000": b'HTTP/1.1 000 X\r\nContent-Length: 15\r\n\r\n{"revision": 9}',
+    "a part": b'HTTP/1.1 200 OK\r\n\r\n{"revision"',
+    "a chunk without its end": b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+                               b'b\r\n{"revision"XX4\r\n: 9}\r\n0\r\n\r\n',
+}
+
+
+class BrokenServer:
+    """Gives each request the same answer once it has read the head, and ends the connection."""
+
+    def __init__(self, answer, resets):
+        self.answer, self.resets = answer, resets
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:  # closed
+                return
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += client.recv(4096)
+            if not self.resets:
+                length = re.search(rb"content-length: (\d+)", head.lower())
+                body = len(head.partition(b"\r\n\r\n")[2])
+                while body < int(length[1] if length else 0):
+                    body += len(client.recv(65536))
+            client.sendall(self.answer)
+            if self.resets:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.listener.close()
+
+
+def check_broken_answers(c, ctl, servers, base, folder):
+    """Guards against a broken answer that is reported as a success or hides the next server's answer."""
+    huge = folder / "huge.toml"
+    huge.write_text(h.BASE + "# " + "u" * (8 << 20) + "\n")
+    for name, answer in BROKEN_ANSWERS.items():
+        with BrokenServer(answer, resets=name == "reset") as broken:
+            done = ctl("apply", "--base", base, "--expected-revision", 2, "--change-id", "lost",
+                       servers=[broken.address, *servers])
+            c.check(done.returncode == 0 and "revision 3 (was applied before)" in done.stdout,
+                    f"{name}: the next server is asked", done)
+            done = ctl("status", servers=[broken.address])
+            c.check(done.returncode == 5 and not done.stdout, f"{name}: no status", done)
+            done = ctl("apply", "--base", huge, "--expected-revision", 3, "--timeout-s", 1,
+                       servers=[broken.address])
+            c.check(done.returncode == 5 and not done.stdout, f"{name}: a long change is unanswered", done)
+
+
 class Tool:
     def __init__(self, region):
         self.region = region
@@ -104,6 +168,8 @@
         c.equal([row["revision"] for row in rows], [3, 2, 1], "applied once each")
         c.equal(rows[0]["author"], "awa", "with the author")
 
+        check_broken_answers(c, ctl, servers, base, folder)
+
         # Two of three hosts are lost: nothing is accepted, and the tool says that it is not certain.
         for process in region.controls[1:]:
             process.kill()
