--- a/src/libserving/gateway_fixture_test.h
+++ b/src/libserving/gateway_fixture_test.h
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,6 +57,15 @@
 // More than the buffers of both ends of a connection hold.
 constexpr std::size_t kLongBodyBytes = std::size_t{8} * 1024 * 1024;
 
+// Returns a part of an answer without a length, with one and in chunks.
+inline std::vector<std::string> CutOffAnswers(const std::string& fields, const std::string& part) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", part.size());
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nMark: m\r\n" + fields;
+  return {head + "\r\n" + part, head + "Content-Length: 100000\r\n\r\n" + part,
+          head + "Transfer-Encoding: chunked\r\n\r\n" + size + part + "\r\n"};
+}
+
 // An upstream of a test that handles each request with a script.
 struct ScriptedUpstream {
   std::unique_ptr<HttpListener> listener;
--- a/src/libserving/gateway_forward_test.cc
+++ b/src/libserving/gateway_forward_test.cc
@@ -196,25 +196,27 @@
 // Guards against a part of an answer of another host that passes for the whole one, since the host
 // was reset while a long request was being written to it.
 TEST_CASE("an answer of another host that a reset cuts off is not passed on") {
-  ScriptedPeer other([](TestSocket* socket) {
-    socket->ReadUntil("\r\n\r\n");
-    socket->Send(
-        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nMark: m\r\nCorneltray-Served-By: 1 1 u\r\n\r\npart");
-    socket->Reset();
-  });
-  IsolatedHost isolated;
-  isolated.fixture.AllowLongBodies();
-  isolated.fixture.loop.Run([&] {
-    isolated.fixture.gateway->SetForwardHosts({{"other", other.Address()}});
-  });
   const std::string body(kLongBodyBytes, 'u');
-  for (const std::string target : {"/get/", "/book/"}) {
-    CAPTURE(target);
-    const std::string answer = isolated.fixture.Call("POST", target, "", body);
-    CHECK(answer.find("HTTP/1.1 502 ") == 0);
-    CHECK_FALSE(Contains(answer, "part"));
+  for (const std::string& cut_off : CutOffAnswers("Corneltray-Served-By: 1 1 u\r\n", "part")) {
+    CAPTURE(cut_off);
+    ScriptedPeer other([&cut_off](TestSocket* socket) {
+      socket->ReadUntil("\r\n\r\n");
+      socket->Send(cut_off);
+      socket->Reset();
+    });
+    IsolatedHost isolated;
+    isolated.fixture.AllowLongBodies();
+    isolated.fixture.loop.Run([&] {
+      isolated.fixture.gateway->SetForwardHosts({{"other", other.Address()}});
+    });
+    for (const std::string target : {"/get/", "/book/"}) {
+      CAPTURE(target);
+      const std::string answer = isolated.fixture.Call("POST", target, "", body);
+      CHECK(answer.find("HTTP/1.1 502 ") == 0);
+      CHECK_FALSE(Contains(answer, "part"));
+    }
+    CHECK(other.Connections() >= 2);
   }
-  CHECK(other.Connections() >= 2);
 }
 
 }  // namespace
--- a/src/libserving/reset_answer_test.cc
+++ b/src/libserving/reset_answer_test.cc
@@ -1,4 +1,4 @@
-// Tests of answers without a length whose connection is reset while the request is being written.
+// Tests of answers whose connection is reset while the request is being written.
 #include <doctest/doctest.h>
 
 #include <string>
@@ -37,35 +37,43 @@
 // Guards against a part of an answer that reaches the caller as the whole one.
 TEST_CASE("a part of an answer that a reset cuts off is not taken for the whole one") {
   const std::string body(kLongBodyBytes, 'u');
-  GatewayFixture fixture;
-  fixture.AllowLongBodies();
 
   SUBCASE("a plain answer") {
-    ScriptedPeer troubled(AnswerAndReset(Head("text/plain") + "part"));
-    ScriptedPeer sound(AnswerAndClose(Head("text/plain") + "done"));
-    fixture.loop.Run([&] {
-      fixture.Announce("a", "a", troubled.Address());
-      fixture.Announce("b", "b", sound.Address());
-    });
-    const std::string booked = fixture.Call("POST", "/book/", "", body);
-    CHECK_MESSAGE(booked.find("HTTP/1.1 502 ") == 0, booked);
-    CHECK(sound.Connections() == 0);
-    const std::string found = fixture.Call("POST", "/get/", "", body);
-    CHECK_MESSAGE(found.find("\r\n\r\ndone") != std::string::npos, found);
-    CHECK(troubled.Connections() == 2);
+    for (const std::string& cut_off : CutOffAnswers("", "part")) {
+      CAPTURE(cut_off);
+      GatewayFixture fixture;
+      fixture.AllowLongBodies();
+      ScriptedPeer troubled(AnswerAndReset(cut_off));
+      ScriptedPeer sound(AnswerAndClose(Head("text/plain") + "done"));
+      fixture.loop.Run([&] {
+        fixture.Announce("a", "a", troubled.Address());
+        fixture.Announce("b", "b", sound.Address());
+      });
+      const std::string booked = fixture.Call("POST", "/book/", "", body);
+      CHECK_MESSAGE(booked.find("HTTP/1.1 502 ") == 0, booked);
+      CHECK(sound.Connections() == 0);
+      const std::string found = fixture.Call("POST", "/get/", "", body);
+      CHECK_MESSAGE(found.find("\r\n\r\ndone") != std::string::npos, found);
+      CHECK(troubled.Connections() == 2);
+    }
   }
   SUBCASE("a stream at the end of an event, which goes on at another engine") {
-    const std::string head = Head("text/event-stream");
-    ScriptedPeer troubled(AnswerAndReset(head + Event(1)));
-    ScriptedPeer sound(AnswerAndClose(head + Event(1) + Event(2)));
-    fixture.loop.Run([&] {
-      fixture.Announce("a", "a", troubled.Address(), 0, kLayers);
-      fixture.Announce("b", "b", sound.Address(), 0, kLayers);
-    });
-    const std::string reply = fixture.Call("POST", "/talk/", "", body);
-    CHECK_MESSAGE(reply.find("token 1") != std::string::npos, reply);
-    CHECK_MESSAGE(reply.find("token 2") != std::string::npos, reply);
-    CHECK(troubled.Connections() > 0);
+    const std::string type = "text/event-stream";
+    for (const std::string& cut_off : CutOffAnswers("Content-Type: " + type + "\r\n", Event(1))) {
+      CAPTURE(cut_off);
+      GatewayFixture fixture;
+      fixture.AllowLongBodies();
+      ScriptedPeer troubled(AnswerAndReset(cut_off));
+      ScriptedPeer sound(AnswerAndClose(Head(type) + Event(1) + Event(2)));
+      fixture.loop.Run([&] {
+        fixture.Announce("a", "a", troubled.Address(), 0, kLayers);
+        fixture.Announce("b", "b", sound.Address(), 0, kLayers);
+      });
+      const std::string reply = fixture.Call("POST", "/talk/", "", body);
+      CHECK_MESSAGE(reply.find("token 1") != std::string::npos, reply);
+      CHECK_MESSAGE(reply.find("token 2") != std::string::npos, reply);
+      CHECK(troubled.Connections() > 0);
+    }
   }
 }
 
