Take nothing from a broken answer to an order, in corneltray-placement

What operators saw: an engine in trouble answered an order with the status 000, or with a refusal in chunks without their line ends, that named a fencing number. The placement process took that number, gave up its lease and went on with a greater one; an answer with control bytes in its reason was logged as an accepted order.

Cause: OrderSender read answers with cpp-httplib, which takes any three digits for a status, skips what it can't read and ends a body at a chunk without its line end.

Change: orders are sent with BlockingCall, which shares the reader of all other answers. UpstreamRequest has a deadline for the write, since no order may be written after the lease has ended; the times are those of before.

"a request is written by its deadline" tests the new deadline.

--- a/src/corneltray-placement/order_sender.cc
+++ b/src/corneltray-placement/order_sender.cc
@@ -1,11 +1,10 @@
 #include "order_sender.h"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "corneltray/blocking_call.h"
 #include "corneltray/lease.h"
 #include "corneltray/log.h"
 
@@ -15,7 +14,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr int kOk = 200;
 constexpr std::size_t kThreads = 8;
+// Replies are a few hundred bytes long.
+constexpr std::size_t kMaxReplyBytes = std::size_t{64} * 1024;
 // An order must not be written after the lease has ended, so connecting and writing together stay
 // within the margin between the last permitted send and that end. The reply may come later: the
 // engine has the order by then.
@@ -39,6 +41,21 @@
           {"holdings", std::move(holdings)}};
 }
 
+UpstreamRequest MakeRequest(const SendOrder& order, const std::string& body) {
+  HttpHead head;
+  head.method = "POST";
+  head.target = "/v1/orders";
+  head.Add("Content-Type", "application/json");
+  UpstreamRequest request;
+  request.address = order.address;
+  request.bytes = FormatSingleRequest(order.address, std::move(head), body);
+  request.connect_deadline = Clock::now() + kConnectTimeout;
+  request.write_deadline = request.connect_deadline + kWriteTimeout;
+  request.answer_deadline = *request.write_deadline + kReadTimeout;
+  request.max_body_bytes = kMaxReplyBytes;
+  return request;
+}
+
 }  // namespace
 
 OrderSender::OrderSender(std::string weight_store, ReadFence read_fence, ReportFence report_fence)
@@ -91,29 +108,32 @@
 }
 
 void OrderSender::Send(const SendOrder& order) {
-  httplib::Client client("http://" + order.address);
-  client.set_connection_timeout(kConnectTimeout);
-  client.set_write_timeout(kWriteTimeout);
-  client.set_read_timeout(kReadTimeout);
   const std::string body = Body(order, m_weight_store).dump();
   if (m_read_fence() != order.fence) {
     LogEvent(LogLevel::kInfo, "order_dropped",
              {{"engine", order.engine}, {"fence", order.fence}, {"reason", "lease_not_held"}});
     return;
   }
-  const auto reply = client.Post("/v1/orders", body, "application/json");
+  int status = 0;
+  std::string reply;
+  std::string failure;
+  UpstreamCallbacks callbacks;
+  callbacks.on_head = [&status](const HttpHead& head) { status = head.status; };
+  callbacks.on_body = [&reply](std::string_view bytes) { reply.append(bytes); };
+  callbacks.on_failure = [&failure](UpstreamFailure how) { failure = NameOf(how); };
+  BlockingCall().Run(MakeRequest(order, body), callbacks);
   json fields = {{"engine", order.engine}, {"fence", order.fence}, {"order_id", order.order_id}};
-  if (!reply) {
-    fields["error"] = httplib::to_string(reply.error());
+  if (!failure.empty()) {
+    fields["error"] = failure;
     LogEvent(LogLevel::kWarning, "order_failed", fields);
     return;
   }
-  fields["status"] = reply->status;
-  if (reply->status == 200) {
+  fields["status"] = status;
+  if (status == kOk) {
     LogEvent(LogLevel::kInfo, "order_accepted", fields);
     return;
   }
-  const json answer = json::parse(reply->body, nullptr, false);
+  const json answer = json::parse(reply, nullptr, false);
   if (answer.is_object() && answer.contains("error") && answer["error"].is_object()) {
     fields["code"] = answer["error"].value("code", json());
   }
--- a/src/include/corneltray/upstream_pool.h
+++ b/src/include/corneltray/upstream_pool.h
@@ -51,6 +51,8 @@
   // Opens a connection of its own instead of reusing one that the upstream may be closing.
   bool fresh_connection = false;
   TimePoint connect_deadline{};
+  // The whole request is written by then, or it fails. Empty: only its other deadlines hold.
+  std::optional<TimePoint> write_deadline;
   // The whole answer is there by then, or the request fails. Empty: its sender cancels it in time.
   std::optional<TimePoint> answer_deadline;
   // An answer with a longer body is malformed.
--- a/src/libhttp/upstream_pool.cc
+++ b/src/libhttp/upstream_pool.cc
@@ -113,7 +113,6 @@
     if (connect) {
       Connect();
     } else {
-      WatchAnswer();
       SendRequest();
     }
   }
@@ -177,7 +176,6 @@
     if (m_is_probe) return Close();
     asio::error_code ignored;  // only saves a delay
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    WatchAnswer();
     SendRequest();
     Read();
   }
@@ -188,9 +186,9 @@
     Fail(UpstreamFailure::kNotConnected);
   }
 
-  void WatchAnswer() {
-    if (!m_request.answer_deadline) return;
-    m_timer.expires_at(*m_request.answer_deadline);
+  // Fails the request at a deadline, while it is being written or until its answer is there.
+  void FailAt(TimePoint deadline) {
+    m_timer.expires_at(deadline);
     m_timer.async_wait(
         [self = shared_from_this(), number = m_number](const asio::error_code& cancelled) {
           if (cancelled || !self->m_busy || self->m_number != number) return;
@@ -198,9 +196,18 @@
         });
   }
 
+  void WatchAnswer() {
+    if (m_request.answer_deadline) FailAt(*m_request.answer_deadline);
+  }
+
   void SendRequest() {
     const auto self = shared_from_this();
     m_writing = true;
+    if (m_request.write_deadline) {
+      FailAt(*m_request.write_deadline);
+    } else {
+      WatchAnswer();
+    }
     asio::async_write(m_socket, asio::buffer(m_request.bytes),
                       [self](const asio::error_code& error, std::size_t) {
                         self->m_writing = false;
@@ -229,6 +236,10 @@
   // A failed write does not end the request: its answer may be there already.
   void OnWritten(const asio::error_code& error) {
     if (error) m_write_failed = true;
+    if (m_busy && m_request.write_deadline) {
+      m_timer.cancel();
+      WatchAnswer();
+    }
     if (m_is_ended_by_close) FinishAtClose();
   }
 
--- a/src/libhttp/upstream_pool_test.cc
+++ b/src/libhttp/upstream_pool_test.cc
@@ -203,6 +203,34 @@
   }
 }
 
+// Guards against a request that is still being written when its sender may not send it any more,
+// and against an answer that has to be there as early.
+TEST_CASE("a request is written by its deadline") {
+  constexpr std::chrono::milliseconds kWriteTime{150};
+  bool reads = true;
+  ScriptedPeer upstream([&](TestSocket* socket) {
+    socket->ReadUntil("\r\n\r\n");
+    std::this_thread::sleep_for(2 * kWriteTime);
+    if (!reads) return;
+    socket->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    socket->ReadAll();
+  });
+  PoolFixture fixture([](const HttpCall&) {});
+  UpstreamRequest request = fixture.Get();
+  request.address = upstream.Address();
+  request.write_deadline = Clock::now() + kWriteTime;
+  request.answer_deadline = *request.write_deadline + std::chrono::seconds(5);
+
+  SUBCASE("or fails") {
+    reads = false;
+    request.bytes = "POST / HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(kLongBodyBytes, 'u');
+    const Outcome outcome = fixture.Send(request);
+    CHECK(outcome.failure == UpstreamFailure::kNoAnswer);
+    CHECK(Clock::now() < *request.write_deadline + kWriteTime);
+  }
+  SUBCASE("and its answer may come later") { CHECK(fixture.Send(request).body == "ok"); }
+}
+
 // Guards against a request that waits for another response after one with an invalid status.
 TEST_CASE("a request fails at once on a response without a valid status") {
   PoolFixture fixture([](const HttpCall&) {});
