Take an answer with a broken head for no answer of a server, in corneltrayctl

What operators saw: an answer whose head held a name with a blank or a control byte, or a reason with one, was reported as a success with the revision it named, and the other servers were not asked.

Cause: looked at the status and the body only; the HTTP library passes such names and reasons on.

Change: names and the status line are checked with the functions of the shared reader.

--- a/src/corneltrayctl/server_client.cc
+++ b/src/corneltrayctl/server_client.cc
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include "corneltray/http_syntax.h"
+
 namespace corneltray {
 namespace {
 
@@ -35,11 +37,15 @@
 }
 
 // Returns whether the library let an answer pass that is not whole or not HTTP: it takes any three
-// digits for a status, and a chunk without its end for the last one. All answers with a success are
-// JSON objects.
-bool IsBroken(int status, const json& body) {
+// digits for a status, any bytes in a reason or a name, and a chunk without its end for the last
+// one. All answers with a success are JSON objects.
+bool IsBroken(const httplib::Response& response, const json& body) {
+  const int status = response.status;
   if (status < kFirstFinalStatus || status > kLastStatus) return true;
-  return status < kFirstRedirect && !body.is_object();
+  if (!HasStatusLine("HTTP/1.1 " + std::to_string(status) + " " + response.reason)) return true;
+  const bool has_bad_name = std::any_of(response.headers.begin(), response.headers.end(),
+                                        [](const auto& header) { return !IsToken(header.first); });
+  return has_bad_name || (status < kFirstRedirect && !body.is_object());
 }
 
 }  // namespace
@@ -64,8 +70,8 @@
     return false;
   }
   json parsed = json::parse(result->body, nullptr, false);
-  if (IsBroken(result->status, parsed)) {
-    answer->lost.push_back(server + ": no answer of a corneltray process, or a part of one");
+  if (IsBroken(*result, parsed)) {
+    answer->lost.push_back(server + ": the answer is cut off or is none of a corneltray process");
     return false;
   }
   answer->status = result->status;
--- a/testsuite/operator-tool/run.py
+++ b/testsuite/operator-tool/run.py
@@ -50,6 +50,9 @@
 BROKEN_ANSWERS = {
     "reset": b'HTTP/1.1 200 OK\r\n\r\n{"revision": 9}',
     "status 000": b'HTTP/1.1 000 X\r\nContent-Length: 15\r\n\r\n{"revision": 9}',
+    "a name with a blank": b'HTTP/1.1 200 OK\r\nX Odd: v\r\nContent-Length: 15\r\n\r\n{"revision": 9}',
+    "a control byte in a name": b'HTTP/1.1 200 OK\r\nX\x01Odd: v\r\nContent-Length: 15\r\n\r\n{"revision": 9}',
+    "a control byte in the reason": b'HTTP/1.1 200 O\x01K\r\nContent-Length: 15\r\n\r\n{"revision": 9}',
     "a part": b'HTTP/1.1 200 OK\r\n\r\n{"revision"',
     "a chunk without its end": b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
                                b'b\r\n{"revision"XX4\r\n: 9}\r\n0\r\n\r\n',
