--- a/src/include/corneltray/blocking_call.h
+++ b/src/include/corneltray/blocking_call.h
@@ -15,7 +15,7 @@
 };
 
 // One request on a connection of its own, for a thread that waits for the answer. It reads answers
-// as UpstreamPool does. Used once.
+// as UpstreamPool does. Used once. Takes four descriptors: the socket and those of its event loop.
 class BlockingCall {
  public:
   BlockingCall();
--- a/src/libcorneltray/upstream_client.cc
+++ b/src/libcorneltray/upstream_client.cc
@@ -21,6 +21,7 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
 }
 
+// The deadline bounds the connect as well, so that no request is written after it.
 std::chrono::milliseconds ConnectTimeout(TimePoint deadline) {
   return std::clamp(TimeLeft(deadline), std::chrono::milliseconds(1), kConnectTimeout);
 }
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import http.client
 import os
 import pathlib
@@ -33,23 +34,32 @@
 FIELDS = b"X-Attempt-Id: %(id)s\r\nX-Server-Stamp: of %(name)s\r\n"
 
 
+class End(enum.Enum):
+    """What a replica does with the connection after its answer."""
+    RESET = "resets it"
+    CLOSE_UNREAD = "closes it with unread bytes, which resets it"
+    SHUTDOWN_THEN_RESET = "ends its stream, and resets the connection later"
+    SHUTDOWN_THEN_READ = "ends its stream, reads the rest of the upload and closes"
+    READ_THEN_CLOSE = "reads the rest of the upload and closes"
+    READ_THEN_KEEP = "reads the rest of the upload and keeps it open"
+
+
+CUTS_OFF = (End.RESET, End.CLOSE_UNREAD, End.SHUTDOWN_THEN_RESET)
+
+
 @dataclasses.dataclass
 class Answer:
-    """What a replica sends once it has read the head of a request, and what it does after that.
-
-    `end` is "reset", "unread" (closed with unread bytes), "shutdown_reset" (the end of the stream
-    is sent before the reset), "shutdown_read" (it is sent before the upload is read), "close" (after
-    the upload was read) or "keep" (as "close", but the connection stays open).
-    """
+    """What a replica sends once it has read the head of a request."""
     name: str
     start: bytes = b"HTTP/1.1 200 OK\r\n"
     fields: bytes = b""
     body: bytes = PART
     first: bytes = b""  # before the start line
     reads: float = 0.0  # share of the upload that is read before the answer
-    end: str = "reset"
+    end: End = End.RESET
     after_s: float = 0.03
     upload: bytes = LONG_UPLOAD
+    passed_on: dict = dataclasses.field(default_factory=dict)  # fields that the caller has to get
 
     def bytes_for(self, request, replica):
         fields = FIELDS % {b"id": request.encode(), b"name": replica.encode()}
@@ -58,8 +68,8 @@
 
 CUT_OFF = [
     *[Answer(f"no length, reset after {after} s", after_s=after) for after in (0.0, 0.03, 0.3)],
-    Answer("no length, closed with unread bytes", end="unread"),
-    Answer("no length, end of the stream and then a reset", end="shutdown_reset", after_s=0.3),
+    Answer("no length, closed with unread bytes", end=End.CLOSE_UNREAD),
+    Answer("no length, end of the stream and then a reset", end=End.SHUTDOWN_THEN_RESET, after_s=0.3),
     Answer("no length, no body, reset", body=b""),
     Answer("HTTP/1.0, reset", start=b"HTTP/1.0 200 OK\r\n"),
     Answer("no length, reset after a third of the upload", reads=1 / 3),
@@ -72,11 +82,11 @@
 
 def not_http(name, **more):
     fields = more.pop("fields", b"") + b"Content-Length: %d\r\n" % len(PART)
-    return Answer(name, end="keep", upload=SHORT_UPLOAD, fields=fields, **more)
+    return Answer(name, end=End.READ_THEN_KEEP, upload=SHORT_UPLOAD, fields=fields, **more)
 
 
 def in_chunks(name, body):
-    return Answer(name, end="keep", upload=SHORT_UPLOAD, fields=b"Transfer-Encoding: chunked\r\n",
+    return Answer(name, end=End.READ_THEN_KEEP, upload=SHORT_UPLOAD, fields=b"Transfer-Encoding: chunked\r\n",
                   body=body)
 
 
@@ -86,15 +96,16 @@
     not_http("status 000", start=b"HTTP/1.1 000 X\r\n"),
     not_http("no digits", start=b"HTTP/1.1 OK\r\n"),
     not_http("name of another protocol", start=b"HXXX/1.1 200 OK\r\n"),
-    not_http("name of a radio protocol", start=b"ICY 200 OK\r\n"),
+    not_http("ICY as the name of the protocol", start=b"ICY 200 OK\r\n"),
     not_http("control byte in the reason", start=b"HTTP/1.1 200 O\x01K\r\n"),
     not_http("NUL in the reason", start=b"HTTP/1.1 200 O\x00K\r\n"),
     *[not_http(f"field named {name!r}", fields=name + b": v\r\n") for name in BAD_NAMES],
-    *[Answer(f"length named {name!r}", end="keep", upload=SHORT_UPLOAD,
+    *[Answer(f"length named {name!r}", end=End.READ_THEN_KEEP, upload=SHORT_UPLOAD,
              fields=name + b": %d\r\n" % len(PART))
       for name in (b"Content-Length ", b"Content Length", b"Content-Length\t", b"\rContent-Length")],
-    # The parser ended the head there, and took the other fields for the body.
-    *[Answer(f"no length, closed, field named {name!r}", end="close", upload=SHORT_UPLOAD, fields=name + b": v\r\n")
+    # A parser may end the head there, and take the other fields for the body.
+    *[Answer(f"no length, closed, field named {name!r}", end=End.READ_THEN_CLOSE, upload=SHORT_UPLOAD,
+             fields=name + b": v\r\n")
       for name in (b"\rX-Odd", b"\nX-Odd", b"\n\nX-Odd")],
     not_http("control byte in a value", fields=b"X-Odd: a\x01b\r\n"),
     in_chunks("chunk without its line end", b"b\r\n" + PART + b"XX0\r\n\r\n"),
@@ -106,18 +117,20 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LENGTH = b"Content-Length: %d\r\n" % len(WHOLE)
 SOUND_ANSWERS = [
-    Answer("no length, closed", reads=1.0, end="close", body=WHOLE),
-    Answer("no length, sent before the upload is read", end="close", body=WHOLE),
-    Answer("no length, its end sent before the upload is read", end="shutdown_read", body=WHOLE),
-    Answer("with a length, sent before the upload is read", end="close", body=WHOLE, fields=LENGTH),
-    Answer("HTTP/1.0", start=b"HTTP/1.0 200 OK\r\n", reads=1.0, end="close", body=WHOLE),
-    *[Answer(name, end="keep", upload=SHORT_UPLOAD, **{"body": WHOLE, "fields": LENGTH, **more})
+    Answer("no length, closed", reads=1.0, end=End.READ_THEN_CLOSE, body=WHOLE),
+    Answer("no length, sent before the upload is read", end=End.READ_THEN_CLOSE, body=WHOLE),
+    Answer("no length, its end sent before the upload is read", end=End.SHUTDOWN_THEN_READ, body=WHOLE),
+    Answer("with a length, sent before the upload is read", end=End.READ_THEN_CLOSE, body=WHOLE, fields=LENGTH),
+    Answer("HTTP/1.0", start=b"HTTP/1.0 200 OK\r\n", reads=1.0, end=End.READ_THEN_CLOSE, body=WHOLE),
+    *[Answer(name, end=End.READ_THEN_KEEP, upload=SHORT_UPLOAD, **{"body": WHOLE, "fields": LENGTH, **more})
       for name, more in (
           ("no reason", {"start": b"HTTP/1.1 200 \r\n"}),
           ("no space before the missing reason", {"start": b"HTTP/1.1 200\r\n"}),
           ("high bytes and a tab in the reason", {"start": b"HTTP/1.1 200 O\xe9\t\xc3\xa9K\r\n"}),
-          ("odd names", {"fields": b"!#$%&'*+-.^_`|~9: v\r\n" + LENGTH}),
-          ("odd values", {"fields": b"X-High: \xe9\xff\r\nX-Tab: a\tb\r\nX-None:\r\n" + LENGTH}),
+          ("odd names", {"fields": b"!#$%&'*+-.^_`|~9: v\r\n" + LENGTH,
+                         "passed_on": {"!#$%&'*+-.^_`|~9": "v"}}),
+          ("odd values", {"fields": b"X-High: \xe9\xff\r\nX-Tab: a\tb\r\nX-None:\r\n" + LENGTH,
+                          "passed_on": {"X-High": "\xe9\xff", "X-Tab": "a\tb", "X-None": ""}}),
           ("interim first", {"first": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}),
           ("chunk with an extension",
            {"fields": CHUNKED, "body": b"00C;a=\"b c\";d\r\n" + WHOLE + b"\r\n0\r\n\r\n"}),
@@ -162,19 +175,19 @@
     early = int(length * answer.reads)
     handler.rfile.read(early)
     handler.connection.sendall(text)
-    if answer.end in ("reset", "unread", "shutdown_reset"):
+    if answer.end in CUTS_OFF:
         handler.close_connection = True
-        if answer.end == "shutdown_reset":
+        if answer.end is End.SHUTDOWN_THEN_RESET:
             handler.connection.shutdown(socket.SHUT_WR)
         time.sleep(answer.after_s)
-        if answer.end != "unread":
+        if answer.end is not End.CLOSE_UNREAD:
             handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         os.close(handler.connection.detach())
         return
-    if answer.end == "shutdown_read":
+    if answer.end is End.SHUTDOWN_THEN_READ:
         handler.connection.shutdown(socket.SHUT_WR)
     handler.rfile.read(length - early)
-    if answer.end != "keep":
+    if answer.end is not End.READ_THEN_KEEP:
         handler.close_connection = True
 
 
@@ -196,7 +209,11 @@
     request: str
     status: int = 0  # 0: no complete answer
     body: bytes = b""
-    stamp: str = ""
+    headers: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def stamp(self):
+        return self.headers.get("X-Server-Stamp", "")
 
 
 def ask(address, path, body=SHORT_UPLOAD):
@@ -207,7 +224,7 @@
                            {"Host": "h.example", "X-Attempt-Id": request,
                             "X-Deadline-Ms": str(TIMEOUT_MS), "Api-Key": "key-1"})
         reply = connection.getresponse()
-        return Reply(request, reply.status, reply.read(), reply.headers.get("X-Server-Stamp", ""))
+        return Reply(request, reply.status, reply.read(), dict(reply.headers.items()))
     except (http.client.HTTPException, OSError):
         return Reply(request)
     finally:
@@ -244,7 +261,7 @@
         reply = ask_until_given(service, front, path, answer)
         given = service.given_to(reply.request)
         seen = (f"{path}, {answer.name}: replicas gave {given}, the caller got {reply.status} "
-                f"{reply.body[:40]!r} with the mark {reply.stamp!r}")
+                f"{reply.body[:40]!r} with the stamp {reply.stamp!r}")
         c.check(PART not in reply.body, f"{seen}; the answer is no part of a broken one")
         if is_idempotent:
             c.check(reply.status == 200 and reply.body.startswith(b"answer of "),
@@ -261,6 +278,8 @@
         c.check(reply.status == 200 and reply.body == WHOLE and reply.stamp and len(given) == 1,
                 f"{path}, {answer.name}: arrives whole, got {reply.status} {reply.body[:40]!r} "
                 f"after {given}")
+        got = {name: reply.headers.get(name) for name in answer.passed_on}
+        c.equal(got, answer.passed_on, f"{path}, {answer.name}: its fields arrive")
 
 
 def run(c, build):
