Log what confirmed reads cost a control process

The logs could not tell the hypotheses on the unconfirmed reads apart. `log_reads`, every 5 s, counts rounds of reads (begun, confirmed, failed, with their time), reads that expire or that their host has replaced by a later one, and the time spent in reports of entry hosts and in sums over them. No logic is changed.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -95,6 +95,7 @@
   m_node->Post([this] {
     m_replica.Tick(Clock::now());
     ProcessActions();
+    LogReadCounters();
   });
 }
 
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -28,6 +28,7 @@
 #include "corneltray/retry_quota_allocator.h"
 #include "corneltray/server_pace.h"
 #include "corneltray/storage_thread.h"
+#include "read_counters.h"
 
 namespace corneltray {
 
@@ -132,6 +133,8 @@
   // Starts, completes and expires batched reads, and schedules the next call.
   void RunReadBatches();
   void BeginReadBatch();
+  void NoteReadOf(const std::string& host);
+  void LogReadCounters();
   void OnReadIndex(const Result<nlohmann::json>& reply);
   // Answers a read of a follower. Only the leader does; it includes the read in its own batch.
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
@@ -173,7 +176,7 @@
   nlohmann::json MemberZones() const;
   // The reply to a process that holds this version. Valid until the next call.
   const nlohmann::json& RouteTableSince(std::uint64_t have);
-  nlohmann::json MakeRouteTableReply(std::uint64_t have) const;
+  nlohmann::json MakeRouteTableReply(std::uint64_t have);
   std::map<std::string, RetryCounts> FleetRetryCounts() const;
   FleetPace SumOfPace() const;
   void CompactIfDue();
@@ -195,6 +198,9 @@
   std::map<ReadBatcher::Id, PendingRead> m_batched_reads;
   std::uint64_t m_last_batch_index = 0;  // of the log, at the last batch that was confirmed
   std::optional<TimePoint> m_next_read_wakeup;
+  TimePoint m_round_began_at{};
+  ReadCounters m_read_counters;
+  std::map<std::string, ReadBatcher::Id> m_read_of_host;  // the latest of each entry host
   CachedFetchReply m_route_table_reply;
   // Messages to send once the batch with this sequence number is on disk.
   std::deque<std::pair<std::uint64_t, ReplicaMessage>> m_unsent;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -28,6 +28,8 @@
 // A leader that does not confirm a read within the shortest election timeout may be deposed.
 constexpr std::chrono::milliseconds kReadIndexTimeout{600};
 
+constexpr std::chrono::seconds kReadCounterLogInterval{5};
+
 }  // namespace
 
 void ControlNode::FetchRouteTable(const json& body, const Responder& respond) {
@@ -62,6 +64,7 @@
   const bool is_isolated = body.value("needs_forward_hosts", false);
   if (is_isolated) m_needs_forward_hosts = true;
   const std::string asking = body.value("retries_of", "");
+  NoteReadOf(asking);
   const auto answer = [this, have, host, is_isolated, asking](std::uint64_t) {
     json reply = RouteTableSince(have);
     const auto grant = m_retry_grants.find(host);
@@ -94,6 +97,8 @@
     if (m_retry_grants.count(host) > 0) grants[host] = m_retry_grants.at(host);
   }
   const auto answer = [this, grants, forward_hosts](std::uint64_t index) {
+    const ScopedTime timed(&m_read_counters.sum_time);
+    ++m_read_counters.sums_made;
     json reply = {{"index", index},
                   {"retries", EncodeRetryCounts(FleetRetryCounts())},
                   {"retry_grants", grants},
@@ -107,18 +112,36 @@
 
 void ControlNode::AddBatchedRead(std::function<json(std::uint64_t index)> answer,
                                  const Responder& respond, TimePoint deadline) {
+  ++m_read_counters.reads_added;
   m_batched_reads[m_read_batcher.Add(deadline)] = {std::move(answer), respond};
   RunReadBatches();
 }
 
+// Counts a read that its host has given up, since it asks again.
+void ControlNode::NoteReadOf(const std::string& host) {
+  if (host.empty()) return;
+  const ReadBatcher::Id next = m_read_batcher.LastId() + 1;
+  const auto [known, is_new] = m_read_of_host.emplace(host, next);
+  if (is_new) return;
+  if (m_batched_reads.count(known->second) > 0) ++m_read_counters.reads_replaced;
+  known->second = next;
+}
+
+void ControlNode::LogReadCounters() {
+  LogEvent(LogLevel::kInfo, "log_reads", {{"since_start", m_read_counters.ToJson()}});
+  m_node->RunAt(Clock::now() + kReadCounterLogInterval, [this] { LogReadCounters(); });
+}
+
 void ControlNode::RunReadBatches() {
   const TimePoint now = Clock::now();
   for (const ReadBatcher::Id id : m_read_batcher.TakeComplete(m_applied_index)) {
     const auto read = m_batched_reads.extract(id);
+    ++m_read_counters.reads_answered;
     read.mapped().respond(read.mapped().answer(m_last_batch_index));
   }
   for (const ReadBatcher::Id id : m_read_batcher.TakeExpired(now)) {
     const auto read = m_batched_reads.extract(id);
+    ++m_read_counters.reads_expired;
     read.mapped().respond(
         ErrorBody(ControlErrc::kUnavailable, m_has_leader ? "the leader did not confirm the read"
                                                           : m_options.host + " knows no leader"));
@@ -135,6 +158,8 @@
 }
 
 void ControlNode::BeginReadBatch() {
+  ++m_read_counters.rounds_begun;
+  m_round_began_at = Clock::now();
   const ReplicaStatus status = m_replica.GetStatus();
   const auto finish = [this](const Result<json>& reply) { OnReadIndex(reply); };
   const TimePoint deadline = Clock::now() + kReadIndexTimeout;
@@ -148,6 +173,7 @@
     return;
   }
   if (!status.leader) {
+    ++m_read_counters.rounds_failed;
     m_read_batcher.Fail();
     return;
   }
@@ -167,6 +193,7 @@
 void ControlNode::OnReadIndex(const Result<json>& reply) {
   const bool is_confirmed = reply && reply.value().contains("index");
   if (is_confirmed) {
+    m_read_counters.AddRound(Clock::now() - m_round_began_at);
     m_last_batch_index = reply.value().at("index").get<std::uint64_t>();
     m_read_batcher.Confirm(m_last_batch_index);
     if (reply.value().contains("retries")) {
@@ -193,6 +220,7 @@
     }
   } else {
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
+    ++m_read_counters.rounds_failed;
     LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
     m_read_batcher.Fail();
   }
@@ -201,6 +229,8 @@
 
 // Keeps the counts that entry hosts reported, and passes them on with the next read of the leader.
 void ControlNode::StoreHostReports(const json& retry_reports, const json& pace_reports) {
+  const ScopedTime timed(&m_read_counters.report_time);
+  m_read_counters.reports_stored += retry_reports.size();
   for (const auto& [host, report] : retry_reports.items()) {
     const json pace_report = pace_reports.value(host, json::object());
     auto counts = DecodeRetryCounts(report);
@@ -337,7 +367,9 @@
   return reply.body;
 }
 
-json ControlNode::MakeRouteTableReply(std::uint64_t have) const {
+json ControlNode::MakeRouteTableReply(std::uint64_t have) {
+  const ScopedTime timed(&m_read_counters.sum_time);
+  ++m_read_counters.sums_made;
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
--- a/src/include/corneltray/read_batcher.h
+++ b/src/include/corneltray/read_batcher.h
@@ -26,6 +26,8 @@
 
   // Adds a read that must reflect everything committed before now.
   Id Add(TimePoint deadline);
+  // The read that was added last; 0 if there was none.
+  Id LastId() const { return m_last_id; }
 
   // Returns whether to read the log now: reads are waiting, no read of the log is in progress, and
   // the interval since the last one has passed. The caller then reports the result with Confirm or
