Let entry hosts whose fetches fail ask less often

The pause before a control host that failed lately is asked again doubles from 300 ms to 1.2 s, varied by a hash; one that has not failed is still asked after 150 ms, so a host behind a cut finds the majority as before (control_partition_test). At most one fetch in ten goes to a second control host. A version that is announced is fetched at once.

--- a/src/include/corneltray/control_host_selector.h
+++ b/src/include/corneltray/control_host_selector.h
@@ -47,6 +47,8 @@
   void RecordFailure(TimePoint now, const std::string& host) {
     m_cooldown_until[host] = now + kFailureCooldown;
   }
+  // Returns whether a call failed within the last kFailureCooldown, and none was answered since.
+  bool HasFailed(TimePoint now, const std::string& host) const;
   void RecordAnswer(const std::string& host) { m_cooldown_until.erase(host); }
 
   // Sorts those that are cut off last, then by no recent failure first, then the source first, then
--- a/src/include/corneltray/fetch_scheduler.h
+++ b/src/include/corneltray/fetch_scheduler.h
@@ -20,8 +20,19 @@
 constexpr std::chrono::milliseconds kConfirmInterval{600};
 // A fetch without a reply after this time is also sent to the next control process.
 constexpr std::chrono::milliseconds kFetchHedgeDelay{400};
+// Share of fetches that may be sent to a second control process, and how many of these a host may
+// save up. When all control processes are slow, second fetches double their load.
+constexpr double kFetchHedgeShare = 0.1;
+constexpr double kMaxFetchHedges = 2.0;
 // Pause after a failed fetch.
 constexpr std::chrono::milliseconds kFetchRetryDelay{150};
+// Pause before a control process is asked again that has failed a fetch lately, doubled with each
+// failure in a row up to the maximum and varied by kFetchRetryJitter. With the timeout of a fetch,
+// a host that fails asks less often than one that is answered, so that control processes that have
+// fallen behind catch up.
+constexpr std::chrono::milliseconds kMinFetchBackoff{300};
+constexpr std::chrono::milliseconds kMaxFetchBackoff{1200};
+constexpr double kFetchRetryJitter = 0.25;
 // A new version is fetched from another control process if the preferred one has not announced it
 // by then.
 constexpr std::chrono::milliseconds kAnnouncementWait{100};
@@ -36,7 +47,7 @@
 class FetchScheduler {
  public:
   // `host` is the name of the entry host.
-  explicit FetchScheduler(const std::string& host) : m_ranking(host) {}
+  explicit FetchScheduler(const std::string& host) : m_host(host), m_ranking(host) {}
 
   // A control process reports that a route table of this version is committed.
   void OnVersionCommitted(TimePoint now, const std::string& control_host, std::uint64_t version);
@@ -59,19 +70,25 @@
   std::optional<std::string> AnnouncerOf(TimePoint now,
                                          const std::vector<std::string>& order) const;
   std::string Begin(TimePoint now, const std::string& control_host);
+  // Returns the pause before a control process that failed is asked again.
+  Duration Backoff() const;
 
   struct Fetch {
     TimePoint started_at;
     std::uint64_t announced = 0;  // version that the control process had announced by then
   };
 
+  std::string m_host;
   ControlHostSelector m_ranking;
   std::map<std::string, Fetch> m_in_progress;  // by control process
   TimePoint m_last_begin{};
   TimePoint m_next_confirm{};
   bool m_is_expedited = false;
-  TimePoint m_not_before{};    // no new fetch before this time, after a failure
-  std::uint64_t m_newest = 0;  // version that was announced
+  TimePoint m_not_before{};           // no new fetch before this time, after a failure
+  TimePoint m_retry_not_before{};     // nor from a control process that has failed lately
+  std::uint32_t m_failures = 0;       // in a row
+  double m_hedges = kMaxFetchHedges;  // that may still be sent
+  std::uint64_t m_newest = 0;         // version that was announced
   TimePoint m_newest_announced_at{};
   std::set<std::string> m_announcers;  // of the newest version
 };
--- a/src/libfleet/control_host_selector.cc
+++ b/src/libfleet/control_host_selector.cc
@@ -24,13 +24,17 @@
   return XXH64(names.data(), names.size(), 0);
 }
 
+bool ControlHostSelector::HasFailed(TimePoint now, const std::string& host) const {
+  const auto cooldown = m_cooldown_until.find(host);
+  return cooldown != m_cooldown_until.end() && now < cooldown->second;
+}
+
 std::vector<std::string> ControlHostSelector::Order(
     TimePoint now, std::vector<ControlCandidate> candidates) const {
   const auto rank = [this, now](const ControlCandidate& candidate) {
-    const auto cooldown = m_cooldown_until.find(candidate.host);
-    const bool failed = cooldown != m_cooldown_until.end() && now < cooldown->second;
-    return std::make_tuple(candidate.is_cut_off, failed, !candidate.is_source, !candidate.is_local,
-                           SpreadOf(candidate.host), std::cref(candidate.host));
+    return std::make_tuple(candidate.is_cut_off, HasFailed(now, candidate.host),
+                           !candidate.is_source, !candidate.is_local, SpreadOf(candidate.host),
+                           std::cref(candidate.host));
   };
   std::sort(
       candidates.begin(), candidates.end(),
--- a/src/libfleet/fetch_scheduler.cc
+++ b/src/libfleet/fetch_scheduler.cc
@@ -1,5 +1,7 @@
 #include "corneltray/fetch_scheduler.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +14,8 @@
     m_newest = version;
     m_newest_announced_at = now;
     m_announcers.clear();
+    // A newer table is sent without a confirmed read, whose failures the pause is for.
+    m_retry_not_before = {};
   }
   m_announcers.insert(control_host);
 }
@@ -23,6 +27,8 @@
   if (order.empty()) return std::nullopt;
   if (!m_in_progress.empty()) return NextHedge(now, order);
   if (now < m_not_before) return std::nullopt;
+  // One that has not failed lately may be on the other side of a cut, and is asked at once.
+  if (now < m_retry_not_before && m_ranking.HasFailed(now, order.front())) return std::nullopt;
   if (m_newest > held) {
     if (const auto announcer = AnnouncerOf(now, order)) return Begin(now, *announcer);
   }
@@ -41,8 +47,11 @@
   const bool is_due = now >= m_last_begin + kFetchHedgeDelay;
   if (!is_due || m_in_progress.size() >= kMaxConcurrentFetches) return std::nullopt;
   for (const auto& [host, fetch] : m_in_progress) m_ranking.RecordFailure(now, host);
+  if (m_hedges < 1.0) return std::nullopt;
   for (const std::string& host : order) {
-    if (m_in_progress.count(host) == 0) return Begin(now, host);
+    if (m_in_progress.count(host) > 0 || m_ranking.HasFailed(now, host)) continue;
+    m_hedges -= 1.0;
+    return Begin(now, host);
   }
   return std::nullopt;
 }
@@ -70,6 +79,8 @@
   const auto fetch = m_in_progress.extract(control_host);
   if (fetch.empty()) return;
   m_ranking.RecordAnswer(control_host);
+  m_failures = 0;
+  m_hedges = std::min(m_hedges + kFetchHedgeShare, kMaxFetchHedges);
   // One that restarted may answer with an older version than it announced; it is not asked in a
   // loop.
   if (fetch.mapped().announced == m_newest) m_announcers.erase(control_host);
@@ -81,6 +92,21 @@
   m_in_progress.erase(control_host);
   m_ranking.RecordFailure(now, control_host);
   m_not_before = now + kFetchRetryDelay;
+  ++m_failures;
+  m_retry_not_before = now + Backoff();
+}
+
+Duration FetchScheduler::Backoff() const {
+  Duration backoff = kMinFetchBackoff;
+  for (std::uint32_t failure = 1; failure < m_failures && backoff < kMaxFetchBackoff; ++failure) {
+    backoff *= 2;
+  }
+  backoff = std::min<Duration>(backoff, kMaxFetchBackoff);
+  constexpr std::uint64_t kSteps = 1000;
+  const std::uint64_t hash = XXH64(m_host.data(), m_host.size(), m_failures);
+  const double position = static_cast<double>(hash % kSteps) / kSteps;
+  const double factor = 1.0 + kFetchRetryJitter * (2.0 * position - 1.0);
+  return std::chrono::duration_cast<Duration>(backoff * factor);
 }
 
 }  // namespace corneltray
--- a/src/libfleet/fetch_scheduler_test.cc
+++ b/src/libfleet/fetch_scheduler_test.cc
@@ -209,4 +209,54 @@
   CHECK(*second != *first);
 }
 
+// Guards against hosts that ask a region more often than usual once nobody answers them.
+TEST_CASE("a host that nobody answers asks less often than one that is answered") {
+  constexpr milliseconds kSpan{12000};
+  const auto count_fetches = [](const EntryHost& host) {
+    int fetches = 0;
+    for (const auto& [control, count] : host.fetches) fetches += count;
+    return fetches;
+  };
+  EntryHost answered(1);
+  answered.RunUntil(kStart + kSpan);
+  EntryHost failing(1);
+  for (const ControlCandidate& control : Candidates()) failing.silent.insert(control.host);
+  failing.RunUntil(kStart + kSpan);
+  const int fetches = count_fetches(failing);
+  CHECK(fetches < count_fetches(answered));
+
+  SUBCASE("and asks again soon after one is back") {
+    failing.silent.clear();
+    failing.RunUntil(kStart + kSpan + milliseconds(2500));
+    CHECK(!failing.answered_at.empty());
+  }
+  SUBCASE("and asks at once for a version that is announced") {
+    failing.silent.clear();
+    failing.committed = 7;
+    failing.scheduler.OnVersionCommitted(failing.now, "control-0", 7);
+    failing.RunUntil(kStart + kSpan + kFetchTimeout + kAnnouncementWait + kTick);
+    CHECK(failing.held == 7);
+  }
+}
+
+// Guards against a whole region that doubles its fetches while all control processes are slow.
+TEST_CASE("few fetches are sent to a second control process") {
+  FetchScheduler scheduler(HostName(1));
+  int second = 0;
+  TimePoint now = kStart;
+  for (int fetch = 0; fetch < 40; ++fetch) {
+    now += kConfirmInterval;
+    const auto first = scheduler.NextFetch(now, Candidates(), 6);
+    if (!first) continue;
+    now += kFetchHedgeDelay;
+    if (const auto hedge = scheduler.NextFetch(now, Candidates(), 6)) {
+      ++second;
+      scheduler.OnAnswered(*hedge, true);
+    }
+    scheduler.OnAnswered(*first, true);
+  }
+  CHECK(second >= 2);
+  CHECK(second <= 10);
+}
+
 }  // namespace corneltray
