Handle messages of control hosts before those of entry hosts, and drop expired requests

A control host handled all messages in the order of arrival, so votes, entries of the log and reads of other control hosts waited behind hundreds of fetches and reports of entry hosts, also of those that had given up. Requests and pushes of entry hosts now wait until no message of a control host is there to be handled, in order, up to 8 MB; a request that has waited for longer than the timeout in it is dropped, and counted as corneltray_peer_requests_expired_total. Replies and heartbeats do not wait.

Both new tests in peer_test.cc guard this: a request of a control host behind 200 of an entry host, and requests that expire while they wait.

--- a/src/corneltray-control/main.cc
+++ b/src/corneltray-control/main.cc
@@ -193,6 +193,7 @@
     peer.listen_address = m_settings.peer_address;
     peer.advertise_address = m_settings.peer_advertise;
     peer.shared_key = m_settings.shared_key;
+    peer.urgent_program = kControlProgram;
     m_node = std::make_unique<PeerNode>(std::move(peer));
     m_feed = std::make_unique<ConfigurationFeed>(nullptr, m_settings.site);
     if (!HasFleetService()) {
--- a/src/include/corneltray/peer.h
+++ b/src/include/corneltray/peer.h
@@ -42,6 +42,9 @@
   std::string listen_address;     // IP:PORT; port 0 picks a free one
   std::string advertise_address;  // empty: the bound address
   std::string shared_key;
+  // Messages of processes that run this program are handled before requests and pushes of others.
+  // Empty: all are handled in the order of arrival.
+  std::string urgent_program{};
 };
 
 struct PeerStatus {
@@ -61,6 +64,7 @@
   std::uint64_t unauthenticated = 0;
   std::uint64_t replayed = 0;
   std::uint64_t links_replaced = 0;
+  std::uint64_t expired = 0;  // requests that waited here for longer than their sender does
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_received = 0;
 };
--- a/src/libcorneltray/metrics.cc
+++ b/src/libcorneltray/metrics.cc
@@ -155,6 +155,7 @@
       {"frames_unauthenticated", counters.unauthenticated},
       {"frames_replayed", counters.replayed},
       {"links_replaced", counters.links_replaced},
+      {"requests_expired", counters.expired},
       {"bytes_sent", counters.bytes_sent},
       {"bytes_received", counters.bytes_received},
   };
--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -13,6 +13,14 @@
 // Time for the closing handshakes before the loop is stopped.
 constexpr std::chrono::milliseconds kStopDelay{50};
 
+// Whether the sender of a request has given it up after this time.
+bool HasExpired(const PeerMessage& message, Duration waited) {
+  if (message.id == 0 || !message.body.is_object()) return false;
+  const auto timeout = message.body.find("timeout_ms");
+  if (timeout == message.body.end() || !timeout->is_number_integer()) return false;
+  return waited >= std::chrono::milliseconds(timeout->get<std::int64_t>());
+}
+
 }  // namespace
 
 PeerLoop::PeerLoop(PeerOptions options)
@@ -98,9 +106,9 @@
 }
 
 PeerCounters PeerLoop::Counters() const {
-  return {m_counters.malformed,     m_counters.oversized,      m_counters.unauthenticated,
-          m_counters.replayed,      m_counters.links_replaced, m_counters.bytes_sent,
-          m_counters.bytes_received};
+  return {m_counters.malformed,  m_counters.oversized,      m_counters.unauthenticated,
+          m_counters.replayed,   m_counters.links_replaced, m_counters.expired,
+          m_counters.bytes_sent, m_counters.bytes_received};
 }
 
 std::map<MessageType, PeerMessageCounters> PeerLoop::MessageCounters() const {
@@ -241,6 +249,43 @@
 }
 
 void PeerLoop::OnMessage(Link* link, PeerMessage message, std::size_t bytes) {
+  if (!MayWait(*link, message) || m_waiting_bytes + bytes > kMaxWaitingBytes) {
+    HandleAndCount(link, std::move(message), bytes);
+    return;
+  }
+  const PeerIdentity& from = link->session->Peer().identity;
+  m_waiting.push_back({link->id, from, std::move(message), bytes, Clock::now()});
+  m_waiting_bytes += bytes;
+  if (m_waiting.size() == 1) m_transport.Post([this] { HandleWaiting(); });
+}
+
+// Replies and heartbeats are cheap to handle, and others wait for them.
+bool PeerLoop::MayWait(const Link& link, const PeerMessage& message) const {
+  if (m_options.urgent_program.empty() || message.reply_to != 0) return false;
+  if (message.type == MessageType::kHeartbeat) return false;
+  return link.session->Peer().identity.program != m_options.urgent_program;
+}
+
+void PeerLoop::HandleWaiting() {
+  if (m_waiting.empty()) return;
+  WaitingMessage next = std::move(m_waiting.front());
+  m_waiting.pop_front();
+  m_waiting_bytes -= next.bytes;
+  if (!m_waiting.empty()) m_transport.Post([this] { HandleWaiting(); });
+  Link* link = FindLink(next.link);
+  if (link == nullptr) {
+    // A request is sent again on the next link.
+    if (next.message.id == 0) HandlePush(next.from, next.message);
+    return;
+  }
+  if (HasExpired(next.message, Clock::now() - next.received_at)) {
+    ++m_counters.expired;
+    return;
+  }
+  HandleAndCount(link, std::move(next.message), next.bytes);
+}
+
+void PeerLoop::HandleAndCount(Link* link, PeerMessage message, std::size_t bytes) {
   const MessageType type = message.type;
   const TimePoint start = Clock::now();
   Handle(link, std::move(message));
@@ -264,6 +309,10 @@
     OnRequest(link, from, message);
     return;
   }
+  HandlePush(from, message);
+}
+
+void PeerLoop::HandlePush(const PeerIdentity& from, const PeerMessage& message) {
   const auto handler = push_handlers.find(message.type);
   if (handler == push_handlers.end()) return;
   try {
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -3,7 +3,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -35,6 +37,9 @@
 inline constexpr std::chrono::seconds kForgetPeerAfter{60};
 inline constexpr std::chrono::milliseconds kTickInterval{100};
 inline constexpr std::chrono::seconds kCounterLogInterval{10};
+// Messages that wait behind those of the urgent program. Further ones are handled at once, which
+// slows their senders down.
+inline constexpr std::size_t kMaxWaitingBytes = 8UL * 1024UL * 1024UL;
 inline constexpr std::chrono::milliseconds kMinRedialDelay{100};
 inline constexpr std::chrono::milliseconds kMaxRedialDelay{2000};
 
@@ -113,12 +118,22 @@
     std::shared_ptr<void> timer;
   };
 
+  // A message that is handled once no urgent one is there to be handled.
+  struct WaitingMessage {
+    LinkId link = 0;
+    PeerIdentity from;
+    PeerMessage message;
+    std::size_t bytes = 0;
+    TimePoint received_at;
+  };
+
   struct AtomicCounters {
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> oversized{0};
     std::atomic<std::uint64_t> unauthenticated{0};
     std::atomic<std::uint64_t> replayed{0};
     std::atomic<std::uint64_t> links_replaced{0};
+    std::atomic<std::uint64_t> expired{0};
     std::atomic<std::uint64_t> bytes_sent{0};
     std::atomic<std::uint64_t> bytes_received{0};
   };
@@ -146,6 +161,12 @@
 
   // Messages: peer_loop.cc.
   void OnMessage(Link* link, PeerMessage message, std::size_t bytes);
+  bool MayWait(const Link& link, const PeerMessage& message) const;
+  // Handles one waiting message, and posts itself while there are more: the loop reads what has
+  // arrived in between.
+  void HandleWaiting();
+  void HandleAndCount(Link* link, PeerMessage message, std::size_t bytes);
+  void HandlePush(const PeerIdentity& from, const PeerMessage& message);
   void Handle(Link* link, PeerMessage message);
   void CountReceived(MessageType type, std::size_t bytes, Duration handling_time);
   void CountEncoded(MessageType type);
@@ -171,6 +192,8 @@
   std::map<std::string, Target> m_targets;  // by address
   std::map<std::uint64_t, PendingRequest> m_requests;
   std::uint64_t m_last_request = 0;
+  std::deque<WaitingMessage> m_waiting;  // oldest first
+  std::size_t m_waiting_bytes = 0;
   std::map<std::uint64_t, std::shared_ptr<void>> m_timers;  // of RunAt
   std::uint64_t m_last_timer = 0;
   AtomicCounters m_counters;
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -2,11 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <asio.hpp>
 #include <atomic>
 #include <future>
 #include <list>
+#include <mutex>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "peer_frame.h"
 
@@ -439,5 +443,85 @@
   }
 }
 
+// A control process with the links of an entry host and of another control process.
+struct BusyControl {
+  static constexpr char kControl[] = "corneltray-control";
+
+  PeerNode control;
+  PeerNode other_control;
+  PeerNode entry;
+  std::mutex mutex;
+  std::vector<std::string> handled;  // hosts whose requests were handled, in order
+
+  static PeerOptions ControlOptions(const std::string& host) {
+    PeerOptions options = OptionsFor(host);
+    options.identity.program = kControl;
+    options.urgent_program = kControl;
+    return options;
+  }
+
+  explicit BusyControl(std::chrono::milliseconds time_per_request)
+      : control(ControlOptions("control-1")),
+        other_control(ControlOptions("control-2")),
+        entry(OptionsFor("entry-1")) {
+    control.SetRequestHandler(MessageType::kPropose,
+                              [this, time_per_request](const PeerIdentity& from, const json&,
+                                                       const PeerNode::Responder& respond) {
+                                std::this_thread::sleep_for(time_per_request);
+                                {
+                                  const std::lock_guard<std::mutex> lock(mutex);
+                                  handled.push_back(from.host);
+                                }
+                                respond(json::object());
+                              });
+    REQUIRE(control.Start());
+    REQUIRE(other_control.Start());
+    REQUIRE(entry.Start());
+    other_control.Connect(control.ListenAddress());
+    entry.Connect(control.ListenAddress());
+    REQUIRE(Eventually([&] { return IsConnected(other_control, "control-1"); }));
+    REQUIRE(Eventually([&] { return IsConnected(entry, "control-1"); }));
+  }
+
+  void SendFromEntry(int requests, std::chrono::milliseconds timeout) {
+    for (int number = 0; number < requests; ++number) {
+      entry.Request("control-1", MessageType::kPropose, {{"timeout_ms", timeout.count()}},
+                    Clock::now() + timeout, [](const Result<json>&) {});
+    }
+  }
+  std::size_t Handled() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return handled.size();
+  }
+};
+
+// Guards against elections and reads of the log that wait behind the requests of entry hosts.
+TEST_CASE("messages of the urgent program are handled before those that wait") {
+  BusyControl busy(std::chrono::milliseconds(5));
+  constexpr int kRequests = 200;
+  busy.SendFromEntry(kRequests, std::chrono::duration_cast<std::chrono::milliseconds>(kPatience));
+  REQUIRE(Eventually([&] { return busy.Handled() > 0; }));
+  REQUIRE(Ask(&busy.other_control, "control-1", json::object()));
+  std::vector<std::string> handled;
+  {
+    const std::lock_guard<std::mutex> lock(busy.mutex);
+    handled = busy.handled;
+  }
+  CHECK(std::count(handled.begin(), handled.end(), "control-2") == 1);
+  CHECK(handled.size() < kRequests / 2);
+}
+
+// Guards against work for requests that their senders have given up.
+TEST_CASE("a request that has waited for longer than its sender does is dropped") {
+  BusyControl busy(std::chrono::milliseconds(20));
+  constexpr int kRequests = 40;
+  busy.SendFromEntry(kRequests, std::chrono::milliseconds(100));
+  REQUIRE(Eventually([&] {
+    return busy.Handled() + busy.control.Counters().expired == static_cast<std::size_t>(kRequests);
+  }));
+  CHECK(busy.control.Counters().expired > kRequests / 2);
+  CHECK(busy.Handled() > 0);
+}
+
 }  // namespace
 }  // namespace corneltray
