Count late answers to reads of the log, and drop reads that their hosts have given up

A follower gave up a read of the log after 600 ms and began the next one, and dropped the answer that came later.

An entry host now waits for one read at a time at a control host; the earlier one is refused, which costs little.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -128,14 +128,16 @@
   void StartRead(std::function<nlohmann::json(std::uint64_t index)> answer,
                  const Responder& respond, TimePoint deadline);
   // Adds a read to the next batch. `answer` is called with the index of the log that it reflects.
+  // `host` is the entry host that reads, if one does.
   void AddBatchedRead(std::function<nlohmann::json(std::uint64_t index)> answer,
-                      const Responder& respond, TimePoint deadline);
+                      const Responder& respond, TimePoint deadline, const std::string& host);
   // Starts, completes and expires batched reads, and schedules the next call.
   void RunReadBatches();
-  void BeginReadBatch();
-  void NoteReadOf(const std::string& host);
+  void RefuseRead(ReadBatcher::Id id, const std::string& why);
   void LogReadCounters();
-  void OnReadIndex(const Result<nlohmann::json>& reply);
+  void BeginReadBatch(ReadBatcher::Round round);
+  void OnReadIndex(ReadBatcher::Round round, TimePoint began_at,
+                   const Result<nlohmann::json>& reply);
   // Answers a read of a follower. Only the leader does; it includes the read in its own batch.
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
   // Both objects are by entry host. A host without a pace report paces no server.
@@ -196,11 +198,8 @@
   std::uint64_t m_last_read_id = 0;
   ReadBatcher m_read_batcher;
   std::map<ReadBatcher::Id, PendingRead> m_batched_reads;
-  std::uint64_t m_last_batch_index = 0;  // of the log, at the last batch that was confirmed
   std::optional<TimePoint> m_next_read_wakeup;
-  TimePoint m_round_began_at{};
   ReadCounters m_read_counters;
-  std::map<std::string, ReadBatcher::Id> m_read_of_host;  // the latest of each entry host
   CachedFetchReply m_route_table_reply;
   // Messages to send once the batch with this sequence number is on disk.
   std::deque<std::pair<std::uint64_t, ReplicaMessage>> m_unsent;
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -25,8 +25,9 @@
 // Many hosts wait for the same read and get the same reply. Only the members and the counts of
 // retries in it may be as old as this.
 constexpr std::chrono::milliseconds kReplyLifetime{100};
-// A leader that does not confirm a read within the shortest election timeout may be deposed.
-constexpr std::chrono::milliseconds kReadIndexTimeout{600};
+// Nobody waits longer for a read than this. A late confirmation is as good as an early one, so a
+// busy leader is not asked again and again for what it has nearly done.
+constexpr std::chrono::milliseconds kReadIndexTimeout{900};
 
 constexpr std::chrono::seconds kReadCounterLogInterval{5};
 
@@ -64,7 +65,6 @@
   const bool is_isolated = body.value("needs_forward_hosts", false);
   if (is_isolated) m_needs_forward_hosts = true;
   const std::string asking = body.value("retries_of", "");
-  NoteReadOf(asking);
   const auto answer = [this, have, host, is_isolated, asking](std::uint64_t) {
     json reply = RouteTableSince(have);
     const auto grant = m_retry_grants.find(host);
@@ -74,7 +74,7 @@
     }
     return reply;
   };
-  AddBatchedRead(answer, respond, DeadlineOf(body));
+  AddBatchedRead(answer, respond, DeadlineOf(body), asking);
 }
 
 void ControlNode::ReadIndex(const json& body, const Responder& respond) {
@@ -107,26 +107,17 @@
     if (!forward_hosts.is_null()) reply["forward_hosts"] = forward_hosts;
     return reply;
   };
-  AddBatchedRead(answer, respond, DeadlineOf(body));
+  AddBatchedRead(answer, respond, DeadlineOf(body), "");
 }
 
 void ControlNode::AddBatchedRead(std::function<json(std::uint64_t index)> answer,
-                                 const Responder& respond, TimePoint deadline) {
+                                 const Responder& respond, TimePoint deadline,
+                                 const std::string& host) {
   ++m_read_counters.reads_added;
-  m_batched_reads[m_read_batcher.Add(deadline)] = {std::move(answer), respond};
+  m_batched_reads[m_read_batcher.Add(deadline, host)] = {std::move(answer), respond};
   RunReadBatches();
 }
 
-// Counts a read that its host has given up, since it asks again.
-void ControlNode::NoteReadOf(const std::string& host) {
-  if (host.empty()) return;
-  const ReadBatcher::Id next = m_read_batcher.LastId() + 1;
-  const auto [known, is_new] = m_read_of_host.emplace(host, next);
-  if (is_new) return;
-  if (m_batched_reads.count(known->second) > 0) ++m_read_counters.reads_replaced;
-  known->second = next;
-}
-
 void ControlNode::LogReadCounters() {
   LogEvent(LogLevel::kInfo, "log_reads", {{"since_start", m_read_counters.ToJson()}});
   m_node->RunAt(Clock::now() + kReadCounterLogInterval, [this] { LogReadCounters(); });
@@ -134,19 +125,21 @@
 
 void ControlNode::RunReadBatches() {
   const TimePoint now = Clock::now();
-  for (const ReadBatcher::Id id : m_read_batcher.TakeComplete(m_applied_index)) {
-    const auto read = m_batched_reads.extract(id);
+  for (const ReadBatcher::CompleteRead& complete : m_read_batcher.TakeComplete(m_applied_index)) {
+    const auto read = m_batched_reads.extract(complete.id);
     ++m_read_counters.reads_answered;
-    read.mapped().respond(read.mapped().answer(m_last_batch_index));
+    read.mapped().respond(read.mapped().answer(complete.index));
   }
   for (const ReadBatcher::Id id : m_read_batcher.TakeExpired(now)) {
-    const auto read = m_batched_reads.extract(id);
     ++m_read_counters.reads_expired;
-    read.mapped().respond(
-        ErrorBody(ControlErrc::kUnavailable, m_has_leader ? "the leader did not confirm the read"
-                                                          : m_options.host + " knows no leader"));
+    RefuseRead(id, m_has_leader ? "the leader did not confirm the read"
+                                : m_options.host + " knows no leader");
+  }
+  for (const ReadBatcher::Id id : m_read_batcher.TakeReplaced()) {
+    ++m_read_counters.reads_replaced;
+    RefuseRead(id, "replaced by a later read of the host");
   }
-  if (m_read_batcher.Begin(now)) BeginReadBatch();
+  if (const auto round = m_read_batcher.Begin(now)) BeginReadBatch(*round);
   const auto next = m_read_batcher.NextWakeup();
   if (!next || (m_next_read_wakeup && *m_next_read_wakeup <= *next)) return;
   m_next_read_wakeup = next;
@@ -157,11 +150,17 @@
   });
 }
 
-void ControlNode::BeginReadBatch() {
+void ControlNode::RefuseRead(ReadBatcher::Id id, const std::string& why) {
+  const auto read = m_batched_reads.extract(id);
+  read.mapped().respond(ErrorBody(ControlErrc::kUnavailable, why));
+}
+
+void ControlNode::BeginReadBatch(ReadBatcher::Round round) {
   ++m_read_counters.rounds_begun;
-  m_round_began_at = Clock::now();
   const ReplicaStatus status = m_replica.GetStatus();
-  const auto finish = [this](const Result<json>& reply) { OnReadIndex(reply); };
+  const auto finish = [this, round, began_at = Clock::now()](const Result<json>& reply) {
+    OnReadIndex(round, began_at, reply);
+  };
   const TimePoint deadline = Clock::now() + kReadIndexTimeout;
   if (status.role == ReplicaRole::kLeader) {
     m_unsent_retry_reports = json::object();
@@ -174,7 +173,7 @@
   }
   if (!status.leader) {
     ++m_read_counters.rounds_failed;
-    m_read_batcher.Fail();
+    m_read_batcher.Fail(round);
     return;
   }
   json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
@@ -190,12 +189,12 @@
   m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
 }
 
-void ControlNode::OnReadIndex(const Result<json>& reply) {
+void ControlNode::OnReadIndex(ReadBatcher::Round round, TimePoint began_at,
+                              const Result<json>& reply) {
   const bool is_confirmed = reply && reply.value().contains("index");
   if (is_confirmed) {
-    m_read_counters.AddRound(Clock::now() - m_round_began_at);
-    m_last_batch_index = reply.value().at("index").get<std::uint64_t>();
-    m_read_batcher.Confirm(m_last_batch_index);
+    m_read_counters.AddRound(Clock::now() - began_at);
+    m_read_batcher.Confirm(round, reply.value().at("index").get<std::uint64_t>());
     if (reply.value().contains("retries")) {
       const auto counts = DecodeRetryCounts(reply.value().at("retries"));
       if (counts) m_leader_retry_counts = counts.value();
@@ -222,7 +221,7 @@
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     ++m_read_counters.rounds_failed;
     LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
-    m_read_batcher.Fail();
+    m_read_batcher.Fail(round);
   }
   RunReadBatches();
 }
--- a/src/libfleet/read_batcher.cc
+++ b/src/libfleet/read_batcher.cc
@@ -1,50 +1,83 @@
 #include "corneltray/read_batcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corneltray {
 
-ReadBatcher::Id ReadBatcher::Add(TimePoint deadline) {
+ReadBatcher::Id ReadBatcher::Add(TimePoint deadline) { return Add(deadline, ""); }
+
+ReadBatcher::Id ReadBatcher::Add(TimePoint deadline, const std::string& host) {
   const Id id = ++m_last_id;
-  m_reads[id].deadline = deadline;
+  Read& read = m_reads[id];
+  read.deadline = deadline;
+  read.host = host;
+  if (host.empty()) return id;
+  const auto [earlier, is_first] = m_read_of_host.emplace(host, id);
+  if (is_first) return id;
+  m_reads.erase(earlier->second);
+  m_replaced.push_back(earlier->second);
+  earlier->second = id;
   return id;
 }
 
-bool ReadBatcher::HasWaiting() const {
-  return std::any_of(m_reads.begin(), m_reads.end(),
-                     [](const auto& read) { return read.second.state == State::kWaiting; });
+std::optional<TimePoint> ReadBatcher::UncoveredAt(const Read& read) const {
+  if (read.index) return std::nullopt;
+  if (read.first_round == 0 || m_in_progress.empty()) return TimePoint{};
+  const auto& [newest, overlap_at] = *m_in_progress.rbegin();
+  return newest < read.first_round ? TimePoint{} : overlap_at;
 }
 
-bool ReadBatcher::Begin(TimePoint now) {
-  if (m_in_progress || now < m_next_begin || !HasWaiting()) return false;
-  m_in_progress = true;
+std::optional<TimePoint> ReadBatcher::NextBegin() const {
+  if (m_in_progress.size() >= kMaxOverlappingReads) return std::nullopt;
+  std::optional<TimePoint> next;
+  for (const auto& [id, read] : m_reads) {
+    const auto uncovered_at = UncoveredAt(read);
+    if (uncovered_at) next = next ? std::min(*next, *uncovered_at) : *uncovered_at;
+  }
+  if (!next) return std::nullopt;
+  if (!m_in_progress.empty()) next = std::max(*next, m_in_progress.rbegin()->second);
+  return std::max(*next, m_next_begin);
+}
+
+std::optional<ReadBatcher::Round> ReadBatcher::Begin(TimePoint now) {
+  const auto due = NextBegin();
+  if (!due || now < *due) return std::nullopt;
+  const Round round = ++m_last_round;
+  m_in_progress[round] = now + kReadOverlapDelay;
   m_next_begin = now + kReadBatchInterval;
   for (auto& [id, read] : m_reads) {
-    if (read.state == State::kWaiting) read.state = State::kInProgress;
+    if (read.first_round == 0) read.first_round = round;
   }
-  return true;
+  return round;
 }
 
-void ReadBatcher::Confirm(std::uint64_t index) { SetInProgressTo(State::kConfirmed, index); }
+void ReadBatcher::Confirm(Round round, std::uint64_t index) {
+  m_in_progress.erase(round);
+  for (auto& [id, read] : m_reads) {
+    const bool is_covered = read.first_round != 0 && read.first_round <= round;
+    if (is_covered && !read.index) read.index = index;
+  }
+}
 
-void ReadBatcher::Fail() { SetInProgressTo(State::kWaiting, 0); }
+void ReadBatcher::Fail(Round round) { m_in_progress.erase(round); }
 
-void ReadBatcher::SetInProgressTo(State state, std::uint64_t index) {
-  m_in_progress = false;
-  for (auto& [id, read] : m_reads) {
-    if (read.state != State::kInProgress) continue;
-    read.state = state;
-    read.index = index;
+void ReadBatcher::Erase(std::map<Id, Read>::iterator read) {
+  const auto of_host = m_read_of_host.find(read->second.host);
+  if (of_host != m_read_of_host.end() && of_host->second == read->first) {
+    m_read_of_host.erase(of_host);
   }
+  m_reads.erase(read);
 }
 
-std::vector<ReadBatcher::Id> ReadBatcher::TakeComplete(std::uint64_t applied) {
-  std::vector<Id> complete;
+std::vector<ReadBatcher::CompleteRead> ReadBatcher::TakeComplete(std::uint64_t applied) {
+  std::vector<CompleteRead> complete;
   for (auto read = m_reads.begin(); read != m_reads.end();) {
-    const bool is_complete =
-        read->second.state == State::kConfirmed && read->second.index <= applied;
-    if (is_complete) complete.push_back(read->first);
-    read = is_complete ? m_reads.erase(read) : std::next(read);
+    const auto current = read++;
+    const auto& index = current->second.index;
+    if (!index || *index > applied) continue;
+    complete.push_back({current->first, *index});
+    Erase(current);
   }
   return complete;
 }
@@ -52,18 +85,26 @@
 std::vector<ReadBatcher::Id> ReadBatcher::TakeExpired(TimePoint now) {
   std::vector<Id> expired;
   for (auto read = m_reads.begin(); read != m_reads.end();) {
-    const bool is_expired = now >= read->second.deadline;
-    if (is_expired) expired.push_back(read->first);
-    read = is_expired ? m_reads.erase(read) : std::next(read);
+    const auto current = read++;
+    if (now < current->second.deadline) continue;
+    expired.push_back(current->first);
+    Erase(current);
   }
   return expired;
 }
 
+void ReadBatcher::Remove(Id id) {
+  const auto read = m_reads.find(id);
+  if (read != m_reads.end()) Erase(read);
+}
+
+std::vector<ReadBatcher::Id> ReadBatcher::TakeReplaced() { return std::exchange(m_replaced, {}); }
+
 std::optional<TimePoint> ReadBatcher::NextWakeup() const {
-  std::optional<TimePoint> next;
-  const auto consider = [&next](TimePoint at) { next = next ? std::min(*next, at) : at; };
-  for (const auto& [id, read] : m_reads) consider(read.deadline);
-  if (!m_in_progress && HasWaiting()) consider(m_next_begin);
+  std::optional<TimePoint> next = NextBegin();
+  for (const auto& [id, read] : m_reads) {
+    next = next ? std::min(*next, read.deadline) : read.deadline;
+  }
   return next;
 }
 
