Send the reports of entry hosts apart from reads of the log

A follower sent the reports of retries, pace, quotas, limits and forwarding of all its hosts with each read of the log, and the leader summed the reports of the whole region anew for each answer.

A read now holds nothing but the read. HostReports holds what stood in ControlNode for this.

Builds side by side: the new request has the fields that a read of an older build has. A leader of an older build refuses it at once, and gets the reports with the reads as before; reads of older builds are answered with the sums as before.

--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -77,6 +77,9 @@
   m_node->SetRequestHandler(MessageType::kReadIndex,
                             [this](const PeerIdentity&, const json& body,
                                    const Responder& respond) { ReadIndex(body, respond); });
+  m_node->SetRequestHandler(MessageType::kHostReports,
+                            [this](const PeerIdentity&, const json& body,
+                                   const Responder& respond) { AnswerReports(body, respond); });
   m_node->SetRequestHandler(MessageType::kReadBooking,
                             [this](const PeerIdentity&, const json& body,
                                    const Responder& respond) { ReadBooking(body, respond); });
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -17,16 +17,12 @@
 #include "corneltray/consensus.h"
 #include "corneltray/control_client.h"
 #include "corneltray/control_state.h"
-#include "corneltray/forward_report.h"
+#include "corneltray/host_reports.h"
 #include "corneltray/leader_watch.h"
 #include "corneltray/log_storage.h"
 #include "corneltray/member_log_versions.h"
 #include "corneltray/peer.h"
-#include "corneltray/rate_limit_report.h"
 #include "corneltray/read_batcher.h"
-#include "corneltray/retry.h"
-#include "corneltray/retry_quota_allocator.h"
-#include "corneltray/server_pace.h"
 #include "corneltray/storage_thread.h"
 #include "read_counters.h"
 
@@ -101,12 +97,6 @@
     std::uint64_t term = 0;
     Responder respond;
   };
-  // The counts that an entry host reported last.
-  struct HostReport {
-    std::map<std::string, RetryCounts> by_service;
-    ServerPaceCounts by_server;
-    TimePoint expires_at{};
-  };
   // A read that waits for the confirmation of its read barrier.
   struct PendingRead {
     std::function<nlohmann::json(std::uint64_t index)> answer;
@@ -127,10 +117,9 @@
   // deadline.
   void StartRead(std::function<nlohmann::json(std::uint64_t index)> answer,
                  const Responder& respond, TimePoint deadline);
-  // Adds a read to the next batch. `answer` is called with the index of the log that it reflects.
+  // Adds a read to the next batch. Its answer is made with the index of the log that it reflects.
   // `host` is the entry host that reads, if one does.
-  void AddBatchedRead(std::function<nlohmann::json(std::uint64_t index)> answer,
-                      const Responder& respond, TimePoint deadline, const std::string& host);
+  void AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host);
   // Starts, completes and expires batched reads, and schedules the next call.
   void RunReadBatches();
   void RefuseRead(ReadBatcher::Id id, const std::string& why);
@@ -140,19 +129,12 @@
                    const Result<nlohmann::json>& reply);
   // Answers a read of a follower. Only the leader does; it includes the read in its own batch.
   void ReadIndex(const nlohmann::json& body, const Responder& respond);
-  // Both objects are by entry host. A host without a pace report paces no server.
-  void StoreHostReports(const nlohmann::json& retry_reports, const nlohmann::json& pace_reports);
-  // Keeps what entry hosts heard of limits of requests, also for the leader.
-  void StoreRateLimits(const nlohmann::json& body);
-  // Returns what entry hosts heard last: at the leader all of them, elsewhere what the leader told.
-  RateLimitReports FleetRateLimits() const;
-  void StoreForwardReports(const nlohmann::json& reports);
-  std::vector<ForwardHost> ListForwardHosts(const std::string& asking, std::size_t max_hosts) const;
-  // Grants an entry host its quotas of retries at the leader; elsewhere keeps its report for the
-  // leader.
-  void StoreRetryReport(const std::string& host, const nlohmann::json& body);
-  // Returns the number of entry hosts that the former leader told.
-  std::uint32_t KnownEntryHosts() const;
+  void SendReports(const std::string& leader);
+  void OnReportsAnswered(const std::string& leader, const Result<nlohmann::json>& reply);
+  // Adds the reports to a read of a leader that takes them with reads only.
+  void AddReports(nlohmann::json* body);
+  // Answers reports that another control process sends. Only the leader does.
+  void AnswerReports(const nlohmann::json& body, const Responder& respond);
   // Returns the reply to a configuration fetch, from the state that this replica has applied.
   nlohmann::json ConfigurationSince(const nlohmann::json& body) const;
 
@@ -179,8 +161,6 @@
   // The reply to a process that holds this version. Valid until the next call.
   const nlohmann::json& RouteTableSince(std::uint64_t have);
   nlohmann::json MakeRouteTableReply(std::uint64_t have);
-  std::map<std::string, RetryCounts> FleetRetryCounts() const;
-  FleetPace SumOfPace() const;
   void CompactIfDue();
   void ScheduleTick();
   // Returns the highest log version that all members have told that they read.
@@ -212,20 +192,8 @@
   std::uint64_t m_compacted_index = 0;
   std::uint64_t m_published_revision = 0;
   std::uint64_t m_published_route_version = 0;
-  std::map<std::string, HostReport> m_host_reports;  // by entry host; of all hosts at the leader
-  nlohmann::json m_unsent_retry_reports = nlohmann::json::object();  // for the leader
-  nlohmann::json m_unsent_pace_reports = nlohmann::json::object();   // for the leader
-  nlohmann::json m_unsent_quota_reports = nlohmann::json::object();  // for the leader
-  std::optional<RetryQuotaAllocator> m_retry_quotas;                 // only at the leader
-  std::map<std::string, nlohmann::json> m_retry_grants;      // the latest of each entry host
-  std::map<std::string, RetryCounts> m_leader_retry_counts;  // of all hosts, from the leader
-  FleetPace m_leader_pace;                                   // of all hosts, from the leader
-  RateLimitReports m_rate_limits;                            // from entry hosts and other members
-  RateLimitReports m_unsent_rate_limits;                     // for the leader
-  RateLimitReports m_leader_rate_limits;                     // of all hosts, from the leader
-  ForwardHostTable m_forward_hosts;                          // from entry hosts and other members
-  ForwardHostTable m_leader_forward_hosts;                   // that serve, from the leader
-  nlohmann::json m_unsent_forward_reports = nlohmann::json::object();  // for the leader
+  HostReports m_reports;
+  bool m_leader_takes_reports = true;  // apart from reads; until it refuses them
   bool m_needs_forward_hosts = false;  // an isolated host has asked since the last read
   MemberLogVersions m_member_log_versions;
   bool m_stops_applying = false;                         // until the process ends
--- a/src/corneltray-control/control_node_leadership.cc
+++ b/src/corneltray-control/control_node_leadership.cc
@@ -59,8 +59,8 @@
             {"reason", NameOf(change.reason)},
             {"term", change.term},
             {"leader", change.leader ? change.leader->host : ""}});
-  // Another leader may have granted quotas since.
-  m_retry_quotas.reset();
+  m_reports.OnLeaderChanged(Clock::now(), change.role == ReplicaRole::kLeader);
+  m_leader_takes_reports = true;
   m_has_leader = change.leader.has_value();
   const auto without_leader = m_leader_watch.Update(Clock::now(), m_has_leader);
   if (without_leader) {
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -17,9 +17,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::seconds kHostReportLifetime{4};
-// An entry host that is cut off for a shorter time still hears that a limit has ended.
-constexpr std::chrono::seconds kRateLimitLifetime{60};
 // Hosts that the leader names to another control process, for all isolated hosts that ask it.
 constexpr std::size_t kMaxListedForwardHosts = 64;
 // Many hosts wait for the same read and get the same reply. Only the members and the counts of
@@ -28,6 +25,7 @@
 // Nobody waits longer for a read than this. A late confirmation is as good as an early one, so a
 // busy leader is not asked again and again for what it has nearly done.
 constexpr std::chrono::milliseconds kReadIndexTimeout{900};
+constexpr std::chrono::milliseconds kReportTimeout{900};
 
 constexpr std::chrono::seconds kReadCounterLogInterval{5};
 
@@ -43,16 +41,7 @@
     }
     return;
   }
-  if (body.contains("retries_of")) {
-    const std::string host = body.at("retries_of").get<std::string>();
-    const json pace = body.value("pace", json::object());
-    StoreHostReports({{host, body.at("retries")}}, {{host, pace}});
-    if (body.contains("retry_report")) StoreRetryReport(host, body.at("retry_report"));
-  }
-  if (body.contains("rate_limits")) StoreRateLimits(body.at("rate_limits"));
-  if (body.contains("forward_report")) {
-    StoreForwardReports({{body.value("retries_of", ""), body.at("forward_report")}});
-  }
+  m_reports.StoreFetch(Clock::now(), body);
   const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
   if (has_newer && body.value("accepts_unconfirmed", false)) {
     json reply = RouteTableSince(have);
@@ -60,21 +49,20 @@
     respond(std::move(reply));
     return;
   }
-  const bool has_report = body.contains("retry_report");
-  const std::string host = has_report ? body.value("retries_of", "") : "";
+  const std::string host = body.value("retries_of", "");
   const bool is_isolated = body.value("needs_forward_hosts", false);
   if (is_isolated) m_needs_forward_hosts = true;
-  const std::string asking = body.value("retries_of", "");
-  const auto answer = [this, have, host, is_isolated, asking](std::uint64_t) {
+  const auto answer = [this, have, host, is_isolated](std::uint64_t) {
     json reply = RouteTableSince(have);
-    const auto grant = m_retry_grants.find(host);
-    if (grant != m_retry_grants.end()) reply["retry_grant"] = grant->second;
+    json grant = m_reports.RetryGrantOf(host);
+    if (!grant.is_null()) reply["retry_grant"] = std::move(grant);
     if (is_isolated) {
-      reply["forward_hosts"] = EncodeForwardHosts(ListForwardHosts(asking, kMaxForwardHosts));
+      reply["forward_hosts"] =
+          EncodeForwardHosts(m_reports.ListForwardHosts(Clock::now(), host, kMaxForwardHosts));
     }
     return reply;
   };
-  AddBatchedRead(answer, respond, DeadlineOf(body), asking);
+  AddBatchedRead({answer, respond}, DeadlineOf(body), host);
 }
 
 void ControlNode::ReadIndex(const json& body, const Responder& respond) {
@@ -82,43 +70,32 @@
     respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is not the leader"));
     return;
   }
-  StoreHostReports(body.at("retry_reports"), body.value("pace_reports", json::object()));
-  json grants = json::object();
-  if (body.contains("rate_limits")) StoreRateLimits(body.at("rate_limits"));
-  StoreForwardReports(body.value("forward_reports", json::object()));
-  json forward_hosts;
+  // Older builds send the reports of their hosts with each read.
+  const bool has_reports = body.contains("quota_reports");
+  json reply = has_reports ? m_reports.AnswerBatch(Clock::now(), body) : json::object();
   if (body.contains("forward_hosts_of")) {
     const auto asking = body.at("forward_hosts_of").get<std::string>();
-    forward_hosts = EncodeForwardHosts(ListForwardHosts(asking, kMaxListedForwardHosts));
-  }
-  const json reports = body.value("quota_reports", json::object());
-  for (const auto& [host, report] : reports.items()) {
-    StoreRetryReport(host, report);
-    if (m_retry_grants.count(host) > 0) grants[host] = m_retry_grants.at(host);
+    reply["forward_hosts"] = EncodeForwardHosts(
+        m_reports.ListForwardHosts(Clock::now(), asking, kMaxListedForwardHosts));
   }
-  const auto answer = [this, grants, forward_hosts](std::uint64_t index) {
-    const ScopedTime timed(&m_read_counters.sum_time);
-    ++m_read_counters.sums_made;
-    json reply = {{"index", index},
-                  {"retries", EncodeRetryCounts(FleetRetryCounts())},
-                  {"retry_grants", grants},
-                  {"pace", EncodeFleetPace(SumOfPace())},
-                  {"rate_limits", EncodeRateLimitReports(Clock::now(), FleetRateLimits())}};
-    if (!forward_hosts.is_null()) reply["forward_hosts"] = forward_hosts;
-    return reply;
+  const auto answer = [reply = std::move(reply)](std::uint64_t index) {
+    json confirmed = reply;
+    confirmed["index"] = index;
+    return confirmed;
   };
-  AddBatchedRead(answer, respond, DeadlineOf(body), "");
+  AddBatchedRead({answer, respond}, DeadlineOf(body), "");
 }
 
-void ControlNode::AddBatchedRead(std::function<json(std::uint64_t index)> answer,
-                                 const Responder& respond, TimePoint deadline,
-                                 const std::string& host) {
+void ControlNode::AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host) {
   ++m_read_counters.reads_added;
-  m_batched_reads[m_read_batcher.Add(deadline, host)] = {std::move(answer), respond};
+  m_batched_reads[m_read_batcher.Add(deadline, host)] = std::move(read);
   RunReadBatches();
 }
 
 void ControlNode::LogReadCounters() {
+  m_read_counters.reports_stored = m_reports.ReportsStored();
+  m_read_counters.sums_made = m_reports.SumsMade();
+  m_read_counters.sum_time = m_reports.SumTime();
   LogEvent(LogLevel::kInfo, "log_reads", {{"since_start", m_read_counters.ToJson()}});
   m_node->RunAt(Clock::now() + kReadCounterLogInterval, [this] { LogReadCounters(); });
 }
@@ -163,11 +140,6 @@
   };
   const TimePoint deadline = Clock::now() + kReadIndexTimeout;
   if (status.role == ReplicaRole::kLeader) {
-    m_unsent_retry_reports = json::object();
-    m_unsent_pace_reports = json::object();
-    m_unsent_quota_reports = json::object();
-    m_unsent_rate_limits.clear();
-    m_unsent_forward_reports = json::object();
     StartRead([](std::uint64_t index) -> json { return {{"index", index}}; }, finish, deadline);
     return;
   }
@@ -176,15 +148,10 @@
     m_read_batcher.Fail(round);
     return;
   }
-  json body = {{"retry_reports", std::exchange(m_unsent_retry_reports, json::object())},
-               {"pace_reports", std::exchange(m_unsent_pace_reports, json::object())},
-               {"quota_reports", std::exchange(m_unsent_quota_reports, json::object())},
-               {"timeout_ms", kReadIndexTimeout.count()}};
-  const RateLimitReports limits = std::exchange(m_unsent_rate_limits, {});
-  if (!limits.empty()) body["rate_limits"] = EncodeRateLimitReports(Clock::now(), limits);
-  if (!m_unsent_forward_reports.empty()) {
-    body["forward_reports"] = std::exchange(m_unsent_forward_reports, json::object());
-  }
+  SendReports(status.leader->host);
+  // Older builds expect the field.
+  json body = {{"retry_reports", json::object()}, {"timeout_ms", kReadIndexTimeout.count()}};
+  if (!m_leader_takes_reports) AddReports(&body);
   if (std::exchange(m_needs_forward_hosts, false)) body["forward_hosts_of"] = m_options.host;
   m_node->Request(status.leader->host, MessageType::kReadIndex, std::move(body), deadline, finish);
 }
@@ -193,30 +160,12 @@
                               const Result<json>& reply) {
   const bool is_confirmed = reply && reply.value().contains("index");
   if (is_confirmed) {
+    const json& body = reply.value();
     m_read_counters.AddRound(Clock::now() - began_at);
-    m_read_batcher.Confirm(round, reply.value().at("index").get<std::uint64_t>());
-    if (reply.value().contains("retries")) {
-      const auto counts = DecodeRetryCounts(reply.value().at("retries"));
-      if (counts) m_leader_retry_counts = counts.value();
-    }
-    const json grants = reply.value().value("retry_grants", json::object());
-    for (const auto& [host, grant] : grants.items()) m_retry_grants[host] = grant;
-    if (reply.value().contains("pace")) {
-      auto pace = DecodeFleetPace(reply.value().at("pace"));
-      if (pace) m_leader_pace = std::move(pace).value();
-    }
-    const json limits = reply.value().value("rate_limits", json::object());
-    auto rate_limits = DecodeRateLimitReports(Clock::now(), limits);
-    if (rate_limits) m_leader_rate_limits = std::move(rate_limits).value();
-    const json hosts = reply.value().value("forward_hosts", json::array());
-    const auto forward_hosts = DecodeForwardHosts(hosts);
-    if (forward_hosts && !forward_hosts.value().empty()) {
-      m_leader_forward_hosts = {};
-      for (const ForwardHost& host : forward_hosts.value()) {
-        m_leader_forward_hosts.Store(Clock::now(), host.name,
-                                     {host.address, ForwardState::kServing});
-      }
-    }
+    m_read_batcher.Confirm(round, body.at("index").get<std::uint64_t>());
+    if (body.contains("retries")) m_reports.StoreAnswer(Clock::now(), body);
+    const auto hosts = body.find("forward_hosts");
+    if (hosts != body.end()) m_reports.StoreForwardHosts(Clock::now(), *hosts);
   } else {
     const std::string why = reply ? reply.value().value("detail", "") : reply.error().ToString();
     ++m_read_counters.rounds_failed;
@@ -226,124 +175,45 @@
   RunReadBatches();
 }
 
-// Keeps the counts that entry hosts reported, and passes them on with the next read of the leader.
-void ControlNode::StoreHostReports(const json& retry_reports, const json& pace_reports) {
-  const ScopedTime timed(&m_read_counters.report_time);
-  m_read_counters.reports_stored += retry_reports.size();
-  for (const auto& [host, report] : retry_reports.items()) {
-    const json pace_report = pace_reports.value(host, json::object());
-    auto counts = DecodeRetryCounts(report);
-    auto pace = DecodePaceCounts(pace_report);
-    if (!counts || !pace) {
-      const Error& error = counts ? pace.error() : counts.error();
-      LogEvent(LogLevel::kWarning, "retry_report_refused",
-               {{"of", host}, {"error", error.ToString()}});
-      continue;
-    }
-    m_host_reports[host] = {std::move(counts).value(), std::move(pace).value(),
-                            Clock::now() + kHostReportLifetime};
-    m_unsent_retry_reports[host] = report;
-    m_unsent_pace_reports.erase(host);
-    if (!pace_report.empty()) m_unsent_pace_reports[host] = pace_report;
-  }
+// Sends the reports of entry hosts to the leader, apart from the reads, so that no read waits for
+// them.
+void ControlNode::SendReports(const std::string& leader) {
+  if (!m_leader_takes_reports) return;
+  const TimePoint now = Clock::now();
+  auto batch = m_reports.TakeBatch(now);
+  if (!batch) return;
+  m_node->Request(leader, MessageType::kHostReports, std::move(*batch), now + kReportTimeout,
+                  [this, leader](const Result<json>& reply) { OnReportsAnswered(leader, reply); });
 }
 
-void ControlNode::StoreRateLimits(const json& body) {
+void ControlNode::OnReportsAnswered(const std::string& leader, const Result<json>& reply) {
   const TimePoint now = Clock::now();
-  const auto reports = DecodeRateLimitReports(now, body);
-  if (!reports) {
-    LogEvent(LogLevel::kWarning, "rate_limit_report_refused",
-             {{"error", reports.error().ToString()}});
+  if (reply && reply.value().contains("retry_grants")) {
+    m_reports.StoreAnswer(now, reply.value());
     return;
   }
-  MergeRateLimitReports(reports.value(), &m_rate_limits);
-  RemoveRateLimitReportsBefore(now - kRateLimitLifetime, &m_rate_limits);
-  MergeRateLimitReports(reports.value(), &m_unsent_rate_limits);
-}
-
-// Keeps what entry hosts reported about themselves, and passes it on with the next read.
-void ControlNode::StoreForwardReports(const json& reports) {
-  for (const auto& [host, body] : reports.items()) {
-    const auto report = DecodeForwardReport(body);
-    if (!report) {
-      LogEvent(LogLevel::kWarning, "forward_report_refused",
-               {{"of", host}, {"error", report.error().ToString()}});
-      continue;
-    }
-    m_forward_hosts.Store(Clock::now(), host, report.value());
-    m_unsent_forward_reports[host] = body;
+  m_reports.OnBatchFailed(now);
+  // The leader is of a build that takes reports with reads only.
+  const auto& status = m_replica.GetStatus();
+  const bool is_leader = status.leader && status.leader->host == leader;
+  if (!reply && reply.error().code == PeerErrc::kRefused && is_leader) {
+    m_leader_takes_reports = false;
   }
 }
 
-// Returns entry hosts that serve requests of others: at the leader as they reported, elsewhere what
-// the leader told last.
-std::vector<ForwardHost> ControlNode::ListForwardHosts(const std::string& asking,
-                                                       std::size_t max_hosts) const {
-  const bool is_leader = m_replica.GetStatus().role == ReplicaRole::kLeader;
-  const ForwardHostTable& table = is_leader ? m_forward_hosts : m_leader_forward_hosts;
-  return table.List(Clock::now(), asking, max_hosts);
-}
-
-RateLimitReports ControlNode::FleetRateLimits() const {
-  const bool is_leader = m_replica.GetStatus().role == ReplicaRole::kLeader;
-  RateLimitReports reports = is_leader ? m_rate_limits : m_leader_rate_limits;
-  RemoveRateLimitReportsBefore(Clock::now() - kRateLimitLifetime, &reports);
-  return reports;
+void ControlNode::AddReports(json* body) {
+  const auto batch = m_reports.TakeBatch(Clock::now());
+  (*body)["quota_reports"] = json::object();
+  if (batch) body->update(*batch);
 }
 
-void ControlNode::StoreRetryReport(const std::string& host, const json& body) {
+void ControlNode::AnswerReports(const json& body, const Responder& respond) {
   if (m_replica.GetStatus().role != ReplicaRole::kLeader) {
-    m_unsent_quota_reports[host] = body;
-    return;
-  }
-  const TimePoint now = Clock::now();
-  if (!m_retry_quotas) m_retry_quotas.emplace(now, KnownEntryHosts());
-  const auto report = DecodeRetryReport(body);
-  if (!report) {
-    LogEvent(LogLevel::kWarning, "retry_report_refused",
-             {{"of", host}, {"error", report.error().ToString()}});
+    respond(ErrorBody(ControlErrc::kNotProposed, m_options.host + " is not the leader"));
     return;
   }
-  const auto grant = m_retry_quotas->Allocate(now, host, report.value());
-  if (grant) m_retry_grants[host] = EncodeRetryGrant(*grant);
-}
-
-std::uint32_t ControlNode::KnownEntryHosts() const {
-  std::uint32_t hosts = 0;
-  for (const auto& [service, counts] : m_leader_retry_counts) hosts = std::max(hosts, counts.hosts);
-  return hosts;
-}
-
-// Returns the requests and retries of all entry hosts by service: at the leader the sum of their
-// reports, elsewhere what the leader told last.
-std::map<std::string, RetryCounts> ControlNode::FleetRetryCounts() const {
-  if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_retry_counts;
-  std::map<std::string, RetryCounts> sum;
-  const TimePoint now = Clock::now();
-  for (const auto& [host, report] : m_host_reports) {
-    if (now >= report.expires_at) continue;
-    for (const auto& [service, counts] : report.by_service) {
-      RetryCounts& total = sum[service];
-      total.requests += counts.requests;
-      total.retries += counts.retries;
-      ++total.hosts;
-    }
-  }
-  return sum;
-}
-
-// Returns what all entry hosts have seen of the servers that they pace: at the leader the sum of
-// their reports, elsewhere what the leader told last.
-FleetPace ControlNode::SumOfPace() const {
-  if (m_replica.GetStatus().role != ReplicaRole::kLeader) return m_leader_pace;
-  FleetPace sum;
-  const TimePoint now = Clock::now();
-  for (const auto& [host, report] : m_host_reports) {
-    if (now >= report.expires_at) continue;
-    ++sum.hosts;
-    AddPaceCounts(report.by_server, &sum.servers);
-  }
-  return sum;
+  const ScopedTime timed(&m_read_counters.report_time);
+  respond(m_reports.AnswerBatch(Clock::now(), body));
 }
 
 // Returns the availability zones of the control processes that this one is linked to, by host, and
@@ -367,18 +237,13 @@
 }
 
 json ControlNode::MakeRouteTableReply(std::uint64_t have) {
-  const ScopedTime timed(&m_read_counters.sum_time);
-  ++m_read_counters.sums_made;
   const RouteTableStore& store = m_state.GetRouteTable();
   json members = json::array();
   for (const auto& [id, role] : m_replica.GetStatus().members.members) members.push_back(id.host);
   json reply = {{"version", store.Version()},
                 {"members", std::move(members)},
-                {"member_zones", MemberZones()},
-                {"retries", EncodeRetryCounts(FleetRetryCounts())},
-                {"pace", EncodeFleetPace(SumOfPace())}};
-  const RateLimitReports limits = FleetRateLimits();
-  if (!limits.empty()) reply["rate_limits"] = EncodeRateLimitReports(Clock::now(), limits);
+                {"member_zones", MemberZones()}};
+  m_reports.AddSums(Clock::now(), &reply);
   if (store.Version() > have) {
     const std::string& text = store.CompressedText();
     reply["text"] = json::binary({text.begin(), text.end()});
--- a/src/include/corneltray/messages.h
+++ b/src/include/corneltray/messages.h
@@ -13,6 +13,7 @@
   kReplica,               // one message of the replicated log, body is an encoded ReplicaMessage
   kPropose,               // request: a command for the log
   kReadIndex,             // request: log index of a linearizable read, from the leader
+  kHostReports,           // request: what entry hosts reported to the sender, for the leader
   kReadBooking,           // request: state of one key, read through the leader
   kConfigurationFetch,    // request: the document, or a difference from a revision
   kConfigurationChanged,  // push: a new revision is committed
@@ -46,6 +47,7 @@
       {MessageType::kReplica, "replica"},
       {MessageType::kPropose, "propose"},
       {MessageType::kReadIndex, "read_index"},
+      {MessageType::kHostReports, "host_reports"},
       {MessageType::kReadBooking, "read_booking"},
       {MessageType::kConfigurationFetch, "configuration_fetch"},
       {MessageType::kConfigurationChanged, "configuration_changed"},
--- a/src/libfleet/control_overload_test.cc
+++ b/src/libfleet/control_overload_test.cc
@@ -4,14 +4,15 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <queue>
-#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 #include "corneltray/fetch_scheduler.h"
+#include "corneltray/host_reports.h"
 #include "corneltray/read_batcher.h"
 
 namespace corneltray {
@@ -30,6 +31,7 @@
 constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kFetchTimeout{800};
 constexpr milliseconds kReadIndexTimeout{900};
+constexpr milliseconds kReportTimeout{900};
 
 // Processor time of a control host for one message, or for each part of one.
 constexpr microseconds kFetchCost{180};
@@ -139,6 +141,7 @@
       m_timeline.After(microseconds(kTickInterval) * number / kEntryHosts,
                        [this, number] { TickHost(number); });
     }
+    m_controls[kLeader].reports.OnLeaderChanged(m_timeline.Now(), true);
     m_timeline.After(kReplyLifetime, [this] { MakeReply(); });
   }
 
@@ -182,8 +185,10 @@
     Processor processor;
     ReadBatcher reads;
     std::map<ReadBatcher::Id, Reader> readers;
-    std::set<int> unsent_reports;                         // of entry hosts
+    HostReports reports;
     std::map<ReadBatcher::Round, int> heartbeat_replies;  // at the leader, by round
+    std::uint64_t last_batch = 0;
+    std::uint64_t ended_batch = 0;
     TimePoint next_wakeup{};
   };
 
@@ -231,8 +236,9 @@
 
   void OnFetch(int host, int control, TimePoint asked_at) {
     ControlHost& handler = m_controls[control];
-    if (control != kLeader) handler.unsent_reports.insert(host);
     const std::string name = "entry-" + std::to_string(host);
+    handler.reports.StoreFetch(m_timeline.Now(),
+                               {{"retries_of", name}, {"retries", nlohmann::json::object()}});
     const auto id = handler.reads.Add(m_timeline.Now() + kFetchTimeout, name);
     handler.readers[id] = {false, host, asked_at, 0};
     RunReads(control);
@@ -257,7 +263,7 @@
     ControlHost& host = m_controls[control];
     const Reader reader = host.readers.extract(id).mapped();
     if (reader.is_follower) {
-      host.processor.Charge(kReadIndexCost + kSumCost);
+      host.processor.Charge(kReadIndexCost);
       m_timeline.After(kDelay, [this, reader] {
         m_controls[reader.number].processor.Run(
             kReadIndexCost, [this, reader] { EndRound(reader.number, reader.round, true); });
@@ -285,15 +291,51 @@
     m_timeline.After(kReadIndexTimeout,
                      [this, control, round] { EndRound(control, round, false); });
     if (control == kLeader) return SendHeartbeats(round);
-    const auto reports = static_cast<int>(std::exchange(host.unsent_reports, {}).size());
+    SendReports(control);
+    host.processor.Charge(kReadIndexCost);
+    m_timeline.After(kDelay, [this, control, round] {
+      m_controls[kLeader].processor.Run(kReadIndexCost,
+                                        [this, control, round] { OnReadIndex(control, round); });
+    });
+  }
+
+  void SendReports(int control) {
+    ControlHost& host = m_controls[control];
+    const auto batch = host.reports.TakeBatch(m_timeline.Now());
+    if (!batch) return;
+    const auto reports = static_cast<int>(batch->at("retry_reports").size());
     const Duration cost = kReadIndexCost + reports * kReportCost;
+    const std::uint64_t number = ++host.last_batch;
     host.processor.Charge(cost);
-    m_timeline.After(kDelay, [this, control, round, cost] {
-      m_controls[kLeader].processor.Run(cost,
-                                        [this, control, round] { OnReadIndex(control, round); });
+    m_timeline.After(kReportTimeout, [this, control, number] { EndBatch(control, number, {}); });
+    m_timeline.After(kDelay, [this, control, number, cost, batch = *batch] {
+      m_controls[kLeader].processor.Run(
+          cost, [this, control, number, batch] { OnReports(control, number, batch); });
+    });
+  }
+
+  void OnReports(int control, std::uint64_t number, const nlohmann::json& batch) {
+    ControlHost& leader = m_controls[kLeader];
+    const std::uint64_t sums_made = leader.reports.SumsMade();
+    const nlohmann::json answer = leader.reports.AnswerBatch(m_timeline.Now(), batch);
+    leader.processor.Charge(kReadIndexCost + (leader.reports.SumsMade() - sums_made) * kSumCost);
+    m_timeline.After(kDelay, [this, control, number, answer] {
+      m_controls[control].processor.Run(
+          kReadIndexCost, [this, control, number, answer] { EndBatch(control, number, answer); });
     });
   }
 
+  // A batch ends once: with the answer of the leader, or without one.
+  void EndBatch(int control, std::uint64_t number, const nlohmann::json& answer) {
+    ControlHost& host = m_controls[control];
+    if (host.last_batch != number || std::exchange(host.ended_batch, number) == number) return;
+    if (answer.is_null()) {
+      host.reports.OnBatchFailed(m_timeline.Now());
+    } else {
+      host.reports.StoreAnswer(m_timeline.Now(), answer);
+    }
+  }
+
   void OnReadIndex(int follower, ReadBatcher::Round round) {
     ControlHost& leader = m_controls[kLeader];
     const auto id = leader.reads.Add(m_timeline.Now() + kReadIndexTimeout);
@@ -331,9 +373,13 @@
     RunReads(control);
   }
 
-  // The leader sums the reports of all hosts for the reply to fetches.
+  // The leader needs the sums over all hosts for the replies to fetches.
   void MakeReply() {
-    m_controls[kLeader].processor.Charge(kSumCost);
+    ControlHost& leader = m_controls[kLeader];
+    const std::uint64_t sums_made = leader.reports.SumsMade();
+    nlohmann::json reply;
+    leader.reports.AddSums(m_timeline.Now(), &reply);
+    leader.processor.Charge((leader.reports.SumsMade() - sums_made) * kSumCost);
     m_timeline.After(kReplyLifetime, [this] { MakeReply(); });
   }
 
