Answer reads that wait with a newer route table once it is committed

A host that holds an older table gets a newer one without a confirmed read, but only if the control host had it when the fetch came. A fetch that came just before waited for its confirmation, up to 800 ms where that failed, while its host asked nobody else for the new version. No test of its own: the wait needs a leader that commits but confirms no read.

--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -101,6 +101,8 @@
   struct PendingRead {
     std::function<nlohmann::json(std::uint64_t index)> answer;
     Responder respond;
+    // The version of the route table that the reader holds, if it takes a newer one unconfirmed.
+    std::optional<std::uint64_t> held_version;
   };
 
   // A reply to a fetch of the route table that several hosts get.
@@ -120,6 +122,9 @@
   // Adds a read to the next batch. Its answer is made with the index of the log that it reflects.
   // `host` is the entry host that reads, if one does.
   void AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host);
+  // Answers the waiting reads of hosts that hold an older route table.
+  void SendNewerRouteTable();
+  nlohmann::json UnconfirmedRouteTableSince(std::uint64_t have);
   // Starts, completes and expires batched reads, and schedules the next call.
   void RunReadBatches();
   void RefuseRead(ReadBatcher::Id id, const std::string& why);
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -43,12 +43,8 @@
   }
   m_reports.StoreFetch(Clock::now(), body);
   const bool has_newer = have > 0 && m_caught_up && m_state.GetRouteTable().Version() > have;
-  if (has_newer && body.value("accepts_unconfirmed", false)) {
-    json reply = RouteTableSince(have);
-    reply["is_confirmed"] = false;
-    respond(std::move(reply));
-    return;
-  }
+  const bool accepts_unconfirmed = body.value("accepts_unconfirmed", false);
+  if (has_newer && accepts_unconfirmed) return respond(UnconfirmedRouteTableSince(have));
   const std::string host = body.value("retries_of", "");
   const bool is_isolated = body.value("needs_forward_hosts", false);
   if (is_isolated) m_needs_forward_hosts = true;
@@ -62,7 +58,28 @@
     }
     return reply;
   };
-  AddBatchedRead({answer, respond}, DeadlineOf(body), host);
+  PendingRead read{answer, respond, std::nullopt};
+  if (accepts_unconfirmed && have > 0) read.held_version = have;
+  AddBatchedRead(std::move(read), DeadlineOf(body), host);
+}
+
+// The table of a newer version is committed, and needs no confirmation.
+json ControlNode::UnconfirmedRouteTableSince(std::uint64_t have) {
+  json reply = RouteTableSince(have);
+  reply["is_confirmed"] = false;
+  return reply;
+}
+
+void ControlNode::SendNewerRouteTable() {
+  const std::uint64_t version = m_state.GetRouteTable().Version();
+  for (auto waiting = m_batched_reads.begin(); waiting != m_batched_reads.end();) {
+    const auto current = waiting++;
+    const auto& held = current->second.held_version;
+    if (!held || *held >= version) continue;
+    m_read_batcher.Remove(current->first);
+    const PendingRead read = m_batched_reads.extract(current).mapped();
+    read.respond(UnconfirmedRouteTableSince(*read.held_version));
+  }
 }
 
 void ControlNode::ReadIndex(const json& body, const Responder& respond) {
@@ -83,7 +100,7 @@
     confirmed["index"] = index;
     return confirmed;
   };
-  AddBatchedRead({answer, respond}, DeadlineOf(body), "");
+  AddBatchedRead({answer, respond, std::nullopt}, DeadlineOf(body), "");
 }
 
 void ControlNode::AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host) {
