Let hosts that know of a newer version ask for it every 300 ms at least

The pause now grows to 600 ms only, and to 300 ms while a newer version is known; with the timeout of a fetch that is still less often than the usual 600 ms.

--- a/src/include/corneltray/fetch_scheduler.h
+++ b/src/include/corneltray/fetch_scheduler.h
@@ -29,9 +29,9 @@
 // Pause before a control process is asked again that has failed a fetch lately, doubled with each
 // failure in a row up to the maximum and varied by kFetchRetryJitter. With the timeout of a fetch,
 // a host that fails asks less often than one that is answered, so that control processes that have
-// fallen behind catch up.
+// fallen behind catch up. A host that knows of a newer version pauses for the minimum only.
 constexpr std::chrono::milliseconds kMinFetchBackoff{300};
-constexpr std::chrono::milliseconds kMaxFetchBackoff{1200};
+constexpr std::chrono::milliseconds kMaxFetchBackoff{600};
 constexpr double kFetchRetryJitter = 0.25;
 // A new version is fetched from another control process if the preferred one has not announced it
 // by then.
@@ -86,6 +86,7 @@
   bool m_is_expedited = false;
   TimePoint m_not_before{};           // no new fetch before this time, after a failure
   TimePoint m_retry_not_before{};     // nor from a control process that has failed lately
+  TimePoint m_failed_at{};            // the last fetch that failed
   std::uint32_t m_failures = 0;       // in a row
   double m_hedges = kMaxFetchHedges;  // that may still be sent
   std::uint64_t m_newest = 0;         // version that was announced
--- a/src/libfleet/fetch_scheduler.cc
+++ b/src/libfleet/fetch_scheduler.cc
@@ -16,6 +16,7 @@
     m_announcers.clear();
     // A newer table is sent without a confirmed read, whose failures the pause is for.
     m_retry_not_before = {};
+    m_failed_at = {};
   }
   m_announcers.insert(control_host);
 }
@@ -28,7 +29,8 @@
   if (!m_in_progress.empty()) return NextHedge(now, order);
   if (now < m_not_before) return std::nullopt;
   // One that has not failed lately may be on the other side of a cut, and is asked at once.
-  if (now < m_retry_not_before && m_ranking.HasFailed(now, order.front())) return std::nullopt;
+  const TimePoint retry_at = m_newest > held ? m_failed_at + kMinFetchBackoff : m_retry_not_before;
+  if (now < retry_at && m_ranking.HasFailed(now, order.front())) return std::nullopt;
   if (m_newest > held) {
     if (const auto announcer = AnnouncerOf(now, order)) return Begin(now, *announcer);
   }
@@ -92,6 +94,7 @@
   m_in_progress.erase(control_host);
   m_ranking.RecordFailure(now, control_host);
   m_not_before = now + kFetchRetryDelay;
+  m_failed_at = now;
   ++m_failures;
   m_retry_not_before = now + Backoff();
 }
