Give messages of entry hosts a slice of the loop, so that replies do not keep them out

The loop handled one waiting message between two turns of reading, and entry hosts sent 1,600 to 2,500 replies a second to updates of upstreams: two control hosts took in 5 and 6 fetches in 5 s. Waiting messages now get 4 ms of each turn.

The fixture of the new tests in peer_test.cc let its nodes outlive what their threads use; now the nodes end first.

--- a/src/libcorneltray/peer_loop.cc
+++ b/src/libcorneltray/peer_loop.cc
@@ -256,7 +256,7 @@
   const PeerIdentity& from = link->session->Peer().identity;
   m_waiting.push_back({link->id, from, std::move(message), bytes, Clock::now()});
   m_waiting_bytes += bytes;
-  if (m_waiting.size() == 1) m_transport.Post([this] { HandleWaiting(); });
+  if (!std::exchange(m_is_waiting_posted, true)) m_transport.Post([this] { HandleWaiting(); });
 }
 
 // Replies and heartbeats are cheap to handle, and others wait for them.
@@ -267,11 +267,16 @@
 }
 
 void PeerLoop::HandleWaiting() {
-  if (m_waiting.empty()) return;
+  const TimePoint end = Clock::now() + kWaitingSlice;
+  while (!m_waiting.empty() && Clock::now() < end) HandleNextWaiting();
+  m_is_waiting_posted = !m_waiting.empty();
+  if (m_is_waiting_posted) m_transport.Post([this] { HandleWaiting(); });
+}
+
+void PeerLoop::HandleNextWaiting() {
   WaitingMessage next = std::move(m_waiting.front());
   m_waiting.pop_front();
   m_waiting_bytes -= next.bytes;
-  if (!m_waiting.empty()) m_transport.Post([this] { HandleWaiting(); });
   Link* link = FindLink(next.link);
   if (link == nullptr) {
     // A request is sent again on the next link.
--- a/src/libcorneltray/peer_loop.h
+++ b/src/libcorneltray/peer_loop.h
@@ -40,6 +40,10 @@
 // Messages that wait behind those of the urgent program. Further ones are handled at once, which
 // slows their senders down.
 inline constexpr std::size_t kMaxWaitingBytes = 8UL * 1024UL * 1024UL;
+// Time for messages that wait before the loop reads what has arrived. Without a slice of their own,
+// the many replies of entry hosts to a storm of updates would keep fetches of the configuration
+// out.
+inline constexpr std::chrono::milliseconds kWaitingSlice{4};
 inline constexpr std::chrono::milliseconds kMinRedialDelay{100};
 inline constexpr std::chrono::milliseconds kMaxRedialDelay{2000};
 
@@ -162,9 +166,10 @@
   // Messages: peer_loop.cc.
   void OnMessage(Link* link, PeerMessage message, std::size_t bytes);
   bool MayWait(const Link& link, const PeerMessage& message) const;
-  // Handles one waiting message, and posts itself while there are more: the loop reads what has
-  // arrived in between.
+  // Handles waiting messages for kWaitingSlice, and posts itself if there are more: the loop reads
+  // what has arrived in between.
   void HandleWaiting();
+  void HandleNextWaiting();
   void HandleAndCount(Link* link, PeerMessage message, std::size_t bytes);
   void HandlePush(const PeerIdentity& from, const PeerMessage& message);
   void Handle(Link* link, PeerMessage message);
@@ -194,6 +199,7 @@
   std::uint64_t m_last_request = 0;
   std::deque<WaitingMessage> m_waiting;  // oldest first
   std::size_t m_waiting_bytes = 0;
+  bool m_is_waiting_posted = false;                         // HandleWaiting will run
   std::map<std::uint64_t, std::shared_ptr<void>> m_timers;  // of RunAt
   std::uint64_t m_last_timer = 0;
   AtomicCounters m_counters;
--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -447,11 +447,11 @@
 struct BusyControl {
   static constexpr char kControl[] = "corneltray-control";
 
+  std::mutex mutex;                  // this and the next outlive the nodes, whose threads use them
+  std::vector<std::string> handled;  // hosts whose requests were handled, in order
   PeerNode control;
   PeerNode other_control;
   PeerNode entry;
-  std::mutex mutex;
-  std::vector<std::string> handled;  // hosts whose requests were handled, in order
 
   static PeerOptions ControlOptions(const std::string& host) {
     PeerOptions options = OptionsFor(host);
