--- a/src/corneltray-control/read_counters.h
+++ b/src/corneltray-control/read_counters.h
@@ -24,9 +24,9 @@
   // Their host has asked again, so it has given them up.
   std::uint64_t reads_replaced = 0;
   std::uint64_t reports_stored = 0;
-  Duration report_time{0};  // spent in decoding and storing reports of entry hosts
+  Duration report_time{0};  // spent in answering batches of reports, at the leader
   std::uint64_t sums_made = 0;
-  Duration sum_time{0};  // spent in summing and encoding reports of all entry hosts
+  Duration sum_time{0};  // spent in summing and encoding them, at the leader
 
   void AddRound(Duration time) {
     ++rounds_confirmed;
