Send reports to a new leader whatever became of the last batch

A batch that was lost with its leader, or with a read of a leader of an older build, held up the next one until its deadline or for good. Found while reading the change; the new test in host_reports_test.cc fails without the reset.

--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -188,6 +188,7 @@
     ++m_read_counters.rounds_failed;
     LogEvent(LogLevel::kWarning, "read_not_confirmed", {{"reason", why}});
     m_read_batcher.Fail(round);
+    if (!m_leader_takes_reports) m_reports.OnBatchFailed(Clock::now());
   }
   RunReadBatches();
 }
--- a/src/libfleet/host_reports.cc
+++ b/src/libfleet/host_reports.cc
@@ -34,7 +34,8 @@
   m_expected_hosts = KnownEntryHosts();
   m_sums.expires_at = now;
   m_is_leader = is_leader;
-  // A new leader is told at once.
+  // A new leader is told at once, whatever becomes of the last batch.
+  m_batch_in_progress = false;
   m_next_batch_at = now;
   m_retry_delay = kReportRetryDelay;
   if (!is_leader) {
--- a/src/libfleet/host_reports_test.cc
+++ b/src/libfleet/host_reports_test.cc
@@ -155,6 +155,17 @@
   REQUIRE(members.Exchange(now).size() == 1);
 }
 
+// Guards against reports that are held up for good by a batch that got lost with its leader.
+TEST_CASE("a new leader is sent reports although the former one has not answered") {
+  Members members;
+  members.follower.StoreFetch(kStart, FetchOf("entry-1", 1));
+  REQUIRE(members.follower.TakeBatch(kStart).has_value());
+  members.follower.StoreFetch(kStart, FetchOf("entry-1", 2));
+  CHECK_FALSE(members.follower.TakeBatch(kStart + seconds(5)).has_value());
+  members.follower.OnLeaderChanged(kStart, false);
+  CHECK(members.follower.TakeBatch(kStart).has_value());
+}
+
 // Guards against hosts of a control process that runs an older build than the leader.
 TEST_CASE("reports of an older build, which knows no numbers of sums, are answered with the sums") {
   Members members;
