Send a departure that an upstream repeats to each host once

An upstream that leaves repeats its call until it is acknowledged, by way of up to three control hosts each time. Each call was sent to all followers and all other control hosts anew, which sent it to their followers again, also while the first was on its way.

A repeat now waits for the sending in progress, at followers and at control hosts apart, since two control hosts that wait for each other would both wait until their deadlines. If all have acknowledged a departure, a repeat is acknowledged at once; if one has not, the next repeat is sent.

--- a/src/include/corneltray/upstream_distributor.h
+++ b/src/include/corneltray/upstream_distributor.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "corneltray/departure_tracker.h"
 #include "corneltray/peer.h"
 #include "corneltray/upstream_feed.h"
 #include "corneltray/upstream_table.h"
@@ -71,9 +72,15 @@
   // followers have it.
   void OnDeparture(const std::string& control_host, const UpstreamUpdates& updates,
                    const std::function<void()>& done);
+  // Send a departure and call `done` once all receivers have it, or at the deadline.
+  void SendToFollowers(const UpstreamUpdate& departure, TimePoint deadline,
+                       const std::function<void()>& done);
+  void SendToControlHosts(const UpstreamUpdate& departure, TimePoint deadline,
+                          const std::function<void()>& done);
+  // Calls `done` with whether all hosts have acknowledged the message before the deadline.
   void RequestAcknowledgements(const std::vector<std::string>& hosts,
                                const UpstreamUpdates& message, TimePoint deadline,
-                               const std::shared_ptr<Acknowledgements>& pending);
+                               const std::function<void(bool all)>& done);
   void ScheduleFlush();
   void Send(const UpstreamFeedMessages& messages);
   void SendHealthDue(TimePoint now);
@@ -84,6 +91,8 @@
   Options m_options;
   UpstreamFeed m_feed;
   std::map<std::string, FeedCursor> m_cursors;  // by control process
+  DepartureTracker m_follower_departures;
+  DepartureTracker m_control_departures;
   EngineHealthBatch m_health;
   asio::steady_timer m_flush_timer;
   bool m_is_flush_scheduled = false;
--- a/src/libfleet/upstream_distribution_test.cc
+++ b/src/libfleet/upstream_distribution_test.cc
@@ -218,6 +218,36 @@
     acknowledged.get_future().wait();
     for (Host& host : region.hosts) CHECK_FALSE(host.IsReady("10.0.0.1"));
   }
+  // Guards against repeats of a departure that are each sent to all hosts, which keeps busy control
+  // processes busy.
+  SUBCASE("a departure that is repeated at several control processes is sent to each host once") {
+    const auto count_sent = [&region] {
+      std::uint64_t sent = 0;
+      for (const Control& control : region.controls) {
+        sent += control.node.MessageCounters()[MessageType::kUpstreamUpdates].sent;
+      }
+      return sent;
+    };
+    constexpr int kRepeats = 20;
+    std::atomic<int> acknowledged{0};
+    const std::uint64_t before = count_sent();
+    for (int repeat = 0; repeat < kRepeats; ++repeat) {
+      for (Control& control : region.controls) {
+        REQUIRE(control.loop.WaitFor([&] { return control.table.Find("10.0.0.1") != nullptr; }));
+        control.loop.Run([&] {
+          const auto update = control.table.MarkLeft(Clock::now(), "10.0.0.1", 1);
+          REQUIRE(update);
+          control.distributor.Depart(*update, [&acknowledged] { ++acknowledged; });
+        });
+      }
+    }
+    const int calls = kRepeats * static_cast<int>(region.controls.size());
+    REQUIRE(first.loop.WaitFor([&] { return acknowledged == calls; }));
+    for (Host& host : region.hosts) CHECK_FALSE(host.IsReady("10.0.0.1"));
+    // Each receiver gets it a few times at most, as changes and refreshes are sent meanwhile.
+    const std::size_t receivers = region.hosts.size() + region.controls.size() * 2;
+    CHECK(count_sent() - before < 5 * receivers);
+  }
   SUBCASE("a host that follows a lost control process moves and gets what it has missed") {
     Control& source = region.SourceOfFirst();
     Control& other = region.OtherThan(source);
--- a/src/libfleet/upstream_distributor.cc
+++ b/src/libfleet/upstream_distributor.cc
@@ -34,10 +34,12 @@
 
 struct UpstreamDistributor::Acknowledgements {
   std::size_t missing = 1;  // one for the caller, until all requests are sent
-  std::function<void()> done;
+  bool all_acknowledged = true;
+  std::function<void(bool all)> done;
 
-  void Complete() {
-    if (--missing == 0) done();
+  void Complete(bool is_acknowledged) {
+    all_acknowledged = all_acknowledged && is_acknowledged;
+    if (--missing == 0) done(all_acknowledged);
   }
 };
 
@@ -141,13 +143,13 @@
 }
 
 void UpstreamDistributor::Depart(const UpstreamUpdate& update, const std::function<void()>& done) {
-  const auto pending = std::make_shared<Acknowledgements>();
-  pending->done = done;
   const TimePoint deadline = Clock::now() + kDepartureTimeout;
-  Send(m_feed.TakeQueued());
-  RequestAcknowledgements(m_feed.Followers(), m_feed.TakeForFollowers(update), deadline, pending);
-  RequestAcknowledgements(ControlHosts(), m_feed.TakeForControlHosts(update), deadline, pending);
-  pending->Complete();
+  const auto parts = std::make_shared<int>(2);
+  const auto finish_part = [parts, done] {
+    if (--*parts == 0) done();
+  };
+  SendToFollowers(update, deadline, finish_part);
+  SendToControlHosts(update, deadline, finish_part);
 }
 
 void UpstreamDistributor::OnDeparture(const std::string& control_host,
@@ -155,29 +157,54 @@
                                       const std::function<void()>& done) {
   OnMessage(control_host, updates);
   Send(m_feed.TakeQueued());
-  const auto pending = std::make_shared<Acknowledgements>();
-  pending->done = done;
   const TimePoint deadline = Clock::now() + kRelayedDepartureTimeout;
+  const auto missing = std::make_shared<std::size_t>(updates.updates.size());
+  if (*missing == 0) return done();
   for (const UpstreamUpdate& update : updates.updates) {
     // Also sent if it was known here already: the followers may not have acknowledged it yet.
-    RequestAcknowledgements(m_feed.Followers(), m_feed.TakeForFollowers(update), deadline, pending);
+    SendToFollowers(update, deadline, [missing, done] {
+      if (--*missing == 0) done();
+    });
   }
-  pending->Complete();
 }
 
-void UpstreamDistributor::RequestAcknowledgements(
-    const std::vector<std::string>& hosts, const UpstreamUpdates& message, TimePoint deadline,
-    const std::shared_ptr<Acknowledgements>& pending) {
+void UpstreamDistributor::SendToFollowers(const UpstreamUpdate& departure, TimePoint deadline,
+                                          const std::function<void()>& done) {
+  if (!m_follower_departures.Begin(Clock::now(), departure, done)) return;
+  Send(m_feed.TakeQueued());
+  RequestAcknowledgements(
+      m_feed.Followers(), m_feed.TakeForFollowers(departure), deadline,
+      [this, departure](bool all) { m_follower_departures.End(Clock::now(), departure, all); });
+}
+
+void UpstreamDistributor::SendToControlHosts(const UpstreamUpdate& departure, TimePoint deadline,
+                                             const std::function<void()>& done) {
+  if (!m_control_departures.Begin(Clock::now(), departure, done)) return;
+  Send(m_feed.TakeQueued());
+  RequestAcknowledgements(
+      ControlHosts(), m_feed.TakeForControlHosts(departure), deadline,
+      [this, departure](bool all) { m_control_departures.End(Clock::now(), departure, all); });
+}
+
+void UpstreamDistributor::RequestAcknowledgements(const std::vector<std::string>& hosts,
+                                                  const UpstreamUpdates& message,
+                                                  TimePoint deadline,
+                                                  const std::function<void(bool all)>& done) {
   const json body = EncodeUpstreamUpdates(message);
+  const auto pending = std::make_shared<Acknowledgements>();
+  pending->done = done;
   pending->missing += hosts.size();
   for (const std::string& host : hosts) {
     m_options.node->Request(host, MessageType::kUpstreamUpdates, body, deadline,
-                            [io = m_options.io, pending](const Result<json>&) {
-                              // A host that does not answer is disconnected or slow: it fetches
-                              // all upstreams when it notices that a message is missing.
-                              asio::post(*io, [pending] { pending->Complete(); });
+                            [io = m_options.io, pending](const Result<json>& reply) {
+                              // A host that does not answer is disconnected or slow: it fetches all
+                              // upstreams when it notices that a message is missing.
+                              asio::post(*io, [pending, is_acknowledged = reply.Ok()] {
+                                pending->Complete(is_acknowledged);
+                              });
                             });
   }
+  pending->Complete(true);
 }
 
 void UpstreamDistributor::Broadcast(MessageType type, json body) {
