--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -5,12 +5,8 @@
 
 #include "control_node.h"
 #include "corneltray/control_protocol.h"
-#include "corneltray/fleet_messages.h"
 #include "corneltray/forward_report.h"
 #include "corneltray/log.h"
-#include "corneltray/pace_messages.h"
-#include "corneltray/rate_limit_report.h"
-#include "corneltray/retry_messages.h"
 
 namespace corneltray {
 namespace {
@@ -26,7 +22,6 @@
 // busy leader is not asked again and again for what it has nearly done.
 constexpr std::chrono::milliseconds kReadIndexTimeout{900};
 constexpr std::chrono::milliseconds kReportTimeout{900};
-
 constexpr std::chrono::seconds kReadCounterLogInterval{5};
 
 }  // namespace
--- a/src/include/corneltray/host_reports.h
+++ b/src/include/corneltray/host_reports.h
@@ -123,7 +123,7 @@
   RateLimitReports m_unsent_rate_limits;
   bool m_batch_in_progress = false;
   TimePoint m_next_batch_at{};
-  std::chrono::milliseconds m_retry_delay = kReportRetryDelay;
+  std::uint32_t m_unanswered_batches = 0;  // in a row
 
   std::uint64_t m_reports_stored = 0;
   std::uint64_t m_sums_made = 0;
--- a/src/libfleet/host_reports.cc
+++ b/src/libfleet/host_reports.cc
@@ -37,7 +37,7 @@
   // A new leader is told at once, whatever becomes of the last batch.
   m_batch_in_progress = false;
   m_next_batch_at = now;
-  m_retry_delay = kReportRetryDelay;
+  m_unanswered_batches = 0;
   if (!is_leader) {
     m_sums.number = 0;  // another leader counts on its own
     return;
@@ -216,7 +216,7 @@
 
 void HostReports::StoreAnswer(TimePoint now, const json& answer) {
   m_batch_in_progress = false;
-  m_retry_delay = kReportRetryDelay;
+  m_unanswered_batches = 0;
   const json grants = answer.value("retry_grants", json::object());
   for (const auto& [host, grant] : grants.items()) m_retry_grants[host] = grant;
   const json limits = answer.value("rate_limits", json::object());
@@ -235,8 +235,13 @@
 
 void HostReports::OnBatchFailed(TimePoint now) {
   m_batch_in_progress = false;
-  m_next_batch_at = now + m_retry_delay;
-  m_retry_delay = std::min(m_retry_delay * 2, kMaxReportRetryDelay);
+  std::chrono::milliseconds delay = kReportRetryDelay;
+  for (std::uint32_t batch = 0; batch < m_unanswered_batches && delay < kMaxReportRetryDelay;
+       ++batch) {
+    delay *= 2;
+  }
+  ++m_unanswered_batches;
+  m_next_batch_at = now + std::min(delay, kMaxReportRetryDelay);
 }
 
 json HostReports::AnswerBatch(TimePoint now, const json& batch) {
