--- a/src/libcorneltray/peer_test.cc
+++ b/src/libcorneltray/peer_test.cc
@@ -511,6 +511,55 @@
   CHECK(handled.size() < kRequests / 2);
 }
 
+// Guards against fetches of entry hosts that wait for as long as others send many replies.
+TEST_CASE("messages that wait are handled between the replies that arrive") {
+  constexpr int kReplies = 2000;
+  constexpr int kRequests = 100;
+  BusyControl busy(std::chrono::milliseconds(0));
+  PeerNode replier(OptionsFor("entry-2"));
+  std::vector<PeerNode::Responder> responders;  // on the loop of the replier
+  std::atomic<int> asked{0};
+  replier.SetRequestHandler(MessageType::kPropose, [&](const PeerIdentity&, const json&,
+                                                       const PeerNode::Responder& respond) {
+    responders.push_back(respond);
+    ++asked;
+  });
+  REQUIRE(replier.Start());
+  replier.Connect(busy.control.ListenAddress());
+  REQUIRE(Eventually([&] { return IsConnected(busy.control, "entry-2"); }));
+  std::atomic<int> replies{0};
+  std::atomic<std::size_t> handled_before_last_reply{0};
+  for (int number = 0; number < kReplies; ++number) {
+    busy.control.Request("entry-2", MessageType::kPropose, json::object(), Clock::now() + kPatience,
+                         [&](const Result<json>&) {
+                           if (++replies == kReplies) handled_before_last_reply = busy.Handled();
+                         });
+  }
+  REQUIRE(Eventually([&] { return asked == kReplies; }));
+
+  // All replies and requests are there when the loop goes on.
+  std::promise<void> go_on;
+  busy.control.Post([wait = go_on.get_future().share()] { wait.wait(); });
+  replier.Post([&] {
+    for (const PeerNode::Responder& respond : responders) respond(json::object());
+  });
+  const auto sent = [](const PeerNode& node, MessageType type) {
+    return node.MessageCounters()[type].sent;
+  };
+  const bool replies_sent =
+      Eventually([&] { return sent(replier, MessageType::kReply) == kReplies; });
+  busy.SendFromEntry(kRequests, std::chrono::duration_cast<std::chrono::milliseconds>(kPatience));
+  const bool requests_sent =
+      Eventually([&] { return sent(busy.entry, MessageType::kPropose) == kRequests; });
+  go_on.set_value();
+  REQUIRE(replies_sent);
+  REQUIRE(requests_sent);
+  REQUIRE(Eventually([&] { return replies == kReplies; }));
+  CHECK(handled_before_last_reply.load() >= kRequests / 2);
+  REQUIRE(Eventually([&] { return busy.Handled() == kRequests; }));
+  busy.control.Stop();
+}
+
 // Guards against work for requests that their senders have given up.
 TEST_CASE("a request that has waited for longer than its sender does is dropped") {
   BusyControl busy(std::chrono::milliseconds(20));
