Do not ask a control process again that has not answered a fetch of the configuration

corneltray-entry asked every control process each 200 ms while its configuration was behind, with a timeout of 1 s: five fetches were on their way to a busy control process at a time. It now waits for the answer or the timeout. The same class of fault as the fetches of route tables (docs/incidents/2026-12-08-reads-not-confirmed.md); found by reading.

"a control process that does not answer a fetch of the configuration is not asked again" fails without the change.

--- a/src/libcorneltray/configuration_feed.cc
+++ b/src/libcorneltray/configuration_feed.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -164,12 +166,17 @@
     if (!hosts.empty()) Fetch(hosts[m_next_host++ % hosts.size()], false);
   }
 
+  // A control process that has not answered the last fetch yet is not asked again: it would get
+  // several fetches for each timeout while it is busy.
   void Fetch(const std::string& host, bool whole) {
+    if (!m_fetched_hosts.insert(host).second) return;
     const json body = FetchBody(whole ? 0 : Document().revision);
     m_node->Request(host, MessageType::kConfigurationFetch, body, Clock::now() + kFetchTimeout,
                     [weak = weak_from_this(), host, whole](const Result<json>& reply) {
                       const auto self = weak.lock();
-                      if (self && reply.Ok()) self->OnFetchReply(host, reply.value(), whole);
+                      if (!self) return;
+                      self->m_fetched_hosts.erase(host);
+                      if (reply.Ok()) self->OnFetchReply(host, reply.value(), whole);
                     });
   }
 
@@ -211,6 +218,7 @@
   std::size_t m_next_host = 0;                // I/O thread only
   std::size_t m_pending_initial_fetches = 0;  // I/O thread only: pending requests of FetchInitial
   RevisedDocument m_highest;                  // I/O thread only: reply with the highest revision
+  std::set<std::string> m_fetched_hosts;      // I/O thread only: have not answered yet
 
   mutable std::mutex m_mutex;  // guards the members below
   RevisedDocument m_document;
--- a/src/libcorneltray/control_client_test.cc
+++ b/src/libcorneltray/control_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
@@ -209,6 +210,36 @@
   node.Stop();
 }
 
+// Guards against control processes that get more fetches the longer they take to answer.
+TEST_CASE(
+    "a control process that does not answer a fetch of the configuration is not asked again") {
+  PeerNode control(OptionsFor("control", kControlProgram));
+  std::mutex mutex;
+  std::vector<TimePoint> fetched_at;
+  control.SetRequestHandler(MessageType::kConfigurationFetch,
+                            [&](const PeerIdentity&, const json&, const PeerNode::Responder&) {
+                              const std::lock_guard<std::mutex> lock(mutex);
+                              fetched_at.push_back(Clock::now());
+                            });
+  REQUIRE(control.Start().Ok());
+  PeerNode node(OptionsFor("entry", "corneltray-entry"));
+  ConfigurationFeed feed(&node, "dkr");
+  REQUIRE(feed.Activate({1, {DocumentText(1000), {}}}));
+  feed.NoteRevision(2);
+  feed.Start();
+  REQUIRE(node.Start().Ok());
+  node.Connect(control.ListenAddress());
+  REQUIRE(Eventually([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return fetched_at.size() >= 2;
+  }));
+  node.Stop();
+  control.Stop();
+  // Until the fetch has timed out, after a second. Fetches of a process that is behind are 200 ms
+  // apart otherwise.
+  CHECK(fetched_at[1] - fetched_at[0] > std::chrono::milliseconds(800));
+}
+
 // Guards against a restarted process that serves the configuration of a control process that is
 // behind.
 TEST_CASE("the first configuration is the highest revision of all reachable control processes") {
