--- a/src/corneltray-control/control_node.cc
+++ b/src/corneltray-control/control_node.cc
@@ -417,7 +417,7 @@
 void ControlNode::StartRead(std::function<json(std::uint64_t index)> answer,
                             const Responder& respond, TimePoint deadline) {
   const std::uint64_t id = ++m_last_read_id;
-  m_reads[id] = {std::move(answer), RespondOnce(respond), std::nullopt};
+  m_reads[id] = {std::move(answer), RespondOnce(respond), 0};
   const corneltray::Status started = m_replica.ReadBarrier(Clock::now(), id);
   if (!started) {
     m_reads.erase(id);
--- a/src/corneltray-control/control_node.h
+++ b/src/corneltray-control/control_node.h
@@ -101,8 +101,7 @@
   struct PendingRead {
     std::function<nlohmann::json(std::uint64_t index)> answer;
     Responder respond;
-    // The version of the route table that the reader holds, if it takes a newer one unconfirmed.
-    std::optional<std::uint64_t> held_version;
+    std::uint64_t held_version = 0;  // of the route table, at an entry host
   };
 
   // A reply to a fetch of the route table that several hosts get.
@@ -121,7 +120,7 @@
                  const Responder& respond, TimePoint deadline);
   // Adds a read to the next batch. Its answer is made with the index of the log that it reflects.
   // `host` is the entry host that reads, if one does.
-  void AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host);
+  ReadBatcher::Id AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host);
   // Answers the waiting reads of hosts that hold an older route table.
   void SendNewerRouteTable();
   nlohmann::json UnconfirmedRouteTableSince(std::uint64_t have);
--- a/src/corneltray-control/control_node_route_tables.cc
+++ b/src/corneltray-control/control_node_route_tables.cc
@@ -53,9 +53,8 @@
     }
     return reply;
   };
-  PendingRead read{answer, respond, std::nullopt};
-  if (accepts_unconfirmed && have > 0) read.held_version = have;
-  AddBatchedRead(std::move(read), DeadlineOf(body), host);
+  const ReadBatcher::Id id = AddBatchedRead({answer, respond, have}, DeadlineOf(body), host);
+  if (accepts_unconfirmed && have > 0) m_read_batcher.SetHeldVersion(id, have);
 }
 
 // The table of a newer version is committed, and needs no confirmation.
@@ -67,13 +66,9 @@
 
 void ControlNode::SendNewerRouteTable() {
   const std::uint64_t version = m_state.GetRouteTable().Version();
-  for (auto waiting = m_batched_reads.begin(); waiting != m_batched_reads.end();) {
-    const auto current = waiting++;
-    const auto& held = current->second.held_version;
-    if (!held || *held >= version) continue;
-    m_read_batcher.Remove(current->first);
-    const PendingRead read = m_batched_reads.extract(current).mapped();
-    read.respond(UnconfirmedRouteTableSince(*read.held_version));
+  for (const ReadBatcher::Id id : m_read_batcher.TakeOutdated(version)) {
+    const auto read = m_batched_reads.extract(id);
+    read.mapped().respond(UnconfirmedRouteTableSince(read.mapped().held_version));
   }
 }
 
@@ -95,13 +90,16 @@
     confirmed["index"] = index;
     return confirmed;
   };
-  AddBatchedRead({answer, respond, std::nullopt}, DeadlineOf(body), "");
+  AddBatchedRead({answer, respond, 0}, DeadlineOf(body), "");
 }
 
-void ControlNode::AddBatchedRead(PendingRead read, TimePoint deadline, const std::string& host) {
+ReadBatcher::Id ControlNode::AddBatchedRead(PendingRead read, TimePoint deadline,
+                                            const std::string& host) {
   ++m_read_counters.reads_added;
-  m_batched_reads[m_read_batcher.Add(deadline, host)] = std::move(read);
+  const ReadBatcher::Id id = m_read_batcher.Add(deadline, host);
+  m_batched_reads[id] = std::move(read);
   RunReadBatches();
+  return id;
 }
 
 void ControlNode::LogReadCounters() {
--- a/src/include/corneltray/read_batcher.h
+++ b/src/include/corneltray/read_batcher.h
@@ -57,8 +57,11 @@
   std::vector<CompleteRead> TakeComplete(std::uint64_t applied);
   // Removes and returns the reads past their deadline.
   std::vector<Id> TakeExpired(TimePoint now);
-  // Removes a read that has been answered otherwise.
-  void Remove(Id id);
+  // The reader holds this version of the route table, and takes a newer one without a confirmation.
+  void SetHeldVersion(Id id, std::uint64_t version);
+  // Removes and returns the reads whose readers take this version unconfirmed, since they hold an
+  // older one.
+  std::vector<Id> TakeOutdated(std::uint64_t version);
   // Removes and returns the reads that hosts have given up.
   std::vector<Id> TakeReplaced();
 
@@ -68,7 +71,8 @@
  private:
   struct Read {
     TimePoint deadline;
-    std::string host;       // empty if it is not that of an entry host
+    std::string host;  // empty if it is not that of an entry host
+    std::optional<std::uint64_t> held_version;
     Round first_round = 0;  // the first read of the log after it was added; 0 if none has begun
     std::optional<std::uint64_t> index;  // once it is confirmed
   };
--- a/src/libfleet/read_batcher.cc
+++ b/src/libfleet/read_batcher.cc
@@ -93,9 +93,21 @@
   return expired;
 }
 
-void ReadBatcher::Remove(Id id) {
+void ReadBatcher::SetHeldVersion(Id id, std::uint64_t version) {
   const auto read = m_reads.find(id);
-  if (read != m_reads.end()) Erase(read);
+  if (read != m_reads.end()) read->second.held_version = version;
+}
+
+std::vector<ReadBatcher::Id> ReadBatcher::TakeOutdated(std::uint64_t version) {
+  std::vector<Id> outdated;
+  for (auto read = m_reads.begin(); read != m_reads.end();) {
+    const auto current = read++;
+    const auto& held = current->second.held_version;
+    if (!held || *held >= version) continue;
+    outdated.push_back(current->first);
+    Erase(current);
+  }
+  return outdated;
 }
 
 std::vector<ReadBatcher::Id> ReadBatcher::TakeReplaced() { return std::exchange(m_replaced, {}); }
--- a/src/libfleet/read_batcher_test.cc
+++ b/src/libfleet/read_batcher_test.cc
@@ -160,5 +160,22 @@
   }
 }
 
+// Guards against hosts that keep an outdated route table while their read waits for a leader that
+// does not confirm it.
+TEST_CASE("a read that waits is answered with a newer route table") {
+  ReadBatcher batcher;
+  const ReadBatcher::Id outdated = batcher.Add(kStart + kTimeout, "entry-1");
+  const ReadBatcher::Id current = batcher.Add(kStart + kTimeout, "entry-2");
+  const ReadBatcher::Id confirmed_only = batcher.Add(kStart + kTimeout, "entry-3");
+  batcher.SetHeldVersion(outdated, 6);
+  batcher.SetHeldVersion(current, 7);
+  const auto round = batcher.Begin(kStart);
+  REQUIRE(round.has_value());
+  CHECK(batcher.TakeOutdated(7) == std::vector<ReadBatcher::Id>{outdated});
+  CHECK(batcher.TakeOutdated(7).empty());
+  batcher.Confirm(*round, 1);
+  CHECK(IdsOf(batcher.TakeComplete(1)) == std::vector<ReadBatcher::Id>{current, confirmed_only});
+}
+
 }  // namespace
 }  // namespace corneltray
